--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Developer tasks. `make check test` is what CI runs.
+VENV ?= .venv
+PYTHON = $(VENV)/bin/python
+SOURCE_PATHS = $(wildcard libs/*) programs/oleanderdeal standins
+space := $(subst ,, )
+export PYTHONPATH = $(subst $(space),:,$(abspath $(SOURCE_PATHS)))
+export PYTHONDONTWRITEBYTECODE = 1
+
+.PHONY: install format check test demo bench soak binary
+
+install: $(VENV)/.installed
+
+$(VENV)/.installed: requirements.txt requirements-dev.txt
+	test -x $(PYTHON) || python3 -m venv $(VENV)
+	$(PYTHON) -m pip install --quiet -r requirements-dev.txt
+	touch $@
+
+format: install
+	$(VENV)/bin/ruff check --fix --quiet .
+	$(VENV)/bin/ruff format --quiet .
+
+check: install
+	$(VENV)/bin/ruff format --check .
+	$(VENV)/bin/ruff check .
+	$(VENV)/bin/mypy $(SOURCE_PATHS)
+	$(VENV)/bin/lint-imports --no-cache
+
+test: install
+	$(VENV)/bin/behave --format progress features
+
+demo: install
+	$(PYTHON) -m oleander_standins.demo
+
+bench: install
+	$(PYTHON) bench/run.py
+
+soak: install
+	$(PYTHON) features/soak.py --seed $(or $(SEED),1) --minutes $(or $(MINUTES),1)
+
+binary: install
+	$(PYTHON) programs/build_binary.py
--- /dev/null
+++ b/libs/admission/oleander_admission/__init__.py
@@ -0,0 +1,1 @@
+"""Who goes first at a backend server, and who is refused."""
--- /dev/null
+++ b/libs/base/oleander_base/clock.py
@@ -0,0 +1,50 @@
+"""The one place where time is read."""
+
+import dataclasses
+import time
+
+
+def read_now() -> float:
+    """Return monotonic seconds; comparable only within one process."""
+    return time.monotonic()
+
+
+def read_wall_ms() -> int:
+    """Return wall-clock milliseconds, for people to read; no decision may use it."""
+    return int(time.time() * 1000)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Deadline:
+    """A point of monotonic time after which work is no longer wanted."""
+
+    expires_at: float
+
+    @property
+    def remaining(self) -> float:
+        """Seconds left, never negative."""
+        return max(0.0, self.expires_at - read_now())
+
+    @property
+    def remaining_ms(self) -> int:
+        """Milliseconds left, never negative; this is what travels between hosts."""
+        return int(self.remaining * 1000)
+
+    @property
+    def is_past(self) -> bool:
+        """Whether no time is left."""
+        return read_now() >= self.expires_at
+
+    def earlier(self, seconds: float) -> "Deadline":
+        """Return the sooner of this deadline and one that many seconds from now."""
+        return Deadline(min(self.expires_at, read_now() + seconds))
+
+
+def start_deadline(seconds: float) -> Deadline:
+    """Return the deadline that many seconds from now."""
+    return Deadline(read_now() + seconds)
+
+
+def start_deadline_ms(milliseconds: int) -> Deadline:
+    """Return the deadline that many milliseconds from now."""
+    return start_deadline(milliseconds / 1000)
--- /dev/null
+++ b/libs/base/oleander_base/log.py
@@ -0,0 +1,68 @@
+"""One log for the whole process: one line an event, bounded under failure."""
+
+import logging
+import sys
+import threading
+import typing
+
+import loguru
+
+from oleander_base import clock
+
+logger = loguru.logger
+
+_REPEAT_SECONDS = 10.0
+_MOST_EVENTS = 1000
+
+
+class _RepeatLimiter:
+    """Lets one line an event through in a while; bounded, oldest events are forgotten."""
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._next_at: dict[str, float] = {}
+
+    def admits(self, event: str) -> bool:
+        """Tell whether this event may be logged now."""
+        now = clock.read_now()
+        with self._lock:
+            if self._next_at.get(event, 0.0) > now:
+                return False
+            while len(self._next_at) >= _MOST_EVENTS:
+                self._next_at.pop(next(iter(self._next_at)))
+            self._next_at[event] = now + _REPEAT_SECONDS
+            return True
+
+
+_limiter = _RepeatLimiter()
+
+
+class _LibraryHandler(logging.Handler):
+    """Sends what libraries log to ours, one bounded line each, without tracebacks."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log the first line of a library's message."""
+        warn_bounded(f"library-{record.name}", record.getMessage().splitlines()[0][:200])
+
+
+def configure_log(level: str, as_json: bool, process: str) -> None:
+    """Send lines to standard error, as text or as JSON, and take in the libraries' logs."""
+    logger.remove()
+    logger.configure(extra={"process": process})
+    if as_json:
+        logger.add(sys.stderr, level=level, serialize=True, backtrace=False, diagnose=False)
+    else:
+        logger.add(sys.stderr, level=level, format=_format_line, backtrace=False, diagnose=False)
+    logging.basicConfig(handlers=[_LibraryHandler()], level=logging.WARNING, force=True)
+
+
+def _format_line(record: "loguru.Record") -> str:
+    fields = " ".join(f"{name}={value}" for name, value in record["extra"].items())
+    safe = fields.replace("{", "{{").replace("}", "}}").replace("<", r"\<")
+    return "{time:HH:mm:ss.SSS} {level} " + safe + " {message}\n"
+
+
+def warn_bounded(event: str, message: str, **fields: typing.Any) -> None:
+    """Log a warning that may recur many times a second: one line an event in a while."""
+    if _limiter.admits(event):
+        logger.bind(event=event, **fields).warning(message)
--- /dev/null
+++ b/libs/routing/oleander_routing/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend server gets a request."""
--- /dev/null
+++ b/libs/samples/oleander_samples/__init__.py
@@ -0,0 +1,1 @@
+"""The samples of a step: collected whole, fresh and truthfully labelled."""
--- /dev/null
+++ b/libs/wire/oleander_wire/codec.py
@@ -0,0 +1,125 @@
+"""Messages to CBOR frames and back; every field is checked, unknown ones are ignored."""
+
+import dataclasses
+import enum
+import types
+import typing
+
+import cbor2
+import expression
+
+from oleander_base import findings
+from oleander_wire import messages
+
+MOST_FRAME_BYTES = 4 * 1024 * 1024
+_TYPE_FIELD = "type"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Field:
+    name: str
+    kind: type
+    optional: bool
+
+
+def _read_fields(message_type: type) -> tuple[_Field, ...]:
+    hints = typing.get_type_hints(message_type)
+    return tuple(
+        _describe_field(field.name, hints[field.name])
+        for field in dataclasses.fields(message_type)
+    )
+
+
+def _describe_field(name: str, hint: typing.Any) -> _Field:
+    if isinstance(hint, types.UnionType):
+        inner = next(item for item in typing.get_args(hint) if item is not type(None))
+        return _Field(name, inner, True)
+    return _Field(name, typing.get_origin(hint) or hint, False)
+
+
+_TYPES: dict[str, type] = {item.__name__: item for item in typing.get_args(messages.Message)}
+_FIELDS: dict[type, tuple[_Field, ...]] = {
+    item: _read_fields(item) for item in (*_TYPES.values(), messages.GenerationTerms)
+}
+
+
+def encode_message(message: messages.Message) -> bytes:
+    """Return the frame of a message."""
+    content = _encode_fields(message)
+    content[_TYPE_FIELD] = type(message).__name__
+    return cbor2.dumps(content)
+
+
+def _encode_fields(value: typing.Any) -> dict[str, typing.Any]:
+    return {
+        field.name: _encode_value(getattr(value, field.name)) for field in _FIELDS[type(value)]
+    }
+
+
+def _encode_value(value: typing.Any) -> typing.Any:
+    if isinstance(value, enum.Enum):
+        return value.value
+    if type(value) in _FIELDS:
+        return _encode_fields(value)
+    return value
+
+
+def decode_message(
+    frame: bytes | str,
+) -> expression.Result[messages.Message, findings.Findings]:
+    """Return the message of a frame, or all that is wrong with it."""
+    if isinstance(frame, str):
+        return _reject("frame", "is text, not CBOR")
+    try:
+        content = cbor2.loads(frame)
+    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
+        return _reject("frame", f"is not CBOR: {type(error).__name__}")
+    if not isinstance(content, dict):
+        return _reject("frame", "is not a map")
+    name = content.get(_TYPE_FIELD)
+    message_type = _TYPES.get(name) if isinstance(name, str) else None
+    if message_type is None:
+        return _reject(_TYPE_FIELD, f"unknown message {str(name)[:40]!r}")
+    found: list[findings.Finding] = []
+    message = _decode_fields(message_type, content, name or "", found)
+    if found:
+        return expression.Error(findings.Findings(tuple(found)))
+    return expression.Ok(typing.cast(messages.Message, message))
+
+
+def _reject(place: str, problem: str) -> expression.Result[messages.Message, findings.Findings]:
+    return expression.Error(findings.Findings((findings.Finding(place, problem),)))
+
+
+def _decode_fields(
+    message_type: type,
+    content: dict[str, typing.Any],
+    place: str,
+    found: list[findings.Finding],
+) -> typing.Any:
+    values = {}
+    before = len(found)
+    for field in _FIELDS[message_type]:
+        if field.name not in content:
+            found.append(findings.Finding(f"{place}.{field.name}", "is missing"))
+            continue
+        values[field.name] = _decode_value(field, content[field.name], place, found)
+    return message_type(**values) if len(found) == before else None
+
+
+def _decode_value(
+    field: _Field, value: typing.Any, place: str, found: list[findings.Finding]
+) -> typing.Any:
+    where = f"{place}.{field.name}"
+    if value is None and field.optional:
+        return None
+    if field.kind in _FIELDS and isinstance(value, dict):
+        return _decode_fields(field.kind, value, where, found)
+    if issubclass(field.kind, enum.Enum):
+        known = {item.value: item for item in field.kind}
+        if isinstance(value, str) and value in known:
+            return known[value]
+    elif type(value) is field.kind:
+        return value
+    found.append(findings.Finding(where, f"is no {field.kind.__name__}"))
+    return None
--- /dev/null
+++ b/libs/wire/oleander_wire/link.py
@@ -0,0 +1,144 @@
+"""One WebSocket connection between an entry and a sidecar, sending and receiving messages."""
+
+import collections.abc
+import contextlib
+import dataclasses
+import threading
+
+import expression
+import websockets
+import websockets.sync.client
+import websockets.sync.connection
+import websockets.sync.server
+
+from oleander_base import clock, findings, log
+from oleander_wire import codec, messages
+
+_CLOSE_BAD_FRAME = 1007
+_CLOSE_SECONDS = 1.0
+_HANDSHAKE_SECONDS = 5.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinkError:
+    """The connection is of no more use."""
+
+    detail: str
+
+
+class Link:
+    """A connection whose frames are messages; safe to send on from several threads."""
+
+    def __init__(self, connection: websockets.sync.connection.Connection) -> None:
+        self._connection = connection
+        self._send_lock = threading.Lock()
+        self._closed = threading.Event()
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the link is of no more use."""
+        return self._closed.is_set()
+
+    def send(self, message: messages.Message) -> expression.Result[None, LinkError]:
+        """Send a message; after an error it may or may not have arrived."""
+        frame = codec.encode_message(message)
+        try:
+            with self._send_lock:
+                self._connection.send(frame)
+        except (websockets.exceptions.ConnectionClosed, OSError) as error:
+            self._closed.set()
+            return expression.Error(LinkError(type(error).__name__))
+        return expression.Ok(None)
+
+    def receive(
+        self, deadline: clock.Deadline
+    ) -> expression.Result[messages.Message | None, LinkError]:
+        """
+        Return the next message, or nothing at the deadline.
+
+        A frame that is no message closes this connection, with the reason, and nothing else.
+        """
+        try:
+            frame = self._connection.recv(timeout=deadline.remaining)
+        except TimeoutError:
+            return expression.Ok(None)
+        except (websockets.exceptions.ConnectionClosed, OSError) as error:
+            self._closed.set()
+            return expression.Error(LinkError(type(error).__name__))
+        decoded = codec.decode_message(frame)
+        if decoded.is_ok():
+            return expression.Ok(decoded.ok)
+        return self._close_on_bad_frame(decoded.error)
+
+    def close(self, code: int = 1000, reason: str = "") -> None:
+        """Close the connection."""
+        self._closed.set()
+        with contextlib.suppress(websockets.exceptions.WebSocketException, OSError):
+            self._connection.close(code, reason[:100])
+
+    def _close_on_bad_frame(
+        self, problem: findings.Findings
+    ) -> expression.Result[messages.Message | None, LinkError]:
+        log.warn_bounded("bad-frame", f"closing a connection: {problem}")
+        self.close(_CLOSE_BAD_FRAME, str(problem))
+        return expression.Error(LinkError(str(problem)))
+
+
+def dial_link(address: str, deadline: clock.Deadline) -> expression.Result[Link, LinkError]:
+    """Connect to the process that listens at IP:port."""
+    try:
+        connection = websockets.sync.client.connect(
+            f"ws://{address}/",
+            compression=None,
+            proxy=None,
+            open_timeout=max(0.05, deadline.remaining),
+            close_timeout=_CLOSE_SECONDS,
+            ping_interval=None,
+            max_size=codec.MOST_FRAME_BYTES,
+        )
+    except (OSError, TimeoutError, websockets.exceptions.WebSocketException) as error:
+        return expression.Error(LinkError(f"{address}: {type(error).__name__}"))
+    return expression.Ok(Link(connection))
+
+
+class LinkServer:
+    """Accepts links; each is served on a thread of its own until the handler returns."""
+
+    def __init__(
+        self,
+        host: str,
+        port: int,
+        handler: collections.abc.Callable[[Link], None],
+        most_links: int,
+    ) -> None:
+        self._handler = handler
+        self._slots = threading.BoundedSemaphore(most_links)
+        self._server = websockets.sync.server.serve(
+            self._serve_connection,
+            host,
+            port,
+            compression=None,
+            open_timeout=_HANDSHAKE_SECONDS,
+            close_timeout=_CLOSE_SECONDS,
+            ping_interval=None,
+            max_size=codec.MOST_FRAME_BYTES,
+        )
+
+    def serve(self) -> None:
+        """Accept connections until stopped."""
+        self._server.serve_forever()
+
+    def stop(self) -> None:
+        """Accept no more; open links are closed by their handlers."""
+        self._server.shutdown()
+
+    def _serve_connection(self, connection: websockets.sync.server.ServerConnection) -> None:
+        link = Link(connection)
+        if not self._slots.acquire(blocking=False):
+            link.close(1013, "too many connections")
+            return
+        try:
+            self._handler(link)
+        finally:
+            self._slots.release()
+            link.close()
--- /dev/null
+++ b/programs/build_binary.py
@@ -0,0 +1,78 @@
+"""Build the one-file program: a zipapp of pure Python that needs no writable disk."""
+
+import pathlib
+import shutil
+import subprocess
+import sys
+import zipapp
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent
+_STAGE = _ROOT / "build" / "zipapp"
+_TARGET = _ROOT / "dist" / "oleanderdeal"
+_NOT_NEEDED = ("*.so", "*.dist-info", "__pycache__", "tests", "bin")
+
+
+def install_packages() -> None:
+    """
+    Put the pinned packages into the stage, pure wheels only.
+
+    Compiled parts can't be loaded from inside an archive, so pip is asked for wheels that have
+    none; a package that stops offering one fails the build here rather than at the first start.
+    """
+    subprocess.run(
+        [
+            sys.executable,
+            "-m",
+            "pip",
+            "install",
+            "--quiet",
+            "--target",
+            str(_STAGE),
+            "--requirement",
+            str(_ROOT / "requirements.txt"),
+            "--no-deps",
+            "--only-binary=:all:",
+            "--platform=any",
+            "--implementation=py",
+            "--python-version=3.11",
+            "--abi=none",
+        ],
+        check=True,
+    )
+
+
+def copy_sources() -> None:
+    """Put the workspace's own packages into the stage."""
+    roots = [*sorted((_ROOT / "libs").iterdir()), _ROOT / "programs" / "oleanderdeal"]
+    for root in roots:
+        for package in root.iterdir():
+            if (package / "__init__.py").exists():
+                ignore = shutil.ignore_patterns("__pycache__")
+                shutil.copytree(package, _STAGE / package.name, ignore=ignore)
+
+
+def remove_unneeded() -> None:
+    """Drop compiled parts, which can't be loaded from an archive, and metadata."""
+    for pattern in _NOT_NEEDED:
+        for path in list(_STAGE.rglob(pattern)):
+            if path.is_dir():
+                shutil.rmtree(path)
+            else:
+                path.unlink()
+
+
+def main() -> None:
+    """Build dist/oleanderdeal."""
+    shutil.rmtree(_STAGE, ignore_errors=True)
+    _STAGE.mkdir(parents=True)
+    _TARGET.parent.mkdir(exist_ok=True)
+    install_packages()
+    copy_sources()
+    remove_unneeded()
+    zipapp.create_archive(
+        _STAGE, _TARGET, "/usr/bin/env python3", "oleanderdeal.main:main", compressed=True
+    )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/__init__.py
@@ -0,0 +1,1 @@
+"""The oleanderdeal program: every role as a command."""
--- /dev/null
+++ b/standins/oleander_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the platform, engines, services and trainers, for tests and demos."""
