Decide claims by the order of one log stream, appended to in groups

Cause: a request that may not be repeated needs one sidecar incarnation that every entry agrees on. Ruled out: a claim held in memory by an entry, which is lost with it; acting on the append's answer, which can be lost after the effect. A claimant acts only on its own record read back as the first. The window is counted in offsets, so that all processes forget the same keys with no clock.

--- a/features/wire.feature
+++ b/features/wire.feature
@@ -16,7 +16,7 @@
       | {"type": 7}                                      | type                                 |
       | {"type": "Cancel"}                               | Cancel.request_id                    |
       | {"type": "Cancel", "request_id": 5}              | Cancel.request_id                    |
-      | {"type": "Join", "request_id": "a", "attempt": true} | Join.incarnation, Join.customer, Join.key, Join.digest, Join.attempt, Join.budget_ms |
+      | {"type": "Join", "request_id": "a", "attempt": true} | Join.incarnation, Join.customer, Join.key, Join.digest, Join.attempt, Join.shard, Join.claim_offset, Join.budget_ms |
 
   Scenario: A field that a later release added is ignored
     When the frame {"type": "Cancel", "request_id": "a", "added": 1} is decoded
--- /dev/null
+++ b/libs/claims/oleander_claims/shard.py
@@ -0,0 +1,302 @@
+"""One claims stream: appended to in groups, followed to its end, decided by its order."""
+
+import collections
+import concurrent.futures
+import contextlib
+import dataclasses
+import queue
+import threading
+
+import expression
+
+from oleander_base import clock, invariants, log, metrics, tasks
+from oleander_claims import records
+from oleander_platform import logservice
+
+_MOST_IN_APPEND = 200
+_MOST_WAITING = 2000
+_APPEND_SECONDS = 2.0
+_STUCK_SECONDS = 1.0
+_READ_BACK_SECONDS = 0.5
+_READ_WAIT_MS = 1000
+_READ_SECONDS = 5.0
+_RETRY_SECONDS = 0.2
+_BEYOND_END = 2**53
+REASON_TOO_OLD = "key-too-old"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClaimError:
+    """The claim was not decided; the claimant must not act on it, now or later."""
+
+    reason: str
+    retry_after_ms: int
+
+
+ClaimResult = expression.Result[records.LoggedClaim, ClaimError]
+
+
+@dataclasses.dataclass(slots=True)
+class _Proposal:
+    claim: records.Claim
+    deadline: clock.Deadline
+    decided: concurrent.futures.Future[ClaimResult]
+
+    def settle(self, result: ClaimResult) -> None:
+        """Tell the claimant; only the first result counts, and none once it has given up."""
+        with contextlib.suppress(concurrent.futures.InvalidStateError):
+            self.decided.set_result(result)
+
+
+class ClaimTable:
+    """
+    The claims in force: for each key the first record of its newest attempt.
+
+    Every process that folds the same records has the same table. It holds the claims of the
+    newest `window` records; what is older is forgotten by offset, the same on every host.
+    """
+
+    def __init__(self, shard: int, window: int) -> None:
+        self._shard = shard
+        self._window = window
+        self._in_force: collections.OrderedDict[tuple[str, str], records.LoggedClaim] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return how many keys are held."""
+        return len(self._in_force)
+
+    def find(self, customer: str, key: str) -> records.LoggedClaim | None:
+        """Return the claim in force for a key."""
+        return self._in_force.get((customer, key))
+
+    def fold(self, offset: int, claim: records.Claim) -> records.LoggedClaim:
+        """Take in the next record; return the claim that is in force for its key."""
+        self._forget_before(offset - self._window)
+        name = (claim.customer, claim.key)
+        current = self._in_force.get(name)
+        logged = records.LoggedClaim(claim, self._shard, offset)
+        if current is not None and claim.attempt != current.claim.attempt + 1:
+            return current
+        self._in_force[name] = logged
+        self._in_force.move_to_end(name)
+        return logged
+
+    def _forget_before(self, offset: int) -> None:
+        while self._in_force:
+            oldest = next(iter(self._in_force.values()))
+            if oldest.offset >= offset:
+                return
+            self._in_force.popitem(last=False)
+
+
+class ClaimShard:
+    """
+    Decides claims by the order of one stream's records.
+
+    A claimant acts only once its own record has been read back as the one in force. So an append
+    whose answer was lost, or that takes effect after its claimant gave up, does no harm: the
+    claimant is gone, and whoever comes next reads the record like any other's.
+    """
+
+    def __init__(
+        self, shard: int, service: logservice.LogService, group: tasks.TaskGroup, window: int
+    ) -> None:
+        self._shard = shard
+        self._stream = f"claims-{shard}"
+        self._service = service
+        self._group = group
+        self._window = window
+        self._lock = threading.Lock()
+        self._table = ClaimTable(shard, window)
+        self._next_offset = 0
+        self._caught_up = False
+        self._failing_until: clock.Deadline | None = None
+        self._append_stuck_at: clock.Deadline | None = None
+        self._waiting: queue.Queue[_Proposal] = queue.Queue(_MOST_WAITING)
+        self._proposals: dict[str, _Proposal] = {}
+
+    @property
+    def is_caught_up(self) -> bool:
+        """Whether the stream has been read to what was its end at start."""
+        return self._caught_up
+
+    @property
+    def next_offset(self) -> int:
+        """The first offset that was not read yet."""
+        return self._next_offset
+
+    def start(self) -> None:
+        """Start the two tasks that follow the stream and append to it."""
+        self._group.start(self._follow)
+        self._group.start(self._append_groups)
+
+    def find(self, customer: str, key: str) -> records.LoggedClaim | None:
+        """Return the claim in force for a key, as far as the stream was read."""
+        with self._lock:
+            return self._table.find(customer, key)
+
+    def propose(
+        self, claim: records.Claim, issued_offset: int | None, deadline: clock.Deadline
+    ) -> ClaimResult:
+        """
+        Append a claim and return the one in force, which may be another's.
+
+        After an error the claimant must not act: its record may still come to stand in the log.
+        """
+        if not self._caught_up:
+            return expression.Error(ClaimError("claims are still being read", 1000))
+        if self._is_log_failing():
+            return expression.Error(ClaimError("the log is failing", 1000))
+        proposal = _Proposal(claim, deadline, concurrent.futures.Future())
+        with self._lock:
+            self._proposals[claim.nonce] = proposal
+        try:
+            return self._await_decision(proposal, issued_offset)
+        finally:
+            with self._lock:
+                self._proposals.pop(claim.nonce, None)
+
+    def _is_log_failing(self) -> bool:
+        """Tell whether a claim would only wait; refusing now lets the caller come back sooner."""
+        stuck, failing = self._append_stuck_at, self._failing_until
+        if stuck is not None and stuck.is_past:
+            return True
+        return failing is not None and not failing.is_past
+
+    def _await_decision(self, proposal: _Proposal, issued_offset: int | None) -> ClaimResult:
+        try:
+            self._waiting.put_nowait(proposal)
+        except queue.Full:
+            return expression.Error(ClaimError("too many claims are waiting", 500))
+        try:
+            result = proposal.decided.result(timeout=proposal.deadline.remaining)
+        except concurrent.futures.TimeoutError:
+            if proposal.decided.cancel():
+                return expression.Error(ClaimError("the log did not answer in time", 1000))
+            result = proposal.decided.result()
+        return self._check_age(result, issued_offset)
+
+    def _check_age(self, result: ClaimResult, issued_offset: int | None) -> ClaimResult:
+        """
+        Refuse a key that was issued longer ago than the window reaches.
+
+        An earlier claim for such a key may have been forgotten, so that this one looks like the
+        first; any earlier claim stands after the offset of issue, so the check is enough.
+        """
+        if result.is_error() or issued_offset is None:
+            return result
+        if result.ok.offset - issued_offset > self._window:
+            return expression.Error(ClaimError(REASON_TOO_OLD, 0))
+        return result
+
+    def _append_groups(self) -> None:
+        while not self._group.is_stopping:
+            group = self._take_group()
+            if group:
+                self._append_group(group)
+
+    def _take_group(self) -> list[_Proposal]:
+        """Return what waits, so that claims that come together share one append."""
+        try:
+            group = [self._waiting.get(timeout=0.5)]
+        except queue.Empty:
+            return []
+        while len(group) < _MOST_IN_APPEND:
+            try:
+                group.append(self._waiting.get_nowait())
+            except queue.Empty:
+                break
+        return [item for item in group if not item.decided.done()]
+
+    def _append_group(self, group: list[_Proposal]) -> None:
+        deadline = clock.start_deadline(_APPEND_SECONDS)
+        values = [item.claim.to_value() for item in group]
+        self._append_stuck_at = clock.start_deadline(_STUCK_SECONDS)
+        appended = self._service.append(self._stream, values, deadline)
+        self._append_stuck_at = None
+        if appended.is_error():
+            self._refuse_group(group, appended.error)
+
+    def _refuse_group(self, group: list[_Proposal], error: logservice.LogError) -> None:
+        """Refuse claims whose append failed, unless they are read back at once.
+
+        The records may stand in the log all the same. That does no harm: these claimants give
+        up for good here, and nobody else acts on another's record without asking its sidecar.
+        """
+        metrics.count(metrics.LOG_OUTAGES)
+        log.warn_bounded("log-append-failed", f"{self._stream}: {error.detail}")
+        if error.may_have_effect:
+            futures = [item.decided for item in group]
+            concurrent.futures.wait(futures, timeout=_READ_BACK_SECONDS)
+        self._failing_until = clock.start_deadline(_RETRY_SECONDS)
+        refusal = ClaimError("the log did not take the claim", max(200, error.retry_after_ms))
+        for item in group:
+            item.settle(expression.Error(refusal))
+
+    def _follow(self) -> None:
+        while not self._group.is_stopping and not self._find_start():
+            self._group.pause(_RETRY_SECONDS)
+        while not self._group.is_stopping:
+            if not self._read_page():
+                self._group.pause(_RETRY_SECONDS)
+
+    def _find_start(self) -> bool:
+        """Start one window before the end: older claims are forgotten by everyone."""
+        page = self._service.read(
+            self._stream, _BEYOND_END, 0, clock.start_deadline(_READ_SECONDS)
+        )
+        if page.is_error():
+            self._report_read_failure(page.error)
+            return False
+        start = max(page.ok.first_offset, page.ok.next_offset - self._window)
+        self._next_offset = max(0, start)
+        self._caught_up = self._next_offset >= page.ok.next_offset
+        return True
+
+    def _read_page(self) -> bool:
+        deadline = clock.start_deadline(_READ_WAIT_MS / 1000 + _READ_SECONDS)
+        page = self._service.read(self._stream, self._next_offset, _READ_WAIT_MS, deadline)
+        if page.is_error():
+            self._report_read_failure(page.error)
+            return False
+        if page.ok.first_offset > self._next_offset:
+            self._skip_lost(page.ok.first_offset)
+        for record in page.ok.records:
+            self._fold_record(record)
+        self._caught_up = self._caught_up or self._next_offset >= page.ok.next_offset
+        return True
+
+    def _report_read_failure(self, error: logservice.LogError) -> None:
+        metrics.count(metrics.LOG_OUTAGES)
+        log.warn_bounded("log-read-failed", f"{self._stream}: {error.detail}")
+
+    def _skip_lost(self, first_offset: int) -> None:
+        """Go on where the log still has records; what was deleted can't be decided here."""
+        log.warn_bounded(
+            "claims-deleted",
+            f"{self._stream}: records {self._next_offset} to {first_offset} were deleted before "
+            "they were read; raise the log's retention above the claim window",
+        )
+        with self._lock:
+            lost = list(self._proposals.values())
+            self._next_offset = first_offset
+        for proposal in lost:
+            proposal.settle(expression.Error(ClaimError("the claim can't be read back", 1000)))
+
+    def _fold_record(self, record: logservice.Record) -> None:
+        invariants.require(
+            record.offset >= self._next_offset,
+            "claims-in-order",
+            f"{self._stream}: record {record.offset} came after {self._next_offset}",
+        )
+        claim = records.read_claim(record.value)
+        with self._lock:
+            self._next_offset = record.offset + 1
+            if claim is None:
+                return
+            in_force = self._table.fold(record.offset, claim)
+            proposal = self._proposals.get(claim.nonce)
+        if proposal is not None:
+            proposal.settle(expression.Ok(in_force))
--- a/libs/wire/oleander_wire/link.py
+++ b/libs/wire/oleander_wire/link.py
@@ -3,6 +3,8 @@
 import collections.abc
 import contextlib
 import dataclasses
+import socket
+import struct
 import threading
 
 import expression
@@ -17,6 +19,7 @@
 _CLOSE_BAD_FRAME = 1007
 _CLOSE_SECONDS = 1.0
 _HANDSHAKE_SECONDS = 5.0
+_SEND_SECONDS = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -26,11 +29,23 @@
     detail: str
 
 
+def _bound_sends(connected: socket.socket) -> None:
+    """Let a send fail after a while.
+
+    A peer that is paused stops reading; once the buffers are full, a send to it would block its
+    thread for as long as the pause lasts. With the bound the link is closed instead.
+    """
+    bound = struct.pack("ll", _SEND_SECONDS, 0)
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, bound)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 class Link:
     """A connection whose frames are messages; safe to send on from several threads."""
 
     def __init__(self, connection: websockets.sync.connection.Connection) -> None:
         self._connection = connection
+        _bound_sends(connection.socket)
         self._send_lock = threading.Lock()
         self._closed = threading.Event()
 
--- a/libs/wire/oleander_wire/messages.py
+++ b/libs/wire/oleander_wire/messages.py
@@ -79,8 +79,9 @@
     key: str
     digest: str
     attempt: int
+    shard: int
     claim_offset: int
-    """The offset of the record that chose this sidecar; -1 for a repeatable request."""
+    """Where the record that chose this sidecar stands; -1 for a repeatable request."""
     repeatable: bool
     priority: int
     share_percent: int
@@ -112,6 +113,8 @@
     key: str
     digest: str
     attempt: int
+    shard: int
+    claim_offset: int
     budget_ms: int
 
 
