Add HTTP exchanges with one deadline, and checked JSON input

The adapters of platform and backends need the same request code, and no library below both but base exists; two copies were ruled out.

--- a/libs/base/oleander_base/__init__.py
+++ b/libs/base/oleander_base/__init__.py
@@ -1,5 +1,25 @@
 """What every library and program shares: time, findings, logs, metrics, tasks, invariants."""
 
-from oleander_base import clock, findings, identifiers, invariants, log, metrics, tasks
+from oleander_base import (
+    clock,
+    findings,
+    http_exchange,
+    identifiers,
+    invariants,
+    json_input,
+    log,
+    metrics,
+    tasks,
+)
 
-__all__ = ["clock", "findings", "identifiers", "invariants", "log", "metrics", "tasks"]
+__all__ = [
+    "clock",
+    "findings",
+    "http_exchange",
+    "identifiers",
+    "invariants",
+    "json_input",
+    "log",
+    "metrics",
+    "tasks",
+]
