--- /dev/null
+++ b/libs/backends/oleander_backends/http_engine.py
@@ -0,0 +1,205 @@
+"""A model engine over HTTP."""
+
+import collections.abc
+import json
+import threading
+import typing
+
+import expression
+
+from oleander_backends import engine
+from oleander_base import clock, http_exchange, json_input
+
+STALE_FENCING = "stale-fencing"
+"""The detail of the error when an engine refuses an order because a newer one came before."""
+
+_CANCEL_SECONDS = 2.0
+_JSON_HEADERS = {"Content-Type": "application/json"}
+_STATUS_OK = 200
+_STATUS_CONFLICT = 409
+_STATUS_UNAVAILABLE = 503
+
+
+class HttpGenerationStream(engine.GenerationStream):
+    """
+    Reads a generation line by line.
+
+    The deadline of the generation ends it with an error; nothing is cancelled at the engine then,
+    unless `cancel` is called.
+    """
+
+    def __init__(
+        self, caller: http_exchange.HttpCaller, request_id: str, answer: http_exchange.AnswerStream
+    ) -> None:
+        self._caller = caller
+        self._request_id = request_id
+        self._answer = answer
+        self._cancelled = threading.Event()
+
+    def __iter__(
+        self,
+    ) -> collections.abc.Iterator[expression.Result[engine.Chunk, engine.EngineError]]:
+        """Yield chunks until the last one, or one error; closes the connection at the end."""
+        try:
+            while True:
+                read = self._read_chunk()
+                yield read
+                if read.is_error() or read.ok.is_last:
+                    return
+        finally:
+            self._answer.close()
+
+    def cancel(self) -> None:
+        """
+        Stop the generation at the engine; may be called from another thread.
+
+        A reader that waits gets its error at once; the engine is told after that, which takes two
+        seconds at most.
+        """
+        if self._cancelled.is_set():
+            return
+        self._cancelled.set()
+        self._answer.abort()
+        request = _create_post("/v1/cancel", {"request_id": self._request_id})
+        self._caller.call_once(request, clock.start_deadline(_CANCEL_SECONDS))
+
+    def _read_chunk(self) -> expression.Result[engine.Chunk, engine.EngineError]:
+        read = self._answer.read_line()
+        if self._cancelled.is_set():
+            return _fail("the generation was cancelled")
+        if read.is_error():
+            return _fail(read.error.detail)
+        if not read.ok:
+            return _fail("the stream ended without its last line")
+        return _decode_chunk(read.ok)
+
+
+class HttpEngine(engine.Engine):
+    """Generates and orders loads on a new connection each time, reads on a kept one."""
+
+    def __init__(self, base_url: str) -> None:
+        self._caller = http_exchange.HttpCaller(base_url)
+
+    def generate(
+        self, generation: engine.Generation, deadline: clock.Deadline
+    ) -> expression.Result[engine.GenerationStream, engine.EngineError]:
+        """Start a generation; the deadline holds for its whole stream."""
+        request = _create_post("/v1/generate", _encode_generation(generation))
+        opened = self._caller.open_stream(request, deadline)
+        if opened.is_error():
+            return expression.Error(_convert_error(opened.error))
+        answer = opened.ok
+        if answer.status == _STATUS_OK:
+            return expression.Ok(HttpGenerationStream(self._caller, generation.request_id, answer))
+        failure = _describe_status(answer.status, answer.retry_after_ms)
+        answer.close()
+        return expression.Error(failure)
+
+    def read_load(
+        self, deadline: clock.Deadline
+    ) -> expression.Result[engine.EngineLoad, engine.EngineError]:
+        """Return the load report, which lags."""
+        request = http_exchange.Request("GET", "/v1/load")
+        received = _check_answer(self._caller.call_idempotent(request, deadline))
+        if received.is_error():
+            return expression.Error(received.error)
+        answer = received.ok
+        load = engine.EngineLoad(
+            answer.take_count("running"), answer.take_count("waiting"), answer.take_count("slots")
+        )
+        if not answer.is_sound:
+            return _fail(f"malformed answer: {answer.found}")
+        return expression.Ok(load)
+
+    def read_version(
+        self, deadline: clock.Deadline
+    ) -> expression.Result[engine.EngineVersion, engine.EngineError]:
+        """Return the weights that the engine runs now."""
+        request = http_exchange.Request("GET", "/v1/version")
+        return _read_version(self._caller.call_idempotent(request, deadline))
+
+    def load_version(
+        self, order: engine.LoadOrder, deadline: clock.Deadline
+    ) -> expression.Result[engine.EngineVersion, engine.EngineError]:
+        """
+        Order the engine to change its weights; returns once they are loaded.
+
+        An order that the engine refuses as older than another fails with `STALE_FENCING`.
+        """
+        content = {"model": order.model, "version": order.version, "fencing": order.fencing}
+        request = _create_post("/v1/load", content)
+        return _read_version(self._caller.call_once(request, deadline))
+
+
+_Received = expression.Result[json_input.ObjectReader, engine.EngineError]
+_Answered = expression.Result[http_exchange.Answer, http_exchange.ExchangeError]
+
+
+def _create_post(path: str, content: dict[str, typing.Any]) -> http_exchange.Request:
+    return http_exchange.Request("POST", path, json.dumps(content).encode(), _JSON_HEADERS)
+
+
+def _encode_generation(generation: engine.Generation) -> dict[str, typing.Any]:
+    return {
+        "request_id": generation.request_id,
+        "prompt": generation.prompt,
+        "prefix": generation.prefix,
+        "max_tokens": generation.max_tokens,
+        "priority": generation.priority,
+        "resumed_text": generation.resumed_text,
+        "resumed_tokens": generation.resumed_tokens,
+    }
+
+
+def _fail(detail: str) -> expression.Result[typing.Any, engine.EngineError]:
+    return expression.Error(engine.EngineError(detail, not_run=False, retry_after_ms=0))
+
+
+def _convert_error(error: http_exchange.ExchangeError) -> engine.EngineError:
+    not_run = error.reach is not http_exchange.Reach.MAY_HAVE_ARRIVED
+    return engine.EngineError(error.detail, not_run, 0)
+
+
+def _describe_status(status: int, retry_after_ms: int) -> engine.EngineError:
+    not_run = status == _STATUS_UNAVAILABLE
+    return engine.EngineError(f"the engine answered with status {status}", not_run, retry_after_ms)
+
+
+def _check_answer(answered: _Answered) -> _Received:
+    if answered.is_error():
+        return expression.Error(_convert_error(answered.error))
+    answer = answered.ok
+    content = json_input.read_object("answer", answer.body)
+    if answer.status == _STATUS_OK:
+        return expression.Ok(content)
+    if answer.status == _STATUS_CONFLICT and content.take_text("reason") == STALE_FENCING:
+        return expression.Error(engine.EngineError(STALE_FENCING, not_run=True, retry_after_ms=0))
+    return expression.Error(_describe_status(answer.status, answer.retry_after_ms))
+
+
+def _read_version(
+    answered: _Answered,
+) -> expression.Result[engine.EngineVersion, engine.EngineError]:
+    received = _check_answer(answered)
+    if received.is_error():
+        return expression.Error(received.error)
+    answer = received.ok
+    version = engine.EngineVersion(
+        answer.take_optional_count("version"), answer.take_flag("loading")
+    )
+    if not answer.is_sound:
+        return _fail(f"malformed answer: {answer.found}")
+    return expression.Ok(version)
+
+
+def _decode_chunk(line: bytes) -> expression.Result[engine.Chunk, engine.EngineError]:
+    content = json_input.read_object("line", line)
+    chunk = engine.Chunk(
+        content.take_text("text"),
+        content.take_count("tokens"),
+        content.take_optional_count("version"),
+        content.take_flag("last"),
+    )
+    if not content.is_sound:
+        return _fail(f"malformed stream: {content.found}")
+    return expression.Ok(chunk)
--- /dev/null
+++ b/libs/platform/oleander_platform/http_logservice.py
@@ -0,0 +1,114 @@
+"""The log service over HTTP."""
+
+import json
+import typing
+
+import expression
+
+from oleander_base import clock, http_exchange, json_input, metrics
+from oleander_platform import logservice
+
+_MOST_RECORDS = 500
+_STATUS_OK = 200
+_STATUSES_WITHOUT_EFFECT = (429, 503)
+_JSON_HEADERS = {"Content-Type": "application/json"}
+_PLACE = "answer"
+
+_Received = expression.Result[json_input.ObjectReader, logservice.LogError]
+
+
+class HttpLogService(logservice.LogService):
+    """Appends on a new connection each time, reads on one kept for each thread."""
+
+    def __init__(self, base_url: str) -> None:
+        self._caller = http_exchange.HttpCaller(base_url)
+
+    def append(
+        self, stream: str, values: list[dict[str, typing.Any]], deadline: clock.Deadline
+    ) -> expression.Result[int, logservice.LogError]:
+        """Append records together; return the offset of the first."""
+        body = json.dumps({"records": values}).encode()
+        request = http_exchange.Request("POST", _name_path(stream), body, _JSON_HEADERS)
+        received = _check_answer(self._caller.call_once(request, deadline))
+        if received.is_error():
+            return expression.Error(received.error)
+        answer = received.ok
+        first_offset = answer.take_count("first_offset")
+        if answer.take_count("count") != len(values):
+            answer.reject("count", "differs from the records sent")
+        if not answer.is_sound:
+            return expression.Error(_reject_answer(answer))
+        return expression.Ok(first_offset)
+
+    def read(
+        self, stream: str, offset: int, wait_ms: int, deadline: clock.Deadline
+    ) -> expression.Result[logservice.Page, logservice.LogError]:
+        """
+        Return records from an offset on, waiting a while for the first new one.
+
+        The wait is cut to half of the time left, so that an empty page comes before the deadline.
+        A record that is no object reads as an empty one: it keeps its offset, and a record
+        written by mistake can't stop everyone who reads the stream.
+        """
+        wait_ms = min(wait_ms, deadline.remaining_ms // 2)
+        query = f"?offset={offset}&limit={_MOST_RECORDS}&wait_ms={wait_ms}"
+        request = http_exchange.Request("GET", _name_path(stream) + query)
+        received = _check_answer(self._caller.call_idempotent(request, deadline))
+        if received.is_error():
+            return expression.Error(received.error)
+        answer = received.ok
+        page = _read_page(answer, offset)
+        if not answer.is_sound:
+            return expression.Error(_reject_answer(answer))
+        return expression.Ok(page)
+
+
+def _name_path(stream: str) -> str:
+    return f"/streams/{http_exchange.quote_segment(stream)}/records"
+
+
+def _check_answer(
+    answered: expression.Result[http_exchange.Answer, http_exchange.ExchangeError],
+) -> _Received:
+    """
+    Return the answer's body where the call succeeded.
+
+    Only a refused connection and the two statuses that promise it are taken as proof that nothing
+    was appended: after anything else the records may appear, even later.
+    """
+    if answered.is_error():
+        refused = answered.error.reach is http_exchange.Reach.REFUSED
+        return expression.Error(_fail(answered.error.detail, not refused, 0))
+    answer = answered.ok
+    if answer.status != _STATUS_OK:
+        may_have_effect = answer.status not in _STATUSES_WITHOUT_EFFECT
+        detail = f"the log answered with status {answer.status}"
+        return expression.Error(_fail(detail, may_have_effect, answer.retry_after_ms))
+    return expression.Ok(json_input.read_object(_PLACE, answer.body))
+
+
+def _fail(detail: str, may_have_effect: bool, retry_after_ms: int) -> logservice.LogError:
+    metrics.count(metrics.LOG_OUTAGES)
+    return logservice.LogError(detail, may_have_effect, retry_after_ms)
+
+
+def _reject_answer(answer: json_input.ObjectReader) -> logservice.LogError:
+    return _fail(f"malformed answer: {answer.found}", True, 0)
+
+
+def _read_page(answer: json_input.ObjectReader, offset: int) -> logservice.Page:
+    first_offset = answer.take_count("first_offset")
+    next_offset = answer.take_count("next_offset")
+    records = tuple(_read_record(item) for item in answer.take_objects("records"))
+    expected = max(offset, first_offset)
+    if any(record.offset != expected + index for index, record in enumerate(records)):
+        answer.reject("records", "are not consecutive from the offset asked for")
+    if records and records[-1].offset >= next_offset:
+        answer.reject("next_offset", "is not past the last record")
+    return logservice.Page(records, first_offset, next_offset)
+
+
+def _read_record(item: json_input.ObjectReader) -> logservice.Record:
+    offset = item.take_count("offset")
+    logged_at_ms = item.take_count("logged_at_ms")
+    return logservice.Record(offset, logged_at_ms, item.take_object_or_empty("value"))
