Read settings from flags and variables, and start a command

Cause: every role needs its settings typed, bounded and passed down, and a fault in them should show as a whole before the process starts. Ruled out: letting absl check values, since it stops at the first bad one; its global registry; its flagfile and undefok flags, which read files and hide what was mistyped. Flags are kept as texts and checked with the variables in one place. A variable of another command is no fault: a host sets the same ones for all its commands.

--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/command_line.py
@@ -0,0 +1,110 @@
+"""Flags by absl, kept as texts so that one place checks them together with the variables."""
+
+import collections.abc
+import dataclasses
+
+from absl import flags
+
+from oleander_base import findings
+from oleanderdeal import setting_table
+
+_PROGRAM = "oleanderdeal"
+_FORM = "settings are given as --name=value"
+_BUILT_IN_FLAGS = ("flagfile", "undefok")
+
+
+@dataclasses.dataclass(slots=True)
+class CommandLine:
+    """What stood on the command line."""
+
+    texts: dict[str, str]
+    """The text of each flag given, by the setting's name."""
+    unknown: list[str]
+    """Flags that the command does not have."""
+    faults: list[findings.Finding]
+
+
+class _RawParser(flags.ArgumentParser[str]):
+    """Takes any text: absl would stop at the first bad value, and we report all of them."""
+
+    syntactic_help = ""
+
+    def parse(self, argument: str) -> str:
+        """Return the text as it is."""
+        return argument
+
+    def flag_type(self) -> str:
+        """Name the type for absl's own messages."""
+        return "text"
+
+
+def parse_flags(
+    settings: collections.abc.Sequence[setting_table.Setting],
+    argv: collections.abc.Sequence[str],
+) -> CommandLine:
+    """Return what the flags say; the registry of flags lives as long as this call."""
+    line = CommandLine({}, [], [])
+    kept = _drop_built_in(argv, line)
+    for argument in _parse(settings, kept, line):
+        _sort_leftover(argument, line)
+    return line
+
+
+def _define_flags(settings: collections.abc.Sequence[setting_table.Setting]) -> flags.FlagValues:
+    values = flags.FlagValues()  # type: ignore[no-untyped-call]
+    values.set_gnu_getopt(True)
+    for setting in settings:
+        flag = flags.Flag(
+            parser=_RawParser(),
+            serializer=None,
+            name=setting.name,
+            default=None,
+            help_string=setting.help,
+            boolean=setting.kind is setting_table.Kind.BOOLEAN,
+        )
+        flags.DEFINE_flag(flag, values)
+    return values
+
+
+def _drop_built_in(argv: collections.abc.Sequence[str], line: CommandLine) -> list[str]:
+    """Take out absl's own flags: one reads files, the other hides what was mistyped."""
+    kept = []
+    for argument in argv:
+        name = argument.lstrip("-").partition("=")[0]
+        if argument.startswith("-") and name in _BUILT_IN_FLAGS:
+            line.unknown.append(f"--{name}")
+        else:
+            kept.append(argument)
+    return kept
+
+
+def _parse(
+    settings: collections.abc.Sequence[setting_table.Setting], argv: list[str], line: CommandLine
+) -> list[str]:
+    """Parse; an argument that absl stops at is reported, and the rest parsed without it."""
+    while True:
+        values = _define_flags(settings)
+        try:
+            leftover = values([_PROGRAM, *argv], known_only=True)[1:]
+        except (flags.Error, ValueError) as error:
+            culprit = _find_culprit(argv, str(error))
+            line.faults.append(findings.Finding(argv[culprit], "can't be read", _FORM))
+            argv = argv[:culprit] + argv[culprit + 1 :]
+            continue
+        given = [values[setting.name] for setting in settings if values[setting.name].present]
+        line.texts.update({flag.name: str(flag.value) for flag in given})
+        return leftover
+
+
+def _find_culprit(argv: list[str], message: str) -> int:
+    """Return which argument a message of absl is about: it quotes the argument as a whole."""
+    quoted = [place for place, text in enumerate(argv) if len(text) > 1 and text in message]
+    return max(quoted, key=lambda place: len(argv[place]), default=len(argv) - 1)
+
+
+def _sort_leftover(argument: str, line: CommandLine) -> None:
+    name = argument.lstrip("-").partition("=")[0]
+    if argument.startswith("-") and name:
+        line.unknown.append(f"--{name}")
+        return
+    line.faults.append(findings.Finding(argument, "is no flag", _FORM))
--- a/programs/oleanderdeal/oleanderdeal/main.py
+++ b/programs/oleanderdeal/oleanderdeal/main.py
@@ -1,8 +1,94 @@
-"""The program's start: parse, build, run."""
+"""The program's start: parse, configure logs and metrics, run the command."""
 
+import collections.abc
+import importlib
+import os
 import sys
 
+import expression
+
+from oleander_base import findings, log, metrics
+from oleanderdeal import exit_codes, setting_table, settings, usage
+
+_HELP_FLAGS = ("--help", "-h", "-help")
+_VERSION_FLAGS = ("--version", "-version")
+
+_Run = collections.abc.Callable[[settings.Settings], int]
+_OPERATOR_RUN = ("oleanderdeal.operator_commands", "run_operator_command")
+_RUNS: dict[setting_table.Command, tuple[str, str]] = {
+    setting_table.Command.ENTRY: ("oleanderdeal.entry", "run_entry"),
+    setting_table.Command.SIDECAR: ("oleanderdeal.sidecar", "run_sidecar"),
+    setting_table.Command.PUBLISH: _OPERATOR_RUN,
+    setting_table.Command.CHECK: _OPERATOR_RUN,
+    setting_table.Command.SHOW: _OPERATOR_RUN,
+    setting_table.Command.AUDIT: _OPERATOR_RUN,
+    setting_table.Command.REPORT: _OPERATOR_RUN,
+}
+
 
 def main() -> None:
     """Run the command that the command line names."""
-    sys.exit(0)
+    sys.exit(run_program(sys.argv[1:], os.environ))
+
+
+def run_program(
+    arguments: collections.abc.Sequence[str], environ: collections.abc.Mapping[str, str]
+) -> int:
+    """Run one command and return the exit status."""
+    if not arguments:
+        _print_error(usage.format_usage())
+        return exit_codes.ExitCode.USAGE
+    command = arguments[0]
+    if command in _VERSION_FLAGS:
+        _print_out(usage.VERSION)
+        return exit_codes.ExitCode.OK
+    if command in _HELP_FLAGS:
+        _print_out(usage.format_usage())
+        return exit_codes.ExitCode.OK
+    if command in tuple(setting_table.Command) and _asks_help(arguments):
+        _print_out(usage.format_command_help(setting_table.Command(command)))
+        return exit_codes.ExitCode.OK
+    result = settings.read_settings(command, arguments[1:], environ)
+    match result:
+        case expression.Result(tag="ok", ok=chosen):
+            return _run_command(chosen)
+        case expression.Result(error=found):
+            return _reject(found)
+
+
+def _asks_help(arguments: collections.abc.Sequence[str]) -> bool:
+    return any(flag in arguments for flag in _HELP_FLAGS)
+
+
+def _reject(found: findings.Findings) -> int:
+    for finding in found.items:
+        _print_error(f"oleanderdeal: {finding}")
+    _print_error("oleanderdeal: see oleanderdeal --help")
+    return exit_codes.ExitCode.USAGE
+
+
+def _run_command(chosen: settings.Settings) -> int:
+    process = chosen.name or chosen.command.value
+    log.configure_log(chosen.log_level.value.upper(), chosen.log_json, process)
+    prefix = f"oleanderdeal.{chosen.command}.{process}"
+    metrics.configure_metrics(chosen.statsd_host, chosen.statsd_port, prefix)
+    return _find_run(chosen.command)(chosen)
+
+
+def _find_run(command: setting_table.Command) -> _Run:
+    """
+    Import one command's code and no other's.
+
+    A host has little memory, so a sidecar does not load what only an entry or an operator needs.
+    """
+    module, function = _RUNS[command]
+    run: _Run = getattr(importlib.import_module(module), function)
+    return run
+
+
+def _print_out(text: str) -> None:
+    sys.stdout.write(text + "\n")
+
+
+def _print_error(text: str) -> None:
+    sys.stderr.write(text + "\n")
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/setting_table.py
@@ -0,0 +1,265 @@
+"""The table of settings: every flag and environment variable that the program knows."""
+
+import dataclasses
+import enum
+
+VARIABLE_PREFIX = "OLEANDERDEAL_"
+
+
+class Command(enum.StrEnum):
+    """What one run of the program does."""
+
+    ENTRY = "entry"
+    SIDECAR = "sidecar"
+    PUBLISH = "publish"
+    CHECK = "check"
+    SHOW = "show"
+    AUDIT = "audit"
+    REPORT = "report"
+
+
+class Kind(enum.StrEnum):
+    """How the text of a setting is read."""
+
+    INTEGER = "whole number"
+    TEXT = "text"
+    BOOLEAN = "true or false"
+    CHOICE = "one of a few words"
+    NAME = "name"
+    IP = "IP number"
+    ADDRESS = "IP:port"
+    URL = "URL"
+    URL_LIST = "URLs separated by commas"
+    TOKEN_LIST = "customer=token pairs separated by commas"
+
+
+class BackendKind(enum.StrEnum):
+    """What stands beside a sidecar."""
+
+    ENGINE = "engine"
+    SERVICE = "service"
+
+
+class LogLevel(enum.StrEnum):
+    """The least severe line that is logged."""
+
+    DEBUG = "debug"
+    INFO = "info"
+    WARNING = "warning"
+    ERROR = "error"
+
+
+Default = int | str | bool | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Setting:
+    """One setting: its flag is `--name`, its variable `OLEANDERDEAL_NAME`."""
+
+    name: str
+    kind: Kind
+    unit: str
+    default: Default
+    """Nothing means that the setting must be given."""
+    low: int
+    high: int
+    """Bounds of a number; of a text, the bounds of its length."""
+    roles: tuple[Command, ...]
+    help: str
+    choices: tuple[enum.StrEnum, ...] = ()
+
+    @property
+    def flag(self) -> str:
+        """The flag as it is written on the command line."""
+        return f"--{self.name}"
+
+    @property
+    def variable(self) -> str:
+        """The environment variable."""
+        return VARIABLE_PREFIX + self.name.upper()
+
+
+_ENTRY = (Command.ENTRY,)
+_SIDECAR = (Command.SIDECAR,)
+_SERVERS = (Command.ENTRY, Command.SIDECAR)
+_LOG_READERS = (*_SERVERS, Command.PUBLISH, Command.SHOW, Command.AUDIT, Command.REPORT)
+_OPERATORS = (Command.PUBLISH, Command.CHECK, Command.SHOW, Command.AUDIT, Command.REPORT)
+_ENTRY_READERS = (Command.PUBLISH, Command.REPORT)
+_FILE_READERS = (Command.PUBLISH, Command.CHECK)
+_EVERYONE = tuple(Command)
+
+_MOST_TEXT = 4096
+_MOST_URL = 1024
+_MOST_TOKENS = 65536
+_MOST_PORT = 65535
+_MINUTE_MS = 60_000
+_HOUR_MS = 60 * _MINUTE_MS
+_MEBIBYTE = 1024 * 1024
+
+_BOOLEAN = (0, 1)
+
+TABLE: tuple[Setting, ...] = (
+    # Who this process is and where it listens.
+    Setting(
+        "name", Kind.NAME, "", None, 1, 64, _SERVERS,
+        "Name of this process, in logs and between processes.",
+    ),
+    Setting(
+        "address", Kind.ADDRESS, "IP:port", None, 0, _MOST_PORT, _SERVERS,
+        "Where to listen; port 0 takes a free one.",
+    ),
+    Setting(
+        "failure_domain", Kind.NAME, "", None, 1, 64, _SERVERS,
+        "The part of the deployment that fails together with this host.",
+    ),
+    # The platform.
+    Setting(
+        "log_url", Kind.URL, "", None, 1, _MOST_URL, _LOG_READERS,
+        "The platform's log service.",
+    ),
+    Setting(
+        "log_timeout_ms", Kind.INTEGER, "ms", 2000, 10, _MINUTE_MS, _LOG_READERS,
+        "Deadline of one call to the log service.",
+    ),
+    Setting(
+        "hosts_url", Kind.URL, "", None, 1, _MOST_URL, _ENTRY,
+        "The platform's list of hosts.",
+    ),
+    Setting(
+        "configuration_poll_ms", Kind.INTEGER, "ms", 500, 10, _MINUTE_MS, _SERVERS,
+        "How long one read of the configuration stream waits for a new record.",
+    ),
+    # Logs and metrics.
+    Setting(
+        "log_level", Kind.CHOICE, "", LogLevel.INFO.value, 0, 0, _EVERYONE,
+        "The least severe line that is logged, on standard error.", tuple(LogLevel),
+    ),
+    Setting(
+        "log_json", Kind.BOOLEAN, "", False, *_BOOLEAN, _EVERYONE,
+        "Log lines as JSON.",
+    ),
+    Setting(
+        "statsd_host", Kind.IP, "", "", 0, 64, _SERVERS,
+        "IP number of the statsd server; empty keeps metrics in memory only.",
+    ),
+    Setting(
+        "statsd_port", Kind.INTEGER, "port", 8125, 1, _MOST_PORT, _SERVERS,
+        "UDP port of the statsd server.",
+    ),
+    # Access.
+    Setting(
+        "process_token", Kind.TEXT, "secret", None, 1, _MOST_TEXT, _SERVERS,
+        "Shared by the system's own processes; better set by variable than by flag.",
+    ),
+    Setting(
+        "customer_tokens", Kind.TOKEN_LIST, "secret", "", 0, _MOST_TOKENS, _ENTRY,
+        "Tokens as customer=token,...; the name operator stands for the operators."
+        " Who is not listed is not let in.",
+    ),
+    # A sidecar and its backend server.
+    Setting(
+        "backend", Kind.NAME, "", None, 1, 64, _SIDECAR,
+        "The group of backend servers that this one belongs to, as contracts name it.",
+    ),
+    Setting(
+        "backend_kind", Kind.CHOICE, "", None, 0, 0, _SIDECAR,
+        "What the backend server is.", tuple(BackendKind),
+    ),
+    Setting(
+        "backend_url", Kind.URL, "", None, 1, _MOST_URL, _SIDECAR,
+        "Where the backend server answers.",
+    ),
+    Setting(
+        "slots", Kind.INTEGER, "requests", 4, 1, 1024, _SIDECAR,
+        "Requests that run at the backend server at a time.",
+    ),
+    Setting(
+        "queue_length", Kind.INTEGER, "requests", 256, 1, 100_000, _SIDECAR,
+        "Requests that wait at most; one more is refused as not run.",
+    ),
+    Setting(
+        "model", Kind.NAME, "", "", 0, 64, _SIDECAR,
+        "The model that the engine runs; an engine needs it.",
+    ),
+    Setting(
+        "checks_fencing", Kind.BOOLEAN, "", False, *_BOOLEAN, _SIDECAR,
+        "Whether the engine refuses an order with an old fencing number.",
+    ),
+    Setting(
+        "load_timeout_ms", Kind.INTEGER, "ms", 10_000, 10, _HOUR_MS, _SIDECAR,
+        "Deadline of one order to load weights.",
+    ),
+    Setting(
+        "load_spread_ms", Kind.INTEGER, "ms", 0, 0, _HOUR_MS, _SIDECAR,
+        "Loads of a new version are spread over so long across the sidecars.",
+    ),
+    Setting(
+        "kept_answers", Kind.INTEGER, "answers", 10_000, 1, 1_000_000, _SIDECAR,
+        "Answers kept for a request that is sent again; the oldest make room.",
+    ),
+    Setting(
+        "kept_answer_bytes", Kind.INTEGER, "bytes", 64 * _MEBIBYTE, _MEBIBYTE, 1024 * _MEBIBYTE,
+        _SIDECAR,
+        "Bytes of the answers kept; the oldest make room.",
+    ),
+    # Between processes.
+    Setting(
+        "heartbeat_ms", Kind.INTEGER, "ms", 500, 10, _MINUTE_MS, _SERVERS,
+        "How often an idle connection between processes carries a heartbeat.",
+    ),
+    Setting(
+        "peer_limit", Kind.INTEGER, "sidecars", 20, 1, 1000, _ENTRY,
+        "Sidecars that one entry connects to at most.",
+    ),
+    # An entry.
+    Setting(
+        "http_threads", Kind.INTEGER, "threads", 64, 1, 1024, _ENTRY,
+        "Requests that an entry answers at a time; further ones wait in line.",
+    ),
+    Setting(
+        "claim_shards", Kind.INTEGER, "streams", 4, 1, 64, _ENTRY,
+        "Streams that claims are spread over; must be the same at every entry.",
+    ),
+    Setting(
+        "claim_window", Kind.INTEGER, "claims", 100_000, 100, 10_000_000, _ENTRY,
+        "Claims of one stream kept in memory; a key older than these is refused.",
+    ),
+    Setting(
+        "drain_ms", Kind.INTEGER, "ms", 30_000, 0, _HOUR_MS, _SERVERS,
+        "How long a stopping process may take to finish what runs.",
+    ),
+    # Operators' commands.
+    Setting(
+        "file", Kind.TEXT, "path", "-", 1, _MOST_TEXT, _FILE_READERS,
+        "The contract to read, in YAML or JSON; - is standard input.",
+    ),
+    Setting(
+        "by", Kind.TEXT, "", None, 1, 200, (Command.PUBLISH,),
+        "Who publishes, for the audit trail.",
+    ),
+    Setting(
+        "customer", Kind.NAME, "", "", 0, 64, (Command.SHOW, Command.AUDIT, Command.REPORT),
+        "Show this customer only.",
+    ),
+    Setting(
+        "entries", Kind.URL_LIST, "", "", 0, _MOST_TOKENS, _ENTRY_READERS,
+        "The entries to ask, each one itself rather than the balancer.",
+    ),
+    Setting(
+        "operator_token", Kind.TEXT, "secret", "", 0, _MOST_TEXT, _ENTRY_READERS,
+        "The operators' token, sent to the entries.",
+    ),
+    Setting(
+        "wait_ms", Kind.INTEGER, "ms", 8000, 1, _HOUR_MS, _OPERATORS,
+        "How long the whole command may take.",
+    ),
+    Setting(
+        "json", Kind.BOOLEAN, "", False, *_BOOLEAN, _OPERATORS,
+        "Print JSON lines instead of tables.",
+    ),
+)  # fmt: skip
+
+
+def list_settings(command: Command) -> tuple[Setting, ...]:
+    """Return the settings that a command has."""
+    return tuple(setting for setting in TABLE if command in setting.roles)
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/settings.py
@@ -0,0 +1,205 @@
+"""
+The settings of one run, read from flags and environment variables.
+
+A flag goes before its variable, and a variable before the default. Everything is checked as a
+whole before anything starts: every fault is reported, each with the flag or variable that has it.
+"""
+
+import collections.abc
+import dataclasses
+import difflib
+import typing
+
+import expression
+
+from oleander_base import findings
+from oleanderdeal import command_line, setting_table, setting_values
+
+_NEAREST_CUTOFF = 0.6
+_TABLE = setting_table.TABLE
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Settings:
+    """
+    What one run was told; passed down to whoever needs it, never looked up.
+
+    The table of settings tells unit, bounds and default of each. A setting that the command does
+    not have holds its default, or an empty text where it has none.
+    """
+
+    command: setting_table.Command
+    name: str
+    address: str
+    failure_domain: str
+    log_url: str
+    log_timeout_ms: int
+    hosts_url: str
+    configuration_poll_ms: int
+    log_level: setting_table.LogLevel
+    log_json: bool
+    statsd_host: str
+    statsd_port: int
+    process_token: str = dataclasses.field(repr=False)
+    customer_tokens: tuple[setting_values.CustomerToken, ...]
+    backend: str
+    backend_kind: setting_table.BackendKind | None
+    """Nothing for a command that is no sidecar."""
+    backend_url: str
+    slots: int
+    queue_length: int
+    model: str
+    checks_fencing: bool
+    load_timeout_ms: int
+    load_spread_ms: int
+    kept_answers: int
+    kept_answer_bytes: int
+    heartbeat_ms: int
+    peer_limit: int
+    http_threads: int
+    claim_shards: int
+    claim_window: int
+    drain_ms: int
+    file: str
+    by: str
+    customer: str
+    entries: tuple[str, ...]
+    operator_token: str = dataclasses.field(repr=False)
+    wait_ms: int
+    json: bool
+
+    @property
+    def listen_host(self) -> str:
+        """The IP number of `address`."""
+        return self.address.rpartition(":")[0].removeprefix("[").removesuffix("]")
+
+    @property
+    def listen_port(self) -> int:
+        """The port of `address`; 0 takes a free one."""
+        return int(self.address.rpartition(":")[2])
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Given:
+    """The text of a setting and where it stood."""
+
+    source: str
+    text: str
+
+
+def read_settings(
+    command: str,
+    argv: collections.abc.Sequence[str],
+    environ: collections.abc.Mapping[str, str],
+) -> expression.Result[Settings, findings.Findings]:
+    """Return the settings of a command; `argv` holds the flags after its name."""
+    if command not in tuple(setting_table.Command):
+        fix = name_nearest(command, tuple(setting_table.Command))
+        finding = findings.Finding(command or "command line", "is no command", fix)
+        return expression.Error(findings.Findings((finding,)))
+    found: list[findings.Finding] = []
+    run = setting_table.Command(command)
+    given = _collect_given(run, argv, environ, found)
+    values = {setting.name: _choose_value(setting, run, given, found) for setting in _TABLE}
+    if not found:
+        _check_together(run, values, found)
+    if found:
+        return expression.Error(findings.Findings(tuple(found)))
+    return expression.Ok(Settings(command=run, **values))
+
+
+def name_nearest(word: str, known: collections.abc.Iterable[str]) -> str:
+    """Return advice that names what a mistyped word was probably meant to be."""
+    nearest = difflib.get_close_matches(word, list(known), n=1, cutoff=_NEAREST_CUTOFF)
+    return f"did you mean {nearest[0]}?" if nearest else ""
+
+
+def _collect_given(
+    command: setting_table.Command,
+    argv: collections.abc.Sequence[str],
+    environ: collections.abc.Mapping[str, str],
+    found: list[findings.Finding],
+) -> dict[str, _Given]:
+    given = _read_variables(environ, found)
+    known = setting_table.list_settings(command)
+    line = command_line.parse_flags(known, argv)
+    for name, text in line.texts.items():
+        given[name] = _Given(f"--{name}", text)
+    found.extend(line.faults)
+    for flag in line.unknown:
+        found.append(findings.Finding(flag, f"is no flag of {command}", _advise_flag(flag, known)))
+    return given
+
+
+def _advise_flag(flag: str, known: collections.abc.Sequence[setting_table.Setting]) -> str:
+    for setting in _TABLE:
+        if setting.flag == flag:
+            return f"it belongs to {', '.join(setting.roles)}"
+    return name_nearest(flag, [setting.flag for setting in known])
+
+
+def _read_variables(
+    environ: collections.abc.Mapping[str, str], found: list[findings.Finding]
+) -> dict[str, _Given]:
+    """
+    Collect our variables; one of another command is known, and of no matter here.
+
+    A host sets the same variables for every command that runs on it.
+    """
+    by_variable = {setting.variable: setting for setting in _TABLE}
+    given = {}
+    for variable, text in environ.items():
+        if not variable.startswith(setting_table.VARIABLE_PREFIX):
+            continue
+        if variable in by_variable:
+            given[by_variable[variable].name] = _Given(variable, text)
+            continue
+        fix = name_nearest(variable, by_variable)
+        found.append(findings.Finding(variable, "is no variable of ours", fix))
+    return given
+
+
+def _choose_value(
+    setting: setting_table.Setting,
+    command: setting_table.Command,
+    given: dict[str, _Given],
+    found: list[findings.Finding],
+) -> typing.Any:
+    """Return a value of the setting's own type, also where a finding was added."""
+    source = given.get(setting.name) if command in setting.roles else None
+    if source is None:
+        return _choose_default(setting, command, found)
+    result = setting_values.read_value(setting, source.text)
+    if result.is_ok():
+        return result.ok
+    fix = f"in {setting.unit}" if setting.unit else str(setting.kind)
+    found.append(findings.Finding(source.source, result.error, fix))
+    return None
+
+
+def _choose_default(
+    setting: setting_table.Setting,
+    command: setting_table.Command,
+    found: list[findings.Finding],
+) -> typing.Any:
+    if setting.default is None:
+        if command in setting.roles:
+            fix = f"or set {setting.variable}"
+            found.append(findings.Finding(setting.flag, "must be given", fix))
+        return None if setting.kind is setting_table.Kind.CHOICE else ""
+    if isinstance(setting.default, str):
+        return setting_values.read_value(setting, setting.default).ok
+    return setting.default
+
+
+def _check_together(
+    command: setting_table.Command,
+    values: dict[str, typing.Any],
+    found: list[findings.Finding],
+) -> None:
+    """Check what needs more than one setting; runs once each of them is sound."""
+    is_engine = values["backend_kind"] == setting_table.BackendKind.ENGINE
+    if is_engine and not values["model"]:
+        found.append(findings.Finding("--model", "must be given", "an engine runs one model"))
+    if command == setting_table.Command.REPORT and not values["entries"]:
+        found.append(findings.Finding("--entries", "must be given", "whom to ask for counts"))
