Decide who goes first at a backend server, and who is refused

Cause: a sidecar has to order and bound the work for its slots by itself: priority class first, customers of a class by weight in service time, refusal at once of what would be late. Ruled out: strict priority (background work would never end under steady load), a floor in turns (one long work in thirty may be half of the service time), virtual start times in place of deficit round robin (equal here, and the deficit is the simpler thing to correct by measured time).

--- /dev/null
+++ b/libs/admission/oleander_admission/admission.py
@@ -0,0 +1,222 @@
+"""The queue in front of a backend server's slots: who is let in and who goes next."""
+
+import collections.abc
+import dataclasses
+import random
+import threading
+
+import expression
+
+from oleander_admission import classes, estimator, work
+from oleander_base import clock, invariants
+from oleander_contracts import contract
+
+_PREEMPTIBLE = frozenset({contract.Priority.SAMPLING, contract.Priority.BACKGROUND})
+_LEAST_RETRY_MS = 50
+_MOST_RETRY_MS = 60_000
+
+
+@dataclasses.dataclass(slots=True)
+class _Running:
+    """Work that was handed out."""
+
+    turn: classes.Turn
+    started_at: float
+
+
+class AdmissionQueue:
+    """
+    Waiting and running work of one backend server; safe to use from several threads.
+
+    At most `most_waiting` works wait. At that bound a newcomer displaces the newest work of the
+    least urgent class below its own, or of a customer of its own class that has more waiting for
+    its share; otherwise the newcomer is refused. One in twenty places is kept for each class.
+    Work that was dropped counts too: once as many are not collected, all newcomers are refused.
+    Work that was taken holds its slot until `finish`.
+    """
+
+    def __init__(
+        self,
+        slots: int,
+        most_waiting: int,
+        read_now: collections.abc.Callable[[], float] = clock.read_now,
+        jitter: random.Random | None = None,
+    ) -> None:
+        self._slots = slots
+        self._most_waiting = most_waiting
+        self._read_now = read_now
+        self._jitter = jitter if jitter is not None else random.Random()
+        self._changed = threading.Condition()
+        self._waiting = classes.WaitingWork()
+        self._running: dict[str, _Running] = {}
+        """In the order in which it was taken."""
+        self._dropped: list[work.Dropped] = []
+        self._estimator = estimator.ServiceEstimator()
+        self._is_leaving = False
+
+    @property
+    def queued(self) -> int:
+        """How much work waits."""
+        with self._changed:
+            return len(self._waiting)
+
+    @property
+    def running(self) -> int:
+        """How much work was taken and not finished."""
+        with self._changed:
+            return len(self._running)
+
+    def submit(self, item: work.Work) -> expression.Result[None, work.Refusal]:
+        """
+        Let work in or refuse it, at once; refused work does not run.
+
+        The predicted cost decides too: a prediction longer than the deadline allows is refused
+        even by an idle queue, so a caller without measurements should predict low.
+        A `work_id` that waits or runs already is a fault of the program and raises.
+        """
+        with self._changed:
+            now = self._read_now()
+            is_known = item.work_id in self._running or item.work_id in self._waiting
+            invariants.require(not is_known, "work-submitted-once", item.work_id)
+            self._drop_expired(now)
+            if self._is_leaving:
+                return expression.Error(self._refuse(work.LEAVING, 0.0))
+            wait_ms = self._estimate_start_ms(self._waiting.estimate_ahead_ms(item), now)
+            late_ms = self._measure_lateness_ms(item, wait_ms, now)
+            if late_ms > 0.0:
+                return expression.Error(self._refuse(work.TOO_LATE, late_ms))
+            if not self._make_room(item, now):
+                return expression.Error(self._refuse(work.QUEUE_FULL, wait_ms))
+            self._waiting.add(item)
+            self._changed.notify()
+            return expression.Ok(None)
+
+    def take(self, seconds: float) -> work.Work | None:
+        """Wait for a free slot and work to run in it; return nothing after so long."""
+        deadline = clock.start_deadline(seconds)
+        with self._changed:
+            while True:
+                item = self._start_next(self._read_now())
+                if item is not None:
+                    return item
+                remaining = deadline.remaining
+                if remaining <= 0.0:
+                    return None
+                self._changed.wait(remaining)
+
+    def take_dropped(self) -> list[work.Dropped]:
+        """Return accepted work that will not run after all; ask often, its callers wait."""
+        with self._changed:
+            self._drop_expired(self._read_now())
+            dropped = self._dropped
+            self._dropped = []
+            return dropped
+
+    def finish(self, work_id: str, service_ms: float, completed: bool = True) -> None:
+        """
+        Free the slot of work that was taken and charge its customer what it really took.
+
+        Work that was cancelled or preempted is not `completed`: its time says nothing of how long
+        such work takes. An id that does not run is ignored, so finishing twice does no harm.
+        """
+        with self._changed:
+            running = self._running.pop(work_id, None)
+            if running is None:
+                return
+            cost_ms = running.turn.work.cost_ms
+            self._waiting.correct(running.turn.work, service_ms - cost_ms)
+            if completed:
+                self._estimator.observe(cost_ms, service_ms, self._read_now())
+            self._changed.notify()
+
+    def cancel(self, work_id: str) -> bool:
+        """Forget work that still waits; return whether it did."""
+        with self._changed:
+            return self._waiting.remove(work_id)
+
+    def find_preemptible(self, priority: int) -> str | None:
+        """
+        Return running work to give up for work of a priority, if no slot is free.
+
+        Work that runs by its class's floor is left alone: were it given up whenever more urgent
+        work waits, the floor would never let anything end.
+        """
+        with self._changed:
+            if len(self._running) < self._slots:
+                return None
+            victim: work.Work | None = None
+            for running in self._running.values():
+                item = running.turn.work
+                if running.turn.by_floor or item.priority <= priority:
+                    continue
+                if classes.find_class(item.priority) not in _PREEMPTIBLE:
+                    continue
+                if victim is None or item.priority >= victim.priority:
+                    victim = item
+            return victim.work_id if victim is not None else None
+
+    def estimate_wait_ms(self, priority: int) -> int:
+        """Return how long new work would wait behind all of its own and of more urgent classes."""
+        with self._changed:
+            ahead_ms = self._waiting.estimate_class_ahead_ms(classes.find_class(priority))
+            return int(self._estimate_start_ms(ahead_ms, self._read_now()))
+
+    def close(self) -> None:
+        """Refuse new work from now on; what waits and what runs goes on."""
+        with self._changed:
+            self._is_leaving = True
+
+    def _measure_lateness_ms(self, item: work.Work, wait_ms: float, now: float) -> float:
+        """Return by how much work would end after its deadline; negative if it would not."""
+        budget_ms = (item.deadline.expires_at - now) * 1000
+        return wait_ms + item.cost_ms * self._estimator.read_ratio(now) - budget_ms
+
+    def _estimate_start_ms(self, ahead_ms: float, now: float) -> float:
+        """Return when work gets a slot that has so much predicted service before it."""
+        ratio = self._estimator.read_ratio(now)
+        remaining_ms = [
+            estimator.estimate_remaining_ms(
+                running.turn.work.cost_ms * ratio, (now - running.started_at) * 1000
+            )
+            for running in self._running.values()
+        ]
+        return estimator.estimate_start_ms(self._slots, remaining_ms, ahead_ms * ratio)
+
+    def _make_room(self, newcomer: work.Work, now: float) -> bool:
+        """Displace work if the queue is full; return whether there is a place."""
+        if len(self._dropped) >= self._most_waiting:
+            return False
+        if len(self._waiting) < self._most_waiting:
+            return True
+        displaced = self._waiting.pop_displaced(newcomer, self._most_waiting)
+        if displaced is None:
+            return False
+        self._drop(displaced, work.QUEUE_FULL, now)
+        return True
+
+    def _drop_expired(self, now: float) -> None:
+        for item in self._waiting.pop_expired(now):
+            self._drop(item, work.TOO_LATE, now)
+
+    def _drop(self, item: work.Work, reason: str, now: float) -> None:
+        wait_ms = self._estimate_start_ms(self._waiting.estimate_ahead_ms(item), now)
+        self._dropped.append(work.Dropped(item, self._refuse(reason, wait_ms)))
+
+    def _start_next(self, now: float) -> work.Work | None:
+        self._drop_expired(now)
+        if len(self._running) >= self._slots:
+            return None
+        turn = self._waiting.pop_next()
+        if turn is None:
+            return None
+        self._running[turn.work.work_id] = _Running(turn, now)
+        return turn.work
+
+    def _refuse(self, reason: str, milliseconds: float) -> work.Refusal:
+        """
+        Return a refusal with the time after which the same work may be let in.
+
+        The jitter spreads those that were refused together over as long again as they wait.
+        """
+        spread_ms = max(_LEAST_RETRY_MS, milliseconds) * (1.0 + self._jitter.random())
+        return work.Refusal(reason, int(min(_MOST_RETRY_MS, spread_ms)))
--- /dev/null
+++ b/libs/admission/oleander_admission/classes.py
@@ -0,0 +1,145 @@
+"""Waiting work by priority class: the most urgent goes first, and none is starved."""
+
+import dataclasses
+
+from oleander_admission import fairness, work
+from oleander_contracts import contract
+
+PRIORITIES = tuple(sorted(contract.Priority))
+
+_FLOOR = 0.03
+"""The part of the service time that each class is sure of while more urgent work waits."""
+_RESERVED_PART = 0.05
+"""The part of the places that more urgent work can't take from a class."""
+
+
+def find_class(priority: int) -> contract.Priority:
+    """Return the nearest priority class; a peer may send any number."""
+    return contract.Priority(min(PRIORITIES[-1], max(PRIORITIES[0], priority)))
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Turn:
+    """The work that goes next."""
+
+    work: work.Work
+    by_floor: bool
+    """Whether its class's floor put it ahead of more urgent work."""
+
+
+class WaitingWork:
+    """
+    The waiting work of all classes; not thread-safe by itself, bounded by its user.
+
+    Strict priority would starve: a depot's background sync that never gets a slot under a steady
+    load of bookings times out each night. So whenever more urgent work goes first, each class that
+    waits earns a few percent of its service time, and once that covers the next work of the class
+    that work goes first. The floor is in service time and not in turns, so that long work can't
+    take more of the slots than the floor says.
+    """
+
+    def __init__(self) -> None:
+        self._queues = {priority: fairness.FairQueue() for priority in PRIORITIES}
+        self._earned_ms = dict.fromkeys(PRIORITIES, 0.0)
+        self._sequence = 0
+        self._next_expiry = float("inf")
+        """Nothing that waits expires before this."""
+
+    def __len__(self) -> int:
+        return sum(len(queue) for queue in self._queues.values())
+
+    def __contains__(self, work_id: str) -> bool:
+        return any(work_id in queue for queue in self._queues.values())
+
+    def add(self, item: work.Work) -> None:
+        """Put work at the end of its customer's line in its class."""
+        self._sequence += 1
+        self._queues[find_class(item.priority)].add(fairness.Entry(item, self._sequence))
+        self._next_expiry = min(self._next_expiry, item.deadline.expires_at)
+
+    def remove(self, work_id: str) -> bool:
+        """Take out work; return whether it waited."""
+        for queue in self._queues.values():
+            if work_id in queue:
+                queue.remove(work_id)
+                return True
+        return False
+
+    def pop_next(self) -> Turn | None:
+        """Take out the work that goes next, if any waits."""
+        waiting = [priority for priority in PRIORITIES if self._queues[priority]]
+        if not waiting:
+            return None
+        served = self._choose_class(waiting)
+        item = self._queues[served].pop().work
+        by_floor = served != waiting[0]
+        self._settle_floors(served, item.cost_ms, by_floor)
+        return Turn(item, by_floor)
+
+    def pop_expired(self, now: float) -> list[work.Work]:
+        """Take out all work whose deadline has passed."""
+        if now < self._next_expiry:
+            return []
+        entries = [entry for queue in self._queues.values() for entry in queue.entries]
+        expired = [entry.work for entry in entries if now >= entry.work.deadline.expires_at]
+        for item in expired:
+            self.remove(item.work_id)
+        later = (entry.work.deadline.expires_at for entry in entries)
+        self._next_expiry = min((expiry for expiry in later if expiry > now), default=float("inf"))
+        return expired
+
+    def pop_displaced(self, newcomer: work.Work, most_waiting: int) -> work.Work | None:
+        """Take out the work that has to make room for a newcomer, if any has to."""
+        victim = self._find_displaceable(newcomer, int(most_waiting * _RESERVED_PART))
+        if victim is None:
+            return None
+        self.remove(victim.work.work_id)
+        return victim.work
+
+    def correct(self, item: work.Work, extra_ms: float) -> None:
+        """Charge a customer what its work took beyond the predicted cost, or give it back."""
+        queue = self._queues[find_class(item.priority)]
+        queue.correct(item.customer, item.share_percent, extra_ms)
+
+    def estimate_ahead_ms(self, item: work.Work) -> float:
+        """Return the service time of all that goes before new work."""
+        priority = find_class(item.priority)
+        return self._estimate_ahead_ms(priority, self._queues[priority].estimate_ahead_ms(item))
+
+    def estimate_class_ahead_ms(self, priority: contract.Priority) -> float:
+        """Return the service time of all that goes before new work that is last in its class."""
+        return self._estimate_ahead_ms(priority, self._queues[priority].backlog_ms)
+
+    def _estimate_ahead_ms(self, priority: contract.Priority, own_ms: float) -> float:
+        urgent_ms = sum(self._queues[item].backlog_ms for item in PRIORITIES if item < priority)
+        lower = sum(1 for item in PRIORITIES if item > priority and self._queues[item])
+        ahead_ms = (urgent_ms + own_ms) / (1.0 - _FLOOR * lower)
+        by_floor_ms = max(0.0, own_ms - self._earned_ms[priority]) / _FLOOR
+        return min(ahead_ms, own_ms + by_floor_ms)
+
+    def _choose_class(self, waiting: list[contract.Priority]) -> contract.Priority:
+        for priority in reversed(waiting[1:]):
+            if self._earned_ms[priority] >= self._queues[priority].peek().work.cost_ms:
+                return priority
+        return waiting[0]
+
+    def _settle_floors(self, served: contract.Priority, cost_ms: float, by_floor: bool) -> None:
+        """Let waiting classes earn their part of what went before them; nobody saves."""
+        if by_floor:
+            self._earned_ms[served] -= cost_ms
+        for priority in PRIORITIES:
+            if not self._queues[priority]:
+                self._earned_ms[priority] = 0.0
+            elif priority > served:
+                self._earned_ms[priority] += cost_ms * _FLOOR
+
+    def _find_displaceable(self, newcomer: work.Work, reserved: int) -> fairness.Entry | None:
+        own_class = find_class(newcomer.priority)
+        is_reserved = len(self._queues[own_class]) < reserved
+        for priority in reversed(PRIORITIES):
+            queue = self._queues[priority]
+            if priority == own_class and not is_reserved:
+                return queue.find_excess(newcomer)
+            if priority != own_class and len(queue) > reserved:
+                return queue.find_newest()
+        return None
