Choose backend servers by load, cached prefix and outcomes

Cause: an entry has to spread requests with reports that lag and peers that look idle because they fail. Ruled out: the least loaded peer (all entries send to the same one until the next report), plain hashing of prefixes (a popular prefix overloads its peer), ejection by one threshold for all (a fault of the whole backend would eject all of it). Conclusion: the signatures can be coded against.

--- /dev/null
+++ b/libs/routing/oleander_routing/peers.py
@@ -0,0 +1,91 @@
+"""What an entry knows of the sidecars that it is connected to."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class PeerReport:
+    """What a sidecar says of itself."""
+
+    failure_domain: str
+    backend: str
+    incarnation: str
+    queued: int
+    running: int
+    slots: int
+    wait_ms: int
+    version: int | None
+    in_rotation: bool
+    leaving: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Peer:
+    """A sidecar: its last report, and what this entry did with it since."""
+
+    name: str
+    failure_domain: str
+    backend: str
+    incarnation: str
+    queued: int
+    running: int
+    slots: int
+    wait_ms: int
+    """How long a new request would have waited when this was reported."""
+    version: int | None
+    in_rotation: bool
+    leaving: bool
+    reported_at: float
+    in_flight: int = 0
+    """Requests of this entry that were started and not finished."""
+    unreported: int = 0
+    """Started less finished since the last report; negative when more were finished."""
+    weight: float = 1.0
+    """The part of its usual work that it is given; 0 while it is ejected."""
+
+    @property
+    def outstanding(self) -> int:
+        """Requests that wait or run there, by the report and by what was done since."""
+        return max(self.in_flight, self.queued + self.running + self.unreported)
+
+    @property
+    def load(self) -> float:
+        """Outstanding requests for each slot."""
+        return self.outstanding / max(1, self.slots)
+
+    @property
+    def is_usable(self) -> bool:
+        """Whether it takes new work."""
+        return self.in_rotation and not self.leaving
+
+    def apply(self, report: PeerReport, now: float) -> None:
+        """Take in a report; it counts all that was started before it."""
+        self.failure_domain = report.failure_domain
+        self.backend = report.backend
+        self.queued = report.queued
+        self.running = report.running
+        self.slots = report.slots
+        self.wait_ms = report.wait_ms
+        self.version = report.version
+        self.in_rotation = report.in_rotation
+        self.leaving = self.leaving or report.leaving
+        self.reported_at = now
+        self.unreported = 0
+
+
+def create_peer(name: str, report: PeerReport, now: float) -> Peer:
+    """Return a peer as its first report describes it."""
+    return Peer(
+        name=name,
+        failure_domain=report.failure_domain,
+        backend=report.backend,
+        incarnation=report.incarnation,
+        queued=report.queued,
+        running=report.running,
+        slots=report.slots,
+        wait_ms=report.wait_ms,
+        version=report.version,
+        in_rotation=report.in_rotation,
+        leaving=report.leaving,
+        reported_at=now,
+    )
--- /dev/null
+++ b/libs/routing/oleander_routing/router.py
@@ -0,0 +1,217 @@
+"""Chooses the backend server of a request from what is known of all of them."""
+
+import collections.abc
+import dataclasses
+import enum
+import random
+import threading
+
+import expression
+
+from oleander_base import clock, log
+from oleander_routing import health, peers, selection
+
+NO_PEERS = "no-peers"
+"""No backend server of that name is connected."""
+NONE_IN_ROTATION = "none-in-rotation"
+"""All of them are leaving or out of rotation."""
+NO_VERSION = "no-version"
+"""None of them has weights that are new enough."""
+ALL_EXCLUDED = "all-excluded"
+"""All that could have run it were tried already."""
+
+_MOST_PEERS = 4096
+_PROBE_PART = 0.01
+"""The part of requests that may probe an ejected peer."""
+_LEAST_RETRY_MS = 50
+_UNKNOWN_RETRY_MS = 1000
+
+
+class RouteOutcome(enum.Enum):
+    """What became of a request at a peer."""
+
+    OK = "ok"
+    REFUSED = "refused"
+    """It was refused as not run, which says nothing against the peer."""
+    FAILED = "failed"
+    TIMED_OUT = "timed-out"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class RouteRequest:
+    """What a request needs of a peer."""
+
+    backend: str
+    affinity: str
+    """The prompt prefix; may be empty."""
+    priority: int
+    oldest_version: int
+    """Peers with older weights are of no use; -1 where weights don't matter."""
+    excluded: frozenset[str]
+    """Peers that were tried already."""
+    budget_ms: int
+    may_probe: bool = True
+    """Whether it may be sent to a peer that failed lately; false where it can't be repeated."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NoPeer:
+    """No peer can run the request now."""
+
+    reason: str
+    retry_after_ms: int
+
+
+class Router:
+    """
+    The peers of one entry; safe to use from several threads.
+
+    At most 4096 peers are known; past that a new one is not taken in, and gets no work.
+    """
+
+    def __init__(
+        self,
+        seed: int,
+        read_now: collections.abc.Callable[[], float] = clock.read_now,
+    ) -> None:
+        self._random = random.Random(seed)
+        self._read_now = read_now
+        self._lock = threading.Lock()
+        self._peers: dict[str, peers.Peer] = {}
+        self._health = health.HealthTable()
+
+    def update(self, name: str, report: peers.PeerReport) -> None:
+        """Take in a report; one of a new incarnation starts the peer anew."""
+        with self._lock:
+            now = self._read_now()
+            peer = self._peers.get(name)
+            if peer is not None and peer.incarnation == report.incarnation:
+                peer.apply(report, now)
+            elif peer is None and len(self._peers) >= _MOST_PEERS:
+                log.warn_bounded("too-many-peers", "a peer is not taken in", peer=name)
+            else:
+                if peer is not None:
+                    self._health.reset(name)
+                self._peers[name] = peers.create_peer(name, report, now)
+            self._health.release_excess(self._list_usable(report.backend), now)
+
+    def remove(self, name: str) -> None:
+        """Forget a peer whose link was lost."""
+        with self._lock:
+            peer = self._peers.pop(name, None)
+            if peer is not None:
+                self._health.release_excess(self._list_usable(peer.backend), self._read_now())
+
+    def mark_leaving(self, name: str) -> None:
+        """Give a peer no more work, as the host list says; holds for this incarnation."""
+        with self._lock:
+            peer = self._peers.get(name)
+            if peer is not None:
+                peer.leaving = True
+                self._health.release_excess(self._list_usable(peer.backend), self._read_now())
+
+    def choose(self, request: RouteRequest) -> expression.Result[str, NoPeer]:
+        """Return the peer that is to run a request, or why there is none."""
+        with self._lock:
+            candidates = self._find_candidates(request)
+            if candidates.is_error():
+                return expression.Error(candidates.error)
+            return expression.Ok(self._pick(candidates.ok, request).name)
+
+    def note_started(self, name: str) -> None:
+        """Count a request that is being sent to a peer."""
+        with self._lock:
+            peer = self._peers.get(name)
+            if peer is not None:
+                peer.in_flight += 1
+                peer.unreported += 1
+
+    def note_finished(
+        self, name: str, outcome: RouteOutcome, service_ms: float, now: float | None = None
+    ) -> None:
+        """Count a request that ended, and judge the peer by it."""
+        with self._lock:
+            peer = self._peers.get(name)
+            if peer is None:
+                return
+            peer.in_flight = max(0, peer.in_flight - 1)
+            peer.unreported -= 1
+            if outcome is RouteOutcome.REFUSED:
+                return
+            moment = self._read_now() if now is None else now
+            group = self._list_usable(peer.backend)
+            failed = outcome in {RouteOutcome.FAILED, RouteOutcome.TIMED_OUT}
+            latency_ms = None if outcome is RouteOutcome.FAILED else service_ms
+            self._health.note_outcome(name, group, failed, latency_ms, moment)
+
+    def list_peers(self) -> list[peers.Peer]:
+        """Return copies of all peers as they are now."""
+        with self._lock:
+            self._refresh_weights(list(self._peers.values()))
+            return [dataclasses.replace(peer) for peer in self._peers.values()]
+
+    def _list_usable(self, backend: str) -> list[str]:
+        return [
+            peer.name
+            for peer in self._peers.values()
+            if peer.backend == backend and peer.is_usable
+        ]
+
+    def _refresh_weights(self, listed: list[peers.Peer]) -> None:
+        now = self._read_now()
+        for peer in listed:
+            peer.weight = self._health.read_weight(peer.name, now)
+
+    def _find_candidates(
+        self, request: RouteRequest
+    ) -> expression.Result[list[peers.Peer], NoPeer]:
+        known = [peer for peer in self._peers.values() if peer.backend == request.backend]
+        if not known:
+            return expression.Error(self._refuse(NO_PEERS, _UNKNOWN_RETRY_MS))
+        usable = [peer for peer in known if peer.is_usable]
+        if not usable:
+            return expression.Error(self._refuse(NONE_IN_ROTATION, _UNKNOWN_RETRY_MS))
+        fresh = [peer for peer in usable if _has_version(peer, request.oldest_version)]
+        if not fresh:
+            return expression.Error(self._refuse(NO_VERSION, _UNKNOWN_RETRY_MS))
+        candidates = [peer for peer in fresh if peer.name not in request.excluded]
+        if not candidates:
+            wait_ms = min(peer.wait_ms for peer in fresh)
+            return expression.Error(self._refuse(ALL_EXCLUDED, wait_ms))
+        return expression.Ok(candidates)
+
+    def _pick(self, candidates: list[peers.Peer], request: RouteRequest) -> peers.Peer:
+        self._refresh_weights(candidates)
+        probed = self._pick_probe(candidates, request)
+        if probed is not None:
+            return probed
+        trusted = [peer for peer in candidates if peer.weight > 0.0]
+        if not trusted:
+            return min(candidates, key=lambda peer: peer.load)
+        if request.affinity:
+            cached = selection.pick_by_affinity(trusted, request.affinity, request.budget_ms)
+            if cached is not None:
+                return cached
+        return selection.pick_by_load(trusted, request.budget_ms, self._random)
+
+    def _pick_probe(
+        self, candidates: list[peers.Peer], request: RouteRequest
+    ) -> peers.Peer | None:
+        """Return an ejected peer to try, for a small part of first attempts; one at a time."""
+        if not request.may_probe or request.excluded:
+            return None
+        ejected = [peer for peer in candidates if peer.weight == 0.0 and not peer.in_flight]
+        if not ejected or self._random.random() >= _PROBE_PART:
+            return None
+        return self._random.choice(ejected)
+
+    def _refuse(self, reason: str, milliseconds: int) -> NoPeer:
+        """Return a refusal; the jitter keeps those refused together from coming back together."""
+        spread_ms = max(_LEAST_RETRY_MS, milliseconds) * (1.0 + self._random.random())
+        return NoPeer(reason, int(spread_ms))
+
+
+def _has_version(peer: peers.Peer, oldest_version: int) -> bool:
+    if oldest_version < 0:
+        return True
+    return peer.version is not None and peer.version >= oldest_version
