--- /dev/null
+++ b/libs/samples/oleander_samples/fields.py
@@ -0,0 +1,127 @@
+"""Reads the fields of a JSON object; faults are collected with their places."""
+
+import json
+import typing
+
+import expression
+
+from oleander_base import findings
+
+MOST_WHOLE_NUMBER = 2**53 - 1
+"""The largest whole number that every JSON library keeps exactly."""
+MOST_FINDINGS = 100
+
+
+class FindingList:
+    """Faults found so far; those beyond the bound are left out."""
+
+    def __init__(self) -> None:
+        self._items: list[findings.Finding] = []
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is wrong so far."""
+        return not self._items
+
+    def add(self, place: str, problem: str, fix: str = "") -> None:
+        """Add a fault."""
+        if len(self._items) < MOST_FINDINGS:
+            self._items.append(findings.Finding(place, problem, fix))
+
+    def extend(self, found: findings.Findings) -> None:
+        """Add the faults that another reader found."""
+        for item in found.items:
+            self.add(item.place, item.problem, item.fix)
+
+    def build(self) -> findings.Findings:
+        """Return all of them."""
+        return findings.Findings(tuple(self._items))
+
+
+class FieldReader:
+    """Reads the fields of one object; a bad one is noted and read as the least value."""
+
+    def __init__(self, content: dict[str, typing.Any], place: str, found: FindingList) -> None:
+        self._content = content
+        self._place = place
+        self._found = found
+
+    def has(self, name: str) -> bool:
+        """Tell whether the field is there."""
+        return name in self._content
+
+    def read_whole(self, name: str, least: int, most: int = MOST_WHOLE_NUMBER) -> int:
+        """Return a whole number between two bounds."""
+        value = self._content.get(name)
+        if type(value) is not int:
+            self._reject(name, "is no whole number", f"give one from {least} to {most}")
+            return least
+        if not least <= value <= most:
+            self._reject(name, f"is not from {least} to {most}")
+            return least
+        return value
+
+    def read_text(self, name: str, most_bytes: int) -> str:
+        """Return a text that can be written as UTF-8 in so many bytes."""
+        value = self._content.get(name)
+        if not isinstance(value, str):
+            self._reject(name, "is no text")
+            return ""
+        size = _measure_text(value)
+        if size is None:
+            self._reject(name, "holds half of a surrogate pair", "send whole characters")
+            return ""
+        if size > most_bytes:
+            self._reject(name, f"has {size} bytes, more than {most_bytes}")
+            return ""
+        return value
+
+    def read_objects(self, name: str, most: int) -> "list[FieldReader]":
+        """Return readers for a list of objects, at least one; other entries are left out."""
+        value = self._content.get(name)
+        if not isinstance(value, list) or not value:
+            self._reject(name, "is no list with an entry")
+            return []
+        if len(value) > most:
+            self._reject(name, f"has {len(value)} entries, more than {most}")
+            return []
+        readers = [self._read_entry(item, f"{name}[{at}]") for at, item in enumerate(value)]
+        return [reader for reader in readers if reader is not None]
+
+    def _read_entry(self, item: object, place: str) -> "FieldReader | None":
+        if isinstance(item, dict):
+            return FieldReader(item, f"{self._place}{place}.", self._found)
+        self._found.add(self._place + place, "is no object")
+        return None
+
+    def _reject(self, name: str, problem: str, fix: str = "") -> None:
+        missing = name not in self._content
+        self._found.add(self._place + name, "is missing" if missing else problem, fix)
+
+
+def parse_object(
+    body: bytes, most_bytes: int
+) -> expression.Result[dict[str, typing.Any], findings.Findings]:
+    """Return the JSON object that a body holds."""
+    if len(body) > most_bytes:
+        return _reject_body(f"has {len(body)} bytes, more than {most_bytes}")
+    try:
+        content = json.loads(body.decode("utf-8"))
+    except (ValueError, RecursionError) as error:
+        return _reject_body(f"is not JSON in UTF-8: {str(error)[:100]}")
+    if not isinstance(content, dict):
+        return _reject_body("is no JSON object")
+    return expression.Ok(content)
+
+
+def _reject_body(
+    problem: str,
+) -> expression.Result[dict[str, typing.Any], findings.Findings]:
+    return expression.Error(findings.Findings((findings.Finding("body", problem),)))
+
+
+def _measure_text(text: str) -> int | None:
+    try:
+        return len(text.encode("utf-8"))
+    except UnicodeEncodeError:
+        return None
--- /dev/null
+++ b/libs/samples/oleander_samples/held.py
@@ -0,0 +1,53 @@
+"""Compact sets of sample numbers, such as `0-5,9`."""
+
+import collections.abc
+import re
+
+import expression
+
+from oleander_base import findings
+
+_PLACE = "held"
+_PART = re.compile(r"(\d{1,9})(?:-(\d{1,9}))?", re.ASCII)
+_MOST_QUOTED = 40
+
+
+def read_held(text: str, total: int) -> expression.Result[frozenset[int], findings.Findings]:
+    """
+    Return the numbers that a text names.
+
+    Parts must ascend and not overlap, so the work is bounded by the total, whatever the text.
+    """
+    numbers: set[int] = set()
+    lowest = 0
+    for part in text.split(",") if text else ():
+        match = _PART.fullmatch(part)
+        if match is None:
+            return _reject(part, "is no number or range", "write for example 0-5,9")
+        first = int(match[1])
+        last = int(match[2] or first)
+        if first < lowest or last < first:
+            return _reject(part, "does not ascend", "sort the numbers and merge neighbours")
+        if last >= total:
+            return _reject(part, f"is outside 0-{total - 1}", "name only this step's samples")
+        numbers.update(range(first, last + 1))
+        lowest = last + 1
+    return expression.Ok(frozenset(numbers))
+
+
+def write_held(numbers: collections.abc.Iterable[int]) -> str:
+    """Return the compact text of a set of numbers."""
+    parts: list[list[int]] = []
+    for number in sorted(numbers):
+        if parts and number == parts[-1][1] + 1:
+            parts[-1][1] = number
+        else:
+            parts.append([number, number])
+    return ",".join(str(low) if low == high else f"{low}-{high}" for low, high in parts)
+
+
+def _reject(
+    part: str, problem: str, fix: str
+) -> expression.Result[frozenset[int], findings.Findings]:
+    finding = findings.Finding(_PLACE, f"{part[:_MOST_QUOTED]!r} {problem}", fix)
+    return expression.Error(findings.Findings((finding,)))
--- /dev/null
+++ b/libs/samples/oleander_samples/steps.py
@@ -0,0 +1,75 @@
+"""A training step and its samples."""
+
+import dataclasses
+import json
+
+from oleander_base import identifiers
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Group:
+    """Samples that are made from one prompt."""
+
+    prompt: str
+    prefix: str
+    """Names the shared start of the prompt, for the engines' prefix caches; may be empty."""
+    samples: int
+    max_tokens: int
+    """The most tokens of one sample."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Step:
+    """What a trainer registered; sample `k` of group `g` is number `samples before g + k`."""
+
+    customer: str
+    trainer: str
+    step: int
+    incarnation: int
+    """Grows whenever the trainer starts anew."""
+    version: int
+    """The trainer's policy version when it registered the step."""
+    groups: tuple[Group, ...]
+    held: frozenset[int] | None = None
+    """The numbers that the trainer said it has, or nothing where it did not say."""
+
+    @property
+    def digest(self) -> str:
+        """A short digest of the groups; tells two bodies for the same step apart."""
+        content = [
+            [item.prompt, item.prefix, item.samples, item.max_tokens] for item in self.groups
+        ]
+        return identifiers.digest_body(json.dumps(content).encode())
+
+    @property
+    def total(self) -> int:
+        """How many samples the step has."""
+        return sum(item.samples for item in self.groups)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LabelPart:
+    """Consecutive tokens that one weight version made."""
+
+    version: int
+    tokens: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Sample:
+    """A whole sample and the weight versions that made it, in order."""
+
+    number: int
+    group: int
+    text: str
+    label: tuple[LabelPart, ...]
+
+    @property
+    def oldest_version(self) -> int:
+        """The version that decides whether the sample is stale."""
+        return find_oldest_version(self.label)
+
+
+def find_oldest_version(label: tuple[LabelPart, ...]) -> int:
+    """Return the oldest version of a label, which must not be empty."""
+    return min(part.version for part in label)
