--- /dev/null
+++ b/standins/oleander_standins/batch.py
@@ -0,0 +1,85 @@
+"""Continuous batching: generations hold slots, the others wait by priority, then arrival."""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import threading
+import time
+
+_MOST_SNAPSHOTS = 4096
+_LONGEST_WAIT_SECONDS = 600.0
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Load:
+    """How many generations run and wait."""
+
+    running: int
+    waiting: int
+
+
+class Batch:
+    """Hands out slots; remembers its load over time for reports that lag."""
+
+    def __init__(self) -> None:
+        self.peak_running = 0
+        self._changed = threading.Condition()
+        self._running = 0
+        self._waiting: list[tuple[int, int]] = []
+        self._arrivals = itertools.count()
+        self._snapshots: collections.deque[tuple[float, Load]] = collections.deque(
+            [(0.0, Load(0, 0))], _MOST_SNAPSHOTS
+        )
+
+    @property
+    def running(self) -> int:
+        """How many generations hold a slot now."""
+        return self._running
+
+    @property
+    def waiting(self) -> int:
+        """How many generations wait now."""
+        return len(self._waiting)
+
+    def enter(self, slots: int, priority: int, cancelled: threading.Event) -> bool:
+        """Wait for a slot; tell whether it was got before the generation was cancelled."""
+        with self._changed:
+            ticket = (priority, next(self._arrivals))
+            heapq.heappush(self._waiting, ticket)
+            self._note()
+            got = self._changed.wait_for(
+                lambda: (
+                    cancelled.is_set() or (self._running < slots and self._waiting[0] == ticket)
+                )
+            )
+            self._waiting.remove(ticket)
+            heapq.heapify(self._waiting)
+            entered = got and not cancelled.is_set()
+            self._running += entered
+            self.peak_running = max(self.peak_running, self._running)
+            self._note()
+            return entered
+
+    def leave(self) -> None:
+        """Give a slot back."""
+        with self._changed:
+            self._running -= 1
+            self._note()
+
+    def wake(self) -> None:
+        """Let waiting generations see that they were cancelled."""
+        with self._changed:
+            self._changed.notify_all()
+
+    def read_load(self, lag_seconds: float) -> Load:
+        """Return the load as it was a while ago."""
+        newest = time.monotonic() - lag_seconds
+        with self._changed:
+            known = [load for changed_at, load in self._snapshots if changed_at <= newest]
+            return known[-1] if known else self._snapshots[0][1]
+
+    def _note(self) -> None:
+        load = Load(self._running, len(self._waiting))
+        self._snapshots.append((time.monotonic(), load))
+        self._changed.notify_all()
--- /dev/null
+++ b/standins/oleander_standins/hostlist.py
@@ -0,0 +1,84 @@
+"""A list of hosts that shows changes after a lag."""
+
+import collections
+import dataclasses
+import time
+import typing
+
+from oleander_standins import server
+
+_MOST_CHANGES = 1000
+_LEAVING = "leaving"
+
+_Host = dict[str, str]
+
+
+@dataclasses.dataclass(slots=True)
+class Settings(server.Settings):
+    """How late the list is."""
+
+    lag_ms: int = 0
+
+
+class HostList(server.StandIn[Settings]):
+    """
+    Shows the list as it was a while ago.
+
+    Controls: `set` a list of hosts, `add` a host, `remove` a name, `leaving` a name. Of more than
+    a thousand changes within the lag, the oldest are forgotten.
+    """
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__(settings)
+        self._changes: collections.deque[tuple[float, list[_Host]]] = collections.deque(
+            [(0.0, [])], _MOST_CHANGES
+        )
+        self._reads = 0
+
+    def answer(self, exchange: server.Exchange) -> None:
+        """List the hosts."""
+        if exchange.route != ("GET", "hosts"):
+            exchange.send_json(404, {"reason": "no such path"})
+            return
+        with self.changed:
+            self._reads += 1
+            hosts = self._read_shown()
+        exchange.send_json(200, {"hosts": hosts})
+
+    def count(self, query: dict[str, str]) -> dict[str, typing.Any]:
+        """Return the list as it is now and as it is shown."""
+        return {"reads": self._reads, "hosts": self._changes[-1][1], "shown": self._read_shown()}
+
+    def command(self, name: str, value: typing.Any) -> bool:
+        """Change the list."""
+        current = self._changes[-1][1]
+        match name:
+            case "set":
+                hosts = list(value)
+            case "add":
+                hosts = [host for host in current if host["name"] != value["name"]] + [value]
+            case "remove":
+                hosts = [host for host in current if host["name"] != value]
+            case "leaving":
+                hosts = [
+                    host | {"state": _LEAVING} if host["name"] == value else host
+                    for host in current
+                ]
+            case _:
+                return False
+        self._changes.append((time.monotonic(), hosts))
+        return True
+
+    def _read_shown(self) -> list[_Host]:
+        newest = time.monotonic() - self.settings.lag_ms / 1000
+        shown = [hosts for changed_at, hosts in self._changes if changed_at <= newest]
+        return shown[-1] if shown else []
+
+
+def main() -> None:
+    """Serve a host list."""
+    server.run_program(Settings(), HostList)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/oleander_standins/logservice.py
@@ -0,0 +1,182 @@
+"""A log service in memory: streams of records with offsets, faults on request."""
+
+import collections
+import dataclasses
+import json
+import threading
+import time
+import typing
+
+from oleander_standins import server
+
+_MOST_STREAMS = 1000
+_MOST_RECORDS_READ = 500
+_LONGEST_WAIT_MS = 30_000
+
+
+@dataclasses.dataclass(slots=True)
+class Settings(server.Settings):
+    """The service's limits and faults."""
+
+    retention: int = 100_000
+    """How many records of a stream are kept."""
+    appends_per_second: int = 0
+    """More are answered 429; 0 sets no limit."""
+    lose_before: int = 0
+    """So many next appends are dropped with no effect."""
+    lose_after: int = 0
+    """So many next appends take effect and their answers are dropped."""
+    late: int = 0
+    """So many next appends are dropped at once and take effect after `late_ms`."""
+    late_ms: int = 1000
+
+
+class _Stream:
+    """The newest records of one stream, each encoded once; the oldest go at the bound."""
+
+    def __init__(self) -> None:
+        self.changed = threading.Condition()
+        self.next_offset = 0
+        self._records: collections.deque[str] = collections.deque()
+
+    @property
+    def first_offset(self) -> int:
+        """The oldest record kept."""
+        return self.next_offset - len(self._records)
+
+    def append(self, values: list[typing.Any], retention: int) -> int:
+        """Add records together; return the offset of the first."""
+        now_ms = int(time.time() * 1000)
+        with self.changed:
+            first = self.next_offset
+            for value in values:
+                record = {"offset": self.next_offset, "logged_at_ms": now_ms, "value": value}
+                self._records.append(json.dumps(record))
+                self.next_offset += 1
+            while len(self._records) > retention:
+                self._records.popleft()
+            self.changed.notify_all()
+        return first
+
+    def read(self, offset: int, limit: int, wait_ms: int) -> bytes:
+        """Return the body of a page, waiting for the first record."""
+        with self.changed:
+            self.changed.wait_for(lambda: self.next_offset > offset, wait_ms / 1000)
+            first_offset = self.first_offset
+            start = max(offset, first_offset)
+            stop = min(start + limit, self.next_offset)
+            records = [self._records[index - first_offset] for index in range(start, stop)]
+            next_offset = self.next_offset
+        return (
+            f'{{"records": [{", ".join(records)}], '
+            f'"first_offset": {first_offset}, "next_offset": {next_offset}}}'
+        ).encode()
+
+
+class LogService(server.StandIn[Settings]):
+    """Holds a bounded number of streams; a request for one more is answered 400."""
+
+    def __init__(self, settings: Settings) -> None:
+        super().__init__(settings)
+        self._streams: dict[str, _Stream] = {}
+        self._counts: collections.Counter[str] = collections.Counter()
+        self._allowance = 0.0
+        self._allowance_at = time.monotonic()
+
+    def answer(self, exchange: server.Exchange) -> None:
+        """Append or read."""
+        match exchange.route:
+            case ("POST", "streams", name, "records"):
+                self._answer_append(exchange, name)
+            case ("GET", "streams", name, "records"):
+                self._answer_read(exchange, name)
+            case _:
+                exchange.send_json(404, {"reason": "no such path"})
+
+    def count(self, query: dict[str, str]) -> dict[str, typing.Any]:
+        """Return the counts and what each stream holds."""
+        streams = self._streams.items()
+        return {
+            "appends": self._counts["appends"],
+            "reads": self._counts["reads"],
+            "limited": self._counts["limited"],
+            "records": {name: stream.next_offset for name, stream in streams},
+            "first_offsets": {name: stream.first_offset for name, stream in streams},
+        }
+
+    def _answer_append(self, exchange: server.Exchange, name: str) -> None:
+        values = exchange.read_object().get("records")
+        stream = self._find_stream(name)
+        if stream is None or not isinstance(values, list) or not values:
+            exchange.send_json(400, {"reason": "no records, or too many streams"})
+        elif not self._admit_append():
+            exchange.send_json(429, {"reason": "rate"}, retry_after_seconds=1)
+        elif self.take("lose_before"):
+            exchange.drop()
+        elif self.take("late"):
+            self._append_late(stream, values)
+            exchange.drop()
+        else:
+            first = self._append(stream, values)
+            if self.take("lose_after"):
+                exchange.drop()
+            else:
+                exchange.send_json(200, {"first_offset": first, "count": len(values)})
+
+    def _append_late(self, stream: _Stream, values: list[typing.Any]) -> None:
+        timer = threading.Timer(self.settings.late_ms / 1000, self._append, (stream, values))
+        timer.daemon = True
+        timer.start()
+
+    def _append(self, stream: _Stream, values: list[typing.Any]) -> int:
+        with self.changed:
+            self._counts["appends"] += 1
+        return stream.append(values, self.settings.retention)
+
+    def _answer_read(self, exchange: server.Exchange, name: str) -> None:
+        with self.changed:
+            self._counts["reads"] += 1
+        stream = self._find_stream(name)
+        if stream is None:
+            exchange.send_json(400, {"reason": "too many streams"})
+            return
+        offset = _read_number(exchange, "offset", 0)
+        limit = min(_read_number(exchange, "limit", _MOST_RECORDS_READ), _MOST_RECORDS_READ)
+        wait_ms = min(_read_number(exchange, "wait_ms", 0), _LONGEST_WAIT_MS)
+        body = stream.read(offset, limit, wait_ms)
+        exchange.send_bytes(200, body, {"Content-Type": "application/json"})
+
+    def _find_stream(self, name: str) -> _Stream | None:
+        with self.changed:
+            if name not in self._streams and len(self._streams) < _MOST_STREAMS:
+                self._streams[name] = _Stream()
+            return self._streams.get(name)
+
+    def _admit_append(self) -> bool:
+        rate = self.settings.appends_per_second
+        if rate == 0:
+            return True
+        with self.changed:
+            now = time.monotonic()
+            refilled = self._allowance + (now - self._allowance_at) * rate
+            self._allowance = min(refilled, float(rate))
+            self._allowance_at = now
+            if self._allowance < 1.0:
+                self._counts["limited"] += 1
+                return False
+            self._allowance -= 1.0
+            return True
+
+
+def _read_number(exchange: server.Exchange, name: str, default: int) -> int:
+    text = exchange.query.get(name, "")
+    return int(text) if text.isdigit() else default
+
+
+def main() -> None:
+    """Serve a log."""
+    server.run_program(Settings(), LogService)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/oleander_standins/server.py
@@ -0,0 +1,276 @@
+"""The HTTP server of the stand-ins and its control endpoint: faults in, counts out."""
+
+import abc
+import argparse
+import collections.abc
+import contextlib
+import dataclasses
+import http.server
+import json
+import signal
+import socket
+import sys
+import threading
+import time
+import typing
+import urllib.parse
+
+_HOST = "127.0.0.1"
+_MOST_BODY_BYTES = 64 * 1024 * 1024
+_IDLE_SECONDS = 300.0
+_LONGEST_HANG_SECONDS = 600.0
+_CONTROL_PATH = "/control"
+REFUSE = "refuse"
+HANG = "hang"
+_OUTAGES = ("", REFUSE, HANG)
+
+
+@dataclasses.dataclass(slots=True)
+class Settings:
+    """What the control endpoint and the flags of every stand-in can change."""
+
+    outage: str = ""
+    """Empty for none; `refuse` answers 503 at once, `hang` never answers. Nothing is done."""
+    slow_ms: int = 0
+    """Each request is acted on that much later."""
+
+
+class Exchange:
+    """One request, and the ways to answer it."""
+
+    def __init__(self, handler: "_Handler", body: bytes) -> None:
+        parts = urllib.parse.urlsplit(handler.path)
+        self._handler = handler
+        self.method = handler.command
+        self.segments = [urllib.parse.unquote(item) for item in parts.path.strip("/").split("/")]
+        self.query = dict(urllib.parse.parse_qsl(parts.query))
+        self.headers = handler.headers
+        self.body = body
+
+    @property
+    def route(self) -> tuple[str, ...]:
+        """The method and the first segments, for matching."""
+        return (self.method, *self.segments)
+
+    def read_object(self) -> dict[str, typing.Any]:
+        """Return the JSON object of the body; anything else reads as an empty one."""
+        try:
+            content = json.loads(self.body)
+        except (ValueError, RecursionError):
+            return {}
+        return content if isinstance(content, dict) else {}
+
+    def send_json(
+        self, status: int, content: typing.Any, retry_after_seconds: int | None = None
+    ) -> None:
+        """Answer with JSON."""
+        headers = {"Content-Type": "application/json"}
+        if retry_after_seconds is not None:
+            headers["Retry-After"] = str(retry_after_seconds)
+        self.send_bytes(status, json.dumps(content).encode(), headers)
+
+    def send_bytes(
+        self, status: int, body: bytes, headers: collections.abc.Mapping[str, str]
+    ) -> None:
+        """Answer with bytes; head and body leave in one segment."""
+        self._handler.send_response(status)
+        for name, value in headers.items():
+            self._handler.send_header(name, value)
+        self._handler.send_header("Content-Length", str(len(body)))
+        self._handler.finish_head(body)
+
+    def start_stream(self) -> None:
+        """Begin an answer of JSON lines whose number is not known yet."""
+        self._handler.send_response(200)
+        self._handler.send_header("Content-Type", "application/x-ndjson")
+        self._handler.send_header("Transfer-Encoding", "chunked")
+        self._handler.finish_head(b"")
+
+    def send_line(self, content: typing.Any) -> None:
+        """Send one JSON line; raises OSError where the caller has gone."""
+        line = json.dumps(content).encode() + b"\n"
+        self._handler.wfile.write(b"%x\r\n%b\r\n" % (len(line), line))
+        self._handler.wfile.flush()
+
+    def end_stream(self) -> None:
+        """End the lines."""
+        self._handler.wfile.write(b"0\r\n\r\n")
+        self._handler.wfile.flush()
+
+    def drop(self) -> None:
+        """Close the connection without an answer."""
+        self._handler.close_connection = True
+        with contextlib.suppress(OSError):
+            self._handler.connection.shutdown(socket.SHUT_RDWR)
+
+
+_SettingsType = typing.TypeVar("_SettingsType", bound=Settings)
+
+
+class StandIn(abc.ABC, typing.Generic[_SettingsType]):
+    """What one kind of stand-in does; called from one thread for each connection."""
+
+    def __init__(self, settings: _SettingsType) -> None:
+        self.settings = settings
+        self.changed = threading.Condition()
+
+    @abc.abstractmethod
+    def answer(self, exchange: Exchange) -> None:
+        """Answer a request."""
+
+    @abc.abstractmethod
+    def count(self, query: dict[str, str]) -> dict[str, typing.Any]:
+        """Return what was counted; called with the lock held."""
+
+    def command(self, name: str, value: typing.Any) -> bool:
+        """Obey a control that is no setting; called with the lock held; tell if it is known."""
+        return False
+
+    def control(self, content: dict[str, typing.Any]) -> list[str]:
+        """Change settings; return what is wrong, and change nothing then."""
+        fields = {field.name: field for field in dataclasses.fields(self.settings)}
+        settings = {name: value for name, value in content.items() if name in fields}
+        problems = [
+            f"{name} is no {type(getattr(self.settings, name)).__name__}"
+            for name, value in settings.items()
+            if not _fits(value, getattr(self.settings, name))
+        ]
+        if settings.get("outage", "") not in _OUTAGES:
+            problems.append(f"outage is none of {_OUTAGES}")
+        if problems:
+            return problems
+        with self.changed:
+            for name, value in settings.items():
+                setattr(self.settings, name, type(getattr(self.settings, name))(value))
+            commands = [name for name in content if name not in fields]
+            refused = [name for name in commands if not self._obey(name, content[name])]
+            self.changed.notify_all()
+        return [f"{name} is unknown or malformed" for name in refused]
+
+    def _obey(self, name: str, value: typing.Any) -> bool:
+        try:
+            return self.command(name, value)
+        except (KeyError, TypeError, ValueError):
+            return False
+
+    def take(self, name: str) -> bool:
+        """Tell whether a fault is set for this request; such a setting counts down to 0."""
+        with self.changed:
+            left = getattr(self.settings, name)
+            if left <= 0:
+                return False
+            setattr(self.settings, name, left - 1)
+            return True
+
+    def wait_while(self, holds: collections.abc.Callable[[], bool]) -> None:
+        """Block while a setting holds, ten minutes at most."""
+        with self.changed:
+            self.changed.wait_for(lambda: not holds(), _LONGEST_HANG_SECONDS)
+
+    def serve(self, exchange: Exchange) -> None:
+        """Answer a request, or act out the fault that is set."""
+        if self.settings.outage == REFUSE:
+            exchange.send_json(503, {"reason": "outage"}, retry_after_seconds=1)
+        elif self.settings.outage == HANG:
+            self.wait_while(lambda: self.settings.outage == HANG)
+            exchange.drop()
+        else:
+            time.sleep(self.settings.slow_ms / 1000)
+            self.answer(exchange)
+
+    def serve_control(self, exchange: Exchange) -> None:
+        """Answer a request to the control endpoint."""
+        if exchange.method == "POST":
+            problems = self.control(exchange.read_object())
+            exchange.send_json(400 if problems else 200, {"problems": problems})
+            return
+        with self.changed:
+            counts = self.count(exchange.query)
+        exchange.send_json(200, counts | {"settings": dataclasses.asdict(self.settings)})
+
+
+def _fits(value: typing.Any, current: typing.Any) -> bool:
+    if isinstance(current, float):
+        return type(value) in {int, float}
+    return type(value) is type(current)
+
+
+class _Handler(http.server.BaseHTTPRequestHandler):
+    """Reads requests of one connection and hands them to the stand-in."""
+
+    protocol_version = "HTTP/1.1"
+    disable_nagle_algorithm = True
+    wbufsize = 64 * 1024
+    timeout = _IDLE_SECONDS
+    stand_in: StandIn[typing.Any]
+
+    def finish_head(self, body: bytes) -> None:
+        """Send the head and the body in one write."""
+        self.end_headers()
+        self.wfile.write(body)
+        self.wfile.flush()
+
+    def log_message(self, format: str, *args: typing.Any) -> None:
+        """Log nothing: counts are read from the control endpoint."""
+
+    def _serve(self) -> None:
+        length = self.headers.get("Content-Length", "0")
+        if not length.isdigit() or int(length) > _MOST_BODY_BYTES:
+            self.send_error(413)
+            self.close_connection = True
+            return
+        exchange = Exchange(self, self.rfile.read(int(length)))
+        try:
+            if self.path.partition("?")[0] == _CONTROL_PATH:
+                self.stand_in.serve_control(exchange)
+            else:
+                self.stand_in.serve(exchange)
+        except OSError:
+            self.close_connection = True
+
+    do_GET = do_POST = do_PUT = do_DELETE = _serve  # noqa: N815
+
+
+class _Server(http.server.ThreadingHTTPServer):
+    """One thread for each connection, ended with the process."""
+
+    daemon_threads = True
+    block_on_close = False
+    request_queue_size = 512
+
+    def handle_error(self, request: typing.Any, client_address: typing.Any) -> None:
+        """Report a fault of the stand-in; a caller that went away is none."""
+        if not isinstance(sys.exception(), OSError):
+            super().handle_error(request, client_address)
+
+
+def run_program(
+    settings: _SettingsType,
+    create: collections.abc.Callable[[_SettingsType], StandIn[_SettingsType]],
+) -> None:
+    """Take the port and the settings from flags, and serve until told to end."""
+    parser = argparse.ArgumentParser()
+    parser.add_argument("--port", type=int, default=0, help="0 takes any free port")
+    for field in dataclasses.fields(settings):
+        _add_flag(parser, field.name, getattr(settings, field.name))
+    arguments = parser.parse_args()
+    for field in dataclasses.fields(settings):
+        setattr(settings, field.name, getattr(arguments, field.name))
+    _run(create(settings), arguments.port)
+
+
+def _add_flag(parser: argparse.ArgumentParser, name: str, default: typing.Any) -> None:
+    flag = "--" + name.replace("_", "-")
+    if isinstance(default, bool):
+        parser.add_argument(flag, action=argparse.BooleanOptionalAction, default=default)
+    else:
+        parser.add_argument(flag, type=type(default), default=default)
+
+
+def _run(stand_in: StandIn[typing.Any], port: int) -> None:
+    handler = type("Handler", (_Handler,), {"stand_in": stand_in})
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+    with _Server((_HOST, port), handler) as httpd:
+        print(f"listening on {_HOST}:{httpd.server_port}", flush=True)
+        with contextlib.suppress(KeyboardInterrupt):
+            httpd.serve_forever()
