--- a/features/support.py
+++ b/features/support.py
@@ -2,7 +2,7 @@
 
 import http.client
 import json
-import os
+import pathlib
 import queue
 import signal
 import subprocess
@@ -17,6 +17,7 @@
 _CALL_SECONDS = 10.0
 _READY = "listening on "
 _MOST_LINES = 100_000
+_MOST_LOG_CHARACTERS = 4000
 
 
 class Response:
@@ -62,20 +63,20 @@
 
 
 class Process:
-    """One child; its output is read on a thread of its own, so it never blocks."""
+    """One child; a thread reads its output, so that it never blocks, up to a bound of lines."""
 
-    def __init__(self, name, arguments):
+    def __init__(self, name, arguments, log_path):
         self.name = name
         self.address = None
         self.lines = queue.Queue(_MOST_LINES)
-        self.diagnosis = tempfile.NamedTemporaryFile(prefix=f"oleander-{name}-", suffix=".log")
-        self._child = subprocess.Popen(
-            [sys.executable, "-m", *map(str, arguments)],
-            stdout=subprocess.PIPE,
-            stderr=self.diagnosis,
-            env=os.environ.copy(),
-            text=True,
-        )
+        self._log_path = log_path
+        with log_path.open("ab") as log_file:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", *map(str, arguments)],
+                stdout=subprocess.PIPE,
+                stderr=log_file,
+                text=True,
+            )
         self._ready = threading.Event()
         self._reader = threading.Thread(target=self._read_lines, daemon=True)
         self._reader.start()
@@ -93,10 +94,9 @@
     def url(self):
         return f"http://{self.address}"
 
-    def read_diagnosis(self):
-        """Return what it wrote to standard error."""
-        with open(self.diagnosis.name, encoding="utf-8", errors="replace") as file:
-            return file.read()
+    def read_log(self):
+        """Return the end of what it wrote to standard error."""
+        return self._log_path.read_text(errors="replace")[-_MOST_LOG_CHARACTERS:]
 
     def wait_ready(self, seconds=_START_SECONDS):
         """Wait for the line that tells where it listens."""
@@ -104,7 +104,7 @@
         while not self._ready.wait(0.02):
             ended = self.code is not None and not self._reader.is_alive()
             assert not ended and time.monotonic() < deadline, (
-                f"{self.name} is not ready (exit code {self.code}): {self.read_diagnosis()}"
+                f"{self.name} is not ready (exit code {self.code}): {self.read_log()}"
             )
 
     def wait_exit(self, seconds=_STOP_SECONDS):
@@ -121,7 +121,6 @@
         self._child.wait(_STOP_SECONDS)
         self._reader.join(_STOP_SECONDS)
         self._child.stdout.close()
-        self.diagnosis.close()
 
     def _read_lines(self):
         for line in self._child.stdout:
@@ -130,7 +129,7 @@
                 self.address = line.removeprefix(_READY)
                 self._ready.set()
             elif not self.lines.full():
-                self.lines.put(line)
+                self.lines.put_nowait(line)
 
 
 class Cluster:
@@ -138,11 +137,13 @@
 
     def __init__(self):
         self._processes = {}
+        self._logs = tempfile.TemporaryDirectory(prefix="oleander-")
 
     def start(self, name, module, *arguments, ready=True):
         """Start a module and, unless told otherwise, wait until it listens."""
         self.close(name)
-        process = Process(name, [module, *arguments])
+        log_path = pathlib.Path(self._logs.name) / f"{name}.log"
+        process = Process(name, [module, *arguments], log_path)
         self._processes[name] = process
         if ready:
             process.wait_ready()
@@ -188,9 +189,17 @@
             process.close()
 
     def stop(self):
-        """End every process."""
+        """End every process and remove what they logged."""
         for name in list(self._processes):
             self.close(name)
+        self._logs.cleanup()
+
+    def read_logs(self):
+        """Return the ends of all logs, to tell why a scenario failed."""
+        return "".join(
+            f"--- {name}, exit code {process.code}\n{process.read_log()}"
+            for name, process in self._processes.items()
+        )
 
     def control(self, name, **settings):
         """Change settings of a stand-in."""
