Read contracts from YAML and from the log's JSON

Cause: an operator mends a document in one go only if every fault is named with its place. Ruled out: the round-trip loader, which builds objects, stops at the first repeated field and places merged or anchored scalars on nothing; composing gives a mark on every node and builds nothing. Ruled out: walking the whole tree, which a document that refers to itself never ends; children are made only when a field asks. Conclusion: readers.read_contract, read_document, write_document.

--- /dev/null
+++ b/libs/contracts/oleander_contracts/fields.py
@@ -0,0 +1,156 @@
+"""Reading the fields of a mapping: what is wrong is collected, with its place."""
+
+import collections.abc
+import dataclasses
+import difflib
+import typing
+
+from oleander_base import findings
+from oleander_contracts import names, nodes
+
+_Choice = typing.TypeVar("_Choice")
+_SHOWN_LETTERS = 40
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Bounds:
+    """The least and the greatest number that a field may have."""
+
+    low: int
+    high: int
+
+
+class FieldReader:
+    """
+    Reads one mapping, field by field.
+
+    Every `read_` method returns a value of its type even where it found a fault, so that the
+    caller is written straight down; the value is of no use once `found` holds anything.
+    """
+
+    def __init__(self, node: nodes.Node, found: list[findings.Finding]) -> None:
+        self._node = node
+        self._found = found
+        self._asked: list[str] = []
+        self._entries: dict[str, nodes.Entry] = {}
+        entries = node.list_entries()
+        self._is_mapping = entries is not None
+        if entries is None:
+            found.append(findings.Finding(node.place, "is no mapping of fields"))
+        for entry in entries or ():
+            self._take_entry(entry)
+
+    def find_place(self, name: str) -> str:
+        """Return where a field stands, for a finding about its value."""
+        if name in self._entries:
+            return self._entries[name].node.place
+        return self._node.describe_field(name)
+
+    def read_integer(self, name: str, bounds: Bounds, default: int | None = None) -> int:
+        """Return a whole number within bounds."""
+        node = self._find(name, default is None)
+        if node is None:
+            return default or 0
+        value = node.read_scalar()
+        # A bool is an int to Python, and no number to a reader.
+        if not isinstance(value, int) or isinstance(value, bool):
+            self._reject(node, f"is no whole number: {_show(value)}")
+            return 0
+        if not bounds.low <= value <= bounds.high:
+            self._reject(node, f"{value} is outside {bounds.low} to {bounds.high}")
+        return value
+
+    def read_boolean(self, name: str, advice: str = "", default: bool | None = None) -> bool:
+        """Return true or false."""
+        node = self._find(name, default is None, advice)
+        if node is None:
+            return default or False
+        value = node.read_scalar()
+        if isinstance(value, bool):
+            return value
+        self._reject(node, f"is neither true nor false: {_show(value)}", advice)
+        return False
+
+    def read_name(self, name: str, advice: str = "") -> str:
+        """Return a name."""
+        node = self._find(name, True, advice)
+        if node is None:
+            return ""
+        value = node.read_scalar()
+        if isinstance(value, str) and names.is_name(value):
+            return value
+        self._reject(node, f"is no name: {_show(value)}", names.RULE)
+        return ""
+
+    def read_text(self, name: str, most: int, default: str | None = None) -> str:
+        """Return a text of printable letters."""
+        node = self._find(name, default is None)
+        if node is None:
+            return default or ""
+        value = node.read_scalar()
+        if isinstance(value, str) and len(value) <= most and value.isprintable():
+            return value
+        self._reject(node, f"is no printable text of at most {most} letters: {_show(value)}")
+        return ""
+
+    def read_choice(self, name: str, choices: collections.abc.Mapping[str, _Choice]) -> _Choice:
+        """Return what one of a few words stands for."""
+        first = next(iter(choices.values()))
+        node = self._find(name, True)
+        if node is None:
+            return first
+        value = node.read_scalar()
+        if isinstance(value, str) and value in choices:
+            return choices[value]
+        self._reject(node, f"{_show(value)} is none of {', '.join(choices)}")
+        return first
+
+    def read_items(self, name: str, most: int, required: bool) -> tuple[nodes.Node, ...]:
+        """Return the items of a list."""
+        node = self._find(name, required)
+        if node is None:
+            return ()
+        items = node.list_items()
+        if items is None:
+            self._reject(node, "is no list")
+            return ()
+        if len(items) > most:
+            self._reject(node, f"has {len(items)} items, more than {most}")
+        return items[:most]
+
+    def read_node(self, name: str) -> nodes.Node | None:
+        """Return a field as a node, for a reader of its own."""
+        return self._find(name, True)
+
+    def check_unknown(self) -> None:
+        """Report every field that was never asked for; call it last."""
+        for name, entry in self._entries.items():
+            if name in self._asked:
+                continue
+            nearest = difflib.get_close_matches(name, self._asked, n=1)
+            fix = f"did you mean {nearest[0]}?" if nearest else f"known: {', '.join(self._asked)}"
+            self._found.append(findings.Finding(entry.place, "is no known field", fix))
+
+    def _take_entry(self, entry: nodes.Entry) -> None:
+        if entry.name in self._entries:
+            self._found.append(findings.Finding(entry.place, "stands here a second time"))
+            return
+        self._entries[entry.name] = entry
+
+    def _find(self, name: str, required: bool, advice: str = "") -> nodes.Node | None:
+        self._asked.append(name)
+        if name in self._entries:
+            return self._entries[name].node
+        if required and self._is_mapping:
+            place = self._node.describe_field(name)
+            self._found.append(findings.Finding(place, "is missing", advice))
+        return None
+
+    def _reject(self, node: nodes.Node, problem: str, fix: str = "") -> None:
+        self._found.append(findings.Finding(node.place, problem, fix))
+
+
+def _show(value: nodes.Scalar) -> str:
+    if isinstance(value, nodes.Unreadable):
+        return repr(value.shown[:_SHOWN_LETTERS])
+    return "empty" if value is None else repr(value)[:_SHOWN_LETTERS]
--- /dev/null
+++ b/libs/contracts/oleander_contracts/nodes.py
@@ -0,0 +1,169 @@
+"""One way to look at YAML and at JSON: nodes that know their place."""
+
+import abc
+import dataclasses
+import re
+import typing
+
+import ruamel.yaml
+
+_TAG_PREFIX = "tag:yaml.org,2002:"
+_WHOLE_NUMBER = re.compile(r"[-+]?[0-9]{1,18}", re.ASCII)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Unreadable:
+    """A scalar of a type that no field has, or no scalar at all."""
+
+    shown: str
+
+
+Scalar = int | bool | str | Unreadable | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Entry:
+    """One field of a mapping."""
+
+    name: str
+    place: str
+    node: "Node"
+
+
+class Node(abc.ABC):
+    """
+    A mapping, a list or a scalar, and where it stands.
+
+    Children are made when they are asked for, so neither depth nor a reference of a document to
+    itself costs anything: what no field asks for is never visited.
+    """
+
+    @property
+    @abc.abstractmethod
+    def place(self) -> str:
+        """Where the node stands, for a finding."""
+
+    @abc.abstractmethod
+    def describe_field(self, name: str) -> str:
+        """Return the place of a field that this mapping should have."""
+
+    @abc.abstractmethod
+    def list_entries(self) -> tuple[Entry, ...] | None:
+        """Return a mapping's fields in order, also repeated ones; nothing if it is none."""
+
+    @abc.abstractmethod
+    def list_items(self) -> tuple["Node", ...] | None:
+        """Return a list's items; nothing if it is none."""
+
+    @abc.abstractmethod
+    def read_scalar(self) -> Scalar:
+        """Return the value of a scalar."""
+
+
+def _join_path(path: str, name: str) -> str:
+    return f"{path}.{name}" if path else name
+
+
+class DocumentNode(Node):
+    """A node of a JSON document; its place is its path."""
+
+    def __init__(self, value: typing.Any, path: str = "") -> None:
+        self._value = value
+        self._path = path
+
+    @property
+    def place(self) -> str:
+        """The path from the document's start."""
+        return self._path or "document"
+
+    def describe_field(self, name: str) -> str:
+        """Return the path of a field."""
+        return _join_path(self._path, name)
+
+    def list_entries(self) -> tuple[Entry, ...] | None:
+        """Return the fields of an object."""
+        if not isinstance(self._value, dict):
+            return None
+        return tuple(self._make_entry(str(key), value) for key, value in self._value.items())
+
+    def list_items(self) -> tuple[Node, ...] | None:
+        """Return the items of an array."""
+        if not isinstance(self._value, list):
+            return None
+        return tuple(
+            DocumentNode(value, f"{self._path}[{number}]")
+            for number, value in enumerate(self._value)
+        )
+
+    def read_scalar(self) -> Scalar:
+        """Return the value as it is."""
+        if self._value is None or isinstance(self._value, int | bool | str):
+            return self._value
+        return Unreadable(type(self._value).__name__)
+
+    def _make_entry(self, name: str, value: typing.Any) -> Entry:
+        path = _join_path(self._path, name)
+        return Entry(name, path, DocumentNode(value, path))
+
+
+class YamlNode(Node):
+    """A node of a YAML text; its place is source, line, column and path."""
+
+    def __init__(self, node: ruamel.yaml.Node, source: str, path: str = "") -> None:
+        self._node = node
+        self._source = source
+        self._path = path
+        self._mark = node.start_mark
+
+    @property
+    def place(self) -> str:
+        """Where the node starts."""
+        return f"{_describe_mark(self._mark, self._source)} {self._path}".rstrip()
+
+    def describe_field(self, name: str) -> str:
+        """Return the place of the mapping, with the path of the field."""
+        return f"{_describe_mark(self._mark, self._source)} {_join_path(self._path, name)}"
+
+    def list_entries(self) -> tuple[Entry, ...] | None:
+        """Return the fields of a mapping."""
+        if not isinstance(self._node, ruamel.yaml.MappingNode):
+            return None
+        return tuple(self._make_entry(key, value) for key, value in self._node.value)
+
+    def list_items(self) -> tuple[Node, ...] | None:
+        """Return the items of a sequence."""
+        if not isinstance(self._node, ruamel.yaml.SequenceNode):
+            return None
+        return tuple(
+            YamlNode(item, self._source, f"{self._path}[{number}]")
+            for number, item in enumerate(self._node.value)
+        )
+
+    def read_scalar(self) -> Scalar:
+        """Return the value that the text stands for; numbers are decimal."""
+        if not isinstance(self._node, ruamel.yaml.ScalarNode):
+            return Unreadable(type(self._node).__name__.removesuffix("Node").lower())
+        text = str(self._node.value)
+        tag = str(self._node.tag).removeprefix(_TAG_PREFIX)
+        if tag == "str":
+            return text
+        if tag == "bool":
+            return text.lower() == "true"
+        if tag == "null":
+            return None
+        if tag == "int" and _WHOLE_NUMBER.fullmatch(text):
+            return int(text)
+        return Unreadable(text)
+
+    def _make_entry(self, key: ruamel.yaml.Node, value: ruamel.yaml.Node) -> Entry:
+        name = str(key.value) if isinstance(key, ruamel.yaml.ScalarNode) else "?"
+        path = _join_path(self._path, name)
+        node = YamlNode(value, self._source, path)
+        if value.value == "":
+            # The parser places an empty value at whatever comes next, often another line.
+            node._mark = key.start_mark
+        return Entry(name, f"{_describe_mark(key.start_mark, self._source)} {path}", node)
+
+
+def _describe_mark(mark: ruamel.yaml.error.StringMark, source: str) -> str:
+    return f"{source}:{mark.line + 1}:{mark.column + 1}"
--- /dev/null
+++ b/libs/contracts/oleander_contracts/readers.py
@@ -0,0 +1,198 @@
+"""
+Contracts from YAML and from the log's JSON, and back to JSON.
+
+Every fault is found in one reading and reported with its place. What the log holds is read by
+every process alike, so the bounds below are part of the log's format: a release that changes one
+must still read the records of the release before it in the same way.
+"""
+
+import json
+import typing
+
+import expression
+import ruamel.yaml
+
+from oleander_base import findings
+from oleander_contracts import contract, fields, names, nodes
+
+MOST_BYTES = 64 * 1024
+MOST_OPERATIONS = 64
+MOST_TRAINERS = 16
+RESERVED_OPERATION = "trainer"
+"""Counters of trainers stand under this word, where other words are operations."""
+
+ContractResult = expression.Result[contract.Contract, findings.Findings]
+
+_SHARE_PERCENT = fields.Bounds(1, 100)
+_PERCENT = fields.Bounds(0, 100)
+_TIMEOUT_MS = fields.Bounds(1, 600_000)
+_WORTH = fields.Bounds(0, 1000)
+_STALENESS = fields.Bounds(0, 100)
+_DEFAULT_WORTH = 1
+
+_PRIORITIES = {item.name.lower(): item for item in contract.Priority}
+_OBJECTIVES = {item.value: item for item in contract.Objective}
+
+_REPEATABLE_ADVICE = "true if running it twice does no harm, else false"
+_MODEL_ADVICE = "the model whose weights this trainer updates"
+
+
+def read_contract(text: str, source: str) -> ContractResult:
+    """Return the contract of a YAML or JSON text; `source` names the text in findings."""
+    size = len(text.encode(errors="replace"))
+    if size > MOST_BYTES:
+        return _reject(source, f"has {size} bytes, more than {MOST_BYTES}")
+    composer = ruamel.yaml.YAML(typ="safe", pure=True)
+    try:
+        # Composing builds no objects, so no tag in the text can make any.
+        root = composer.compose(text)
+    except ruamel.yaml.error.MarkedYAMLError as error:
+        return _reject(_describe_mark(error, source), f"is no YAML: {error.problem}")
+    except (ruamel.yaml.error.YAMLError, ValueError, RecursionError) as error:
+        return _reject(source, f"is no YAML: {_describe_error(error)}")
+    if root is None:
+        return _reject(source, "is empty")
+    return _read_root(nodes.YamlNode(root, source))
+
+
+def read_document(document: typing.Any) -> ContractResult:
+    """Return the contract of a JSON document, as it stands in the log."""
+    try:
+        size = len(json.dumps(document, separators=(",", ":")))
+    except (TypeError, ValueError, RecursionError):
+        return _reject("document", "is no JSON document, or is nested too deep")
+    if size > MOST_BYTES:
+        return _reject("document", f"has {size} bytes, more than {MOST_BYTES}")
+    return _read_root(nodes.DocumentNode(document))
+
+
+def write_document(terms: contract.Contract) -> dict[str, typing.Any]:
+    """Return a contract as a JSON document, every field written out."""
+    return {
+        "customer": terms.customer,
+        "share_percent": terms.share_percent,
+        "retry_percent": terms.retry_percent,
+        "operations": [_write_operation(operation) for operation in terms.operations],
+        "trainers": [_write_trainer(trainer) for trainer in terms.trainers],
+    }
+
+
+def _write_operation(operation: contract.Operation) -> dict[str, typing.Any]:
+    return {
+        "name": operation.name,
+        "backend": operation.backend,
+        "priority": operation.priority.name.lower(),
+        "repeatable": operation.repeatable,
+        "timeout_ms": operation.timeout_ms,
+        "worth": operation.worth,
+        "generates": operation.generates,
+    }
+
+
+def _write_trainer(trainer: contract.TrainerTerms) -> dict[str, typing.Any]:
+    return {
+        "name": trainer.name,
+        "backend": trainer.backend,
+        "model": trainer.model,
+        "staleness_bound": trainer.staleness_bound,
+        "objective": trainer.objective.value,
+        "hedge_percent": trainer.hedge_percent,
+    }
+
+
+def _reject(place: str, problem: str) -> ContractResult:
+    return expression.Error(findings.Findings((findings.Finding(place, problem),)))
+
+
+def _describe_mark(error: ruamel.yaml.error.MarkedYAMLError, source: str) -> str:
+    mark = error.problem_mark or error.context_mark
+    return f"{source}:{mark.line + 1}:{mark.column + 1}" if mark else source
+
+
+def _describe_error(error: Exception) -> str:
+    if isinstance(error, RecursionError):
+        return "nested too deep"
+    return str(error).splitlines()[0]
+
+
+def _read_root(node: nodes.Node) -> ContractResult:
+    found: list[findings.Finding] = []
+    terms = _read_terms(node, found)
+    if found:
+        return expression.Error(findings.Findings(tuple(found)))
+    return expression.Ok(terms)
+
+
+def _read_terms(node: nodes.Node, found: list[findings.Finding]) -> contract.Contract:
+    reader = fields.FieldReader(node, found)
+    customer = reader.read_name("customer")
+    if customer == names.OPERATOR:
+        found.append(findings.Finding(reader.find_place("customer"), "is kept for operators"))
+    share_percent = reader.read_integer("share_percent", _SHARE_PERCENT)
+    retry_percent = reader.read_integer("retry_percent", _PERCENT)
+    operations = reader.read_items("operations", MOST_OPERATIONS, required=True)
+    trainers = reader.read_items("trainers", MOST_TRAINERS, required=False)
+    reader.check_unknown()
+    seen_operations = _NameCheck(found)
+    seen_trainers = _NameCheck(found)
+    return contract.Contract(
+        customer=customer,
+        share_percent=share_percent,
+        retry_percent=retry_percent,
+        operations=tuple(_read_operation(item, found, seen_operations) for item in operations),
+        trainers=tuple(_read_trainer(item, found, seen_trainers) for item in trainers),
+    )
+
+
+class _NameCheck:
+    """Finds names that stand twice in one list."""
+
+    def __init__(self, found: list[findings.Finding]) -> None:
+        self._found = found
+        self._places: dict[str, str] = {}
+
+    def read_name(self, reader: fields.FieldReader) -> str:
+        """Return the name of an item."""
+        name = reader.read_name("name")
+        place = reader.find_place("name")
+        if name in self._places:
+            problem = f"{name} is already at {self._places[name]}"
+            self._found.append(findings.Finding(place, problem))
+        elif name:
+            self._places[name] = place
+        return name
+
+
+def _read_operation(
+    node: nodes.Node, found: list[findings.Finding], seen: _NameCheck
+) -> contract.Operation:
+    reader = fields.FieldReader(node, found)
+    operation = contract.Operation(
+        name=seen.read_name(reader),
+        backend=reader.read_name("backend"),
+        priority=reader.read_choice("priority", _PRIORITIES),
+        repeatable=reader.read_boolean("repeatable", _REPEATABLE_ADVICE),
+        timeout_ms=reader.read_integer("timeout_ms", _TIMEOUT_MS),
+        worth=reader.read_integer("worth", _WORTH, _DEFAULT_WORTH),
+        generates=reader.read_boolean("generates", default=False),
+    )
+    reader.check_unknown()
+    if operation.name == RESERVED_OPERATION:
+        found.append(findings.Finding(reader.find_place("name"), "is kept for trainers"))
+    return operation
+
+
+def _read_trainer(
+    node: nodes.Node, found: list[findings.Finding], seen: _NameCheck
+) -> contract.TrainerTerms:
+    reader = fields.FieldReader(node, found)
+    trainer = contract.TrainerTerms(
+        name=seen.read_name(reader),
+        backend=reader.read_name("backend"),
+        model=reader.read_name("model", _MODEL_ADVICE),
+        staleness_bound=reader.read_integer("staleness_bound", _STALENESS),
+        objective=reader.read_choice("objective", _OBJECTIVES),
+        hedge_percent=reader.read_integer("hedge_percent", _PERCENT),
+    )
+    reader.check_unknown()
+    return trainer
