--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,9 @@
 	touch $@
 
 format: install
-	$(VENV)/bin/ruff check --fix --quiet .
+	$(VENV)/bin/ruff check --select I --fix --quiet .
 	$(VENV)/bin/ruff format --quiet .
+	$(VENV)/bin/ruff check --fix .
 
 check: install
 	$(VENV)/bin/ruff format --check .
--- /dev/null
+++ b/features/claims.feature
@@ -0,0 +1,32 @@
+Feature: The order of records in the log decides who may run a key
+
+  Scenario Outline: The first record of an attempt is in force, whoever reads it
+    # Two entries claim a key at once, or one comes late. Every process folds the same records
+    # in the same order, so all agree on the one sidecar that may run the key.
+    Given a table of claims with a window of 10 records
+    When the claims table reads <records>
+    Then the claims table has <in force> in force
+    And a claims table that starts <skipped> records later agrees
+
+    Examples:
+      | records                      | in force | skipped |
+      | a1                           | a1       | 0       |
+      | a1 b1                        | a1       | 0       |
+      | b1 a1                        | b1       | 0       |
+      | a1 b2                        | b2       | 0       |
+      | a1 b2 c2                     | b2       | 0       |
+      | a1 b2 c3 d2 e1               | c3       | 0       |
+      | a1 c3                        | a1       | 0       |
+      | a1 b2 c2                     | b2       | 1       |
+      | a1 x9 b1                     | a1       | 0       |
+      | a1 x1 x1 x1 x1 x1 x1 x1 x1 x1 x1 x1 | nothing | 2  |
+
+  Scenario Outline: An issued key says since when it can exist
+    Given claims streams of 4 shards
+    Then the claims key <key> of "catania" was issued at <offset>
+
+    Examples:
+      | key                     | offset  |
+      | k1.17.0123456789abcdef  | 17      |
+      | k1.x.0123456789abcdef   | nowhere |
+      | booking-17              | nowhere |
--- a/libs/claims/oleander_claims/shard.py
+++ b/libs/claims/oleander_claims/shard.py
@@ -220,7 +220,8 @@
             self._refuse_group(group, appended.error)
 
     def _refuse_group(self, group: list[_Proposal], error: logservice.LogError) -> None:
-        """Refuse claims whose append failed, unless they are read back at once.
+        """
+        Refuse claims whose append failed, unless they are read back at once.
 
         The records may stand in the log all the same. That does no harm: these claimants give
         up for good here, and nobody else acts on another's record without asking its sidecar.
--- a/libs/wire/oleander_wire/link.py
+++ b/libs/wire/oleander_wire/link.py
@@ -30,7 +30,8 @@
 
 
 def _bound_sends(connected: socket.socket) -> None:
-    """Let a send fail after a while.
+    """
+    Let a send fail after a while.
 
     A peer that is paused stops reading; once the buffers are full, a send to it would block its
     thread for as long as the pause lasts. With the bound the link is closed instead.
@@ -139,6 +140,11 @@
             max_size=codec.MOST_FRAME_BYTES,
         )
 
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return int(self._server.socket.getsockname()[1])
+
     def serve(self) -> None:
         """Accept connections until stopped."""
         self._server.serve_forever()
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/accounts.py
@@ -0,0 +1,30 @@
+"""Counts what each customer received, by the names that the report reads."""
+
+from oleander_base import metrics
+from oleander_wire import messages
+from oleanderdeal import callers
+
+
+def count_answer(request: callers.CallerRequest, answer: callers.CallerAnswer) -> None:
+    """Count one caller's answer under its customer and operation."""
+    name = f"customer.{request.customer}.{request.operation.name}"
+    match answer.outcome:
+        case messages.Outcome.DONE if request.deadline.is_past:
+            metrics.count(f"{name}.late")
+        case messages.Outcome.DONE:
+            metrics.count(f"{name}.answered")
+            metrics.count(metrics.ANSWERED)
+        case messages.Outcome.NOT_RUN:
+            metrics.count(f"{name}.refused.{answer.reason}")
+            metrics.count(metrics.REFUSED)
+        case messages.Outcome.FAILED:
+            metrics.count(f"{name}.failed")
+        case messages.Outcome.UNKNOWN:
+            metrics.count(f"{name}.unknown")
+            metrics.count(metrics.UNKNOWN)
+
+
+def count_samples(customer: str, trainer: str, what: str, amount: int) -> None:
+    """Count samples of a trainer: delivered, stale or remade."""
+    if amount:
+        metrics.count(f"customer.{customer}.trainer.{trainer}.{what}", amount)
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/caller_api.py
@@ -0,0 +1,201 @@
+"""Answers callers: checks a request, runs it, and says what became of it."""
+
+import collections.abc
+import dataclasses
+import itertools
+import json
+import typing
+
+from oleander_base import metrics
+from oleander_contracts import fold
+from oleander_wire import messages
+from oleanderdeal import (
+    accounts,
+    caller_requests,
+    callers,
+    dispatch,
+    http_messages,
+    once,
+)
+
+_TITLES = {
+    messages.Outcome.NOT_RUN: "The request did not run.",
+    messages.Outcome.UNKNOWN: "The request may have run.",
+    messages.Outcome.FAILED: "The request ran and failed.",
+}
+
+
+class CallerApi:
+    """Handles POST /v1/customers/CUSTOMER/operations/OPERATION."""
+
+    def __init__(
+        self,
+        configuration: fold.ConfigurationFold,
+        dispatcher: dispatch.Dispatcher,
+        once_dispatcher: once.OnceDispatcher,
+    ) -> None:
+        self._configuration = configuration
+        self._dispatcher = dispatcher
+        self._once = once_dispatcher
+
+    def handle(
+        self, request: http_messages.HttpRequest, customer: str, operation_name: str
+    ) -> http_messages.HttpAnswer:
+        """Run one request of a customer."""
+        metrics.count(metrics.REQUESTS)
+        terms = self._configuration.find_contract(customer)
+        operation = terms.find_operation(operation_name) if terms else None
+        if terms is None or operation is None:
+            return http_messages.answer_problem(
+                http_messages.Problem(
+                    404, "No such customer or operation.", "not-run", "no-such-operation"
+                )
+            )
+        read = caller_requests.read_caller_request(request, terms, operation)
+        if read.is_error():
+            return http_messages.answer_findings(read.error)
+        return self._run(read.ok, request.is_gone)
+
+    def _run(
+        self, request: callers.CallerRequest, is_gone: collections.abc.Callable[[], bool]
+    ) -> http_messages.HttpAnswer:
+        if not request.operation.repeatable:
+            answer = self._once.run(request)
+            accounts.count_answer(request, answer)
+            return _write_answer(request, answer)
+        if request.is_streamed:
+            return self._stream(request, is_gone)
+        observer = GenerationObserver(is_gone)
+        ended = self._dispatcher.run(_write_job(request), request.deadline, observer)
+        answer = _read_answer(request, ended.answer, observer)
+        accounts.count_answer(request, answer)
+        return _write_answer(request, answer)
+
+    def _stream(
+        self, request: callers.CallerRequest, is_gone: collections.abc.Callable[[], bool]
+    ) -> http_messages.HttpAnswer:
+        """Answer line by line, once there is a first line; until then a refusal is possible."""
+        observer = GenerationObserver(is_gone)
+        events = self._dispatcher.follow(_write_job(request), request.deadline, observer)
+        first = next(events)
+        if isinstance(first, dispatch.Ended):
+            answer = _read_answer(request, first.answer, observer)
+            accounts.count_answer(request, answer)
+            return _write_answer(request, answer)
+        lines = _write_lines(request, observer, itertools.chain([first], events))
+        headers = (("Trace-Id", request.trace_id),)
+        return http_messages.HttpAnswer(200, http_messages.LINES_TYPE, lines, headers)
+
+
+class GenerationObserver(dispatch.Observer):
+    """Gathers a generation's text and the weight versions that made it."""
+
+    def __init__(self, is_gone: collections.abc.Callable[[], bool]) -> None:
+        self._is_gone = is_gone
+        self._texts: list[str] = []
+        self._label: list[callers.LabelPart] = []
+
+    @property
+    def text(self) -> str:
+        """All text so far."""
+        return "".join(self._texts)
+
+    @property
+    def label(self) -> tuple[callers.LabelPart, ...]:
+        """The versions so far, neighbours of one version merged."""
+        return tuple(self._label)
+
+    def see_tokens(self, tokens: messages.Tokens) -> None:
+        """Add the next tokens."""
+        self._texts.append(tokens.text)
+        if tokens.version is None or tokens.tokens == 0:
+            return
+        if self._label and self._label[-1].version == tokens.version:
+            merged = self._label[-1].tokens + tokens.tokens
+            self._label[-1] = callers.LabelPart(tokens.version, merged)
+        else:
+            self._label.append(callers.LabelPart(tokens.version, tokens.tokens))
+
+    def resume(self, terms: messages.GenerationTerms) -> messages.GenerationTerms:
+        """Return the terms for going on elsewhere after what was seen so far."""
+        made = sum(part.tokens for part in self._label)
+        return messages.GenerationTerms(
+            terms.model, terms.prefix, terms.max_tokens, self.text, made, terms.oldest_version
+        )
+
+    def is_gone(self) -> bool:
+        """Return whether the caller has closed its connection."""
+        return self._is_gone()
+
+
+def _write_job(request: callers.CallerRequest) -> dispatch.Job:
+    return dispatch.Job(
+        customer=request.customer,
+        share_percent=request.terms.share_percent,
+        retry_percent=request.terms.retry_percent,
+        operation=request.operation.name,
+        backend=request.operation.backend,
+        priority=request.operation.priority,
+        key=request.key,
+        trace_id=request.trace_id,
+        body=request.body,
+        generation=request.generation,
+    )
+
+
+def _read_answer(
+    request: callers.CallerRequest, answer: messages.Answer, observer: GenerationObserver
+) -> callers.CallerAnswer:
+    passed = callers.pass_on(answer)
+    if request.generation is None or passed.outcome is not messages.Outcome.DONE:
+        return passed
+    body = json.dumps({"text": observer.text, "label": _write_label(observer.label)}).encode()
+    return dataclasses.replace(passed, body=body, label=observer.label)
+
+
+def _write_label(label: tuple[callers.LabelPart, ...]) -> list[dict[str, int]]:
+    return [{"version": part.version, "tokens": part.tokens} for part in label]
+
+
+def _write_lines(
+    request: callers.CallerRequest,
+    observer: GenerationObserver,
+    events: collections.abc.Iterator[dispatch.JobEvent],
+) -> collections.abc.Iterator[bytes]:
+    """Yield one line for each piece and one for the end; a cut stream has no last line."""
+    for event in events:
+        if isinstance(event, messages.Tokens):
+            yield _write_line(
+                {"text": event.text, "tokens": event.tokens, "version": event.version}
+            )
+            continue
+        answer = _read_answer(request, event.answer, observer)
+        accounts.count_answer(request, answer)
+        last = {"outcome": answer.outcome.value, "label": _write_label(observer.label)}
+        if answer.outcome is not messages.Outcome.DONE:
+            last |= {"reason": answer.reason, "retry_after_ms": answer.retry_after_ms}
+        yield _write_line(last)
+
+
+def _write_line(content: dict[str, typing.Any]) -> bytes:
+    return json.dumps(content).encode() + b"\n"
+
+
+def _write_answer(
+    request: callers.CallerRequest, answer: callers.CallerAnswer
+) -> http_messages.HttpAnswer:
+    trace = (("Trace-Id", request.trace_id),)
+    if answer.outcome is messages.Outcome.DONE:
+        return http_messages.HttpAnswer(
+            answer.status, http_messages.JSON_TYPE, [answer.body], trace
+        )
+    problem = http_messages.answer_problem(
+        http_messages.Problem(
+            answer.status,
+            _TITLES[answer.outcome],
+            answer.outcome.value,
+            answer.reason,
+            answer.retry_after_ms,
+        )
+    )
+    return dataclasses.replace(problem, headers=problem.headers + trace)
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/caller_requests.py
@@ -0,0 +1,138 @@
+"""Reads callers' requests: every fault is found, and all are reported together."""
+
+import json
+import re
+import typing
+
+import expression
+
+from oleander_base import clock, findings, identifiers
+from oleander_contracts import contract
+from oleander_wire import messages
+from oleanderdeal import callers, http_messages
+
+MOST_BODY_BYTES = 1024 * 1024
+MOST_TOKENS = 131072
+_KEY = re.compile(r"[!-~]{1,200}")
+_TRACE = re.compile(r"[!-~]{1,100}")
+_NUMBER = re.compile(r"[0-9]{1,9}")
+_NO_OLDEST_VERSION = -1
+
+
+def read_caller_request(
+    request: http_messages.HttpRequest, terms: contract.Contract, operation: contract.Operation
+) -> expression.Result[callers.CallerRequest, findings.Findings]:
+    """Return the checked request, or all that is wrong with it."""
+    found: list[findings.Finding] = []
+    key = _read_key(request, operation, found)
+    trace_id = _read_trace(request, found)
+    timeout_ms = _read_timeout(request, operation, found)
+    if len(request.body) > MOST_BODY_BYTES:
+        found.append(findings.Finding("body", f"is larger than {MOST_BODY_BYTES} bytes"))
+    prompt = _read_prompt(request.body, found) if operation.generates else None
+    if found:
+        return expression.Error(findings.Findings(tuple(found)))
+    return expression.Ok(
+        callers.CallerRequest(
+            customer=terms.customer,
+            operation=operation,
+            terms=terms,
+            key=key,
+            digest=identifiers.digest_body(operation.name.encode() + b"\0" + request.body),
+            trace_id=trace_id,
+            deadline=clock.start_deadline_ms(timeout_ms),
+            body=prompt.text if prompt else request.body,
+            generation=prompt.terms if prompt else None,
+            is_streamed=prompt.is_streamed if prompt else False,
+        )
+    )
+
+
+def _read_key(
+    request: http_messages.HttpRequest,
+    operation: contract.Operation,
+    found: list[findings.Finding],
+) -> str:
+    key = request.find_header("Idempotency-Key")
+    if not key and not operation.repeatable:
+        found.append(
+            findings.Finding(
+                "header Idempotency-Key",
+                "is missing",
+                "operations that may not be repeated need one",
+            )
+        )
+    elif key and not _KEY.fullmatch(key):
+        found.append(
+            findings.Finding("header Idempotency-Key", "is not 1 to 200 visible ASCII characters")
+        )
+    return key
+
+
+def _read_trace(request: http_messages.HttpRequest, found: list[findings.Finding]) -> str:
+    trace_id = request.find_header("Trace-Id") or identifiers.create_nonce()
+    if not _TRACE.fullmatch(trace_id):
+        found.append(
+            findings.Finding("header Trace-Id", "is not 1 to 100 visible ASCII characters")
+        )
+    return trace_id
+
+
+def _read_timeout(
+    request: http_messages.HttpRequest,
+    operation: contract.Operation,
+    found: list[findings.Finding],
+) -> int:
+    text = request.find_header("Request-Timeout-Ms")
+    if not text:
+        return operation.timeout_ms
+    if not _NUMBER.fullmatch(text) or int(text) == 0:
+        found.append(
+            findings.Finding("header Request-Timeout-Ms", "is not a whole number above 0")
+        )
+        return operation.timeout_ms
+    return min(int(text), operation.timeout_ms)
+
+
+class _Prompt(typing.NamedTuple):
+    text: bytes
+    terms: messages.GenerationTerms
+    is_streamed: bool
+
+
+def _read_prompt(body: bytes, found: list[findings.Finding]) -> _Prompt | None:
+    try:
+        content = json.loads(body)
+    except ValueError:
+        found.append(findings.Finding("body", "is not JSON"))
+        return None
+    if not isinstance(content, dict):
+        found.append(findings.Finding("body", "is not a JSON object"))
+        return None
+    before = len(found)
+    prompt = _read_field(content, "prompt", str, None, found)
+    prefix = _read_field(content, "prefix", str, "", found)
+    most = _read_field(content, "max_tokens", int, None, found)
+    is_streamed = _read_field(content, "stream", bool, False, found)
+    if isinstance(most, int) and not 1 <= most <= MOST_TOKENS:
+        found.append(findings.Finding("body.max_tokens", f"is not from 1 to {MOST_TOKENS}"))
+    if len(found) > before:
+        return None
+    terms = messages.GenerationTerms("", prefix, most, "", 0, _NO_OLDEST_VERSION)
+    return _Prompt(prompt.encode(), terms, is_streamed)
+
+
+def _read_field(
+    content: dict[str, typing.Any],
+    name: str,
+    kind: type,
+    default: typing.Any,
+    found: list[findings.Finding],
+) -> typing.Any:
+    if name not in content and default is not None:
+        return default
+    value = content.get(name)
+    if type(value) is not kind:
+        problem = "is missing" if name not in content else f"is no {kind.__name__}"
+        found.append(findings.Finding(f"body.{name}", problem))
+    return value
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/dispatch.py
@@ -0,0 +1,248 @@
+"""Sends requests that may be repeated to backend servers, trying again where that helps."""
+
+import collections.abc
+import dataclasses
+import typing
+
+from oleander_base import clock, metrics
+from oleander_contracts import contract
+from oleander_routing import retries, router
+from oleander_wire import messages
+from oleanderdeal import peers
+
+NO_CLAIM = -1
+_SLICE_SECONDS = 0.1
+_MOST_ATTEMPTS = 4
+_CANCELLED = "cancelled"
+_TOO_LATE = "too-late"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Job:
+    """A repeatable request, whoever asked for it."""
+
+    customer: str
+    share_percent: int
+    retry_percent: int
+    operation: str
+    backend: str
+    priority: contract.Priority
+    key: str
+    trace_id: str
+    body: bytes
+    generation: messages.GenerationTerms | None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Ended:
+    """What became of a job after its last attempt."""
+
+    answer: messages.Answer
+    peer: str
+
+
+class Observer:
+    """Sees a job's tokens as they come, and says when nobody wants them any more."""
+
+    def see_tokens(self, tokens: messages.Tokens) -> None:
+        """Take the next tokens."""
+
+    def resume(self, terms: messages.GenerationTerms) -> messages.GenerationTerms:
+        """Return the terms for going on elsewhere after what was seen so far."""
+        return terms
+
+    def is_gone(self) -> bool:
+        """Return whether nobody waits any more."""
+        return False
+
+
+JobEvent = messages.Tokens | Ended
+_Events = collections.abc.Generator[messages.Tokens, None, messages.Answer]
+
+
+class Dispatcher:
+    """Runs jobs: chooses a backend server, follows the call, and retries within the budget."""
+
+    def __init__(
+        self, routes: router.Router, links: peers.PeerLinks, budgets: retries.RetryBudgets
+    ) -> None:
+        self._routes = routes
+        self._links = links
+        self._budgets = budgets
+
+    def run(self, job: Job, deadline: clock.Deadline, observer: Observer) -> Ended:
+        """Return what became of a job; blocks until then."""
+        for event in self.follow(job, deadline, observer):
+            if isinstance(event, Ended):
+                return event
+        raise AssertionError("a job ended without an answer")
+
+    def follow(
+        self, job: Job, deadline: clock.Deadline, observer: Observer
+    ) -> collections.abc.Iterator[JobEvent]:
+        """Yield a job's tokens as they come, and last what became of it."""
+        budget = self._budgets.find_budget(job.customer, job.retry_percent)
+        budget.note_fresh()
+        excluded: frozenset[str] = frozenset()
+        may_have_run = False
+        for attempt in range(1, _MOST_ATTEMPTS + 1):
+            ended = yield from self._try_once(job, attempt, excluded, deadline, observer)
+            may_have_run = may_have_run or ended.answer.outcome is not messages.Outcome.NOT_RUN
+            if not _is_worth_retrying(ended, deadline, observer) or not budget.try_take():
+                break
+            metrics.count(metrics.RETRIES)
+            excluded |= {ended.peer}
+        yield _correct_outcome(ended, may_have_run)
+
+    def run_once(self, job: Job, deadline: clock.Deadline, observer: Observer) -> Ended:
+        """Return what became of a single attempt, for callers that retry by themselves."""
+        events = self._try_once(job, 1, frozenset(), deadline, observer)
+        while True:
+            try:
+                next(events)
+            except StopIteration as stop:
+                return typing.cast(Ended, stop.value)
+
+    def _try_once(
+        self,
+        job: Job,
+        attempt: int,
+        excluded: frozenset[str],
+        deadline: clock.Deadline,
+        observer: Observer,
+    ) -> collections.abc.Generator[messages.Tokens, None, Ended]:
+        chosen = self._routes.choose(_describe_route(job, excluded, deadline))
+        if chosen.is_error():
+            return Ended(_refuse(chosen.error.reason, chosen.error.retry_after_ms), "")
+        link = self._links.find(chosen.ok)
+        if link is None:
+            return Ended(_refuse("link-lost", 200), chosen.ok)
+        started_at = clock.read_now()
+        outcome = router.RouteOutcome.OK
+        self._routes.note_started(chosen.ok)
+        try:
+            answer = yield from self._call(link, job, attempt, deadline, observer)
+            outcome = _judge_route(answer, observer)
+        finally:
+            service_ms = (clock.read_now() - started_at) * 1000
+            self._routes.note_finished(chosen.ok, outcome, service_ms)
+        return Ended(answer, chosen.ok)
+
+    def _call(
+        self,
+        link: peers.PeerLink,
+        job: Job,
+        attempt: int,
+        deadline: clock.Deadline,
+        observer: Observer,
+    ) -> _Events:
+        call = link.open_call(peers.create_request_id())
+        is_ended = False
+        try:
+            run = _write_run(call.request_id, link.incarnation, job, attempt, deadline, observer)
+            if link.send(run).is_error():
+                is_ended = True
+                return _refuse("link-lost", 200)
+            answer = yield from _follow_call(call, deadline, observer)
+            is_ended = answer is not None
+            return answer or _give_up(deadline)
+        finally:
+            link.close_call(call)
+            if not is_ended:
+                link.send(messages.Cancel(call.request_id))
+
+
+def _follow_call(
+    call: peers.Call, deadline: clock.Deadline, observer: Observer
+) -> collections.abc.Generator[messages.Tokens, None, messages.Answer | None]:
+    """Yield tokens until the answer; return nothing when nobody waits for it any more."""
+    while not deadline.is_past and not observer.is_gone():
+        event = call.wait(deadline.earlier(_SLICE_SECONDS))
+        match event:
+            case messages.Tokens():
+                observer.see_tokens(event)
+                yield event
+            case messages.Answer():
+                return event
+            case peers.LinkLost():
+                return _tell_unknown("link-lost")
+    return None
+
+
+def _give_up(deadline: clock.Deadline) -> messages.Answer:
+    return _tell_unknown(_TOO_LATE if deadline.is_past else _CANCELLED)
+
+
+def _is_worth_retrying(ended: Ended, deadline: clock.Deadline, observer: Observer) -> bool:
+    if ended.answer.outcome is messages.Outcome.DONE or not ended.peer:
+        return False
+    return not deadline.is_past and not observer.is_gone()
+
+
+def _correct_outcome(ended: Ended, may_have_run: bool) -> Ended:
+    """Say "unknown" when the last attempt did not run but an earlier one may have."""
+    answer = ended.answer
+    if answer.outcome is not messages.Outcome.NOT_RUN or not may_have_run:
+        return ended
+    return Ended(_tell_unknown(answer.reason), ended.peer)
+
+
+def _describe_route(
+    job: Job, excluded: frozenset[str], deadline: clock.Deadline
+) -> router.RouteRequest:
+    terms = job.generation
+    return router.RouteRequest(
+        backend=job.backend,
+        affinity=terms.prefix if terms else "",
+        priority=job.priority,
+        oldest_version=terms.oldest_version if terms else -1,
+        excluded=excluded,
+        budget_ms=deadline.remaining_ms,
+    )
+
+
+def _judge_route(answer: messages.Answer, observer: Observer) -> router.RouteOutcome:
+    if answer.outcome is messages.Outcome.DONE or observer.is_gone():
+        return router.RouteOutcome.OK
+    if answer.outcome is messages.Outcome.NOT_RUN or answer.reason == _CANCELLED:
+        return router.RouteOutcome.REFUSED
+    if answer.reason == _TOO_LATE:
+        return router.RouteOutcome.TIMED_OUT
+    return router.RouteOutcome.FAILED
+
+
+def _write_run(
+    request_id: str,
+    incarnation: str,
+    job: Job,
+    attempt: int,
+    deadline: clock.Deadline,
+    observer: Observer,
+) -> messages.Run:
+    terms = observer.resume(job.generation) if job.generation else None
+    return messages.Run(
+        request_id=request_id,
+        trace_id=job.trace_id,
+        incarnation=incarnation,
+        customer=job.customer,
+        operation=job.operation,
+        key=job.key,
+        digest="",
+        attempt=attempt,
+        shard=0,
+        claim_offset=NO_CLAIM,
+        repeatable=True,
+        priority=int(job.priority),
+        share_percent=job.share_percent,
+        budget_ms=deadline.remaining_ms,
+        body=job.body,
+        generation=terms,
+    )
+
+
+def _refuse(reason: str, retry_after_ms: int) -> messages.Answer:
+    return messages.Answer("", messages.Outcome.NOT_RUN, 0, reason, retry_after_ms, b"", 0)
+
+
+def _tell_unknown(reason: str) -> messages.Answer:
+    return messages.Answer("", messages.Outcome.UNKNOWN, 0, reason, 0, b"", 0)
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -0,0 +1,164 @@
+"""The entry: answers callers and trainers over HTTP and sends their work to sidecars."""
+
+import threading
+
+from oleander_base import clock, identifiers, log, tasks
+from oleander_claims import book
+from oleander_contracts import fold
+from oleander_platform import hostlist, http_hostlist, http_logservice
+from oleander_routing import retries, router
+from oleander_samples import registry
+from oleander_wire import messages
+from oleanderdeal import (
+    access,
+    caller_api,
+    configuration,
+    dispatch,
+    entry_handler,
+    hosts,
+    http_server,
+    lifecycle,
+    once,
+    peer_records,
+    peers,
+    sampling,
+    settings,
+    trainer_api,
+    version_publisher,
+)
+
+_MOST_STEPS = 64
+_MOST_CUSTOMERS = 1000
+_MOST_EXTRA_LINKS = 32
+_OTHER_TASKS = 8
+_STOP_SECONDS = 5.0
+_LISTEN_SECONDS = 0.5
+
+
+class Entry:
+    """Everything that one entry process consists of."""
+
+    def __init__(self, chosen: settings.Settings) -> None:
+        self._chosen = chosen
+        self._leaving = threading.Event()
+        shard_tasks = chosen.claim_shards * book.TASKS_PER_SHARD
+        most_tasks = (
+            chosen.peer_limit
+            + _MOST_EXTRA_LINKS
+            + shard_tasks
+            + chosen.sample_tasks
+            + _OTHER_TASKS
+        )
+        self._group = tasks.TaskGroup("entry", most_tasks)
+        log_service = http_logservice.HttpLogService(chosen.log_url)
+        self._in_force = fold.ConfigurationFold()
+        self._follower = configuration.ConfigurationFollower(
+            log_service, self._in_force, self._group, chosen.configuration_poll_ms
+        )
+        self._records = peer_records.PeerRecords(self._follower)
+        self._routes = router.Router(identifiers.hash_text(chosen.name), clock.read_now)
+        self._links = peers.PeerLinks(self._create_link, self._group, _MOST_EXTRA_LINKS)
+        self._claims = book.ClaimBook(
+            log_service, self._group, chosen.claim_shards, chosen.claim_window
+        )
+        self._steps = registry.StepRegistry(_MOST_STEPS)
+        dispatcher = dispatch.Dispatcher(
+            self._routes, self._links, retries.RetryBudgets(_MOST_CUSTOMERS)
+        )
+        self._sampling = sampling.SamplingPool(
+            self._steps, dispatcher, self._in_force, self._group, chosen.sample_tasks
+        )
+        self._hosts = hosts.HostFollower(
+            chosen.name,
+            http_hostlist.HttpHostList(chosen.hosts_url),
+            self._links,
+            self._routes,
+            chosen.peer_limit,
+            self._group,
+        )
+        versions = version_publisher.VersionPublisher(log_service, self._in_force, self._group)
+        handler = entry_handler.EntryHandler(
+            tokens=access.AccessTable(
+                {item.customer: item.token for item in chosen.customer_tokens}
+            ),
+            callers=caller_api.CallerApi(
+                self._in_force,
+                dispatcher,
+                once.OnceDispatcher(self._claims, self._routes, self._links),
+            ),
+            trainers=trainer_api.TrainerApi(
+                self._in_force, self._steps, versions, self._find_own_url, self._leaving.is_set
+            ),
+            follower=self._follower,
+            count_peers=lambda: len(self._routes.list_peers()),
+            issue_key=self._claims.issue_key,
+            is_ready=self._is_ready,
+        )
+        self._server = http_server.HttpServer(
+            handler, chosen.listen_host, chosen.listen_port, chosen.http_threads
+        )
+
+    def run(self, stop: lifecycle.StopSignal) -> None:
+        """Serve until told to stop, then finish what is in progress."""
+        self._follower.on_change(self._spread_change)
+        self._group.start(self._follower.follow)
+        self._group.start(self._hosts.follow)
+        self._claims.start()
+        self._sampling.start()
+        self._group.start(self._server.serve)
+        lifecycle.announce_address(self._chosen.listen_host, self._server.port)
+        while not stop.wait(1.0):
+            pass
+        self._drain()
+        self._close()
+
+    def _create_link(self, host: hostlist.Host, is_routed: bool) -> peers.PeerLink:
+        hello = messages.Hello(
+            protocol=messages.PROTOCOL,
+            name=self._chosen.name,
+            incarnation=identifiers.create_incarnation(),
+            failure_domain=self._chosen.failure_domain,
+            token=self._chosen.process_token,
+        )
+        routes = self._routes if is_routed else None
+        return peers.PeerLink(
+            host, hello, self._chosen.heartbeat_ms, routes, self._records, self._group
+        )
+
+    def _find_own_url(self) -> str:
+        return f"http://{self._chosen.listen_host}:{self._server.port}"
+
+    def _is_ready(self) -> bool:
+        if self._leaving.is_set() or not self._follower.is_caught_up:
+            return False
+        return bool(self._routes.list_peers())
+
+    def _spread_change(self) -> None:
+        for item in self._links.list_links():
+            item.offer_records()
+
+    def _drain(self) -> None:
+        """Fail the readiness check, start nothing new, and let what runs come to its end."""
+        log.logger.bind(event="draining").info("finishing what is in progress")
+        self._leaving.set()
+        self._sampling.drain()
+        deadline = clock.start_deadline_ms(self._chosen.drain_ms)
+        pause = threading.Event()
+        while not self._sampling.is_idle and not deadline.is_past:
+            pause.wait(_LISTEN_SECONDS)
+        pause.wait(_LISTEN_SECONDS)
+        if not self._server.await_idle(deadline):
+            log.logger.bind(event="drain-cut").error("stopping with requests in progress")
+
+    def _close(self) -> None:
+        self._group.stop()
+        self._server.stop()
+        self._links.stop()
+        self._group.join(clock.start_deadline(_STOP_SECONDS))
+
+
+def run_entry(chosen: settings.Settings) -> int:
+    """Run an entry until it is told to stop."""
+    stop = lifecycle.StopSignal()
+    Entry(chosen).run(stop)
+    return 0
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/entry_handler.py
@@ -0,0 +1,121 @@
+"""Sends each HTTP request of an entry to the part that answers it."""
+
+import collections.abc
+
+from oleander_base import metrics
+from oleanderdeal import (
+    access,
+    caller_api,
+    configuration,
+    http_messages,
+    http_server,
+    trainer_api,
+)
+
+_ACCESS_ANSWERS = {
+    access.Access.NO_TOKEN: http_messages.Problem(
+        401, "A bearer token is needed.", "not-run", "no-token"
+    ),
+    access.Access.FORBIDDEN: http_messages.Problem(
+        403, "The token is not this customer's.", "not-run", "forbidden"
+    ),
+}
+
+
+class EntryHandler(http_server.Handler):
+    """Checks access and routes by path."""
+
+    def __init__(
+        self,
+        tokens: access.AccessTable,
+        callers: caller_api.CallerApi,
+        trainers: trainer_api.TrainerApi,
+        follower: configuration.ConfigurationFollower,
+        count_peers: collections.abc.Callable[[], int],
+        issue_key: collections.abc.Callable[[str], str],
+        is_ready: collections.abc.Callable[[], bool],
+    ) -> None:
+        self._tokens = tokens
+        self._callers = callers
+        self._trainers = trainers
+        self._follower = follower
+        self._count_peers = count_peers
+        self._issue_key = issue_key
+        self._is_ready = is_ready
+
+    def handle(self, request: http_messages.HttpRequest) -> http_messages.HttpAnswer:
+        """Return the answer to one request."""
+        match (request.method, *request.path):
+            case ("GET", "healthz"):
+                return http_messages.answer_json({"status": "up"})
+            case ("GET", "readyz"):
+                return self._answer_ready()
+            case ("GET", "v1", "report" | "configuration" as what):
+                return self._answer_operator(request, what)
+            case (_, "v1", "customers", customer, *rest):
+                return self._answer_customer(request, customer, tuple(rest))
+            case _:
+                return _answer_no_path()
+
+    def _answer_ready(self) -> http_messages.HttpAnswer:
+        ready = self._is_ready()
+        return http_messages.answer_json({"ready": ready}, 200 if ready else 503)
+
+    def _answer_operator(
+        self, request: http_messages.HttpRequest, what: str
+    ) -> http_messages.HttpAnswer:
+        allowed = self._tokens.check(access.OPERATOR, request.find_header("Authorization"))
+        if allowed is not access.Access.ALLOWED:
+            return http_messages.answer_problem(_ACCESS_ANSWERS[allowed])
+        if what == "report":
+            return http_messages.answer_json({"counts": metrics.read_counts()})
+        offset = self._follower.configuration.applied_offset
+        return http_messages.answer_json({"applied_offset": offset, "peers": self._count_peers()})
+
+    def _answer_customer(
+        self, request: http_messages.HttpRequest, customer: str, rest: tuple[str, ...]
+    ) -> http_messages.HttpAnswer:
+        allowed = self._tokens.check(customer, request.find_header("Authorization"))
+        if allowed is not access.Access.ALLOWED:
+            return http_messages.answer_problem(_ACCESS_ANSWERS[allowed])
+        if not self._follower.is_caught_up:
+            return http_messages.answer_problem(
+                http_messages.Problem(
+                    503, "The configuration is still being read.", "not-run", "starting", 1000
+                )
+            )
+        match (request.method, *rest):
+            case ("POST", "operations", operation):
+                return self._callers.handle(request, customer, operation)
+            case ("POST", "keys"):
+                return http_messages.answer_json({"key": self._issue_key(customer)})
+            case ("PUT", "models", model, "versions", version):
+                return self._trainers.put_version(request, customer, model, version)
+            case (_, "trainers", trainer, "steps", step, *end):
+                return self._answer_trainer(request, customer, trainer, step, tuple(end))
+            case _:
+                return _answer_no_path()
+
+    def _answer_trainer(
+        self,
+        request: http_messages.HttpRequest,
+        customer: str,
+        trainer: str,
+        step: str,
+        end: tuple[str, ...],
+    ) -> http_messages.HttpAnswer:
+        match (request.method, *end):
+            case ("PUT",):
+                return self._trainers.put_step(request, customer, trainer, step)
+            case ("DELETE",):
+                return self._trainers.delete_step(customer, trainer, step)
+            case ("POST", "pull"):
+                return self._trainers.pull(request, customer, trainer, step)
+            case _:
+                return _answer_no_path()
+
+
+def _answer_no_path() -> http_messages.HttpAnswer:
+    return http_messages.answer_problem(
+        http_messages.Problem(404, "There is no such path or method.", "not-run", "no-such-path")
+    )
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/executor.py
@@ -0,0 +1,134 @@
+"""Runs admitted requests on a sidecar's backend server, as many at once as it has slots."""
+
+import threading
+
+from oleander_admission import admission
+from oleander_admission import work as admission_work
+from oleander_base import clock, log, metrics, tasks
+from oleander_wire import messages
+from oleanderdeal import runners, work
+
+_TAKE_SECONDS = 0.2
+_SERVICE_COST_MS = 20.0
+_TOKEN_COST_MS = 5.0
+
+
+class Executor:
+    """
+    Admits, queues and runs requests; every one ends with exactly one answer.
+
+    The admission queue bounds how many wait; what it refuses, displaces or lets expire is
+    answered "not run" at once.
+    """
+
+    def __init__(
+        self,
+        queue: admission.AdmissionQueue,
+        runner: runners.Runner,
+        group: tasks.TaskGroup,
+        slots: int,
+    ) -> None:
+        self._queue = queue
+        self._runner = runner
+        self._group = group
+        self._slots = slots
+        self._lock = threading.Lock()
+        self._pending: dict[str, work.PendingRun] = {}
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing waits or runs."""
+        return not self._pending
+
+    def start(self) -> None:
+        """Start one task a slot."""
+        for _ in range(self._slots):
+            self._group.start(self._serve_slot)
+
+    def submit(self, pending: work.PendingRun) -> None:
+        """Queue a request or refuse it at once."""
+        with self._lock:
+            self._pending[pending.work_id] = pending
+        admitted = self._queue.submit(_describe_work(pending))
+        if admitted.is_error():
+            self._refuse(pending.work_id, admitted.error)
+            return
+        self._answer_dropped()
+        self._preempt_for(pending.run.priority)
+
+    def cancel(self, work_id: str) -> None:
+        """Stop a request that nobody waits for; one that may not be repeated goes on."""
+        with self._lock:
+            pending = self._pending.get(work_id)
+        if pending is None or not pending.run.repeatable:
+            return
+        if self._queue.cancel(work_id):
+            self._answer(
+                work_id,
+                messages.Answer("", messages.Outcome.NOT_RUN, 0, "cancelled", 0, b"", 0),
+            )
+            return
+        pending.cancel()
+
+    def _preempt_for(self, priority: int) -> None:
+        """Give up sampling for interactive work; what was sampled is resumed elsewhere."""
+        victim = self._queue.find_preemptible(priority)
+        if victim is None:
+            return
+        with self._lock:
+            pending = self._pending.get(victim)
+        if pending is not None and pending.run.repeatable:
+            pending.cancel()
+
+    def _serve_slot(self) -> None:
+        while not self._group.is_stopping:
+            taken = self._queue.take(_TAKE_SECONDS)
+            self._answer_dropped()
+            if taken is not None:
+                self._run(taken.work_id)
+
+    def _run(self, work_id: str) -> None:
+        with self._lock:
+            pending = self._pending[work_id]
+        started_at = clock.read_now()
+        answer = self._run_wanted(pending)
+        self._queue.finish(work_id, (clock.read_now() - started_at) * 1000)
+        self._answer(work_id, answer)
+
+    def _run_wanted(self, pending: work.PendingRun) -> messages.Answer:
+        """Run a request unless its caller has given up, checked right before it leaves here."""
+        if pending.is_unwanted:
+            return messages.Answer("", messages.Outcome.NOT_RUN, 0, "too-late", 0, b"", 0)
+        try:
+            return runners.measure(self._runner, pending)
+        except Exception:
+            log.logger.bind(event="run-failed", trace=pending.run.trace_id).exception("run failed")
+            return messages.Answer("", messages.Outcome.UNKNOWN, 0, "internal-error", 0, b"", 0)
+
+    def _answer_dropped(self) -> None:
+        for dropped in self._queue.take_dropped():
+            self._refuse(dropped.work.work_id, dropped.refusal)
+        metrics.record_gauge(metrics.QUEUE_DEPTH, self._queue.queued)
+
+    def _refuse(self, work_id: str, refusal: admission_work.Refusal) -> None:
+        answer = messages.Answer(
+            "", messages.Outcome.NOT_RUN, 0, refusal.reason, refusal.retry_after_ms, b"", 0
+        )
+        self._answer(work_id, answer)
+
+    def _answer(self, work_id: str, answer: messages.Answer) -> None:
+        with self._lock:
+            pending = self._pending.pop(work_id, None)
+        if pending is not None:
+            pending.answer(answer)
+
+
+def _describe_work(pending: work.PendingRun) -> admission_work.Work:
+    run = pending.run
+    cost = _SERVICE_COST_MS
+    if run.generation is not None:
+        remaining = max(1, run.generation.max_tokens - run.generation.resumed_tokens)
+        cost = remaining * _TOKEN_COST_MS
+    return admission_work.Work(
+        pending.work_id, run.customer, run.priority, run.share_percent, cost, pending.deadline
+    )
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/hosts.py
@@ -0,0 +1,59 @@
+"""Follows the platform's host list: which sidecars an entry links to."""
+
+import collections.abc
+
+from oleander_base import clock, log, tasks
+from oleander_platform import hostlist
+from oleander_routing import router, subset
+from oleanderdeal import peers
+
+_POLL_SECONDS = 0.5
+_READ_SECONDS = 2.0
+
+
+class HostFollower:
+    """
+    Links to a bounded subset of the live hosts; the list lags, so it is only a hint.
+
+    A host that vanished from the list stays linked to as long as the list can't be read at all.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        listed: hostlist.HostList,
+        links: peers.PeerLinks,
+        routes: router.Router,
+        most_peers: int,
+        group: tasks.TaskGroup,
+    ) -> None:
+        self._name = name
+        self._listed = listed
+        self._links = links
+        self._routes = routes
+        self._most_peers = most_peers
+        self._group = group
+
+    def follow(self) -> None:
+        """Read the list until the group stops."""
+        while not self._group.is_stopping:
+            self._read()
+            self._group.pause(_POLL_SECONDS)
+
+    def _read(self) -> None:
+        read = self._listed.read(clock.start_deadline(_READ_SECONDS))
+        if read.is_error():
+            log.warn_bounded("hosts-unread", f"going on with the last list: {read.error.detail}")
+            return
+        self._links.set_hosts(self._choose(read.ok))
+        for host in read.ok:
+            if host.state is hostlist.HostState.LEAVING:
+                self._routes.mark_leaving(host.name)
+
+    def _choose(
+        self, listed: tuple[hostlist.Host, ...]
+    ) -> collections.abc.Iterable[hostlist.Host]:
+        by_name = {host.name: host for host in listed}
+        described = [subset.SubsetHost(host.name, host.failure_domain) for host in listed]
+        chosen = subset.choose_subset(self._name, described, self._most_peers)
+        return [by_name[name] for name in chosen]
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/http_server.py
@@ -0,0 +1,149 @@
+"""The entry's HTTP server: waitress in front of one handler."""
+
+import abc
+import collections.abc
+import http
+import threading
+import typing
+
+import waitress.server
+
+from oleander_base import clock, log
+from oleanderdeal import http_messages
+
+MOST_BODY_BYTES = 8 * 1024 * 1024
+_MOST_HEADER_BYTES = 32 * 1024
+_MOST_CONNECTIONS = 1000
+_IDLE_SECONDS = 120
+_POLL_SECONDS = 0.05
+
+_Environ = dict[str, typing.Any]
+
+
+class Handler(abc.ABC):
+    """Answers HTTP requests."""
+
+    @abc.abstractmethod
+    def handle(self, request: http_messages.HttpRequest) -> http_messages.HttpAnswer:
+        """Return the answer to one request."""
+
+
+class HttpServer:
+    """
+    Serves a handler on a bounded pool of threads and counts what is in progress.
+
+    Requests beyond the pool wait in waitress's queue; connections beyond the bound wait in the
+    kernel's.
+    """
+
+    def __init__(self, handler: Handler, host: str, port: int, threads: int) -> None:
+        self._handler = handler
+        self._lock = threading.Lock()
+        self._in_progress = 0
+        self._server = waitress.server.create_server(
+            self._serve,
+            host=host,
+            port=port,
+            threads=threads,
+            connection_limit=_MOST_CONNECTIONS,
+            channel_timeout=_IDLE_SECONDS,
+            max_request_body_size=MOST_BODY_BYTES,
+            max_request_header_size=_MOST_HEADER_BYTES,
+            channel_request_lookahead=1,
+            clear_untrusted_proxy_headers=True,
+            ident="",
+        )
+
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return int(self._server.effective_port)
+
+    @property
+    def in_progress(self) -> int:
+        """How many requests are being answered."""
+        return self._in_progress
+
+    def serve(self) -> None:
+        """Serve until stopped."""
+        self._server.run()
+
+    def await_idle(self, deadline: clock.Deadline) -> bool:
+        """Wait until no request is in progress; return whether that was reached."""
+        pause = threading.Event()
+        while self._in_progress and not deadline.is_past:
+            pause.wait(_POLL_SECONDS)
+        return self._in_progress == 0
+
+    def stop(self) -> None:
+        """Stop listening and end the threads."""
+        self._server.close()
+        self._server.task_dispatcher.shutdown()
+
+    def _serve(
+        self, environ: _Environ, start_response: collections.abc.Callable[..., typing.Any]
+    ) -> collections.abc.Iterable[bytes]:
+        self._change_in_progress(1)
+        try:
+            answer = self._answer(environ)
+        except BaseException:
+            self._change_in_progress(-1)
+            raise
+        phrase = http.HTTPStatus(answer.status).phrase
+        headers = [("Content-Type", answer.content_type), *answer.headers]
+        parts = answer.parts
+        if isinstance(parts, list):
+            headers.append(("Content-Length", str(sum(len(part) for part in parts))))
+        start_response(f"{answer.status} {phrase}", headers)
+        return _CountedParts(parts, lambda: self._change_in_progress(-1))
+
+    def _answer(self, environ: _Environ) -> http_messages.HttpAnswer:
+        try:
+            return self._handler.handle(_read_request(environ))
+        except Exception:
+            log.logger.bind(event="request-failed", path=environ.get("PATH_INFO", "")).exception(
+                "a handler failed"
+            )
+            return http_messages.answer_problem(
+                http_messages.Problem(500, "Internal error.", "unknown", "internal-error")
+            )
+
+    def _change_in_progress(self, change: int) -> None:
+        with self._lock:
+            self._in_progress += change
+
+
+class _CountedParts:
+    """Parts of an answer; waitress calls close when all are sent or the client is gone."""
+
+    def __init__(
+        self, parts: collections.abc.Iterable[bytes], end: collections.abc.Callable[[], None]
+    ) -> None:
+        self._parts = parts
+        self._end = end
+
+    def __iter__(self) -> collections.abc.Iterator[bytes]:
+        return iter(self._parts)
+
+    def close(self) -> None:
+        """Note that the request has ended."""
+        close = getattr(self._parts, "close", None)
+        if close is not None:
+            close()
+        self._end()
+
+
+def _read_request(environ: _Environ) -> http_messages.HttpRequest:
+    headers = {
+        name[5:].replace("_", "-").lower(): value
+        for name, value in environ.items()
+        if name.startswith("HTTP_")
+    }
+    path = tuple(part for part in environ["PATH_INFO"].split("/") if part)
+    return http_messages.HttpRequest(
+        method=environ["REQUEST_METHOD"],
+        path=path,
+        headers=headers,
+        body=environ["wsgi.input"].read(),
+        is_gone=environ.get("waitress.client_disconnected", lambda: False),
+    )
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/lifecycle.py
@@ -0,0 +1,26 @@
+"""Waits for the signal that asks a process to stop."""
+
+import signal
+import threading
+import types
+
+
+class StopSignal:
+    """Set by SIGTERM or SIGINT; a planned stop then finishes what runs."""
+
+    def __init__(self) -> None:
+        self._received = threading.Event()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, self._receive)
+
+    def wait(self, seconds: float) -> bool:
+        """Wait; return whether the process should stop."""
+        return self._received.wait(seconds)
+
+    def _receive(self, number: int, frame: types.FrameType | None) -> None:
+        self._received.set()
+
+
+def announce_address(host: str, port: int) -> None:
+    """Print where the process listens; with port 0 nobody else knows."""
+    print(f"listening on {host}:{port}", flush=True)  # noqa: T201
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/once.py
@@ -0,0 +1,287 @@
+"""
+Runs a request that may not be repeated: at most once, whatever fails.
+
+The claim that stands first in the log says which sidecar incarnation may run the key. Only the
+entry whose own claim that is sends the request there, once. Everyone else, and this entry after
+a broken link, only asks that sidecar what became of the key; asking seals a key that never came.
+"""
+
+import dataclasses
+
+import expression
+
+from oleander_base import clock, identifiers, invariants, log
+from oleander_claims import book, records, shard
+from oleander_routing import router
+from oleander_wire import messages
+from oleanderdeal import callers, peers
+
+_MOST_ATTEMPTS = 4
+_SLICE_SECONDS = 0.1
+_SEALED = "sealed by its sidecar"
+_REFUSED = "refused by its sidecar"
+_NOT_SENT = "never sent by its claimant"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Attempt:
+    """A claim in force, and whether this entry is the one that made it just now."""
+
+    logged: records.LoggedClaim
+    is_own: bool
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _NotRun:
+    """The attempt never ran and never will; the next one may be claimed."""
+
+    attempt: int
+    evidence: str
+    answer: callers.CallerAnswer
+
+
+_Tried = expression.Result[callers.CallerAnswer, _NotRun]
+
+
+class OnceDispatcher:
+    """Claims a key, sends its request to the claimed sidecar, or follows an earlier claim."""
+
+    def __init__(
+        self, claims: book.ClaimBook, routes: router.Router, links: peers.PeerLinks
+    ) -> None:
+        self._claims = claims
+        self._routes = routes
+        self._links = links
+
+    def run(self, request: callers.CallerRequest) -> callers.CallerAnswer:
+        """Return what became of the request's key; blocks until then or the deadline."""
+        settled: _NotRun | None = None
+        excluded: frozenset[str] = frozenset()
+        for _ in range(_MOST_ATTEMPTS):
+            attempt = self._find_or_claim(request, settled, excluded)
+            if attempt.is_error():
+                return attempt.error
+            claim = attempt.ok.logged.claim
+            if claim.digest != request.digest:
+                return callers.tell_conflict()
+            tried = self._try(request, attempt.ok)
+            if tried.is_ok():
+                return tried.ok
+            settled = tried.error
+            excluded |= {claim.sidecar}
+            if request.deadline.is_past:
+                break
+        return settled.answer if settled else callers.refuse("too-late", 0)
+
+    def _find_or_claim(
+        self,
+        request: callers.CallerRequest,
+        settled: _NotRun | None,
+        excluded: frozenset[str],
+    ) -> expression.Result[_Attempt, callers.CallerAnswer]:
+        """
+        Return the claim to follow, or make the next one.
+
+        Evidence counts for one attempt only. If somebody has claimed a later one meanwhile, that
+        one may be running, so it is followed and not claimed past.
+        """
+        known = self._claims.find(request.customer, request.key)
+        settled_attempt = settled.attempt if settled is not None else 0
+        if known is not None and known.claim.attempt > settled_attempt:
+            return expression.Ok(_Attempt(known, is_own=False))
+        evidence = settled.evidence if settled is not None else ""
+        return self._claim(request, settled_attempt + 1, evidence, excluded)
+
+    def _claim(
+        self,
+        request: callers.CallerRequest,
+        number: int,
+        evidence: str,
+        excluded: frozenset[str],
+    ) -> expression.Result[_Attempt, callers.CallerAnswer]:
+        link = self._choose(request, excluded)
+        if link.is_error():
+            return expression.Error(link.error)
+        claim = records.Claim(
+            customer=request.customer,
+            key=request.key,
+            digest=request.digest,
+            attempt=number,
+            sidecar=link.ok.name,
+            address=link.ok.host.address,
+            incarnation=link.ok.incarnation,
+            nonce=identifiers.create_nonce(),
+            evidence=evidence,
+        )
+        decided = self._claims.propose(claim, request.deadline)
+        if decided.is_error():
+            return expression.Error(_refuse_claim(decided.error))
+        is_own = decided.ok.claim.nonce == claim.nonce
+        return expression.Ok(_Attempt(decided.ok, is_own))
+
+    def _choose(
+        self, request: callers.CallerRequest, excluded: frozenset[str]
+    ) -> expression.Result[peers.PeerLink, callers.CallerAnswer]:
+        chosen = self._routes.choose(
+            router.RouteRequest(
+                backend=request.operation.backend,
+                affinity="",
+                priority=request.operation.priority,
+                oldest_version=-1,
+                excluded=excluded,
+                budget_ms=request.deadline.remaining_ms,
+            )
+        )
+        if chosen.is_error():
+            return expression.Error(
+                callers.refuse(chosen.error.reason, chosen.error.retry_after_ms)
+            )
+        link = self._links.find(chosen.ok)
+        if link is None or not link.incarnation:
+            return expression.Error(callers.refuse("link-lost", 200))
+        return expression.Ok(link)
+
+    def _try(self, request: callers.CallerRequest, attempt: _Attempt) -> _Tried:
+        """Send the request if the claim is this entry's own, and follow it to its end."""
+        claim = attempt.logged.claim
+        link = self._links.find_or_dial(claim.sidecar, claim.address, request.deadline)
+        if not attempt.is_own:
+            return self._ask(request, attempt.logged, link)
+        if link is None or request.deadline.is_past:
+            reason = "too-late" if request.deadline.is_past else "link-lost"
+            return _tell_not_run(claim, _NOT_SENT, reason)
+        started_at = clock.read_now()
+        self._routes.note_started(claim.sidecar)
+        tried = self._send(request, attempt.logged, link)
+        service_ms = (clock.read_now() - started_at) * 1000
+        self._routes.note_finished(claim.sidecar, _judge_route(tried), service_ms)
+        return tried
+
+    def _send(
+        self,
+        request: callers.CallerRequest,
+        logged: records.LoggedClaim,
+        link: peers.PeerLink,
+    ) -> _Tried:
+        """Send the request; this is the only place that does, and it runs once for a claim."""
+        invariants.require(
+            not request.operation.repeatable, "once-only", "a repeatable request was claimed"
+        )
+        call = link.open_call(peers.create_request_id())
+        try:
+            if link.send(_write_run(call.request_id, request, logged)).is_error():
+                return _tell_not_run(logged.claim, _NOT_SENT, "link-lost")
+            answer = _await_answer(call, request.deadline)
+        finally:
+            link.close_call(call)
+        if answer is None and not request.deadline.is_past:
+            return self._ask(request, logged, link)
+        return _judge_answer(answer, logged.claim, _REFUSED)
+
+    def _ask(
+        self,
+        request: callers.CallerRequest,
+        logged: records.LoggedClaim,
+        link: peers.PeerLink | None,
+    ) -> _Tried:
+        """Ask the claimed sidecar what became of the key, until it says or time is up."""
+        while link is not None and not request.deadline.is_past:
+            call = link.open_call(peers.create_request_id())
+            try:
+                sent = link.send(_write_join(call.request_id, request, logged))
+                answer = _await_answer(call, request.deadline) if sent.is_ok() else None
+            finally:
+                link.close_call(call)
+            if answer is not None:
+                return _judge_answer(answer, logged.claim, _SEALED)
+            link.await_open(request.deadline.earlier(_SLICE_SECONDS))
+        log.warn_bounded("claim-unreachable", f"can't ask {logged.claim.sidecar} about its claim")
+        return expression.Ok(callers.tell_unknown("sidecar-unreachable"))
+
+
+def _await_answer(call: peers.Call, deadline: clock.Deadline) -> messages.Answer | None:
+    """Return the answer, or nothing when the link broke or time is up."""
+    while not deadline.is_past:
+        event = call.wait(deadline.earlier(_SLICE_SECONDS))
+        if isinstance(event, messages.Answer):
+            return event
+        if isinstance(event, peers.LinkLost):
+            return None
+    return None
+
+
+def _judge_answer(answer: messages.Answer | None, claim: records.Claim, evidence: str) -> _Tried:
+    if answer is None:
+        return expression.Ok(callers.tell_unknown("too-late"))
+    if answer.outcome is messages.Outcome.NOT_RUN:
+        return expression.Error(_NotRun(claim.attempt, evidence, callers.pass_on(answer)))
+    if answer.reason == "key-used-for-another-body":
+        return expression.Ok(callers.tell_conflict())
+    return expression.Ok(callers.pass_on(answer))
+
+
+def _tell_not_run(claim: records.Claim, evidence: str, reason: str) -> _Tried:
+    return expression.Error(_NotRun(claim.attempt, evidence, callers.refuse(reason, 200)))
+
+
+def _judge_route(tried: _Tried) -> router.RouteOutcome:
+    if tried.is_error():
+        return router.RouteOutcome.REFUSED
+    match tried.ok.outcome:
+        case messages.Outcome.DONE:
+            return router.RouteOutcome.OK
+        case messages.Outcome.UNKNOWN:
+            return router.RouteOutcome.TIMED_OUT
+        case _:
+            return router.RouteOutcome.FAILED
+
+
+def _refuse_claim(error: shard.ClaimError) -> callers.CallerAnswer:
+    """
+    Answer a caller whose claim was not decided.
+
+    A key that is too old may have run before it was forgotten, so that is "unknown"; in every
+    other case nothing was sent, and this entry never acts on the claim later.
+    """
+    if error.reason == shard.REASON_TOO_OLD:
+        return callers.tell_unknown(error.reason)
+    return callers.refuse(error.reason, error.retry_after_ms)
+
+
+def _write_run(
+    request_id: str, request: callers.CallerRequest, logged: records.LoggedClaim
+) -> messages.Run:
+    return messages.Run(
+        request_id=request_id,
+        trace_id=request.trace_id,
+        incarnation=logged.claim.incarnation,
+        customer=request.customer,
+        operation=request.operation.name,
+        key=request.key,
+        digest=request.digest,
+        attempt=logged.claim.attempt,
+        shard=logged.shard,
+        claim_offset=logged.offset,
+        repeatable=False,
+        priority=int(request.operation.priority),
+        share_percent=request.terms.share_percent,
+        budget_ms=request.deadline.remaining_ms,
+        body=request.body,
+        generation=None,
+    )
+
+
+def _write_join(
+    request_id: str, request: callers.CallerRequest, logged: records.LoggedClaim
+) -> messages.Join:
+    return messages.Join(
+        request_id=request_id,
+        incarnation=logged.claim.incarnation,
+        customer=request.customer,
+        key=request.key,
+        digest=request.digest,
+        attempt=logged.claim.attempt,
+        shard=logged.shard,
+        claim_offset=logged.offset,
+        budget_ms=request.deadline.remaining_ms,
+    )
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/order_trail.py
@@ -0,0 +1,64 @@
+"""Writes orders to engines into the log, for the audit trail."""
+
+import queue
+import typing
+
+from oleander_base import clock, log, tasks
+from oleander_platform import logservice
+from oleanderdeal import weights
+
+STREAM = "orders"
+_MOST_WAITING = 200
+_MOST_IN_APPEND = 50
+_APPEND_SECONDS = 2.0
+_RETRY_SECONDS = 5.0
+_TAKE_SECONDS = 0.5
+
+
+class OrderTrail:
+    """
+    A bounded queue of reports; at the bound the newest is dropped and counted in the log.
+
+    The trail tells people what happened; nothing that the system promises rests on it, so it
+    never holds up an order.
+    """
+
+    def __init__(self, host: str, service: logservice.LogService, group: tasks.TaskGroup) -> None:
+        self._host = host
+        self._service = service
+        self._group = group
+        self._waiting: queue.Queue[dict[str, typing.Any]] = queue.Queue(_MOST_WAITING)
+
+    def report(self, order: weights.OrderReport) -> None:
+        """Take a report; never blocks."""
+        value = {
+            "kind": "order",
+            "host": self._host,
+            "model": order.model,
+            "version": order.version,
+            "fencing": order.fencing,
+            "outcome": order.outcome,
+        }
+        try:
+            self._waiting.put_nowait(value)
+        except queue.Full:
+            log.warn_bounded("orders-dropped", "the log is down for too long to keep the trail")
+
+    def write(self) -> None:
+        """Append what waits until the group stops."""
+        while not self._group.is_stopping:
+            values = self._take()
+            while values and not self._group.is_stopping:
+                deadline = clock.start_deadline(_APPEND_SECONDS)
+                if self._service.append(STREAM, values, deadline).is_ok():
+                    break
+                self._group.pause(_RETRY_SECONDS)
+
+    def _take(self) -> list[dict[str, typing.Any]]:
+        try:
+            values = [self._waiting.get(timeout=_TAKE_SECONDS)]
+        except queue.Empty:
+            return []
+        while len(values) < _MOST_IN_APPEND and not self._waiting.empty():
+            values.append(self._waiting.get_nowait())
+        return values
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/peer_records.py
@@ -0,0 +1,40 @@
+"""
+Trades configuration records with a peer: whoever is ahead sends what the other lacks.
+
+So an accepted configuration spreads, and a replaced process is filled, while the log is down.
+"""
+
+from oleander_wire import link, messages
+from oleanderdeal import configuration
+
+_MOST_RECORDS = 200
+
+
+class PeerRecords:
+    """Compares this process's configuration with peers' and fills the gap either way."""
+
+    def __init__(self, follower: configuration.ConfigurationFollower) -> None:
+        self._follower = follower
+
+    def compare(self, peer_offset: int, opened: link.Link) -> None:
+        """Send the peer what it lacks, or ask it for what is lacking here."""
+        own = self._follower.configuration.applied_offset
+        if peer_offset < own:
+            self._send_missing(peer_offset, opened)
+        elif peer_offset > own:
+            opened.send(messages.RecordsOffer(own))
+
+    def handle(self, message: messages.RecordsOffer | messages.Records, opened: link.Link) -> None:
+        """Answer a peer's offer, or take in the records that it sent."""
+        if isinstance(message, messages.RecordsOffer):
+            self._send_missing(message.applied_offset, opened)
+        else:
+            self._follower.take_peer_records(message)
+
+    def offer_to(self, opened: link.Link, peer_offset: int) -> None:
+        """Send a peer the newest records right after a change."""
+        self._send_missing(peer_offset, opened)
+
+    def _send_missing(self, peer_offset: int, opened: link.Link) -> None:
+        missing = self._follower.configuration.records_after(peer_offset)
+        raise NotImplementedError
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/peers.py
@@ -0,0 +1,345 @@
+"""An entry's links to sidecars: one task each, dialled again whenever it breaks."""
+
+import collections.abc
+import dataclasses
+import queue
+import random
+import threading
+
+import expression
+
+from oleander_base import clock, identifiers, log, tasks
+from oleander_platform import hostlist
+from oleander_routing import peers as routing_peers
+from oleander_routing import router
+from oleander_wire import link, messages
+from oleanderdeal import peer_records
+
+_DIAL_SECONDS = 1.0
+_HELLO_SECONDS = 2.0
+_MISSED_HEARTBEATS = 4
+_REDIAL_SECONDS = 0.1
+_MOST_REDIAL_SECONDS = 3.0
+_EVENTS_PER_CALL = 4096
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class LinkLost:
+    """The link broke while a call was open; the request may have run or still be running."""
+
+
+CallEvent = messages.Tokens | messages.Answer | LinkLost
+
+
+class Call:
+    """
+    One request that was sent to a sidecar; events come until an answer or the link's loss.
+
+    The queue is bounded. When a caller reads so slowly that it fills up, tokens are not dropped
+    singly, which would cut a hole into an answer; the call ends as if its link was lost.
+    """
+
+    def __init__(self, request_id: str, peer: str) -> None:
+        self.request_id = request_id
+        self.peer = peer
+        self._events: queue.Queue[CallEvent] = queue.Queue(_EVENTS_PER_CALL)
+        self._overflowed = threading.Event()
+
+    def put(self, event: CallEvent) -> None:
+        """Hand an event to the waiting task."""
+        try:
+            self._events.put_nowait(event)
+        except queue.Full:
+            self._overflowed.set()
+
+    def wait(self, deadline: clock.Deadline) -> CallEvent | None:
+        """Return the next event, or nothing at the deadline."""
+        if self._overflowed.is_set():
+            return LinkLost()
+        try:
+            return self._events.get(timeout=max(0.001, deadline.remaining))
+        except queue.Empty:
+            return None
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NotSent:
+    """Nothing was sent, so nothing ran."""
+
+    reason: str
+
+
+class PeerLink:
+    """The link to one sidecar; keeps calling until told to stop."""
+
+    def __init__(
+        self,
+        host: hostlist.Host,
+        hello: messages.Hello,
+        heartbeat_ms: int,
+        routes: router.Router | None,
+        records: peer_records.PeerRecords,
+        group: tasks.TaskGroup,
+    ) -> None:
+        """Create a link; without routes it serves only requests that name this sidecar."""
+        self._host = host
+        self._hello = hello
+        self._heartbeat_ms = heartbeat_ms
+        self._routes = routes
+        self._records = records
+        self._group = group
+        self._lock = threading.Lock()
+        self._opened = threading.Condition(self._lock)
+        self._link: link.Link | None = None
+        self._incarnation = ""
+        self._peer_offset = 0
+        self._calls: dict[str, Call] = {}
+        self._stopped = threading.Event()
+        self._failures = 0
+
+    @property
+    def name(self) -> str:
+        """The host's name."""
+        return self._host.name
+
+    @property
+    def host(self) -> hostlist.Host:
+        """The host that is linked to."""
+        return self._host
+
+    @property
+    def incarnation(self) -> str:
+        """The run of the sidecar that answered the last hello; empty before the first."""
+        return self._incarnation
+
+    @property
+    def is_open(self) -> bool:
+        """Whether requests can be sent."""
+        return self._link is not None
+
+    def keep_open(self) -> None:
+        """Dial, receive until the link breaks, and dial again."""
+        while not self._is_ending:
+            opened = self._dial()
+            if opened is not None:
+                self._receive_all(opened)
+                self._lose(opened)
+            self._group.pause(self._compute_pause())
+
+    def stop(self) -> None:
+        """End the task and the link."""
+        self._stopped.set()
+        current = self._link
+        if current is not None:
+            current.close(1001, "no longer wanted")
+
+    def await_open(self, deadline: clock.Deadline) -> bool:
+        """Wait for the link to open; return whether it has."""
+        with self._opened:
+            return self._opened.wait_for(lambda: self.is_open, deadline.remaining)
+
+    def open_call(self, request_id: str) -> Call:
+        """Register a call before its request is sent, so that no event is missed."""
+        call = Call(request_id, self.name)
+        with self._lock:
+            self._calls[request_id] = call
+        return call
+
+    def close_call(self, call: Call) -> None:
+        """Forget a call; later events for it are ignored."""
+        with self._lock:
+            self._calls.pop(call.request_id, None)
+
+    def offer_records(self) -> None:
+        """Send the sidecar what changed, as far as its last heartbeat shows that it lacks it."""
+        current = self._link
+        if current is not None:
+            self._records.compare(self._peer_offset, current)
+
+    def send(self, message: messages.Message) -> expression.Result[None, NotSent]:
+        """Send a message; an error means it never left, success that it may have arrived."""
+        current = self._link
+        if current is None:
+            return expression.Error(NotSent("no link"))
+        current.send(message)
+        return expression.Ok(None)
+
+    @property
+    def _is_ending(self) -> bool:
+        return self._stopped.is_set() or self._group.is_stopping
+
+    def _compute_pause(self) -> float:
+        ceiling = min(_MOST_REDIAL_SECONDS, _REDIAL_SECONDS * 2 ** min(self._failures, 8))
+        return random.uniform(_REDIAL_SECONDS, max(_REDIAL_SECONDS, ceiling))
+
+    def _dial(self) -> link.Link | None:
+        self._failures += 1
+        dialled = link.dial_link(self._host.address, clock.start_deadline(_DIAL_SECONDS))
+        if dialled.is_error():
+            log.warn_bounded(
+                f"dial-{self.name}", f"can't reach {self.name}: {dialled.error.detail}"
+            )
+            return None
+        opened = dialled.ok
+        if self._greet(opened):
+            self._failures = 0
+            return opened
+        opened.close(1002, "no hello")
+        return None
+
+    def _greet(self, opened: link.Link) -> bool:
+        if opened.send(self._hello).is_error():
+            return False
+        received = opened.receive(clock.start_deadline(_HELLO_SECONDS))
+        if received.is_error() or not isinstance(received.ok, messages.Hello):
+            return False
+        with self._lock:
+            self._incarnation = received.ok.incarnation
+            self._link = opened
+            self._opened.notify_all()
+        return True
+
+    def _receive_all(self, opened: link.Link) -> None:
+        """
+        Receive until the link breaks or falls silent.
+
+        A paused sidecar keeps its connection open; without the bound on silence its calls would
+        wait for their whole deadline instead of being taken elsewhere.
+        """
+        silence_ms = self._heartbeat_ms * _MISSED_HEARTBEATS
+        while not self._is_ending:
+            received = opened.receive(clock.start_deadline_ms(silence_ms))
+            if received.is_error():
+                return
+            if received.ok is None:
+                log.warn_bounded(
+                    f"silent-{self.name}", f"{self.name} sends nothing; dialling anew"
+                )
+                return
+            self._handle(opened, received.ok)
+
+    def _handle(self, opened: link.Link, message: messages.Message) -> None:
+        match message:
+            case messages.Tokens() | messages.Answer():
+                with self._lock:
+                    call = self._calls.get(message.request_id)
+                if call is not None:
+                    call.put(message)
+            case messages.Heartbeat():
+                self._peer_offset = message.configuration_offset
+                self._report(message)
+                self._records.compare(message.configuration_offset, opened)
+            case messages.RecordsOffer() | messages.Records():
+                self._records.handle(message, opened)
+            case _:
+                log.warn_bounded("odd-message", f"ignored a {type(message).__name__}")
+
+    def _report(self, beat: messages.Heartbeat) -> None:
+        if self._routes is None:
+            return
+        report = routing_peers.PeerReport(
+            failure_domain=self._host.failure_domain,
+            backend=beat.backend,
+            incarnation=self._incarnation,
+            queued=beat.queued,
+            running=beat.running,
+            slots=beat.slots,
+            wait_ms=beat.wait_ms,
+            version=beat.version,
+            in_rotation=beat.in_rotation,
+            leaving=beat.leaving,
+        )
+        self._routes.update(self.name, report)
+
+    def _lose(self, opened: link.Link) -> None:
+        if self._routes is not None:
+            self._routes.remove(self.name)
+        with self._lock:
+            self._link = None
+            calls = list(self._calls.values())
+        opened.close()
+        for call in calls:
+            call.put(LinkLost())
+
+
+class PeerLinks:
+    """
+    All links of an entry: those that routing uses, and single ones to other sidecars.
+
+    A claim may name a sidecar outside this entry's subset. Links to such are bounded; at the
+    bound the one made longest ago is closed, and calls on it end as if it was lost.
+    """
+
+    def __init__(
+        self,
+        create_link: collections.abc.Callable[[hostlist.Host, bool], PeerLink],
+        group: tasks.TaskGroup,
+        most_extra: int,
+    ) -> None:
+        self._create_link = create_link
+        self._group = group
+        self._most_extra = most_extra
+        self._lock = threading.Lock()
+        self._links: dict[str, PeerLink] = {}
+        self._extra: dict[str, PeerLink] = {}
+
+    def find(self, name: str) -> PeerLink | None:
+        """Return the routed link to a sidecar."""
+        with self._lock:
+            return self._links.get(name)
+
+    def find_or_dial(self, name: str, address: str, deadline: clock.Deadline) -> PeerLink | None:
+        """Return an open link to the sidecar at an address, or nothing if it can't be reached."""
+        with self._lock:
+            found = self._links.get(name)
+            if found is None or found.host.address != address:
+                found = self._extra.get(address) or self._add_extra(name, address)
+        return found if found.await_open(deadline) else None
+
+    def list_links(self) -> list[PeerLink]:
+        """Return every link."""
+        with self._lock:
+            return [*self._links.values(), *self._extra.values()]
+
+    def set_hosts(self, hosts: collections.abc.Iterable[hostlist.Host]) -> None:
+        """Route to exactly these hosts; a host whose address changed is linked to anew."""
+        wanted = {host.name: host for host in hosts}
+        with self._lock:
+            ended = self._drop_unwanted(wanted)
+            added = [host for name, host in wanted.items() if name not in self._links]
+            for host in added:
+                self._links[host.name] = self._start(host, is_routed=True)
+        for item in ended:
+            item.stop()
+
+    def stop(self) -> None:
+        """End every link."""
+        for item in self.list_links():
+            item.stop()
+
+    def _drop_unwanted(self, wanted: dict[str, hostlist.Host]) -> list[PeerLink]:
+        ended = [
+            item
+            for name, item in self._links.items()
+            if name not in wanted or wanted[name].address != item.host.address
+        ]
+        for item in ended:
+            del self._links[item.name]
+        return ended
+
+    def _add_extra(self, name: str, address: str) -> PeerLink:
+        while len(self._extra) >= self._most_extra:
+            self._extra.pop(next(iter(self._extra))).stop()
+        host = hostlist.Host(name, address, "", hostlist.HostState.LIVE)
+        self._extra[address] = self._start(host, is_routed=False)
+        return self._extra[address]
+
+    def _start(self, host: hostlist.Host, is_routed: bool) -> PeerLink:
+        created = self._create_link(host, is_routed)
+        self._group.start(created.keep_open)
+        return created
+
+
+def create_request_id() -> str:
+    """Return the name of one message exchange."""
+    return identifiers.create_nonce()
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/runners.py
@@ -0,0 +1,153 @@
+"""How a sidecar runs a request on its backend server."""
+
+import abc
+
+from oleander_backends import engine, service
+from oleander_base import clock
+from oleander_wire import messages
+from oleanderdeal import weights, work
+
+REASON_CANCELLED = "cancelled"
+REASON_LABEL_UNKNOWN = "label-unknown"
+REASON_OUT_OF_ROTATION = "out-of-rotation"
+
+
+class Runner(abc.ABC):
+    """Runs one request to its end; blocks until then."""
+
+    @abc.abstractmethod
+    def run(self, pending: work.PendingRun) -> messages.Answer:
+        """Return what became of the request."""
+
+
+def _answer(
+    outcome: messages.Outcome, reason: str, retry_after_ms: int = 0, status: int = 0
+) -> messages.Answer:
+    return messages.Answer("", outcome, status, reason, retry_after_ms, b"", 0)
+
+
+class ServiceRunner(Runner):
+    """Calls the plain service once."""
+
+    def __init__(self, backend: service.Service) -> None:
+        self._backend = backend
+
+    def run(self, pending: work.PendingRun) -> messages.Answer:
+        """Call the service; a lost answer makes the outcome unknown, never a second call."""
+        run = pending.run
+        result = self._backend.call(run.operation, run.key, run.body, pending.deadline)
+        if result.is_ok():
+            return messages.Answer(
+                "", _judge_status(result.ok.status), result.ok.status, "", 0, result.ok.body, 0
+            )
+        if result.error.not_run:
+            return _answer(messages.Outcome.NOT_RUN, "service-unreachable", 1000)
+        return _answer(messages.Outcome.UNKNOWN, "service-gave-no-answer")
+
+
+def _judge_status(status: int) -> messages.Outcome:
+    return messages.Outcome.DONE if status < 500 else messages.Outcome.FAILED
+
+
+class EngineRunner(Runner):
+    """Streams tokens from the model engine, each with the weights that made it."""
+
+    def __init__(self, backend: engine.Engine, keeper: weights.WeightKeeper) -> None:
+        self._backend = backend
+        self._keeper = keeper
+
+    def run(self, pending: work.PendingRun) -> messages.Answer:
+        """Generate; what was streamed before a failure can be resumed elsewhere."""
+        terms = pending.run.generation
+        if terms is None:
+            return _answer(messages.Outcome.NOT_RUN, "not-a-generation")
+        version = self._keeper.version
+        if version is None or version < terms.oldest_version:
+            return _answer(messages.Outcome.NOT_RUN, REASON_OUT_OF_ROTATION, 500)
+        started = self._backend.generate(_read_generation(pending.run, terms), pending.deadline)
+        if started.is_error():
+            return _judge_error(started.error)
+        stream = started.ok
+        pending.stop_backend = stream.cancel
+        try:
+            return self._forward(pending, stream)
+        finally:
+            pending.stop_backend = None
+
+    def _forward(
+        self, pending: work.PendingRun, stream: engine.GenerationStream
+    ) -> messages.Answer:
+        before = self._keeper.read_state()
+        unlabelled: list[engine.Chunk] = []
+        for result in stream:
+            if pending.is_unwanted:
+                stream.cancel()
+                return _answer(messages.Outcome.FAILED, REASON_CANCELLED)
+            if result.is_error():
+                return _judge_error(result.error)
+            chunk = result.ok
+            if chunk.version is None:
+                unlabelled.append(chunk)
+            else:
+                pending.send(_write_tokens(pending.run, chunk, chunk.version))
+            if chunk.is_last:
+                return self._end(pending, unlabelled, before)
+        return _answer(messages.Outcome.FAILED, "stream-broke-off")
+
+    def _end(
+        self,
+        pending: work.PendingRun,
+        unlabelled: list[engine.Chunk],
+        before: weights.WeightState,
+    ) -> messages.Answer:
+        """
+        Send what the engine did not label, if its weights can't have changed meanwhile.
+
+        The engine is asked for its version again; a version that differs, or an order that was
+        open at any time, means some tokens may come from either, and all are thrown away.
+        """
+        if unlabelled:
+            version = self._keeper.confirm_unchanged(before)
+            if version is None:
+                return _answer(messages.Outcome.FAILED, REASON_LABEL_UNKNOWN)
+            for chunk in unlabelled:
+                pending.send(_write_tokens(pending.run, chunk, version))
+        return _answer(messages.Outcome.DONE, "", status=200)
+
+
+def _read_generation(run: messages.Run, terms: messages.GenerationTerms) -> engine.Generation:
+    return engine.Generation(
+        request_id=run.request_id,
+        prompt=run.body.decode("utf-8", "replace"),
+        prefix=terms.prefix,
+        max_tokens=terms.max_tokens,
+        priority=run.priority,
+        resumed_text=terms.resumed_text,
+        resumed_tokens=terms.resumed_tokens,
+    )
+
+
+def _write_tokens(run: messages.Run, chunk: engine.Chunk, version: int) -> messages.Tokens:
+    return messages.Tokens(run.request_id, chunk.text, chunk.tokens, version)
+
+
+def _judge_error(error: engine.EngineError) -> messages.Answer:
+    if error.not_run:
+        return _answer(messages.Outcome.NOT_RUN, "engine-refused", error.retry_after_ms)
+    return _answer(messages.Outcome.FAILED, "engine-failed")
+
+
+def measure(runner: Runner, pending: work.PendingRun) -> messages.Answer:
+    """Run a request and note how long its backend server took."""
+    started_at = clock.read_now()
+    answer = runner.run(pending)
+    service_ms = int((clock.read_now() - started_at) * 1000)
+    return messages.Answer(
+        "",
+        answer.outcome,
+        answer.status,
+        answer.reason,
+        answer.retry_after_ms,
+        answer.body,
+        service_ms,
+    )
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/sampling.py
@@ -0,0 +1,156 @@
+"""Makes the samples of registered steps: each task runs one sample at a time."""
+
+import threading
+
+from oleander_base import clock, log, tasks
+from oleander_contracts import contract, fold
+from oleander_samples import collector, registry
+from oleander_wire import messages
+from oleanderdeal import dispatch
+
+_IDLE_SECONDS = 0.05
+_SAMPLE_SECONDS = 600.0
+_LEAST_PAUSE_SECONDS = 0.02
+_MOST_PAUSE_SECONDS = 1.0
+
+
+class SampleObserver(dispatch.Observer):
+    """Hands a sample's tokens to its step as they come."""
+
+    def __init__(self, made_for: collector.StepCollector, work: collector.SampleWork) -> None:
+        self._made_for = made_for
+        self._work = work
+        self._cancelled = threading.Event()
+
+    def see_tokens(self, tokens: messages.Tokens) -> None:
+        """Add the next tokens."""
+        self._made_for.note_progress(
+            self._work.work_id, tokens.text, tokens.tokens, tokens.version
+        )
+
+    def cancel(self) -> None:
+        """Stop the sample: another copy was whole first, or it could not be delivered."""
+        self._cancelled.set()
+
+    def is_gone(self) -> bool:
+        """Return whether the sample is of no more use."""
+        return self._cancelled.is_set()
+
+
+class SamplingPool:
+    """Bounded tasks that take work from every open step in turn."""
+
+    def __init__(
+        self,
+        steps: registry.StepRegistry,
+        dispatcher: dispatch.Dispatcher,
+        configuration: fold.ConfigurationFold,
+        group: tasks.TaskGroup,
+        most_samples: int,
+    ) -> None:
+        self._steps = steps
+        self._dispatcher = dispatcher
+        self._configuration = configuration
+        self._group = group
+        self._most_samples = most_samples
+        self._lock = threading.Lock()
+        self._observers: dict[str, SampleObserver] = {}
+        self._draining = threading.Event()
+        self._turn = 0
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no sample is being made."""
+        return not self._observers
+
+    def start(self) -> None:
+        """Start the tasks."""
+        for _ in range(self._most_samples):
+            self._group.start(self._serve)
+
+    def drain(self) -> None:
+        """Start no more samples; those under way are finished."""
+        self._draining.set()
+
+    def _serve(self) -> None:
+        while not self._group.is_stopping:
+            taken = None if self._draining.is_set() else self._take_work()
+            if taken is None:
+                self._group.pause(_IDLE_SECONDS)
+            else:
+                self._make(*taken)
+
+    def _take_work(self) -> tuple[collector.StepCollector, collector.SampleWork] | None:
+        open_steps = self._steps.list_collectors()
+        self._turn += 1
+        for position in range(len(open_steps)):
+            made_for = open_steps[(position + self._turn) % len(open_steps)]
+            self._cancel_all(made_for.take_cancellations())
+            work = made_for.next_work()
+            if work is not None:
+                return made_for, work
+        return None
+
+    def _make(self, made_for: collector.StepCollector, work: collector.SampleWork) -> None:
+        terms = self._configuration.find_contract(made_for.step.customer)
+        trainer = terms.find_trainer(made_for.step.trainer) if terms else None
+        if terms is None or trainer is None:
+            made_for.fail_work(work.work_id)
+            log.warn_bounded("sample-without-contract", "a step's contract is no longer in force")
+            self._group.pause(_MOST_PAUSE_SECONDS)
+            return
+        observer = SampleObserver(made_for, work)
+        with self._lock:
+            self._observers[work.work_id] = observer
+        try:
+            self._run(made_for, work, _write_job(work, terms, trainer), observer)
+        finally:
+            with self._lock:
+                self._observers.pop(work.work_id, None)
+
+    def _run(
+        self,
+        made_for: collector.StepCollector,
+        work: collector.SampleWork,
+        job: dispatch.Job,
+        observer: SampleObserver,
+    ) -> None:
+        deadline = clock.start_deadline(_SAMPLE_SECONDS)
+        ended = self._dispatcher.run_once(job, deadline, observer)
+        if ended.answer.outcome is messages.Outcome.DONE:
+            self._cancel_all(made_for.finish_work(work.work_id).losers)
+            return
+        made_for.fail_work(work.work_id)
+        pause = ended.answer.retry_after_ms / 1000
+        self._group.pause(min(_MOST_PAUSE_SECONDS, max(_LEAST_PAUSE_SECONDS, pause)))
+
+    def _cancel_all(self, work_ids: list[str] | tuple[str, ...]) -> None:
+        with self._lock:
+            found = [self._observers.get(work_id) for work_id in work_ids]
+        for observer in found:
+            if observer is not None:
+                observer.cancel()
+
+
+def _write_job(
+    work: collector.SampleWork, terms: contract.Contract, trainer: contract.TrainerTerms
+) -> dispatch.Job:
+    return dispatch.Job(
+        customer=terms.customer,
+        share_percent=terms.share_percent,
+        retry_percent=terms.retry_percent,
+        operation=f"sample-{trainer.name}",
+        backend=trainer.backend,
+        priority=contract.Priority.SAMPLING,
+        key="",
+        trace_id=work.work_id,
+        body=work.prompt.encode(),
+        generation=messages.GenerationTerms(
+            model=trainer.model,
+            prefix=work.prefix,
+            max_tokens=work.max_tokens,
+            resumed_text=work.resumed_text,
+            resumed_tokens=work.resumed_tokens,
+            oldest_version=work.oldest_version,
+        ),
+    )
--- a/programs/oleanderdeal/oleanderdeal/setting_table.py
+++ b/programs/oleanderdeal/oleanderdeal/setting_table.py
@@ -216,6 +216,10 @@
         "http_threads", Kind.INTEGER, "threads", 64, 1, 1024, _ENTRY,
         "Requests that an entry answers at a time; further ones wait in line.",
     ),
+    Setting(
+        "sample_tasks", Kind.INTEGER, "samples", 64, 1, 4096, _ENTRY,
+        "Samples of training steps that an entry has in the making at a time.",
+    ),
     Setting(
         "claim_shards", Kind.INTEGER, "streams", 4, 1, 64, _ENTRY,
         "Streams that claims are spread over; must be the same at every entry.",
--- a/programs/oleanderdeal/oleanderdeal/settings.py
+++ b/programs/oleanderdeal/oleanderdeal/settings.py
@@ -57,6 +57,7 @@
     heartbeat_ms: int
     peer_limit: int
     http_threads: int
+    sample_tasks: int
     claim_shards: int
     claim_window: int
     drain_ms: int
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/sidecar.py
@@ -0,0 +1,145 @@
+"""The sidecar: the one process that sends work to the backend server beside it."""
+
+import threading
+
+from oleander_admission import admission
+from oleander_backends import http_engine, http_service
+from oleander_base import clock, identifiers, log, tasks
+from oleander_contracts import contract, fold
+from oleander_platform import http_logservice
+from oleander_wire import link, messages
+from oleanderdeal import (
+    configuration,
+    executor,
+    ledger,
+    lifecycle,
+    order_trail,
+    peer_records,
+    runners,
+    setting_table,
+    settings,
+    sidecar_links,
+    weights,
+)
+
+_MOST_LINKS = 128
+_KEYS_PER_ANSWER = 10
+_OTHER_TASKS = 8
+_STOP_SECONDS = 5.0
+_DRAIN_POLL_SECONDS = 0.05
+_LEAVING_SECONDS = 0.5
+
+
+class Sidecar:
+    """Everything that one sidecar process consists of."""
+
+    def __init__(self, chosen: settings.Settings) -> None:
+        self._chosen = chosen
+        self._incarnation = identifiers.create_incarnation()
+        self._leaving = threading.Event()
+        self._group = tasks.TaskGroup("sidecar", chosen.slots + _OTHER_TASKS)
+        log_service = http_logservice.HttpLogService(chosen.log_url)
+        self._in_force = fold.ConfigurationFold()
+        self._follower = configuration.ConfigurationFollower(
+            log_service, self._in_force, self._group, chosen.configuration_poll_ms
+        )
+        self._trail = order_trail.OrderTrail(chosen.name, log_service, self._group)
+        self._keeper: weights.WeightKeeper | None = None
+        self._queue = admission.AdmissionQueue(chosen.slots, chosen.queue_length)
+        self._executor = executor.Executor(
+            self._queue, self._create_runner(), self._group, chosen.slots
+        )
+        keys = ledger.Ledger(
+            self._incarnation, chosen.kept_answers * _KEYS_PER_ANSWER, chosen.kept_answer_bytes
+        )
+        hello = messages.Hello(
+            protocol=messages.PROTOCOL,
+            name=chosen.name,
+            incarnation=self._incarnation,
+            failure_domain=chosen.failure_domain,
+            token=chosen.process_token,
+        )
+        self._links = sidecar_links.SidecarLinks(
+            hello,
+            chosen.heartbeat_ms,
+            self._read_heartbeat,
+            self._executor,
+            keys,
+            peer_records.PeerRecords(self._follower),
+        )
+        self._server = link.LinkServer(
+            chosen.listen_host, chosen.listen_port, self._links.serve, _MOST_LINKS
+        )
+
+    def run(self, stop: lifecycle.StopSignal) -> None:
+        """Serve until told to stop, then finish what runs and what waits."""
+        self._group.start(self._follower.follow)
+        self._group.start(self._trail.write)
+        if self._keeper is not None:
+            self._follower.on_change(self._keeper.wake)
+            self._group.start(self._keeper.keep)
+        self._executor.start()
+        self._group.start(self._server.serve)
+        lifecycle.announce_address(self._chosen.listen_host, self._server.port)
+        while not stop.wait(1.0):
+            pass
+        self._drain()
+        self._close()
+
+    def _create_runner(self) -> runners.Runner:
+        chosen = self._chosen
+        if chosen.backend_kind is setting_table.BackendKind.SERVICE:
+            return runners.ServiceRunner(http_service.HttpService(chosen.backend_url))
+        backend = http_engine.HttpEngine(chosen.backend_url)
+        self._keeper = weights.WeightKeeper(
+            backend,
+            chosen.model,
+            self._in_force,
+            self._group,
+            chosen.checks_fencing,
+            chosen.load_timeout_ms,
+            chosen.load_spread_ms,
+            self._trail.report,
+        )
+        return runners.EngineRunner(backend, self._keeper)
+
+    def _read_heartbeat(self) -> messages.Heartbeat:
+        version = self._keeper.version if self._keeper is not None else None
+        return messages.Heartbeat(
+            backend=self._chosen.backend,
+            queued=self._queue.queued,
+            running=self._queue.running,
+            slots=self._chosen.slots,
+            wait_ms=self._queue.estimate_wait_ms(contract.Priority.INTERACTIVE),
+            version=version,
+            in_rotation=self._keeper is None or version is not None,
+            leaving=self._leaving.is_set(),
+            configuration_offset=self._in_force.applied_offset,
+        )
+
+    def _drain(self) -> None:
+        """Tell every entry, refuse new work, and let what runs and waits come to its end."""
+        log.logger.bind(event="draining").info("finishing what runs and waits")
+        self._leaving.set()
+        self._queue.close()
+        self._links.broadcast_heartbeat()
+        deadline = clock.start_deadline_ms(self._chosen.drain_ms)
+        pause = threading.Event()
+        pause.wait(_LEAVING_SECONDS)
+        while not self._executor.is_idle and not deadline.is_past:
+            pause.wait(_DRAIN_POLL_SECONDS)
+        if not self._executor.is_idle:
+            log.logger.bind(event="drain-cut").error("stopping with requests in progress")
+
+    def _close(self) -> None:
+        self._group.stop()
+        self._links.stop()
+        self._server.stop()
+        self._group.join(clock.start_deadline(_STOP_SECONDS))
+
+
+def run_sidecar(chosen: settings.Settings) -> int:
+    """Run a sidecar until it is told to stop."""
+    stop = lifecycle.StopSignal()
+    Sidecar(chosen).run(stop)
+    return 0
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/sidecar_links.py
@@ -0,0 +1,203 @@
+"""Serves the entries' links at a sidecar: one task a link, receiving and sending heartbeats."""
+
+import collections.abc
+import hmac
+import threading
+import uuid
+
+from oleander_base import clock, invariants, log
+from oleander_wire import link, messages
+from oleanderdeal import executor, ledger, peer_records, work
+
+_HELLO_SECONDS = 5.0
+_MOST_RUNS_PER_LINK = 1024
+CLOSE_NOT_ALLOWED = 1008
+
+HeartbeatReader = collections.abc.Callable[[], messages.Heartbeat]
+
+
+class SidecarLinks:
+    """Takes requests from entries and sends back their answers."""
+
+    def __init__(
+        self,
+        hello: messages.Hello,
+        heartbeat_ms: int,
+        read_heartbeat: HeartbeatReader,
+        runs: executor.Executor,
+        keys: ledger.Ledger,
+        records: peer_records.PeerRecords,
+    ) -> None:
+        self._hello = hello
+        self._heartbeat_ms = heartbeat_ms
+        self._read_heartbeat = read_heartbeat
+        self._runs = runs
+        self._keys = keys
+        self._records = records
+        self._lock = threading.Lock()
+        self._open: set[link.Link] = set()
+        self._stopping = threading.Event()
+
+    def serve(self, opened: link.Link) -> None:
+        """Serve one link until it closes."""
+        if not self._greet(opened):
+            opened.close(CLOSE_NOT_ALLOWED, "hello refused")
+            return
+        with self._lock:
+            self._open.add(opened)
+        served = _ServedLink(opened, self._runs, self._keys)
+        try:
+            self._receive_all(opened, served)
+        finally:
+            with self._lock:
+                self._open.discard(opened)
+            served.cancel_all()
+
+    def broadcast_heartbeat(self) -> None:
+        """Tell every entry at once how this sidecar is."""
+        with self._lock:
+            links = list(self._open)
+        for item in links:
+            item.send(self._read_heartbeat())
+
+    def stop(self) -> None:
+        """Close every link."""
+        self._stopping.set()
+        with self._lock:
+            links = list(self._open)
+        for item in links:
+            item.close(1001, "going away")
+
+    def _greet(self, opened: link.Link) -> bool:
+        received = opened.receive(clock.start_deadline(_HELLO_SECONDS))
+        if received.is_error() or not isinstance(received.ok, messages.Hello):
+            return False
+        hello = received.ok
+        if hello.protocol != messages.PROTOCOL:
+            log.warn_bounded("other-protocol", f"{hello.name} speaks protocol {hello.protocol}")
+            return False
+        if not hmac.compare_digest(hello.token.encode(), self._hello.token.encode()):
+            log.warn_bounded("wrong-token", f"{hello.name} has another process token")
+            return False
+        return bool(
+            opened.send(self._hello).is_ok() and opened.send(self._read_heartbeat()).is_ok()
+        )
+
+    def _receive_all(self, opened: link.Link, served: "_ServedLink") -> None:
+        next_heartbeat = clock.start_deadline_ms(self._heartbeat_ms)
+        while not self._stopping.is_set():
+            received = opened.receive(next_heartbeat)
+            if received.is_error():
+                return
+            if received.ok is not None:
+                self._handle(opened, served, received.ok)
+            if next_heartbeat.is_past:
+                opened.send(self._read_heartbeat())
+                next_heartbeat = clock.start_deadline_ms(self._heartbeat_ms)
+
+    def _handle(self, opened: link.Link, served: "_ServedLink", message: messages.Message) -> None:
+        match message:
+            case messages.Run():
+                served.run(message)
+            case messages.Join():
+                served.join(message)
+            case messages.Cancel():
+                served.cancel(message.request_id)
+            case messages.RecordsOffer() | messages.Records():
+                self._records.handle(message, opened)
+            case _:
+                log.warn_bounded("odd-message", f"ignored a {type(message).__name__}")
+
+
+class _ServedLink:
+    """The requests that came over one link."""
+
+    def __init__(self, opened: link.Link, runs: executor.Executor, keys: ledger.Ledger) -> None:
+        self._link = opened
+        self._runs = runs
+        self._keys = keys
+        self._lock = threading.Lock()
+        self._work_ids: dict[str, str] = {}
+
+    def run(self, run: messages.Run) -> None:
+        """Run a request, or answer at once why not."""
+        with self._lock:
+            is_full = len(self._work_ids) >= _MOST_RUNS_PER_LINK
+        if is_full:
+            self._answer(run.request_id, _refuse("too many requests on this link"))
+        elif run.repeatable:
+            self._submit(run, lambda answer: self._end_repeatable(run, answer))
+        else:
+            self._run_once(run)
+
+    def join(self, join: messages.Join) -> None:
+        """Answer what became of a key, now or when it ends."""
+        self._keys.join(join, lambda answer: self._answer(join.request_id, answer))
+
+    def cancel(self, request_id: str) -> None:
+        """Stop a request that nobody waits for."""
+        with self._lock:
+            work_id = self._work_ids.get(request_id)
+        if work_id is not None:
+            self._runs.cancel(work_id)
+
+    def cancel_all(self) -> None:
+        """Stop what can be stopped of a closed link's requests; nobody can get the answers."""
+        with self._lock:
+            work_ids = list(self._work_ids.values())
+        for work_id in work_ids:
+            self._runs.cancel(work_id)
+
+    def _run_once(self, run: messages.Run) -> None:
+        if not self._keys.start(run, lambda answer: self._answer(run.request_id, answer)):
+            return
+        self._submit(run, lambda answer: self._end_once(run, answer))
+
+    def _submit(
+        self, run: messages.Run, end: collections.abc.Callable[[messages.Answer], None]
+    ) -> None:
+        work_id = uuid.uuid4().hex
+        with self._lock:
+            self._work_ids[run.request_id] = work_id
+        pending = work.PendingRun(
+            work_id=work_id,
+            run=run,
+            deadline=clock.start_deadline_ms(run.budget_ms),
+            send=self._send,
+            answer=end,
+            cancelled=threading.Event(),
+        )
+        self._runs.submit(pending)
+
+    def _end_repeatable(self, run: messages.Run, answer: messages.Answer) -> None:
+        self._forget(run)
+        self._answer(run.request_id, answer)
+
+    def _end_once(self, run: messages.Run, answer: messages.Answer) -> None:
+        self._forget(run)
+        self._keys.end(run, answer)
+
+    def _forget(self, run: messages.Run) -> None:
+        with self._lock:
+            known = self._work_ids.pop(run.request_id, None)
+        invariants.require(known is not None, "answer-once", f"{run.request_id} ended twice")
+
+    def _send(self, message: messages.Message) -> None:
+        self._link.send(message)
+
+    def _answer(self, request_id: str, answer: messages.Answer) -> None:
+        self._link.send(
+            messages.Answer(
+                request_id,
+                answer.outcome,
+                answer.status,
+                answer.reason,
+                answer.retry_after_ms,
+                answer.body,
+                answer.service_ms,
+            )
+        )
+
+
+def _refuse(reason: str) -> messages.Answer:
+    return messages.Answer("", messages.Outcome.NOT_RUN, 0, reason, 500, b"", 0)
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/trainer_api.py
@@ -0,0 +1,147 @@
+"""Answers trainers: weights announced, steps registered, samples pulled."""
+
+import collections.abc
+import json
+import re
+
+from oleander_base import clock, findings
+from oleander_contracts import contract, fold
+from oleander_samples import pulls, readers, registry
+from oleanderdeal import accounts, http_messages, version_publisher
+
+_CALL_SECONDS = 5.0
+_MOST_BODY_BYTES = 4096
+_NUMBER = re.compile(r"[0-9]{1,15}")
+_RETRY_MS = 1000
+
+
+class TrainerApi:
+    """Handles what stands below /v1/customers/CUSTOMER/models and /trainers."""
+
+    def __init__(
+        self,
+        configuration: fold.ConfigurationFold,
+        steps: registry.StepRegistry,
+        versions: version_publisher.VersionPublisher,
+        own_url: collections.abc.Callable[[], str],
+        is_draining: collections.abc.Callable[[], bool],
+    ) -> None:
+        self._configuration = configuration
+        self._steps = steps
+        self._versions = versions
+        self._own_url = own_url
+        self._is_draining = is_draining
+
+    def put_version(
+        self, request: http_messages.HttpRequest, customer: str, model: str, text: str
+    ) -> http_messages.HttpAnswer:
+        """Announce weights; answers once the log holds them."""
+        terms = self._configuration.find_contract(customer)
+        if terms is None or all(item.model != model for item in terms.trainers):
+            return _answer_missing("no-such-model")
+        uri = _read_uri(request.body)
+        if not _NUMBER.fullmatch(text) or uri is None:
+            place = "body.uri" if uri is None else "path version"
+            return http_messages.answer_findings(
+                findings.Findings((findings.Finding(place, "is missing or wrong"),))
+            )
+        deadline = clock.start_deadline(_CALL_SECONDS)
+        published = self._versions.publish(customer, model, int(text), uri, deadline)
+        if published.is_ok():
+            return http_messages.answer_json({"version": int(text), "offset": published.ok})
+        error = published.error
+        return http_messages.answer_problem(
+            http_messages.Problem(
+                error.status, error.detail, error.outcome, error.reason, error.retry_after_ms
+            )
+        )
+
+    def put_step(
+        self, request: http_messages.HttpRequest, customer: str, trainer: str, step_text: str
+    ) -> http_messages.HttpAnswer:
+        """Register a step; the same body again changes nothing."""
+        if self._is_draining():
+            return http_messages.answer_problem(
+                http_messages.Problem(
+                    503, "This entry is leaving.", "not-run", "leaving", _RETRY_MS
+                )
+            )
+        terms = self._find_terms(customer, trainer)
+        if terms is None:
+            return _answer_missing("no-such-trainer")
+        step = readers.read_step(customer, trainer, step_text, request.body)
+        if step.is_error():
+            return http_messages.answer_findings(step.error)
+        put = self._steps.put(step.ok, terms)
+        if put.is_error():
+            return http_messages.answer_problem(
+                http_messages.Problem(
+                    409, "The step was not registered.", "not-run", put.error.reason.value
+                )
+            )
+        return http_messages.answer_json(
+            {"step": step.ok.step, "collector": self._own_url(), "samples": step.ok.total}
+        )
+
+    def pull(
+        self, request: http_messages.HttpRequest, customer: str, trainer: str, step_text: str
+    ) -> http_messages.HttpAnswer:
+        """Answer a pull with samples that the trainer does not have."""
+        read = readers.read_pull(request.body)
+        if read.is_error():
+            return http_messages.answer_findings(read.error)
+        found = None
+        if _NUMBER.fullmatch(step_text):
+            found = self._steps.find(customer, trainer, int(step_text))
+        if found is None:
+            return _answer_missing("step-unknown")
+        pulled = found.pull(read.ok, read.ok.wait_ms / 1000)
+        if pulled.is_error():
+            return _refuse_pull(pulled.error)
+        accounts.count_samples(customer, trainer, "delivered", len(pulled.ok.samples))
+        encoded = pulls.write_answer(pulled.ok)
+        return http_messages.HttpAnswer(
+            200,
+            http_messages.JSON_TYPE,
+            [encoded.body],
+            (("Content-Digest", encoded.digest),),
+        )
+
+    def delete_step(self, customer: str, trainer: str, step_text: str) -> http_messages.HttpAnswer:
+        """End a step early; one that is not known here has ended already."""
+        if _NUMBER.fullmatch(step_text):
+            self._steps.delete(customer, trainer, int(step_text))
+        return http_messages.answer_json({})
+
+    def _find_terms(self, customer: str, trainer: str) -> contract.TrainerTerms | None:
+        terms = self._configuration.find_contract(customer)
+        return terms.find_trainer(trainer) if terms else None
+
+
+def _read_uri(body: bytes) -> str | None:
+    try:
+        content = json.loads(body[:_MOST_BODY_BYTES])
+    except ValueError:
+        return None
+    uri = content.get("uri") if isinstance(content, dict) else None
+    return uri if isinstance(uri, str) else None
+
+
+def _answer_missing(reason: str) -> http_messages.HttpAnswer:
+    return http_messages.answer_problem(
+        http_messages.Problem(404, "There is no such thing here.", "not-run", reason)
+    )
+
+
+def _refuse_pull(refusal: pulls.PullRefusal) -> http_messages.HttpAnswer:
+    match refusal.reason:
+        case pulls.RefusalReason.STEP_UNKNOWN:
+            return _answer_missing("step-unknown")
+        case pulls.RefusalReason.BAD_HELD:
+            return http_messages.answer_findings(refusal.found)
+        case _:
+            return http_messages.answer_problem(
+                http_messages.Problem(
+                    409, "A newer pull took its place.", "not-run", refusal.reason.value
+                )
+            )
--- /dev/null
+++ b/standins/oleander_standins/demo.py
@@ -0,0 +1,123 @@
+"""Run the whole path once as separate processes, say what happens, and stop."""
+
+import concurrent.futures
+import json
+import pathlib
+import sys
+
+from oleander_standins import deployment, processes
+
+_EXAMPLES = pathlib.Path(__file__).resolve().parents[2] / "docs" / "examples"
+_TRAINER_SECONDS = 120
+
+HOSTS = (
+    deployment.BackendHost("desk-a", "desk", "service", "a"),
+    deployment.BackendHost("desk-b", "desk", "service", "b"),
+    deployment.BackendHost("sales-a", "sales", "service", "a"),
+    deployment.BackendHost("sales-c", "sales", "service", "c"),
+    deployment.BackendHost("designs-a", "designs", "engine", "a", "designs"),
+    deployment.BackendHost("designs-b", "designs", "engine", "b", "designs"),
+    deployment.BackendHost(
+        "designs-c", "designs", "engine", "c", "designs", checks_fencing=False,
+        sidecar_flags=("--load_timeout_ms", "1000"),
+    ),
+    deployment.BackendHost("offers-a", "offers", "engine", "a", "offers"),
+    deployment.BackendHost("offers-b", "offers", "engine", "b", "offers"),
+)
+TRAINERS = (("catania", "designs", 2), ("caroni", "offers", 4))
+
+
+def main() -> None:
+    """Run the demo; the exit code says whether everything was as promised."""
+    cluster = processes.Cluster()
+    try:
+        run_demo(deployment.Deployment(cluster))
+    except AssertionError as error:
+        print(f"demo failed: {error}\n{cluster.read_logs()}")
+        sys.exit(1)
+    finally:
+        cluster.stop()
+
+
+def run_demo(deployed: deployment.Deployment) -> None:
+    """Start, publish, call, train, report."""
+    start_all(deployed)
+    publish_contracts(deployed)
+    with concurrent.futures.ThreadPoolExecutor(4) as pool:
+        trained = [pool.submit(run_trainer, deployed, *terms) for terms in TRAINERS]
+        call_operations(deployed)
+        for future in trained:
+            print(future.result())
+    report = deployed.run_command("report", *deployed.entry_flags())
+    assert report.returncode == 0, report.stderr
+    print(report.stdout)
+
+
+def start_all(deployed: deployment.Deployment) -> None:
+    """Start the platform, every host and three entries."""
+    for customer, _, _ in TRAINERS:
+        deployed.add_customer(customer)
+    print("starting the log, the host list and the weight store")
+    deployed.start_platform()
+    for host in HOSTS:
+        deployed.start_host(host)
+        print(f"started {host.server_name} and its sidecar {host.name}, domain {host.domain}")
+    for domain in deployment.DOMAINS:
+        deployed.start_entry(f"entry-{domain}", domain)
+    deployed.await_ready(len(HOSTS))
+    print(f"{len(deployed.entries)} entries are linked to {len(HOSTS)} sidecars")
+
+
+def publish_contracts(deployed: deployment.Deployment) -> None:
+    """Publish both customers' contracts."""
+    for customer, _, _ in TRAINERS:
+        published = deployed.publish(_EXAMPLES / f"{customer}.yaml")
+        assert published.returncode == 0, published.stderr + published.stdout
+        print(published.stdout.strip())
+
+
+def call_operations(deployed: deployment.Deployment) -> None:
+    """Book and ship once each, by two entries, with look-ups and syncs behind them."""
+    entries = deployed.entries
+    for number in range(10):
+        deployed.call(entries[number % 3], "catania", "record-lookup", {"record": number})
+        deployed.call(entries[number % 3], "caroni", "depot-sync", {"depot": number})
+    for customer, operation in (("catania", "booking"), ("caroni", "shipment")):
+        body = {"what": operation, "number": 1}
+        first = deployed.call(entries[0], customer, operation, body, key=f"{operation}-1")
+        again = deployed.call(entries[1], customer, operation, body, key=f"{operation}-1")
+        assert first.status == 200, first.body
+        assert again.body == first.body, again.body
+        print(f"{operation}: {first.body.decode()}; asked again elsewhere: the same answer")
+    order = deployed.call(entries[2], "caroni", "standing-order", {"outlet": 7})
+    assert order.status == 200, order.body
+    suggestion = deployed.call(
+        entries[0], "catania", "suggestion", {"prompt": "a swallow", "max_tokens": 16}
+    )
+    assert suggestion.status == 200, suggestion.body
+    print(f"suggestion: {suggestion.body.decode()}")
+
+
+def run_trainer(
+    deployed: deployment.Deployment, customer: str, trainer: str, staleness_bound: int
+) -> str:
+    """Train two steps with stragglers, announcing new weights before each."""
+    flags = ["--customer", customer, "--trainer", trainer, "--model", trainer]
+    for entry in deployed.entries:
+        flags += ["--entry", deployed.cluster.url(entry)]
+    flags += ["--token", deployed.write_headers(customer)["Authorization"].split()[1]]
+    flags += ["--weights-url", deployed.cluster.url("weights"), "--publish-weights"]
+    flags += ["--staleness-bound", str(staleness_bound), "--version-start", "2"]
+    flags += ["--steps", "3", "--groups", "4", "--samples", "4", "--max-tokens", "60"]
+    flags += ["--straggler-every", "7", "--straggler-tokens", "200"]
+    process = deployed.cluster.start(
+        f"trainer-{trainer}", "oleander_standins.trainer", *flags, ready=False
+    )
+    code = process.wait_exit(_TRAINER_SECONDS)
+    lines = [process.lines.get_nowait() for _ in range(process.lines.qsize())]
+    assert code == 0, f"trainer {trainer}: exit code {code}: {lines} {process.read_log()}"
+    return f"trainer {trainer}: {json.loads(lines[-1])}"
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/standins/oleander_standins/processes.py
@@ -0,0 +1,211 @@
+"""What steps share: child processes of the project, HTTP calls and waiting for conditions."""
+
+import http.client
+import json
+import pathlib
+import queue
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import urllib.parse
+
+_START_SECONDS = 15.0
+_STOP_SECONDS = 10.0
+_CALL_SECONDS = 10.0
+_READY = "listening on "
+_MOST_LINES = 100_000
+_MOST_LOG_CHARACTERS = 4000
+
+
+class Response:
+    """A whole answer; header names are in lower case."""
+
+    __slots__ = ("body", "headers", "status")
+
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def read_json(self):
+        """Return the body as JSON."""
+        return json.loads(self.body)
+
+
+def call(method, url, body=None, headers=None, timeout=_CALL_SECONDS):
+    """Return the answer to a request; a body that is no bytes is sent as JSON."""
+    parts = urllib.parse.urlsplit(url)
+    path = parts.path + (f"?{parts.query}" if parts.query else "")
+    if body is not None and not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    connection = http.client.HTTPConnection(parts.hostname, parts.port, timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        response = connection.getresponse()
+        names = {name.lower(): value for name, value in response.getheaders()}
+        return Response(response.status, names, response.read())
+    finally:
+        connection.close()
+
+
+def wait_until(condition, what, seconds=10):
+    """Poll until a condition holds and return its value; fail with what was waited for."""
+    deadline = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        assert time.monotonic() < deadline, f"not within {seconds} s: {what}"
+        time.sleep(0.01)
+
+
+class Process:
+    """One child; a thread reads its output, so that it never blocks, up to a bound of lines."""
+
+    def __init__(self, name, arguments, log_path):
+        self.name = name
+        self.address = None
+        self.lines = queue.Queue(_MOST_LINES)
+        self._log_path = log_path
+        with log_path.open("ab") as log_file:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", *map(str, arguments)],
+                stdout=subprocess.PIPE,
+                stderr=log_file,
+                text=True,
+            )
+        self._ready = threading.Event()
+        self._reader = threading.Thread(target=self._read_lines, daemon=True)
+        self._reader.start()
+
+    @property
+    def pid(self):
+        return self._child.pid
+
+    @property
+    def code(self):
+        """The exit code, or None while it runs."""
+        return self._child.poll()
+
+    @property
+    def url(self):
+        return f"http://{self.address}"
+
+    def read_log(self):
+        """Return the end of what it wrote to standard error."""
+        return self._log_path.read_text(errors="replace")[-_MOST_LOG_CHARACTERS:]
+
+    def wait_ready(self, seconds=_START_SECONDS):
+        """Wait for the line that tells where it listens."""
+        deadline = time.monotonic() + seconds
+        while not self._ready.wait(0.02):
+            ended = self.code is not None and not self._reader.is_alive()
+            assert not ended and time.monotonic() < deadline, (
+                f"{self.name} is not ready (exit code {self.code}): {self.read_log()}"
+            )
+
+    def wait_exit(self, seconds=_STOP_SECONDS):
+        """Wait for the end; return the exit code."""
+        return self._child.wait(seconds)
+
+    def send(self, signal_number):
+        """Send a signal; one that has ended already is left alone."""
+        self._child.send_signal(signal_number)
+
+    def close(self):
+        """End it, frozen or not, and take back what it used."""
+        self.send(signal.SIGKILL)
+        self._child.wait(_STOP_SECONDS)
+        self._reader.join(_STOP_SECONDS)
+        self._child.stdout.close()
+
+    def _read_lines(self):
+        for line in self._child.stdout:
+            line = line.rstrip("\n")
+            if line.startswith(_READY) and self.address is None:
+                self.address = line.removeprefix(_READY)
+                self._ready.set()
+            elif not self.lines.full():
+                self.lines.put_nowait(line)
+
+
+class Cluster:
+    """The child processes of a scenario by name; `stop` ends every one of them."""
+
+    def __init__(self):
+        self._processes = {}
+        self._logs = tempfile.TemporaryDirectory(prefix="oleander-")
+
+    def start(self, name, module, *arguments, ready=True):
+        """Start a module and, unless told otherwise, wait until it listens."""
+        self.close(name)
+        log_path = pathlib.Path(self._logs.name) / f"{name}.log"
+        process = Process(name, [module, *arguments], log_path)
+        self._processes[name] = process
+        if ready:
+            process.wait_ready()
+        return process
+
+    def start_stand_in(self, name, kind, *arguments):
+        """Start a stand-in on a free port."""
+        return self.start(name, f"oleander_standins.{kind}", "--port", 0, *arguments)
+
+    def find(self, name):
+        return self._processes[name]
+
+    def url(self, name):
+        """Return where a process listens."""
+        return self._processes[name].url
+
+    def address(self, name):
+        """Return IP:port of a process."""
+        return self._processes[name].address
+
+    def kill(self, name):
+        """End a process at once, as a crash would, and wait for its end."""
+        self._processes[name].send(signal.SIGKILL)
+        self._processes[name].wait_exit()
+
+    def freeze(self, name):
+        """Pause a process."""
+        self._processes[name].send(signal.SIGSTOP)
+
+    def thaw(self, name):
+        """Let a paused process go on."""
+        self._processes[name].send(signal.SIGCONT)
+
+    def terminate(self, name, seconds=_STOP_SECONDS):
+        """Ask a process to stop; return its exit code."""
+        self._processes[name].send(signal.SIGTERM)
+        return self._processes[name].wait_exit(seconds)
+
+    def close(self, name):
+        """End a process if there is one of that name, and forget it."""
+        process = self._processes.pop(name, None)
+        if process is not None:
+            process.close()
+
+    def stop(self):
+        """End every process and remove what they logged."""
+        for name in list(self._processes):
+            self.close(name)
+        self._logs.cleanup()
+
+    def read_logs(self):
+        """Return the ends of all logs, to tell why a scenario failed."""
+        return "".join(
+            f"--- {name}, exit code {process.code}\n{process.read_log()}"
+            for name, process in self._processes.items()
+        )
+
+    def control(self, name, **settings):
+        """Change settings of a stand-in."""
+        response = call("POST", f"{self.url(name)}/control", settings)
+        assert response.status == 200, response.body
+
+    def read_control(self, name, query=""):
+        """Return what a stand-in counted; the query may be generations=no for an engine."""
+        return call("GET", f"{self.url(name)}/control?{query}").read_json()
