Collect a step: held, kept, running and waiting samples behind one lock

Cause: an entry needs one object for each step that decides what to make, keeps what is whole until the trainer says that it has it, and answers pulls with fresh samples only. Ruled out: forgetting a sample once its answer was sent (an answer may be lost), and starting work before the trainer spoke (a replaced entry would make what is held). A straggler is found by slowness and not by length: of two tries at a long text the shorter would win. Hedges resume from the straggler's text; their budget is reserved when they start and ends the race when it is spent. Invariants: each sample in one place, answers without held or stale samples, labels that cover the sample, at most two attempts, work only for what is missing.

--- /dev/null
+++ b/features/pulls.feature
@@ -0,0 +1,96 @@
+Feature: Samples reach their trainer once, and fresh
+  The trainer's own statement of what it holds, made with every pull, is the only truth. Works are
+  named a, b, c as they start; `7/5` is 5 tokens of version 7; `3<10` is sample 3 resumed after 10 tokens.
+
+  Scenario Outline: Nothing is made before the trainer said what it holds
+    # The trainer sees a replaced entry go on where the old one died. The entry lost its memory, the
+    # trainer put the step again and pulled; what it holds by then must not be made a second time.
+    Given a collector of 4 samples, staleness bound 1
+    When its sample events are <events>
+    Then the samples started were <works>
+
+    Examples:
+      | events                                    | works               |
+      | start, pull 7, start                      | none 0              |
+      | start, pull 7 0-2, start 2                | none 3 none         |
+      | pull 7 0-3, start                         | none                |
+      | pull 7, close, start                      | none                |
+      | pull 7, after 1801, start                 | none                |
+      | pull 7, after 1801, start, pull 7, start  | none 0              |
+
+  Scenario Outline: A step that says what is held needs no first pull
+    Given a collector of 4 samples whose trainer said it holds "<held>"
+    When its sample events are start 4
+    Then the samples started were <works>
+
+    Examples:
+      | held | works             |
+      |      | 0 1 2 3           |
+      | 0,2  | 1 3 none none     |
+      | 0-3  | none none none none |
+
+  Scenario Outline: A lost answer is offered again and a held sample never
+    # The trainer sees an answer cut off and pulls again. The first answer may have reached it or
+    # not; only its next statement tells, so the samples stay until then.
+    Given a collector of 2 samples, staleness bound 1
+    When its sample events are pull 7, start 2, whole a 7/5, <events>
+    Then the sample pulls were answered empty; <answers>
+
+    Examples:
+      | events                                              | answers                         |
+      | pull 7, pull 7                                      | 0:7/5; 0:7/5                    |
+      | pull 7, pull 7 0                                    | 0:7/5; empty                    |
+      | pull 7, whole b 7/3, pull 7, pull 7 0               | 0:7/5; 0:7/5 1:7/3 complete; 1:7/3 complete |
+      | whole b 7/3, pull 7 nothing 1, pull 7 0 1           | 0:7/5; 1:7/3 complete           |
+      | pull 7 1, whole b 7/3, pull 7 0                     | 0:7/5 complete; empty           |
+      | pull 7 0-1, pull 7 0-1                              | complete; complete              |
+      | whole b 7/3, pull 7 0-1, pull 7 0, start, whole c 8/2, pull 7 0 | complete; empty; 1:8/2 complete |
+
+  Scenario Outline: A stale sample is dropped, counted and made anew
+    # The trainer sees only fresh samples. It raises its version between two pulls, so a sample
+    # that was fresh when it was made, or when its answer was lost, may be too old by now.
+    Given a collector of 2 samples, staleness bound 1
+    When its sample events are pull 7, start 2, <events>
+    Then the sample pulls were answered empty; <answers>
+    And the samples started were <works>
+    And <stale> samples were counted stale and <remade> made anew
+
+    Examples:
+      | events                                                   | answers               | works    | stale | remade |
+      | whole a 6/5, pull 7                                      | 0:6/5                 | 0 1      | 0     | 0      |
+      | whole a 6/5, pull 8, start, whole c 8/2, pull 8          | empty; 0:8/2          | 0 1 0    | 1     | 1      |
+      | whole a 7/1 6/1 7/9, pull 7, pull 8, start               | 0:7/1+6/1+7/9; empty  | 0 1 0    | 1     | 1      |
+      | whole a 5/5, start, pull 7                               | empty                 | 0 1 0    | 1     | 1      |
+      | tokens a 6/5, pull 8, start, whole a 8/1, whole c 8/2, pull 8 | empty; 0:8/2     | 0 1 0    | 1     | 1      |
+      | tokens a 6/5, broke a, pull 8, start, pull 8             | empty; empty          | 0 1 0    | 1     | 1      |
+      | tokens a 7/5, broke a, pull 8, start, pull 8             | empty; empty          | 0 1 0<5  | 0     | 0      |
+      | pull 9, pull 8, whole a 7/5, start, pull 9               | empty; empty; empty   | 0 1 0    | 1     | 1      |
+
+  Scenario Outline: A pull is refused
+    Given a collector of 2 samples, staleness bound 1
+    When its sample events are pull 7, start 2, whole a 7/5, <events>
+    Then the sample pulls were answered empty; <answers>
+
+    Examples:
+      | events              | answers      |
+      | pull 7 nothing 64 2 | superseded   |
+      | pull 7 nothing 64 4 | step-unknown |
+      | pull 7 2            | bad-held     |
+      | close, pull 7       | step-unknown |
+
+  Scenario: Of two pulls in flight the older is refused
+    # The trainer's first pull hangs in a balancer and it pulls again. Both reach the collector; if
+    # both were answered, the same samples would be on their way twice.
+    Given a collector of 2 samples, staleness bound 1
+    When a sample pull waits and another one comes
+    Then the sample pull that waited is refused as superseded, and none got a sample
+
+  Scenario: An answer is whole or recognised as cut
+    When a sample with the text "é\ud83d\n" is answered
+    Then the sample answer's digest fits its body, and not the body without its last byte
+    And the sample answer is
+      """
+      {"step": 12, "version": 7, "complete": true, "samples": [
+        {"number": 1, "group": 0, "text": "\u00e9\ud83d\n",
+         "label": [{"version": 6, "tokens": 3}, {"version": 7, "tokens": 2}]}]}
+      """
--- a/features/samples.feature
+++ b/features/samples.feature
@@ -33,3 +33,103 @@
       | nothing | 7/-1 7/9 | 7       | 7       | no     | contradiction |
       | nothing | -7/3     | 7       | 7       | no     | contradiction |
       | nothing | 7/0      | 7       | 7       | no     | empty         |
+
+  Scenario Outline: Work that broke off is resumed where its label is known
+    # The trainer sees one whole sample whose label names both makers. An engine crashed midway; its
+    # text is resumed elsewhere, unless what made it is unknown, since the label would be a guess.
+    Given a collector of 2 samples, staleness bound 1
+    When its sample events are pull 7, start 2, <events>, start, whole c 8/3, pull 7
+    Then the samples started were 0 1 <work>
+    And the sample pulls were answered empty; <answer>
+    And the last delivered text is "<text>"
+    And 0 samples were counted stale and <remade> made anew
+
+    Examples:
+      | events                                  | work  | answer           | text           | remade |
+      | tokens a 7/5, broke a                   | 0<5   | 0:7/5+8/3        | <a0><c0>       | 0      |
+      | tokens a 8/5, broke a                   | 0<5   | 0:8/8            | <a0><c0>       | 0      |
+      | tokens a 6/1 7/5, broke a               | 0<6   | 0:6/1+7/5+8/3    | <a0><a1><c0>   | 0      |
+      | tokens a 7/5 ?/1, broke a               | 0     | 0:8/3            | <c0>           | 1      |
+      | tokens a 7/100, broke a                 | 0     | 0:8/3            | <c0>           | 1      |
+      | broke a, after 1                        | 0     | 0:8/3            | <c0>           | 0      |
+      | whole a 7/3 ?/1, after 1                | 0     | 0:8/3            | <c0>           | 1      |
+      | whole a 7/0, after 1                    | 0     | 0:8/3            | <c0>           | 0      |
+      | tokens a 7/5, broke a, tokens a 7/9, done a | 0<5 | 0:7/5+8/3      | <a0><c0>       | 0      |
+
+  Scenario Outline: The end of work is judged
+    Given a collector of 2 samples, staleness bound 1
+    When its sample events are pull 7, start 2, <events>
+    Then the finished samples were <outcomes>
+
+    Examples:
+      | events                               | outcomes          |
+      | whole a 7/3                          | kept              |
+      | whole a 7/300                        | kept              |
+      | whole a ?/3                          | unknown-label     |
+      | tokens a ?/3, settled a 7            | kept              |
+      | tokens a ?/3, settled a 5            | stale             |
+      | tokens a 8/1 ?/3, settled a 7        | unknown-label     |
+      | whole a 7/3, done a                  | kept not-wanted   |
+      | tokens a 7/3, pull 7 0, done a       | not-wanted        |
+      | close, whole a 7/3                   | not-wanted        |
+
+  Scenario Outline: Work that failed without a token waits before it is tried again
+    Given a collector of 1 samples, staleness bound 1
+    When its sample events are pull 7, start, broke a, <events>
+    Then the samples started were 0 <works>
+
+    Examples:
+      | events                                       | works       |
+      | start                                        | none        |
+      | after 0.1, start                             | 0           |
+      | after 0.1, start, broke b, after 0.09, start | 0 none      |
+      | after 0.1, start, broke b, after 0.2, start  | 0 0         |
+
+  Scenario Outline: The longest predicted sample starts first, and groups in turn
+    Given a collector of 3 groups of 3 samples, hedges of 0 percent
+    When its sample events are pull 7, <events>
+    Then the samples started were <works>
+
+    Examples:
+      | events                                                        | works               |
+      | start 9                                                       | 0 3 6 1 4 7 2 5 8   |
+      | start 3, whole a 7/9, whole b 7/900, whole c 7/9, start 4     | 0 3 6 4 5 1 7       |
+      | start 3, whole a 7/9, whole b 7/900, whole c 7/9, tokens a 7/9, pull 7 4-5, start 2 | 0 3 6 1 7 |
+      | start 3, tokens b 7/5, broke b, start 2                       | 0 3 6 3<5 1         |
+
+  Scenario Outline: A straggler on a slow engine is hedged, and the first whole answer wins
+    # The trainer sees the step whole although one engine is ten times slower than the others. The
+    # same sample runs twice from its text so far; whichever ends first is kept, once.
+    Given a collector of 1 groups of 8 samples, hedges of 50 percent
+    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, whole g 7/100, tokens h 7/10, <events>
+    Then the samples started were 0 1 2 3 4 5 6 7 <works>
+    And the sample work cancelled was <cancelled>
+    And the sample pulls were answered empty; <answer>
+
+    Examples:
+      | events                                                        | works     | cancelled | answer               |
+      | start 2, whole i 8/3, whole h 7/9, pull 7 0-6                 | 7<10! none | h        | 7:7/10+8/3 complete  |
+      | start, whole h 8/3, whole i 7/9, pull 7 0-6                   | 7<10!     | i         | 7:7/10+8/3 complete  |
+      | start, broke h, start, whole i 8/3, pull 7 0-6                | 7<10! none | none     | 7:7/10+8/3 complete  |
+      | start, tokens h 7/2, broke h, broke i, after 1, start, whole j 8/3, pull 7 0-6 | 7<10! 7<12 | none | 7:7/12+8/3 complete |
+      | start, whole i 8/3 ?/1, whole h 7/9, pull 7 0-6               | 7<10!     | none      | 7:7/19 complete      |
+      | start, pull 7 0-7                                             | 7<10!     | h i       | complete             |
+      | start, pull 10, start                                         | 7<10! 0   | h i       | empty                |
+
+  Scenario Outline: Hedges keep to their budget, and length alone is no reason
+    Given a collector of 1 groups of 8 samples, hedges of <percent> percent
+    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, <events>
+    Then the samples started were 0 1 2 3 4 5 6 7 <works>
+    And the sample work cancelled was <cancelled>
+
+    Examples:
+      | percent | events                                                   | works       | cancelled |
+      | 0       | tokens h 7/10, start                                     | none        | none      |
+      | 11      | tokens h 7/10, start                                     | none        | none      |
+      | 12      | tokens h 7/10, start 2                                   | 7<10! none  | none      |
+      | 12      | tokens g 7/10, tokens h 7/9, start 2                     | 7<9! none   | none      |
+      | 50      | tokens g 7/10, tokens h 7/9, start 3                     | 7<9! 6<10! none | none  |
+      | 50      | tokens g 7/100, tokens h 7/100, after 90, tokens h 7/200, tokens g 7/899, start | 7<300! | none |
+      | 50      | tokens g 7/500, tokens h 7/600, start                    | none        | none      |
+      | 12      | tokens h 7/10, start, after 1, tokens i 7/97             | 7<10!       | h         |
+      | 12      | tokens h 7/10, start, after 1, tokens h 7/80, tokens i 7/3, after 100, tokens i 7/94 | 7<10! | i |
--- /dev/null
+++ b/libs/samples/oleander_samples/backlog.py
@@ -0,0 +1,97 @@
+"""Which sample to start next."""
+
+import heapq
+
+from oleander_samples import predictions
+
+_Rank = tuple[int, int, int]
+
+
+class Backlog:
+    """
+    The numbers of samples that wait to be started; bounded by the samples of the step.
+
+    Those tried before go first: the text they resume from grows stale, and they hold up the
+    step. Of the others, the longest predicted goes first, so that few long ones start last; a
+    group's members start in turn with those of its equals, so that they spread over engines.
+    """
+
+    def __init__(self, group_of: list[int], lengths: predictions.LengthModel) -> None:
+        self._group_of = group_of
+        self._lengths = lengths
+        self._waiting = set(range(len(group_of)))
+        self._retries: list[tuple[float, int]] = []
+        self._fresh: dict[int, list[int]] = {}
+        for number in reversed(range(len(group_of))):
+            self._fresh.setdefault(group_of[number], []).append(number)
+        self._ranks: dict[int, _Rank] = {}
+        self._order: list[_Rank] = []
+        for group in self._fresh:
+            self.rank_group(group)
+
+    def __len__(self) -> int:
+        """Return how many wait, for now or for later."""
+        return len(self._waiting)
+
+    def __contains__(self, number: int) -> bool:
+        """Tell whether a sample waits."""
+        return number in self._waiting
+
+    def add_retry(self, number: int, ready_at: float) -> None:
+        """Let a sample that was started before wait until a point of time."""
+        self._waiting.add(number)
+        heapq.heappush(self._retries, (ready_at, number))
+
+    def remove(self, number: int) -> None:
+        """Forget a sample; its places in the queues are skipped later."""
+        self._waiting.discard(number)
+
+    def pop(self, now: float) -> int | None:
+        """Return the next sample to start and take it out."""
+        number = self._pop_retry(now)
+        if number is None:
+            number = self._pop_fresh()
+        if number is not None:
+            self._waiting.discard(number)
+        return number
+
+    def rank_group(self, group: int) -> None:
+        """Put a group in its place after its prediction changed or a member started."""
+        waiting = self._fresh[group]
+        while waiting and waiting[-1] not in self._waiting:
+            waiting.pop()
+        if not waiting:
+            self._ranks.pop(group, None)
+            return
+        rank = (-self._lengths.predict_fresh(group), -len(waiting), group)
+        if self._ranks.get(group) != rank:
+            self._ranks[group] = rank
+            heapq.heappush(self._order, rank)
+
+    def _pop_retry(self, now: float) -> int | None:
+        while self._retries and self._retries[0][0] <= now:
+            _, number = heapq.heappop(self._retries)
+            if number in self._waiting:
+                return number
+        return None
+
+    def _pop_fresh(self) -> int | None:
+        while self._order:
+            rank = heapq.heappop(self._order)
+            group = rank[-1]
+            if self._ranks.get(group) != rank:
+                continue
+            del self._ranks[group]
+            number = self._take_member(group)
+            if number is not None:
+                return number
+        return None
+
+    def _take_member(self, group: int) -> int | None:
+        waiting = self._fresh[group]
+        while waiting:
+            number = waiting.pop()
+            if number in self._waiting:
+                self.rank_group(group)
+                return number
+        return None
--- /dev/null
+++ b/libs/samples/oleander_samples/collector.py
@@ -0,0 +1,273 @@
+"""Collects the samples of one step and delivers each of them once."""
+
+import collections.abc
+import threading
+
+import expression
+
+from oleander_base import clock, findings, invariants, metrics
+from oleander_contracts import contract
+from oleander_samples import inventory, labels, pulls, scheduler, steps, work
+
+SampleWork = work.SampleWork
+FinishedWork = work.FinishedWork
+
+MOST_KEPT_CHARACTERS = 64 * 1024 * 1024
+"""While so much text waits for the trainer, nothing is started."""
+ABANDONED_SECONDS = 1800.0
+"""A step whose trainer was silent for so long starts nothing until it is heard again."""
+
+
+class StepCollector:
+    """
+    The samples of one step of one trainer; thread-safe.
+
+    Nothing is started before the trainer has said what it holds, with the step or by its first
+    pull: a replaced entry knows nothing and would make held samples again. The trainer's own
+    statement is the only truth about what was delivered; a sample stays here until then.
+    All state is bounded by the samples of the step and by `MOST_KEPT_CHARACTERS`.
+    """
+
+    def __init__(
+        self,
+        step: steps.Step,
+        terms: contract.TrainerTerms,
+        random_seed: int,
+        read_now: collections.abc.Callable[[], float],
+    ) -> None:
+        self._step = step
+        self._digest = step.digest
+        self._total = step.total
+        self._staleness_bound = terms.staleness_bound
+        self._read_now = read_now
+        self._changed = threading.Condition()
+        self._scheduler = scheduler.WorkScheduler(step, terms.hedge_percent, random_seed)
+        self._inventory = inventory.Inventory(step.total)
+        self._version = 0
+        self._heard_at = read_now()
+        self._is_started = False
+        self._is_closed = False
+        self._latest_pull = 0
+        self._raise_version(step.version)
+        if step.held is not None:
+            self._set_held(step.held)
+
+    @property
+    def step(self) -> steps.Step:
+        """What is collected."""
+        return self._step
+
+    @property
+    def digest(self) -> str:
+        """The digest of the step's groups."""
+        return self._digest
+
+    @property
+    def wanted_in_flight(self) -> int:
+        """How many attempts make sense now: those that run and those that could start."""
+        with self._changed:
+            waiting = self._scheduler.waiting if self._may_start() else 0
+            return self._scheduler.in_flight + waiting
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every sample is whole: held, or waiting to be pulled."""
+        with self._changed:
+            return self._inventory.whole == self._total
+
+    @property
+    def is_closed(self) -> bool:
+        """Whether the step has ended here."""
+        with self._changed:
+            return self._is_closed
+
+    @property
+    def is_abandoned(self) -> bool:
+        """Whether the trainer was silent for so long that the step may be forgotten."""
+        with self._changed:
+            return self._was_silent()
+
+    @property
+    def hedge_tokens(self) -> int:
+        """The tokens that hedges have made, counted against their budget."""
+        with self._changed:
+            return self._scheduler.hedge_tokens
+
+    def next_work(self) -> work.SampleWork | None:
+        """Return what to start next, a hedge if nothing else is left; nothing if none is due."""
+        with self._changed:
+            if not self._may_start():
+                return None
+            started = self._scheduler.start_next(self._read_now())
+            if started is not None:
+                invariants.require(
+                    not self._inventory.has(started.number),
+                    "work-is-missing",
+                    f"sample {started.number} is there already",
+                )
+            self._require_balance()
+            return started
+
+    def note_progress(self, work_id: str, text: str, tokens: int, version: int | None) -> None:
+        """Take in a piece of a stream; pieces of work that is not wanted are dropped."""
+        with self._changed:
+            self._scheduler.note_progress(work_id, text, tokens, version, self._read_now())
+
+    def finish_work(
+        self, work_id: str, assumption: labels.Assumption | None = None
+    ) -> work.FinishedWork:
+        """Take in the end of a whole answer; the first one for a sample wins."""
+        with self._changed:
+            sample = self._scheduler.finish(work_id, assumption, self._read_now())
+            if sample.is_error():
+                return work.FinishedWork(sample.error)
+            losers = self._scheduler.drop(sample.ok.number)
+            self._inventory.keep(sample.ok)
+            self._require_balance()
+            self._changed.notify_all()
+            return work.FinishedWork(work.Outcome.KEPT, losers)
+
+    def fail_work(self, work_id: str) -> None:
+        """Take in that work broke off; it is resumed elsewhere where that is possible."""
+        with self._changed:
+            self._scheduler.fail(work_id, self._read_now())
+            self._require_balance()
+
+    def note_held(self, numbers: collections.abc.Iterable[int], version: int) -> None:
+        """Take in what the trainer said when it registered the step; work may start now."""
+        with self._changed:
+            if self._is_closed:
+                return
+            self._note_heard(version)
+            self._set_held(self._inventory.held.union(numbers))
+
+    def note_version(self, version: int) -> None:
+        """Take in the policy version of the trainer, which was just heard."""
+        with self._changed:
+            self._note_heard(version)
+
+    def take_cancellations(self) -> list[str]:
+        """Return work that is of no more use, each once; cancel it at its engines."""
+        with self._changed:
+            return self._scheduler.take_cancellations()
+
+    def close(self) -> None:
+        """End the step: cancel its work, refuse its pulls and forget its texts."""
+        with self._changed:
+            self._is_closed = True
+            self._scheduler.cancel_all()
+            self._inventory.clear()
+            self._changed.notify_all()
+
+    def pull(
+        self, pull: pulls.Pull, seconds: float
+    ) -> expression.Result[pulls.PullAnswer, pulls.PullRefusal]:
+        """
+        Return samples that the trainer does not hold, waiting a while for the first.
+
+        A later pull ends an earlier one that still waits: only one may be answered with
+        samples, or a trainer that gave up on the first would be sent them twice.
+        """
+        deadline = clock.start_deadline(seconds)
+        with self._changed:
+            refusal = self._check_pull(pull)
+            if refusal is not None:
+                return expression.Error(refusal)
+            self._latest_pull += 1
+            turn = self._latest_pull
+            self._note_heard(pull.version)
+            self._set_held(pull.held)
+            self._changed.notify_all()
+            while True:
+                refused = self._check_turn(turn)
+                if refused is not None:
+                    return expression.Error(pulls.PullRefusal(refused))
+                answer = self._build_answer(pull)
+                if answer.samples or answer.complete or deadline.is_past:
+                    metrics.count(metrics.SAMPLES_DELIVERED, self._inventory.note_offered(answer))
+                    return expression.Ok(answer)
+                self._changed.wait(deadline.remaining)
+
+    def _check_pull(self, pull: pulls.Pull) -> pulls.PullRefusal | None:
+        if self._is_closed:
+            return pulls.PullRefusal(pulls.RefusalReason.STEP_UNKNOWN)
+        if pull.incarnation < self._step.incarnation:
+            return pulls.PullRefusal(pulls.RefusalReason.SUPERSEDED)
+        if pull.incarnation > self._step.incarnation:
+            return pulls.PullRefusal(pulls.RefusalReason.STEP_UNKNOWN)
+        highest = max(pull.held, default=0)
+        if highest >= self._total:
+            finding = findings.Finding("held", f"{highest} is outside 0-{self._total - 1}")
+            return pulls.PullRefusal(pulls.RefusalReason.BAD_HELD, findings.Findings((finding,)))
+        return None
+
+    def _check_turn(self, turn: int) -> pulls.RefusalReason | None:
+        if self._is_closed:
+            return pulls.RefusalReason.STEP_UNKNOWN
+        if turn != self._latest_pull:
+            return pulls.RefusalReason.SUPERSEDED
+        return None
+
+    def _build_answer(self, pull: pulls.Pull) -> pulls.PullAnswer:
+        samples = self._inventory.choose(pull.most)
+        oldest_version = self._find_oldest_allowed()
+        for sample in samples:
+            invariants.require(
+                sample.number not in pull.held,
+                "pull-excludes-held",
+                f"sample {sample.number} is held",
+            )
+            invariants.require(
+                sample.oldest_version >= oldest_version,
+                "pull-is-fresh",
+                f"sample {sample.number} has {sample.label}, too old for {self._version}",
+            )
+        complete = len(pull.held) + len(samples) == self._total
+        return pulls.PullAnswer(self._step.step, self._version, complete, samples)
+
+    def _may_start(self) -> bool:
+        if not self._is_started or self._is_closed or self._was_silent():
+            return False
+        return self._inventory.kept_characters < MOST_KEPT_CHARACTERS
+
+    def _was_silent(self) -> bool:
+        return self._read_now() - self._heard_at > ABANDONED_SECONDS
+
+    def _note_heard(self, version: int) -> None:
+        self._heard_at = self._read_now()
+        self._raise_version(version)
+
+    def _find_oldest_allowed(self) -> int:
+        return max(0, self._version - self._staleness_bound)
+
+    def _raise_version(self, version: int) -> None:
+        """Drop what the trainer's version made stale; a version that comes late lowers nothing."""
+        if version <= self._version:
+            return
+        self._version = version
+        now = self._read_now()
+        oldest_version = self._find_oldest_allowed()
+        self._scheduler.raise_oldest(oldest_version, now)
+        for number in self._inventory.drop_stale(oldest_version):
+            metrics.count(metrics.SAMPLES_STALE)
+            metrics.count(metrics.SAMPLES_REMADE)
+            self._scheduler.restore(number, now)
+
+    def _set_held(self, numbers: frozenset[int]) -> None:
+        """Take the trainer's word: stop making what it has, make again what it lost."""
+        self._is_started = True
+        added, gone = self._inventory.set_held(numbers)
+        for number in added:
+            self._scheduler.cancel(self._scheduler.drop(number))
+        for number in gone:
+            self._scheduler.restore(number, self._read_now())
+        self._require_balance()
+
+    def _require_balance(self) -> None:
+        """Check that each sample is in one place: there, being made, or waiting."""
+        if self._is_closed:
+            return
+        places = (self._inventory.whole, self._scheduler.running, self._scheduler.waiting)
+        invariants.require(
+            sum(places) == self._total, "sample-in-one-place", f"{places} of {self._total}"
+        )
--- /dev/null
+++ b/libs/samples/oleander_samples/hedging.py
@@ -0,0 +1,115 @@
+"""Which stragglers to run a second time, and what that may cost."""
+
+import collections.abc
+
+from oleander_samples import predictions, work
+
+_FAR_OVER = 2.0
+"""A straggler needs this times what another engine would."""
+_START_TOKENS = 32
+"""What starting elsewhere costs, in tokens at the usual rate."""
+_SCAN_SECONDS = 1.0
+_NEARLY_WHOLE_PERCENT = 75
+
+
+class HedgePlanner:
+    """
+    Finds stragglers and keeps to the budget of hedges.
+
+    Slowness makes a straggler, not length: a long text would take as long anywhere, and of two
+    tries the shorter would win, which would make a step's samples shorter than its policy does.
+    The budget is in tokens that hedges make, as a part of the step's expected tokens; what running
+    hedges are expected to make is reserved.
+    """
+
+    def __init__(
+        self,
+        percent: int,
+        total: int,
+        lengths: predictions.LengthModel,
+        rates: predictions.RateModel,
+    ) -> None:
+        self._percent = percent
+        self._total = total
+        self._lengths = lengths
+        self._rates = rates
+        self._spent = 0
+        self._reserved: dict[str, int] = {}
+        self._next_scan_at = 0.0
+
+    @property
+    def budget(self) -> float:
+        """The tokens that hedges may make."""
+        return self._lengths.mean * self._total * self._percent / 100
+
+    @property
+    def spent(self) -> int:
+        """The tokens that hedges made while they raced another attempt."""
+        return self._spent
+
+    @property
+    def is_overspent(self) -> bool:
+        """Whether hedges made more than they may."""
+        return self._spent > self.budget
+
+    def is_due(self, whole: int, now: float) -> bool:
+        """Tell whether to look for stragglers: the step is nearly whole, not looked lately."""
+        if self._percent <= 0 or whole * 100 < self._total * _NEARLY_WHOLE_PERCENT:
+            return False
+        if now < self._next_scan_at:
+            return False
+        self._next_scan_at = now + _SCAN_SECONDS
+        return True
+
+    def find_stragglers(
+        self, attempts: collections.abc.Iterable[work.Attempt], now: float
+    ) -> list[str]:
+        """Return the work that another engine would finish far sooner, the latest first."""
+        typical = self._rates.typical
+        if typical is None:
+            return []
+        late = []
+        for attempt in attempts:
+            tokens = self.predict_remaining(attempt)
+            here = tokens / attempt.predict_rate(typical, now)
+            elsewhere = (tokens + _START_TOKENS) / typical
+            if here > _FAR_OVER * elsewhere:
+                late.append((-here, attempt.work.work_id))
+        return [work_id for _, work_id in sorted(late)]
+
+    def find_slower(self, first: work.Attempt, second: work.Attempt, now: float) -> work.Attempt:
+        """Return which of two attempts at one sample is expected to end later."""
+        typical = self._rates.typical or 1.0
+        seconds = [
+            self.predict_remaining(attempt) / attempt.predict_rate(typical, now)
+            for attempt in (first, second)
+        ]
+        return first if seconds[0] > seconds[1] else second
+
+    def predict_remaining(self, attempt: work.Attempt) -> int:
+        """Return how many tokens an attempt will still make."""
+        total = self._lengths.predict_total(attempt.work.group, attempt.tokens)
+        return total - attempt.tokens
+
+    def predict_hedge(self, group: int, resumed_tokens: int) -> int:
+        """Return how many tokens a hedge would make."""
+        return self._lengths.predict_total(group, resumed_tokens) - resumed_tokens
+
+    def admits(self, tokens: int) -> bool:
+        """Tell whether the budget has room for a hedge."""
+        return self._spent + sum(self._reserved.values()) + tokens <= self.budget
+
+    def reserve(self, work_id: str, tokens: int) -> None:
+        """Count a hedge that starts."""
+        self._reserved[work_id] = tokens
+
+    def note_made(self, work_id: str, tokens: int) -> None:
+        """Count what a hedge made; other work costs nothing."""
+        if work_id not in self._reserved or tokens < 0:
+            return
+        self._spent += tokens
+        self._reserved[work_id] = max(0, self._reserved[work_id] - tokens)
+
+    def release(self, work_id: str) -> None:
+        """Forget a hedge that ended or that has no rival any more."""
+        self._reserved.pop(work_id, None)
--- /dev/null
+++ b/libs/samples/oleander_samples/predictions.py
@@ -0,0 +1,105 @@
+"""How long samples will be and how fast they are made, learned while a step runs."""
+
+import bisect
+import collections
+
+_MOST_OF_STEP = 512
+_MOST_OF_GROUP = 32
+_MOST_RATES = 256
+_STEP_WEIGHT = 4
+"""The step's lengths count as much as so many finished samples of the group."""
+_GROWTH = 2
+"""A sample longer than all seen is taken to reach this times its present length."""
+
+
+class RunningQuantile:
+    """The latest values, sorted; beyond the bound the oldest is forgotten."""
+
+    def __init__(self, most: int) -> None:
+        self._most = most
+        self._recent: collections.deque[float] = collections.deque()
+        self._sorted: list[float] = []
+
+    @property
+    def count(self) -> int:
+        """How many values are known."""
+        return len(self._sorted)
+
+    def add(self, value: float) -> None:
+        """Take in a value."""
+        if len(self._recent) >= self._most:
+            oldest = self._recent.popleft()
+            del self._sorted[bisect.bisect_left(self._sorted, oldest)]
+        self._recent.append(value)
+        bisect.insort(self._sorted, value)
+
+    def find_median_above(self, floor: float) -> float | None:
+        """Return the median of the values above a floor, if there are any."""
+        first = bisect.bisect_right(self._sorted, floor)
+        above = len(self._sorted) - first
+        return self._sorted[first + above // 2] if above else None
+
+
+class LengthModel:
+    """Predicts the tokens of a sample from those of its group, or else of its step."""
+
+    def __init__(self, most_tokens: list[int]) -> None:
+        self._most_tokens = most_tokens
+        self._step = RunningQuantile(_MOST_OF_STEP)
+        self._groups: dict[int, RunningQuantile] = {}
+        self._total = 0
+        self._count = 0
+
+    @property
+    def mean(self) -> float:
+        """The mean tokens of the samples seen; 0 before the first."""
+        return self._total / self._count if self._count else 0.0
+
+    def note_length(self, group: int, tokens: int) -> None:
+        """Learn the length of a whole sample."""
+        self._total += tokens
+        self._count += 1
+        self._step.add(tokens)
+        self._groups.setdefault(group, RunningQuantile(_MOST_OF_GROUP)).add(tokens)
+
+    def predict_fresh(self, group: int) -> int:
+        """Return the tokens of a sample not yet begun; the most where its group is unknown."""
+        if group not in self._groups:
+            return self._most_tokens[group]
+        return self.predict_total(group, 0)
+
+    def predict_total(self, group: int, made: int) -> int:
+        """Return the tokens that a sample will have, given what is made of it."""
+        most = self._most_tokens[group]
+        if self._step.count == 0:
+            return max(most, made)
+        expected = self._find_expected(group, made)
+        return max(made, min(most, int(expected)))
+
+    def _find_expected(self, group: int, made: int) -> float:
+        of_step = self._step.find_median_above(made)
+        if of_step is None:
+            return _GROWTH * made
+        known = self._groups.get(group)
+        of_group = known.find_median_above(made) if known else None
+        if known is None or of_group is None:
+            return of_step
+        weighted = of_group * known.count + of_step * _STEP_WEIGHT
+        return weighted / (known.count + _STEP_WEIGHT)
+
+
+class RateModel:
+    """The usual tokens a second of one sample."""
+
+    def __init__(self) -> None:
+        self._rates = RunningQuantile(_MOST_RATES)
+
+    @property
+    def typical(self) -> float | None:
+        """The median rate of finished work, if any has finished."""
+        return self._rates.find_median_above(0.0)
+
+    def note_work(self, tokens: int, seconds: float) -> None:
+        """Learn from finished work."""
+        if tokens > 0 and seconds > 0:
+            self._rates.add(tokens / seconds)
--- /dev/null
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -0,0 +1,268 @@
+"""Decides what runs for a step: what starts, what is cancelled and what is made anew."""
+
+import collections
+import math
+import random
+
+import expression
+
+from oleander_base import identifiers, invariants, metrics
+from oleander_samples import attempts, backlog, hedging, labels, predictions, steps, work
+
+MOST_TEXT_CHARACTERS = 4 * 1024 * 1024
+"""A sample that grows beyond this is thrown away and made anew."""
+_FIRST_DELAY_SECONDS = 0.1
+_MOST_DELAY_SECONDS = 5.0
+_MOST_DOUBLINGS = 10
+
+
+class WorkScheduler:
+    """
+    The attempts at the samples of a step that are not whole; not thread-safe.
+
+    A sample that is not whole either waits or has one or two attempts. One that broke off is
+    resumed from what it had; one whose label can't be known, or whose oldest weights are too old
+    to be delivered, is made anew.
+    """
+
+    def __init__(self, step: steps.Step, hedge_percent: int, random_seed: int) -> None:
+        self._step = step
+        self._random = random.Random(random_seed)
+        self._work_name = identifiers.create_nonce()
+        self._work_count = 0
+        self._oldest_version = 0
+        self._group_of = [
+            index for index, group in enumerate(step.groups) for _ in range(group.samples)
+        ]
+        self._lengths = predictions.LengthModel([group.max_tokens for group in step.groups])
+        self._rates = predictions.RateModel()
+        self._backlog = backlog.Backlog(self._group_of, self._lengths)
+        self._attempts = attempts.AttemptTable()
+        self._hedges = hedging.HedgePlanner(hedge_percent, step.total, self._lengths, self._rates)
+        self._stragglers: collections.deque[str] = collections.deque()
+        self._partials: dict[int, work.Partial] = {}
+        self._failures: dict[int, int] = {}
+        self._cancellations: list[str] = []
+
+    @property
+    def waiting(self) -> int:
+        """How many samples wait to be started."""
+        return len(self._backlog)
+
+    @property
+    def running(self) -> int:
+        """How many samples have an attempt."""
+        return self._attempts.numbers
+
+    @property
+    def in_flight(self) -> int:
+        """How many attempts run, hedges among them."""
+        return len(self._attempts)
+
+    @property
+    def hedge_tokens(self) -> int:
+        """The tokens that hedges have made, counted against their budget."""
+        return self._hedges.spent
+
+    def start_next(self, now: float) -> work.SampleWork | None:
+        """Return what to start: a waiting sample, or else a hedge."""
+        number = self._backlog.pop(now)
+        if number is not None:
+            return self._start(number, self._partials.pop(number, None), now, is_hedge=False)
+        if self._backlog:
+            return None
+        return self._start_hedge(now)
+
+    def note_progress(
+        self, work_id: str, text: str, tokens: int, version: int | None, now: float
+    ) -> None:
+        """Take in a piece of a stream; pieces of work that was cancelled are dropped."""
+        attempt = self._attempts.find(work_id)
+        if attempt is None:
+            return
+        attempt.add_piece(text, tokens, version)
+        self._hedges.note_made(work_id, tokens)
+        if self._is_stale(attempt.oldest_version):
+            self._cancel_stale(attempt, now)
+        elif attempt.characters > MOST_TEXT_CHARACTERS:
+            self._cancel(attempt)
+            self._make_anew(attempt, now + self._choose_delay(attempt.work.number))
+        elif self._hedges.is_overspent:
+            self._end_race(attempt.work.number, now)
+
+    def finish(
+        self, work_id: str, assumption: labels.Assumption | None, now: float
+    ) -> expression.Result[steps.Sample, work.Outcome]:
+        """Take in the end of a whole answer; return the sample, or why there is none."""
+        attempt = self._remove(work_id)
+        if attempt is None:
+            return expression.Error(work.Outcome.NOT_WANTED)
+        built = attempt.build_sample(assumption)
+        if built.is_error():
+            self._make_anew(attempt, now + self._choose_delay(attempt.work.number))
+            return expression.Error(work.Outcome.UNKNOWN_LABEL)
+        if self._is_stale(built.ok.oldest_version):
+            metrics.count(metrics.SAMPLES_STALE)
+            self._make_anew(attempt, now)
+            return expression.Error(work.Outcome.STALE)
+        self._learn(attempt, now)
+        return expression.Ok(built.ok)
+
+    def fail(self, work_id: str, now: float) -> None:
+        """
+        Take in that work broke off, and keep the start that it made to resume from.
+
+        A start whose label can't be known is not kept: it would make the label of the whole
+        sample a guess.
+        """
+        attempt = self._remove(work_id)
+        if attempt is None:
+            return
+        number = attempt.work.number
+        if attempt.made_tokens:
+            self._failures.pop(number, None)
+        ready_at = now if attempt.made_tokens else now + self._choose_delay(number)
+        partial = attempt.find_partial()
+        if partial is None:
+            self._make_anew(attempt, ready_at)
+            return
+        known = self._partials.get(number)
+        if known is None or known.tokens < partial.tokens:
+            self._partials[number] = partial
+        if not self._attempts.find_all(number):
+            self._backlog.add_retry(number, ready_at)
+
+    def drop(self, number: int) -> tuple[str, ...]:
+        """Stop work at a sample that is there; return the attempts that were running."""
+        losers = self._attempts.find_all(number)
+        for attempt in losers:
+            self._remove(attempt.work.work_id)
+        self._backlog.remove(number)
+        self._partials.pop(number, None)
+        self._failures.pop(number, None)
+        return tuple(attempt.work.work_id for attempt in losers)
+
+    def restore(self, number: int, now: float) -> None:
+        """Make a sample that was there and is no more."""
+        self._backlog.add_retry(number, now)
+
+    def raise_oldest(self, version: int, now: float) -> None:
+        """Give up at once what was begun with weights that are too old to be delivered."""
+        self._oldest_version = version
+        stale = [item for item in self._attempts if self._is_stale(item.oldest_version)]
+        for attempt in stale:
+            self._cancel_stale(attempt, now)
+        for number, partial in list(self._partials.items()):
+            if self._is_stale(partial.oldest_version):
+                del self._partials[number]
+                metrics.count(metrics.SAMPLES_STALE)
+                metrics.count(metrics.SAMPLES_REMADE)
+
+    def cancel(self, work_ids: tuple[str, ...]) -> None:
+        """Remember work to be cancelled at its engines."""
+        self._cancellations.extend(work_ids)
+
+    def cancel_all(self) -> None:
+        """Cancel whatever runs."""
+        for attempt in self._attempts:
+            self._cancel(attempt)
+        self._partials.clear()
+
+    def take_cancellations(self) -> list[str]:
+        """Return the work to be cancelled, each once."""
+        taken = self._cancellations
+        self._cancellations = []
+        return taken
+
+    def _start(
+        self, number: int, partial: work.Partial | None, now: float, is_hedge: bool
+    ) -> work.SampleWork:
+        invariants.require(
+            partial is None or not self._is_stale(partial.oldest_version),
+            "resumed-is-fresh",
+            f"sample {number} would be resumed from {partial and partial.label}",
+        )
+        self._work_count += 1
+        group = self._group_of[number]
+        terms = self._step.groups[group]
+        started = work.SampleWork(
+            work_id=f"{self._work_name}-{self._work_count}",
+            number=number,
+            group=group,
+            prompt=terms.prompt,
+            prefix=terms.prefix,
+            max_tokens=terms.max_tokens,
+            resumed_text=partial.text if partial else "",
+            resumed_label=partial.label if partial else (),
+            resumed_tokens=partial.tokens if partial else 0,
+            oldest_version=self._oldest_version,
+            is_hedge=is_hedge,
+        )
+        self._attempts.add(work.Attempt(started, now))
+        return started
+
+    def _start_hedge(self, now: float) -> work.SampleWork | None:
+        whole = self._step.total - self.waiting - self.running
+        if self._hedges.is_due(whole, now):
+            single = self._attempts.list_single()
+            self._stragglers = collections.deque(self._hedges.find_stragglers(single, now))
+        while self._stragglers:
+            straggler = self._attempts.find(self._stragglers.popleft())
+            if straggler is None or len(self._attempts.find_all(straggler.work.number)) > 1:
+                continue
+            partial = straggler.find_partial()
+            made = partial.tokens if partial else 0
+            tokens = self._hedges.predict_hedge(straggler.work.group, made)
+            if self._hedges.admits(tokens):
+                hedge = self._start(straggler.work.number, partial, now, is_hedge=True)
+                self._hedges.reserve(hedge.work_id, tokens)
+                return hedge
+        return None
+
+    def _end_race(self, number: int, now: float) -> None:
+        """Cancel the later of two attempts, so that hedges cost no more than they may."""
+        same = self._attempts.find_all(number)
+        if len(same) > 1:
+            self._cancel(self._hedges.find_slower(same[0], same[1], now))
+
+    def _learn(self, attempt: work.Attempt, now: float) -> None:
+        self._lengths.note_length(attempt.work.group, attempt.tokens)
+        self._rates.note_work(attempt.made_tokens, attempt.measure_seconds(now))
+        self._backlog.rank_group(attempt.work.group)
+
+    def _is_stale(self, oldest_version: int | None) -> bool:
+        return oldest_version is not None and oldest_version < self._oldest_version
+
+    def _cancel_stale(self, attempt: work.Attempt, now: float) -> None:
+        metrics.count(metrics.SAMPLES_STALE)
+        self._cancel(attempt)
+        self._make_anew(attempt, now)
+
+    def _cancel(self, attempt: work.Attempt) -> None:
+        self._remove(attempt.work.work_id)
+        self._cancellations.append(attempt.work.work_id)
+
+    def _remove(self, work_id: str) -> work.Attempt | None:
+        attempt = self._attempts.remove(work_id)
+        if attempt is None:
+            return None
+        for other in (attempt, *self._attempts.find_all(attempt.work.number)):
+            self._hedges.release(other.work.work_id)
+        return attempt
+
+    def _make_anew(self, attempt: work.Attempt, ready_at: float) -> None:
+        """Let a sample wait whose attempt was thrown away, unless another attempt runs."""
+        number = attempt.work.number
+        if self._attempts.find_all(number):
+            return
+        if attempt.tokens:
+            metrics.count(metrics.SAMPLES_REMADE)
+        self._backlog.add_retry(number, ready_at)
+
+    def _choose_delay(self, number: int) -> float:
+        """Return a random, growing delay: a sample that keeps failing must not spin."""
+        failures = self._failures.get(number, 0)
+        self._failures[number] = failures + 1
+        longest = math.ldexp(_FIRST_DELAY_SECONDS, min(failures, _MOST_DOUBLINGS))
+        most = min(_MOST_DELAY_SECONDS, longest)
+        return most * self._random.uniform(0.5, 1.0)
