--- a/features/support.py
+++ b/features/support.py
@@ -1,6 +1,5 @@
 """What steps share: child processes of the project, HTTP calls and waiting for conditions."""
 
-import http.client
 import json
 import pathlib
 import queue
@@ -10,7 +9,8 @@
 import tempfile
 import threading
 import time
-import urllib.parse
+
+from oleander_standins import client
 
 _START_SECONDS = 15.0
 _STOP_SECONDS = 10.0
@@ -20,35 +20,11 @@
 _MOST_LOG_CHARACTERS = 4000
 
 
-class Response:
-    """A whole answer; header names are in lower case."""
-
-    __slots__ = ("body", "headers", "status")
-
-    def __init__(self, status, headers, body):
-        self.status = status
-        self.headers = headers
-        self.body = body
-
-    def read_json(self):
-        """Return the body as JSON."""
-        return json.loads(self.body)
-
-
 def call(method, url, body=None, headers=None, timeout=_CALL_SECONDS):
-    """Return the answer to a request; a body that is no bytes is sent as JSON."""
-    parts = urllib.parse.urlsplit(url)
-    path = parts.path + (f"?{parts.query}" if parts.query else "")
+    """Return the answer, with status, headers and body; a body that is no bytes goes as JSON."""
     if body is not None and not isinstance(body, bytes):
         body = json.dumps(body).encode()
-    connection = http.client.HTTPConnection(parts.hostname, parts.port, timeout=timeout)
-    try:
-        connection.request(method, path, body, headers or {})
-        response = connection.getresponse()
-        names = {name.lower(): value for name, value in response.getheaders()}
-        return Response(response.status, names, response.read())
-    finally:
-        connection.close()
+    return client.call(method, url, body, headers or {}, timeout)
 
 
 def wait_until(condition, what, seconds=10):
--- a/standins/oleander_standins/client.py
+++ b/standins/oleander_standins/client.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 import http.client
+import json
+import typing
 import urllib.parse
 
 
@@ -13,6 +15,10 @@
     headers: dict[str, str]
     body: bytes
 
+    def read_json(self) -> typing.Any:
+        """Return the body as JSON; raises ValueError where it is none."""
+        return json.loads(self.body)
+
 
 def call(
     method: str, url: str, body: bytes | None, headers: dict[str, str], timeout: float
--- a/standins/oleander_standins/server.py
+++ b/standins/oleander_standins/server.py
@@ -256,7 +256,17 @@
     arguments = parser.parse_args()
     for field in dataclasses.fields(settings):
         setattr(settings, field.name, getattr(arguments, field.name))
-    _run(create(settings), arguments.port)
+    with create_server(create(settings), arguments.port) as httpd:
+        signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
+        print(f"listening on {_HOST}:{httpd.server_port}", flush=True)
+        with contextlib.suppress(KeyboardInterrupt):
+            httpd.serve_forever()
+
+
+def create_server(stand_in: StandIn[typing.Any], port: int) -> http.server.HTTPServer:
+    """Return a server that listens; `serve_forever` answers."""
+    handler = type("Handler", (_Handler,), {"stand_in": stand_in})
+    return _Server((_HOST, port), handler)
 
 
 def _add_flag(parser: argparse.ArgumentParser, name: str, default: typing.Any) -> None:
@@ -265,12 +275,3 @@
         parser.add_argument(flag, action=argparse.BooleanOptionalAction, default=default)
     else:
         parser.add_argument(flag, type=type(default), default=default)
-
-
-def _run(stand_in: StandIn[typing.Any], port: int) -> None:
-    handler = type("Handler", (_Handler,), {"stand_in": stand_in})
-    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
-    with _Server((_HOST, port), handler) as httpd:
-        print(f"listening on {_HOST}:{httpd.server_port}", flush=True)
-        with contextlib.suppress(KeyboardInterrupt):
-            httpd.serve_forever()
--- /dev/null
+++ b/standins/oleander_standins/trainer_client.py
@@ -0,0 +1,159 @@
+"""A trainer's requests: each is made again, through another entry, until it is answered."""
+
+import base64
+import collections.abc
+import contextlib
+import dataclasses
+import hashlib
+import http.client
+import json
+import time
+import typing
+
+from oleander_standins import client
+
+_CALL_SECONDS = 3.0
+_PAUSE_SECONDS = 0.05
+_LONGEST_PAUSE_SECONDS = 2.0
+_STATUS_OK = 200
+_STATUS_UNKNOWN_STEP = 404
+_STATUS_CONFLICT = 409
+
+
+class SupersededError(Exception):
+    """A later run of this trainer has been seen."""
+
+
+class RefusedError(Exception):
+    """A request was answered with something that trying again can't help."""
+
+
+class LateError(Exception):
+    """A request was not answered in the time given to the step."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Names:
+    """Who asks, and for what."""
+
+    customer: str
+    trainer: str
+    model: str
+    token: str
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Pulled:
+    """What a pull gave: a whole answer, or nothing and whether the step has to be put again."""
+
+    answer: dict[str, typing.Any] | None = None
+    put_again: bool = False
+
+
+class TrainerClient:
+    """Puts versions and steps through the entries in turn, and pulls from a collector."""
+
+    def __init__(self, entries: collections.abc.Sequence[str], names: Names) -> None:
+        self.lost_answers = 0
+        self.unknown_steps = 0
+        self._entries = entries
+        self._names = names
+        self._turn = 0
+
+    def put_version(self, version: int, uri: str, give_up_at: float) -> None:
+        """Announce weights."""
+        path = f"/v1/customers/{self._names.customer}/models/{self._names.model}"
+        self._put(f"{path}/versions/{version}", {"uri": uri}, give_up_at)
+
+    def put_step(self, step: int, body: dict[str, typing.Any], give_up_at: float) -> str:
+        """Register a step; return the URL of its collector."""
+        answer = self._put(self._name_step(step), body, give_up_at)
+        return str(answer["collector"])
+
+    def store_weights(self, url: str, body: bytes, give_up_at: float) -> None:
+        """Put weights into the weight store."""
+        while time.monotonic() < give_up_at:
+            with contextlib.suppress(OSError, http.client.HTTPException):
+                if client.call("PUT", url, body, {}, _CALL_SECONDS).status == _STATUS_OK:
+                    return
+            time.sleep(_PAUSE_SECONDS)
+        raise LateError(url)
+
+    def pull(self, collector: str, step: int, body: dict[str, typing.Any]) -> Pulled:
+        """Ask the collector for samples."""
+        url = f"{collector}{self._name_step(step)}/pull"
+        try:
+            response = self._call("POST", url, body, body["wait_ms"] / 1000 + _CALL_SECONDS)
+        except http.client.IncompleteRead:
+            self.lost_answers += 1
+            return Pulled()
+        except (OSError, http.client.HTTPException):
+            self._turn_to_next()
+            return Pulled(put_again=True)
+        if response.status == _STATUS_OK:
+            return self._read_answer(response)
+        if response.status == _STATUS_UNKNOWN_STEP:
+            self.unknown_steps += 1
+            return Pulled(put_again=True)
+        self._judge(response)
+        return Pulled()
+
+    def _read_answer(self, response: client.Response) -> Pulled:
+        digest = base64.b64encode(hashlib.sha256(response.body).digest()).decode()
+        if response.headers.get("content-digest") != f"sha-256=:{digest}:":
+            self.lost_answers += 1
+            return Pulled()
+        return Pulled(response.read_json())
+
+    def _put(
+        self, path: str, body: dict[str, typing.Any], give_up_at: float
+    ) -> dict[str, typing.Any]:
+        while time.monotonic() < give_up_at:
+            entry = self._entries[self._turn % len(self._entries)]
+            try:
+                response = self._call("PUT", entry + path, body, _CALL_SECONDS)
+            except (OSError, http.client.HTTPException):
+                self._turn_to_next()
+                continue
+            if response.status == _STATUS_OK:
+                return dict(response.read_json())
+            self._judge(response)
+            self._turn += 1
+        raise LateError(path)
+
+    def _turn_to_next(self) -> None:
+        self.lost_answers += 1
+        self._turn += 1
+        time.sleep(_PAUSE_SECONDS)
+
+    def _call(
+        self, method: str, url: str, body: dict[str, typing.Any], timeout: float
+    ) -> client.Response:
+        headers = {
+            "Authorization": f"Bearer {self._names.token}",
+            "Content-Type": "application/json",
+        }
+        return client.call(method, url, json.dumps(body).encode(), headers, timeout)
+
+    def _judge(self, response: client.Response) -> None:
+        """Wait as long as the answer says, or raise where waiting can't help."""
+        problem = _read_problem(response)
+        if response.status == _STATUS_CONFLICT and problem.get("reason") == "superseded":
+            raise SupersededError
+        if response.status < 500 and response.status != 429:
+            raise RefusedError(f"status {response.status}: {problem}")
+        pause = problem.get("retry_after_ms")
+        seconds = pause / 1000 if isinstance(pause, int) else _PAUSE_SECONDS
+        time.sleep(min(max(seconds, _PAUSE_SECONDS), _LONGEST_PAUSE_SECONDS))
+
+    def _name_step(self, step: int) -> str:
+        names = self._names
+        return f"/v1/customers/{names.customer}/trainers/{names.trainer}/steps/{step}"
+
+
+def _read_problem(response: client.Response) -> dict[str, typing.Any]:
+    try:
+        problem = response.read_json()
+    except ValueError:
+        return {}
+    return problem if isinstance(problem, dict) else {}
