--- a/features/support.py
+++ b/features/support.py
@@ -3,6 +3,5 @@
 from oleander_standins import processes
 
 Cluster = processes.Cluster
-Response = processes.Response
 call = processes.call
 wait_until = processes.wait_until
