Serve a request from end to end, as separate processes

Cause: everything else is proved on the whole path. Ruled out: collecting tokens behind a callback while streaming, which needs a second thread for each answer; the dispatcher is a generator that the HTTP thread runs itself.

--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -69,7 +69,9 @@
     context.probe = LedgerProbe(incarnation)
 
 
-@behave.given('a ledger of incarnation "{incarnation}" that keeps {keys:d} keys and {size:d} bytes')
+@behave.given(
+    'a ledger of incarnation "{incarnation}" that keeps {keys:d} keys and {size:d} bytes'
+)
 def create_bounded_ledger(context, incarnation, keys, size):
     context.probe = LedgerProbe(incarnation, keys, size)
 
--- a/libs/wire/oleander_wire/messages.py
+++ b/libs/wire/oleander_wire/messages.py
@@ -65,6 +65,8 @@
     offsets: list[int]
     times_ms: list[int]
     values: list[dict[str, typing.Any]]
+    snapshot: dict[str, typing.Any] | None
+    """Everything in force, where the records that led to it are no longer kept."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/programs/oleanderdeal/oleanderdeal/caller_api.py
+++ b/programs/oleanderdeal/oleanderdeal/caller_api.py
@@ -171,7 +171,10 @@
             continue
         answer = _read_answer(request, event.answer, observer)
         accounts.count_answer(request, answer)
-        last = {"outcome": answer.outcome.value, "label": _write_label(observer.label)}
+        last: dict[str, typing.Any] = {
+            "outcome": answer.outcome.value,
+            "label": _write_label(observer.label),
+        }
         if answer.outcome is not messages.Outcome.DONE:
             last |= {"reason": answer.reason, "retry_after_ms": answer.retry_after_ms}
         yield _write_line(last)
--- a/programs/oleanderdeal/oleanderdeal/callers.py
+++ b/programs/oleanderdeal/oleanderdeal/callers.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from oleander_base import clock, findings
+from oleander_base import clock
 from oleander_contracts import contract
 from oleander_wire import messages
 
@@ -41,7 +41,6 @@
     retry_after_ms: int
     body: bytes
     label: tuple[LabelPart, ...] = ()
-    findings: tuple[findings.Finding, ...] = ()
 
 
 STATUS_OK = 200
--- a/programs/oleanderdeal/oleanderdeal/configuration.py
+++ b/programs/oleanderdeal/oleanderdeal/configuration.py
@@ -6,10 +6,10 @@
 from oleander_base import clock, log, metrics, tasks
 from oleander_contracts import fold
 from oleander_platform import logservice
+from oleander_wire import messages
 
 STREAM = "configuration"
 _READ_SECONDS = 5.0
-_MOST_RECORDS_SENT = 200
 
 
 class ConfigurationFollower:
@@ -26,7 +26,6 @@
         self._configuration = configuration
         self._group = group
         self._poll_ms = poll_ms
-        self._lock = threading.Lock()
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._caught_up = threading.Event()
 
@@ -50,16 +49,53 @@
             if not self._read_page():
                 self._group.pause(self._poll_ms / 1000)
 
+    def write_missing(self, peer_offset: int) -> messages.Records:
+        """Return what a peer lacks: the records themselves, or a snapshot where they are gone."""
+        missing = self._configuration.records_after(peer_offset)
+        if missing.is_error():
+            return messages.Records([], [], [], self._configuration.create_snapshot())
+        return messages.Records(
+            [item.offset for item in missing.ok],
+            [item.logged_at_ms for item in missing.ok],
+            [item.value for item in missing.ok],
+            None,
+        )
+
+    def take_peer_records(self, sent: messages.Records) -> None:
+        """Fold what a peer sent; the log's order is in the offsets, so the source is no matter."""
+        before = self._configuration.applied_offset
+        if sent.snapshot is not None:
+            self._configuration.install_snapshot(sent.snapshot)
+        for offset, time_ms, value in zip(sent.offsets, sent.times_ms, sent.values, strict=False):
+            if self._configuration.apply(offset, time_ms, value).is_error():
+                break
+        self._caught_up.set()
+        self._announce_since(before)
+
     def _read_page(self) -> bool:
-        offset = self._configuration.applied_offset + 1
         deadline = clock.start_deadline(self._poll_ms / 1000 + _READ_SECONDS)
+        offset = self._configuration.next_offset
         page = self._service.read(STREAM, offset, self._poll_ms, deadline)
         if page.is_error():
             metrics.count(metrics.LOG_OUTAGES)
             log.warn_bounded("log-read-failed", f"{STREAM}: {page.error.detail}")
             return False
-        if page.ok.records:
-            self._apply(page.ok.records, page.ok.first_offset)
+        self._fold_page(page.ok)
         if self._configuration.applied_offset + 1 >= page.ok.next_offset:
             self._caught_up.set()
         return True
+
+    def _fold_page(self, page: logservice.Page) -> None:
+        before = self._configuration.applied_offset
+        self._configuration.skip_to(page.first_offset)
+        for record in page.records:
+            if self._configuration.apply(
+                record.offset, record.logged_at_ms, record.value
+            ).is_error():
+                break
+        self._announce_since(before)
+
+    def _announce_since(self, before: int) -> None:
+        if self._configuration.applied_offset > before:
+            for listener in self._listeners:
+                listener()
--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -27,7 +27,6 @@
     version_publisher,
 )
 
-_MOST_STEPS = 64
 _MOST_CUSTOMERS = 1000
 _MOST_EXTRA_LINKS = 32
 _OTHER_TASKS = 8
@@ -61,7 +60,7 @@
         self._claims = book.ClaimBook(
             log_service, self._group, chosen.claim_shards, chosen.claim_window
         )
-        self._steps = registry.StepRegistry(_MOST_STEPS)
+        self._steps = registry.StepRegistry()
         dispatcher = dispatch.Dispatcher(
             self._routes, self._links, retries.RetryBudgets(_MOST_CUSTOMERS)
         )
--- a/programs/oleanderdeal/oleanderdeal/http_messages.py
+++ b/programs/oleanderdeal/oleanderdeal/http_messages.py
@@ -49,7 +49,7 @@
     outcome: str
     reason: str
     retry_after_ms: int = 0
-    findings: tuple[findings.Finding, ...] = ()
+    faults: tuple[findings.Finding, ...] = ()
 
 
 def answer_json(value: typing.Any, status: int = 200) -> HttpAnswer:
@@ -63,13 +63,13 @@
         "type": f"urn:oleanderdeal:{problem.reason}",
         "title": problem.title,
         "status": problem.status,
-        "detail": "; ".join(str(item) for item in problem.findings) or problem.title,
+        "detail": "; ".join(str(item) for item in problem.faults) or problem.title,
         "outcome": problem.outcome,
         "reason": problem.reason,
         "retry_after_ms": problem.retry_after_ms,
         "findings": [
             {"place": item.place, "problem": item.problem, "fix": item.fix}
-            for item in problem.findings
+            for item in problem.faults
         ],
     }
     headers: tuple[tuple[str, str], ...] = ()
--- a/programs/oleanderdeal/oleanderdeal/peer_records.py
+++ b/programs/oleanderdeal/oleanderdeal/peer_records.py
@@ -7,8 +7,6 @@
 from oleander_wire import link, messages
 from oleanderdeal import configuration
 
-_MOST_RECORDS = 200
-
 
 class PeerRecords:
     """Compares this process's configuration with peers' and fills the gap either way."""
@@ -31,10 +29,7 @@
         else:
             self._follower.take_peer_records(message)
 
-    def offer_to(self, opened: link.Link, peer_offset: int) -> None:
-        """Send a peer the newest records right after a change."""
-        self._send_missing(peer_offset, opened)
-
     def _send_missing(self, peer_offset: int, opened: link.Link) -> None:
-        missing = self._follower.configuration.records_after(peer_offset)
-        raise NotImplementedError
+        missing = self._follower.write_missing(peer_offset)
+        if missing.offsets or missing.snapshot is not None:
+            opened.send(missing)
--- a/programs/oleanderdeal/oleanderdeal/sampling.py
+++ b/programs/oleanderdeal/oleanderdeal/sampling.py
@@ -5,6 +5,7 @@
 from oleander_base import clock, log, tasks
 from oleander_contracts import contract, fold
 from oleander_samples import collector, registry
+from oleander_samples import work as sample_work
 from oleander_wire import messages
 from oleanderdeal import dispatch
 
@@ -17,7 +18,7 @@
 class SampleObserver(dispatch.Observer):
     """Hands a sample's tokens to its step as they come."""
 
-    def __init__(self, made_for: collector.StepCollector, work: collector.SampleWork) -> None:
+    def __init__(self, made_for: collector.StepCollector, work: sample_work.SampleWork) -> None:
         self._made_for = made_for
         self._work = work
         self._cancelled = threading.Event()
@@ -80,18 +81,18 @@
             else:
                 self._make(*taken)
 
-    def _take_work(self) -> tuple[collector.StepCollector, collector.SampleWork] | None:
-        open_steps = self._steps.list_collectors()
+    def _take_work(self) -> tuple[collector.StepCollector, sample_work.SampleWork] | None:
+        self._cancel_all(self._steps.take_cancellations())
+        open_steps = self._steps.collectors
         self._turn += 1
         for position in range(len(open_steps)):
             made_for = open_steps[(position + self._turn) % len(open_steps)]
-            self._cancel_all(made_for.take_cancellations())
             work = made_for.next_work()
             if work is not None:
                 return made_for, work
         return None
 
-    def _make(self, made_for: collector.StepCollector, work: collector.SampleWork) -> None:
+    def _make(self, made_for: collector.StepCollector, work: sample_work.SampleWork) -> None:
         terms = self._configuration.find_contract(made_for.step.customer)
         trainer = terms.find_trainer(made_for.step.trainer) if terms else None
         if terms is None or trainer is None:
@@ -111,7 +112,7 @@
     def _run(
         self,
         made_for: collector.StepCollector,
-        work: collector.SampleWork,
+        work: sample_work.SampleWork,
         job: dispatch.Job,
         observer: SampleObserver,
     ) -> None:
@@ -133,7 +134,7 @@
 
 
 def _write_job(
-    work: collector.SampleWork, terms: contract.Contract, trainer: contract.TrainerTerms
+    work: sample_work.SampleWork, terms: contract.Contract, trainer: contract.TrainerTerms
 ) -> dispatch.Job:
     return dispatch.Job(
         customer=terms.customer,
--- a/standins/oleander_standins/demo.py
+++ b/standins/oleander_standins/demo.py
@@ -18,7 +18,12 @@
     deployment.BackendHost("designs-a", "designs", "engine", "a", "designs"),
     deployment.BackendHost("designs-b", "designs", "engine", "b", "designs"),
     deployment.BackendHost(
-        "designs-c", "designs", "engine", "c", "designs", checks_fencing=False,
+        "designs-c",
+        "designs",
+        "engine",
+        "c",
+        "designs",
+        checks_fencing=False,
         sidecar_flags=("--load_timeout_ms", "1000"),
     ),
     deployment.BackendHost("offers-a", "offers", "engine", "a", "offers"),
@@ -59,11 +64,10 @@
         deployed.add_customer(customer)
     print("starting the log, the host list and the weight store")
     deployed.start_platform()
+    deployed.start_hosts(HOSTS)
     for host in HOSTS:
-        deployed.start_host(host)
         print(f"started {host.server_name} and its sidecar {host.name}, domain {host.domain}")
-    for domain in deployment.DOMAINS:
-        deployed.start_entry(f"entry-{domain}", domain)
+    deployed.start_entries(len(deployment.DOMAINS))
     deployed.await_ready(len(HOSTS))
     print(f"{len(deployed.entries)} entries are linked to {len(HOSTS)} sidecars")
 
--- a/standins/oleander_standins/deployment.py
+++ b/standins/oleander_standins/deployment.py
@@ -1,18 +1,22 @@
 """A small deployment as child processes: platform, backend servers, sidecars and entries."""
 
+import collections.abc
+import concurrent.futures
 import dataclasses
+import functools
 import json
 import pathlib
 import subprocess
 import sys
 import typing
 
-from oleander_standins import processes
+from oleander_standins import client, processes
 
 DOMAINS = ("a", "b", "c")
 PROCESS_TOKEN = "between-processes"
 OPERATOR_TOKEN = "operators-only"
 _COMMAND_SECONDS = 30
+_MOST_STARTS = 8
 _READY_SECONDS = 20
 
 
@@ -42,7 +46,7 @@
 
     def __init__(self, cluster: processes.Cluster, program: tuple[str, ...] = ()) -> None:
         self._cluster = cluster
-        self._program = program or (sys.executable, "-m", "oleanderdeal.main")
+        self._program = program or (sys.executable, "-m", "oleanderdeal")
         self._hosts: dict[str, BackendHost] = {}
         self._entries: list[str] = []
         self._tokens = {"operator": OPERATOR_TOKEN}
@@ -73,6 +77,22 @@
         self.start_backend_server(host.name)
         self.start_sidecar(host.name)
 
+    def start_hosts(self, hosts: collections.abc.Sequence[BackendHost]) -> None:
+        """Start several hosts at once."""
+        with concurrent.futures.ThreadPoolExecutor(_MOST_STARTS) as pool:
+            for future in [pool.submit(self.start_host, host) for host in hosts]:
+                future.result()
+
+    def start_entries(self, count: int, *flags: str) -> None:
+        """Start entries at once, spread over the failure domains."""
+        names = [
+            f"entry-{DOMAINS[number % len(DOMAINS)]}{number // 3 or ''}" for number in range(count)
+        ]
+        with concurrent.futures.ThreadPoolExecutor(_MOST_STARTS) as pool:
+            for future in [pool.submit(self.start_entry, n, n[6], *flags) for n in names]:
+                future.result()
+        self._entries.sort()
+
     def start_backend_server(self, name: str) -> None:
         """Start, or start anew, the backend server of a host."""
         host = self._hosts[name]
@@ -100,7 +120,7 @@
         if host.kind == "engine":
             arguments += ["--model", host.model]
             arguments += ["--checks_fencing"] if host.checks_fencing else []
-        self._cluster.start(name, "oleanderdeal.main", *arguments)
+        self._cluster.start(name, "oleanderdeal", *arguments)
         self.list_host(name, self._cluster.address(name))
 
     def list_host(self, name: str, address: str) -> None:
@@ -118,7 +138,7 @@
         tokens = ",".join(f"{customer}={token}" for customer, token in self._tokens.items())
         self._cluster.start(
             name,
-            "oleanderdeal.main",
+            "oleanderdeal",
             "entry",
             *("--name", name, "--address", "127.0.0.1:0", "--failure_domain", domain),
             *("--log_url", log_url or self._cluster.url("log")),
@@ -134,7 +154,7 @@
         """Wait until every entry is ready and has links to so many sidecars."""
         for name in self._entries:
             processes.wait_until(
-                lambda name=name: self._count_peers(name) >= peers,  # type: ignore[misc]
+                functools.partial(self._has_peers, name, peers),
                 f"{name} has {peers} peers",
                 _READY_SECONDS,
             )
@@ -171,7 +191,7 @@
         key: str = "",
         timeout_ms: int = 0,
         timeout: float = 30.0,
-    ) -> processes.Response:
+    ) -> client.Response:
         """Send a caller's request to an entry."""
         headers = self.write_headers(customer)
         if key:
@@ -185,6 +205,9 @@
         """Return the headers that show a customer's token."""
         return {"Authorization": f"Bearer {self._tokens[customer]}"}
 
+    def _has_peers(self, name: str, peers: int) -> bool:
+        return self._count_peers(name) >= peers
+
     def _count_peers(self, name: str) -> int:
         url = f"{self._cluster.url(name)}/v1/configuration"
         response = processes.call("GET", url, None, self.write_headers("operator"))
--- a/standins/oleander_standins/processes.py
+++ b/standins/oleander_standins/processes.py
@@ -1,5 +1,6 @@
-"""What steps share: child processes of the project, HTTP calls and waiting for conditions."""
+"""Child processes of the project, HTTP calls and waiting, for tests, the demo and the bench."""
 
+import collections.abc
 import json
 import pathlib
 import queue
@@ -9,6 +10,7 @@
 import tempfile
 import threading
 import time
+import typing
 
 from oleander_standins import client
 
@@ -20,14 +22,22 @@
 _MOST_LOG_CHARACTERS = 4000
 
 
-def call(method, url, body=None, headers=None, timeout=_CALL_SECONDS):
+def call(
+    method: str,
+    url: str,
+    body: typing.Any = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = _CALL_SECONDS,
+) -> client.Response:
     """Return the answer, with status, headers and body; a body that is no bytes goes as JSON."""
     if body is not None and not isinstance(body, bytes):
         body = json.dumps(body).encode()
     return client.call(method, url, body, headers or {}, timeout)
 
 
-def wait_until(condition, what, seconds=10):
+def wait_until(
+    condition: collections.abc.Callable[[], typing.Any], what: str, seconds: float = 10
+) -> typing.Any:
     """Poll until a condition holds and return its value; fail with what was waited for."""
     deadline = time.monotonic() + seconds
     while True:
@@ -41,10 +51,12 @@
 class Process:
     """One child; a thread reads its output, so that it never blocks, up to a bound of lines."""
 
-    def __init__(self, name, arguments, log_path):
+    def __init__(
+        self, name: str, arguments: collections.abc.Iterable[object], log_path: pathlib.Path
+    ) -> None:
         self.name = name
-        self.address = None
-        self.lines = queue.Queue(_MOST_LINES)
+        self.address = ""
+        self.lines: queue.Queue[str] = queue.Queue(_MOST_LINES)
         self._log_path = log_path
         with log_path.open("ab") as log_file:
             self._child = subprocess.Popen(
@@ -58,23 +70,25 @@
         self._reader.start()
 
     @property
-    def pid(self):
+    def pid(self) -> int:
+        """The process id."""
         return self._child.pid
 
     @property
-    def code(self):
+    def code(self) -> int | None:
         """The exit code, or None while it runs."""
         return self._child.poll()
 
     @property
-    def url(self):
+    def url(self) -> str:
+        """Where it listens."""
         return f"http://{self.address}"
 
-    def read_log(self):
+    def read_log(self) -> str:
         """Return the end of what it wrote to standard error."""
         return self._log_path.read_text(errors="replace")[-_MOST_LOG_CHARACTERS:]
 
-    def wait_ready(self, seconds=_START_SECONDS):
+    def wait_ready(self, seconds: float = _START_SECONDS) -> None:
         """Wait for the line that tells where it listens."""
         deadline = time.monotonic() + seconds
         while not self._ready.wait(0.02):
@@ -83,25 +97,26 @@
                 f"{self.name} is not ready (exit code {self.code}): {self.read_log()}"
             )
 
-    def wait_exit(self, seconds=_STOP_SECONDS):
+    def wait_exit(self, seconds: float = _STOP_SECONDS) -> int:
         """Wait for the end; return the exit code."""
         return self._child.wait(seconds)
 
-    def send(self, signal_number):
+    def send(self, signal_number: int) -> None:
         """Send a signal; one that has ended already is left alone."""
         self._child.send_signal(signal_number)
 
-    def close(self):
+    def close(self) -> None:
         """End it, frozen or not, and take back what it used."""
         self.send(signal.SIGKILL)
         self._child.wait(_STOP_SECONDS)
         self._reader.join(_STOP_SECONDS)
-        self._child.stdout.close()
+        if self._child.stdout is not None:
+            self._child.stdout.close()
 
-    def _read_lines(self):
-        for line in self._child.stdout:
+    def _read_lines(self) -> None:
+        for line in self._child.stdout or ():
             line = line.rstrip("\n")
-            if line.startswith(_READY) and self.address is None:
+            if line.startswith(_READY) and not self.address:
                 self.address = line.removeprefix(_READY)
                 self._ready.set()
             elif not self.lines.full():
@@ -111,11 +126,11 @@
 class Cluster:
     """The child processes of a scenario by name; `stop` ends every one of them."""
 
-    def __init__(self):
-        self._processes = {}
+    def __init__(self) -> None:
+        self._processes: dict[str, Process] = {}
         self._logs = tempfile.TemporaryDirectory(prefix="oleander-")
 
-    def start(self, name, module, *arguments, ready=True):
+    def start(self, name: str, module: str, *arguments: object, ready: bool = True) -> Process:
         """Start a module and, unless told otherwise, wait until it listens."""
         self.close(name)
         log_path = pathlib.Path(self._logs.name) / f"{name}.log"
@@ -125,63 +140,64 @@
             process.wait_ready()
         return process
 
-    def start_stand_in(self, name, kind, *arguments):
+    def start_stand_in(self, name: str, kind: str, *arguments: object) -> Process:
         """Start a stand-in on a free port."""
         return self.start(name, f"oleander_standins.{kind}", "--port", 0, *arguments)
 
-    def find(self, name):
+    def find(self, name: str) -> Process:
+        """Return a process."""
         return self._processes[name]
 
-    def url(self, name):
+    def url(self, name: str) -> str:
         """Return where a process listens."""
         return self._processes[name].url
 
-    def address(self, name):
+    def address(self, name: str) -> str:
         """Return IP:port of a process."""
         return self._processes[name].address
 
-    def kill(self, name):
+    def kill(self, name: str) -> None:
         """End a process at once, as a crash would, and wait for its end."""
         self._processes[name].send(signal.SIGKILL)
         self._processes[name].wait_exit()
 
-    def freeze(self, name):
+    def freeze(self, name: str) -> None:
         """Pause a process."""
         self._processes[name].send(signal.SIGSTOP)
 
-    def thaw(self, name):
+    def thaw(self, name: str) -> None:
         """Let a paused process go on."""
         self._processes[name].send(signal.SIGCONT)
 
-    def terminate(self, name, seconds=_STOP_SECONDS):
+    def terminate(self, name: str, seconds: float = _STOP_SECONDS) -> int:
         """Ask a process to stop; return its exit code."""
         self._processes[name].send(signal.SIGTERM)
         return self._processes[name].wait_exit(seconds)
 
-    def close(self, name):
+    def close(self, name: str) -> None:
         """End a process if there is one of that name, and forget it."""
         process = self._processes.pop(name, None)
         if process is not None:
             process.close()
 
-    def stop(self):
+    def stop(self) -> None:
         """End every process and remove what they logged."""
         for name in list(self._processes):
             self.close(name)
         self._logs.cleanup()
 
-    def read_logs(self):
+    def read_logs(self) -> str:
         """Return the ends of all logs, to tell why a scenario failed."""
         return "".join(
             f"--- {name}, exit code {process.code}\n{process.read_log()}"
             for name, process in self._processes.items()
         )
 
-    def control(self, name, **settings):
+    def control(self, name: str, **settings: typing.Any) -> None:
         """Change settings of a stand-in."""
         response = call("POST", f"{self.url(name)}/control", settings)
         assert response.status == 200, response.body
 
-    def read_control(self, name, query=""):
+    def read_control(self, name: str, query: str = "") -> typing.Any:
         """Return what a stand-in counted; the query may be generations=no for an engine."""
         return call("GET", f"{self.url(name)}/control?{query}").read_json()
