--- a/features/environment.py
+++ b/features/environment.py
@@ -4,5 +4,7 @@
 def after_scenario(context, scenario):
     cleanup = getattr(context, "cluster", None)
     if cleanup is not None:
+        if scenario.status.has_failed():
+            print(cleanup.read_logs())
         cleanup.stop()
         context.cluster = None
--- /dev/null
+++ b/features/relay.py
@@ -0,0 +1,184 @@
+"""A TCP relay that stands between two processes and cuts or holds what they send."""
+
+import contextlib
+import socket
+import threading
+
+TO_SERVER = "to_server"
+TO_CLIENT = "to_client"
+_DIRECTIONS = (TO_SERVER, TO_CLIENT)
+_MOST_BYTES = 64 * 1024
+_MOST_CONNECTIONS = 1000
+_CONNECT_SECONDS = 5.0
+_LONGEST_HOLD_SECONDS = 600.0
+_JOIN_SECONDS = 5.0
+
+
+class Relay:
+    """
+    Passes connections on to a target; above a thousand at a time, new ones are closed.
+
+    A target that refuses shows as a connection that closes at once.
+    """
+
+    def __init__(self, target):
+        """Listen on a free port for a target given as IP:port, which may be changed later."""
+        self.target = target
+        self._changed = threading.Condition()
+        self._blocked = set()
+        self._is_cut = False
+        self._is_closed = False
+        self._pairs = set()
+        self._threads = set()
+        self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
+        self._start_thread(self._accept)
+
+    @property
+    def address(self):
+        """Where it listens, as IP:port."""
+        host, port = self._listener.getsockname()
+        return f"{host}:{port}"
+
+    @property
+    def url(self):
+        return f"http://{self.address}"
+
+    @property
+    def connections(self):
+        """How many connections are open."""
+        with self._changed:
+            return len(self._pairs)
+
+    def cut(self):
+        """Close every connection, and each new one at once, until healed."""
+        with self._changed:
+            self._is_cut = True
+            self._close_pairs()
+
+    def drop_connections(self):
+        """Close every connection; new ones pass."""
+        with self._changed:
+            self._close_pairs()
+
+    def block(self, direction):
+        """Hold what is sent one way until healed; the connections stay open."""
+        assert direction in _DIRECTIONS, direction
+        with self._changed:
+            self._blocked.add(direction)
+
+    def heal(self):
+        """Pass everything again, what was held first."""
+        with self._changed:
+            self._is_cut = False
+            self._blocked.clear()
+            self._changed.notify_all()
+
+    def close(self):
+        """Close every connection and end every thread."""
+        with self._changed:
+            self._is_closed = True
+            self._close_pairs()
+            threads = list(self._threads)
+        _shut(self._listener)
+        for thread in threads:
+            thread.join(_JOIN_SECONDS)
+        self._listener.close()
+
+    def _start_thread(self, task, *arguments):
+        thread = threading.Thread(target=self._run, args=(task, *arguments), daemon=True)
+        with self._changed:
+            self._threads.add(thread)
+        thread.start()
+
+    def _run(self, task, *arguments):
+        try:
+            task(*arguments)
+        finally:
+            with self._changed:
+                self._threads.discard(threading.current_thread())
+
+    def _accept(self):
+        while not self._is_closed:
+            try:
+                client, _ = self._listener.accept()
+            except OSError:
+                return
+            self._start_thread(self._join_target, client)
+
+    def _join_target(self, client):
+        host, _, port = self.target.rpartition(":")
+        try:
+            server = socket.create_connection((host, int(port)), _CONNECT_SECONDS)
+        except OSError:
+            client.close()
+            return
+        pair = _Pair(client, server)
+        with self._changed:
+            refused = self._is_cut or self._is_closed or len(self._pairs) >= _MOST_CONNECTIONS
+            if not refused:
+                self._pairs.add(pair)
+        if refused:
+            pair.close()
+            return
+        self._start_thread(self._pump, pair, server, client, TO_CLIENT)
+        self._pump(pair, client, server, TO_SERVER)
+
+    def _pump(self, pair, source, sink, direction):
+        try:
+            while data := source.recv(_MOST_BYTES):
+                self._wait_open(pair, direction)
+                sink.sendall(data)
+            self._wait_open(pair, direction)
+            sink.shutdown(socket.SHUT_WR)
+        except OSError:
+            pair.shut()
+        self._finish(pair)
+
+    def _wait_open(self, pair, direction):
+        with self._changed:
+            self._changed.wait_for(
+                lambda: pair.is_closed or direction not in self._blocked, _LONGEST_HOLD_SECONDS
+            )
+
+    def _finish(self, pair):
+        with self._changed:
+            pair.pumps_left -= 1
+            if pair.pumps_left == 0:
+                pair.close()
+                self._pairs.discard(pair)
+
+    def _close_pairs(self):
+        for pair in self._pairs:
+            pair.shut()
+        self._changed.notify_all()
+
+
+class _Pair:
+    """The two sockets of one connection."""
+
+    __slots__ = ("client", "is_closed", "pumps_left", "server")
+
+    def __init__(self, client, server):
+        for end in (client, server):
+            end.settimeout(None)
+            end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self.client = client
+        self.server = server
+        self.is_closed = False
+        self.pumps_left = 2
+
+    def shut(self):
+        """Make blocked reads of both sockets end."""
+        self.is_closed = True
+        _shut(self.client)
+        _shut(self.server)
+
+    def close(self):
+        self.shut()
+        self.client.close()
+        self.server.close()
+
+
+def _shut(end):
+    with contextlib.suppress(OSError):
+        end.shutdown(socket.SHUT_RDWR)
--- /dev/null
+++ b/features/steps/adapters_steps.py
@@ -0,0 +1,292 @@
+"""Steps for the adapters to the platform and to backend servers."""
+
+import json
+import socket
+import threading
+
+import behave
+
+import raw_server
+import support
+from oleander_backends import engine, http_engine, http_service
+from oleander_base import clock
+from oleander_platform import http_hostlist, http_logservice
+
+_STREAM = "s"
+_SECONDS = 10.0
+_TRICKLE_SECONDS = 0.3
+_FRAMINGS = ("Content-Length", "Transfer-Encoding", "Connection: close")
+_BODIES = {
+    "nested": b"[" * 200_000,
+    "invalid UTF-8": b'{"first_offset": "\xff"}',
+    "bad chunk": b"zz\r\n",
+    "endless": b" " * 20_000_000,
+}
+
+
+def _generation():
+    return engine.Generation("r", "prompt", "", 8, 0, "", 0)
+
+
+def _read_stream(url, deadline):
+    """Return the last item of a stream, after checking that an error came alone and last."""
+    opened = http_engine.HttpEngine(url).generate(_generation(), deadline)
+    items = list(opened.ok)
+    assert all(item.is_ok() for item in items[:-1]), items
+    return items[-1]
+
+
+_CALLS = {
+    "append": lambda url, deadline: http_logservice.HttpLogService(url).append(
+        _STREAM, [{"n": 1}], deadline
+    ),
+    "read": lambda url, deadline: http_logservice.HttpLogService(url).read(
+        _STREAM, 0, 0, deadline
+    ),
+    "hosts": lambda url, deadline: http_hostlist.HttpHostList(url).read(deadline),
+    "service": lambda url, deadline: http_service.HttpService(url).call(
+        "book", "key", b"body", deadline
+    ),
+    "load": lambda url, deadline: http_engine.HttpEngine(url).load_version(
+        engine.LoadOrder("m", 7, 9), deadline
+    ),
+    "version": lambda url, deadline: http_engine.HttpEngine(url).read_version(deadline),
+    "report": lambda url, deadline: http_engine.HttpEngine(url).read_load(deadline),
+    "generate": lambda url, deadline: http_engine.HttpEngine(url).generate(
+        _generation(), deadline
+    ),
+    "stream": _read_stream,
+}
+
+
+def _says_nothing_done(error):
+    if hasattr(error, "may_have_effect"):
+        return not error.may_have_effect
+    return getattr(error, "not_run", False)
+
+
+def _start_faulty(context, kind, fault):
+    cluster = support.get_cluster(context)
+    context.kind = kind
+    cluster.start_stand_in(kind, kind)
+    context.url = cluster.url(kind)
+    if fault == "frozen":
+        cluster.freeze(kind)
+    else:
+        cluster.control(kind, **fault)
+    context.fault = fault
+
+
+def _end_fault(context):
+    if context.fault == "frozen":
+        context.cluster.thaw(context.kind)
+    else:
+        context.cluster.control(context.kind, outage="", slow_ms=0)
+
+
+@behave.given("a log stand-in with the adapter's fault {fault}")
+def start_log(context, fault):
+    _start_faulty(context, "logservice", json.loads(fault))
+
+
+@behave.given("a service stand-in with the adapter's fault {fault}")
+def start_service(context, fault):
+    _start_faulty(context, "service", json.loads(fault))
+
+
+@behave.when("one record is appended through the log adapter within {budget:d} ms")
+def append_record(context, budget):
+    deadline = clock.start_deadline_ms(budget)
+    context.result = _CALLS["append"](context.url, deadline)
+
+
+@behave.when("records are appended through the log adapter until one fails")
+def append_until_failure(context):
+    for _ in range(1000):
+        context.result = _CALLS["append"](context.url, clock.start_deadline(_SECONDS))
+        if context.result.is_error():
+            return
+
+
+@behave.then("the log adapter says that it may have had effect: {effect}")
+def check_effect(context, effect):
+    assert context.result.error.may_have_effect == (effect == "yes"), context.result
+
+
+@behave.then("the log adapter says to come back after {milliseconds:d} ms")
+@behave.then("the adapter's error says to come back after {milliseconds:d} ms")
+def check_retry_after(context, milliseconds):
+    assert context.result.error.retry_after_ms == milliseconds, context.result
+
+
+@behave.then("after the fault the log stand-in holds {records:d} records")
+def check_records(context, records):
+    _end_fault(context)
+    _append_marker(context)
+
+    def count():
+        found = context.cluster.read_control("logservice")["records"]
+        return found.get(_STREAM, 0) == records
+
+    support.wait_until(count, f"{records} records")
+
+
+def _append_marker(context):
+    """Append elsewhere, so that what was queued before it has been acted on."""
+    log = http_logservice.HttpLogService(context.url)
+    assert log.append("marker", [{}], clock.start_deadline(_SECONDS)).is_ok()
+
+
+@behave.when("the operation book is called through the service adapter within {budget:d} ms")
+def call_service(context, budget):
+    context.result = _CALLS["service"](context.url, clock.start_deadline_ms(budget))
+
+
+@behave.then("the service adapter says {result}")
+def check_service(context, result):
+    if context.result.is_ok():
+        assert f"status {context.result.ok.status}" == result, context.result
+    else:
+        said = "not run" if context.result.error.not_run else "may have run"
+        assert said == result, context.result
+
+
+@behave.then("the service stand-in ran the call {runs:d} times")
+def check_runs(context, runs):
+    _end_fault(context)
+
+    def count():
+        found = context.cluster.read_control("service")["runs_by_key"]
+        return found.get("key", 0) == runs
+
+    support.wait_until(count, f"{runs} runs")
+
+
+@behave.when("{call} is made through the adapter to a port where nothing listens")
+def call_nobody(context, call):
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    context.result = _CALLS[call](url, clock.start_deadline(_SECONDS))
+
+
+def _create_answer(head, body):
+    if head == "nothing":
+        return b""
+    content = _BODIES.get(body, body.encode())
+    lines = head.split(";")
+    if not any(framing in head for framing in _FRAMINGS):
+        content += b"\n"
+        lines.append(f"Content-Length: {len(content)}")
+    return "\r\n".join(lines).encode() + b"\r\n\r\n" + content
+
+
+def _serve(context, pieces, **options):
+    if getattr(context, "server", None) is not None:
+        context.server.stop()
+    context.server = raw_server.RawServer(pieces, **options)
+    context.add_cleanup(context.server.stop)
+
+
+@behave.when("{call} is made through the adapter and answered with {head} and {body}")
+def call_raw(context, call, head, body):
+    _serve(context, [_create_answer(head, body)])
+    context.result = _CALLS[call](context.server.url, clock.start_deadline(_SECONDS))
+
+
+@behave.when("{call} is made through the adapter and the answer trickles past the deadline")
+def call_trickling(context, call):
+    lines = b'{"text": "a", "tokens": 1, "last": true}\n'
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(lines)
+    pieces = [head, *(lines[at : at + 1] for at in range(len(lines)))]
+    _serve(context, pieces, pause=0.05)
+    context.result = _CALLS[call](context.server.url, clock.start_deadline(_TRICKLE_SECONDS))
+
+
+@behave.then("the adapter's error names {detail} and says that something may have been done")
+def check_uncertain(context, detail):
+    assert detail in context.result.error.detail, context.result
+    assert not _says_nothing_done(context.result.error), context.result
+
+
+@behave.then("the adapter's error says that something may have been done")
+def check_uncertain_unnamed(context):
+    check_uncertain(context, "")
+
+
+@behave.then("the adapter's error names {detail} and says that nothing was done")
+def check_certain(context, detail):
+    assert detail in context.result.error.detail, context.result
+    assert _says_nothing_done(context.result.error), context.result
+
+
+@behave.then("the adapter's error says that nothing was done")
+def check_certain_unnamed(context):
+    check_certain(context, "")
+
+
+@behave.then("the adapter's server received 1 request")
+def check_one_request(context):
+    assert context.result.is_error()
+    assert len(context.server.requests) == 1, context.server.requests
+
+
+@behave.given("a server for the adapter that {closes} after each answer")
+def start_host_server(context, closes):
+    answer = _create_answer("HTTP/1.1 200", '{"hosts": []}')
+    _serve(context, [answer], keeps_open=closes == "keeps connections open")
+
+
+@behave.when("the host list is read {times:d} times through the adapter")
+def read_hosts(context, times):
+    hosts = http_hostlist.HttpHostList(context.server.url)
+    for _ in range(times):
+        assert hosts.read(clock.start_deadline(_SECONDS)).is_ok()
+
+
+@behave.then("the adapter's server received {requests:d} requests on {connections:d} connections")
+def check_connections(context, requests, connections):
+    assert len(context.server.requests) == requests, context.server.requests
+    assert context.server.connections == connections, context.server.connections
+
+
+@behave.given("an engine stand-in for the adapter that takes {token_ms:d} ms for a token")
+def start_engine(context, token_ms):
+    cluster = support.get_cluster(context)
+    cluster.start_stand_in("engine", "engine", "--token-ms", token_ms, "--prefill-ms", 0)
+
+
+@behave.given("a generation read through the engine adapter on another thread")
+def start_reader(context):
+    model = http_engine.HttpEngine(context.cluster.url("engine"))
+    context.generation = model.generate(_generation(), clock.start_deadline(60.0)).ok
+    context.items = []
+    context.reader = threading.Thread(
+        target=lambda: context.items.extend(context.generation), daemon=True
+    )
+    context.reader.start()
+    support.wait_until(
+        lambda: context.cluster.read_control("engine")["running"] == 1, "the generation runs"
+    )
+
+
+@behave.when("the generation is cancelled through the engine adapter")
+def cancel_generation(context):
+    context.generation.cancel()
+
+
+@behave.then("the engine adapter's reader ends with one error that names {detail}")
+def check_reader(context, detail):
+    context.reader.join(_SECONDS)
+    assert not context.reader.is_alive()
+    assert [item.is_error() for item in context.items] == [True], context.items
+    assert detail in context.items[0].error.detail, context.items
+
+
+@behave.then("the engine stand-in has {running:d} generations running and {cancelled:d} cancelled")
+def check_engine(context, running, cancelled):
+    def matches():
+        counts = context.cluster.read_control("engine")
+        outcomes = [item["outcome"] for item in counts["generations"].values()]
+        return counts["running"] == running and outcomes.count("cancelled") == cancelled
+
+    support.wait_until(matches, f"{running} running, {cancelled} cancelled")
--- a/features/support.py
+++ b/features/support.py
@@ -10,6 +10,7 @@
 import threading
 import time
 
+import relay
 from oleander_standins import client
 
 _START_SECONDS = 15.0
@@ -109,10 +110,11 @@
 
 
 class Cluster:
-    """The child processes of a scenario by name; `stop` ends every one of them."""
+    """The child processes and relays of a scenario by name; `stop` ends every one of them."""
 
     def __init__(self):
         self._processes = {}
+        self._relays = {}
         self._logs = tempfile.TemporaryDirectory(prefix="oleander-")
 
     def start(self, name, module, *arguments, ready=True):
@@ -129,16 +131,22 @@
         """Start a stand-in on a free port."""
         return self.start(name, f"oleander_standins.{kind}", "--port", 0, *arguments)
 
+    def start_relay(self, name, target):
+        """Start a relay to a process of that name, or to IP:port."""
+        known = self._processes.get(target)
+        self._relays[name] = relay.Relay(known.address if known else target)
+        return self._relays[name]
+
     def find(self, name):
         return self._processes[name]
 
     def url(self, name):
-        """Return where a process listens."""
-        return self._processes[name].url
+        """Return the URL of a process or relay."""
+        return self._find_listener(name).url
 
     def address(self, name):
-        """Return IP:port of a process."""
-        return self._processes[name].address
+        """Return IP:port of a process or relay."""
+        return self._find_listener(name).address
 
     def kill(self, name):
         """End a process at once, as a crash would, and wait for its end."""
@@ -165,9 +173,11 @@
             process.close()
 
     def stop(self):
-        """End every process and remove what they logged."""
+        """End every process and relay, and remove what was logged."""
         for name in list(self._processes):
             self.close(name)
+        for item in self._relays.values():
+            item.close()
         self._logs.cleanup()
 
     def read_logs(self):
@@ -177,6 +187,9 @@
             for name, process in self._processes.items()
         )
 
+    def _find_listener(self, name):
+        return self._relays.get(name) or self._processes[name]
+
     def control(self, name, **settings):
         """Change settings of a stand-in."""
         response = call("POST", f"{self.url(name)}/control", settings)
@@ -185,3 +198,10 @@
     def read_control(self, name, query=""):
         """Return what a stand-in counted; the query may be generations=no for an engine."""
         return call("GET", f"{self.url(name)}/control?{query}").read_json()
+
+
+def get_cluster(context):
+    """Return the scenario's cluster, which ends with it."""
+    if getattr(context, "cluster", None) is None:
+        context.cluster = Cluster()
+    return context.cluster
--- a/standins/oleander_standins/trainer_client.py
+++ b/standins/oleander_standins/trainer_client.py
@@ -68,7 +68,7 @@
     def put_step(self, step: int, body: dict[str, typing.Any], give_up_at: float) -> str:
         """Register a step; return the URL of its collector."""
         answer = self._put(self._name_step(step), body, give_up_at)
-        return str(answer["collector"])
+        return str(answer.get("collector"))
 
     def store_weights(self, url: str, body: bytes, give_up_at: float) -> None:
         """Put weights into the weight store."""
@@ -103,7 +103,7 @@
         if response.headers.get("content-digest") != f"sha-256=:{digest}:":
             self.lost_answers += 1
             return Pulled()
-        return Pulled(response.read_json())
+        return Pulled(_read_success(response))
 
     def _put(
         self, path: str, body: dict[str, typing.Any], give_up_at: float
@@ -116,7 +116,7 @@
                 self._turn_to_next()
                 continue
             if response.status == _STATUS_OK:
-                return dict(response.read_json())
+                return _read_success(response)
             self._judge(response)
             self._turn += 1
         raise LateError(path)
@@ -137,7 +137,7 @@
 
     def _judge(self, response: client.Response) -> None:
         """Wait as long as the answer says, or raise where waiting can't help."""
-        problem = _read_problem(response)
+        problem = _read_object(response)
         if response.status == _STATUS_CONFLICT and problem.get("reason") == "superseded":
             raise SupersededError
         if response.status < 500 and response.status != 429:
@@ -151,9 +151,16 @@
         return f"/v1/customers/{names.customer}/trainers/{names.trainer}/steps/{step}"
 
 
-def _read_problem(response: client.Response) -> dict[str, typing.Any]:
+def _read_success(response: client.Response) -> dict[str, typing.Any]:
+    content = _read_object(response)
+    if not content:
+        raise RefusedError("the answer is no JSON object")
+    return content
+
+
+def _read_object(response: client.Response) -> dict[str, typing.Any]:
     try:
-        problem = response.read_json()
+        content = response.read_json()
     except ValueError:
         return {}
-    return problem if isinstance(problem, dict) else {}
+    return content if isinstance(content, dict) else {}
