--- a/standins/oleander_standins/processes.py
+++ b/standins/oleander_standins/processes.py
@@ -12,7 +12,7 @@
 import time
 import typing
 
-from oleander_standins import client
+from oleander_standins import client, relay
 
 _START_SECONDS = 15.0
 _STOP_SECONDS = 10.0
@@ -124,10 +124,11 @@
 
 
 class Cluster:
-    """The child processes of a scenario by name; `stop` ends every one of them."""
+    """The child processes and relays of a run by name; `stop` ends every one of them."""
 
     def __init__(self) -> None:
         self._processes: dict[str, Process] = {}
+        self._relays: dict[str, relay.Relay] = {}
         self._logs = tempfile.TemporaryDirectory(prefix="oleander-")
 
     def start(self, name: str, module: str, *arguments: object, ready: bool = True) -> Process:
@@ -144,17 +145,23 @@
         """Start a stand-in on a free port."""
         return self.start(name, f"oleander_standins.{kind}", "--port", 0, *arguments)
 
+    def start_relay(self, name: str, target: str) -> relay.Relay:
+        """Start a relay to a process of that name, or to IP:port."""
+        known = self._processes.get(target)
+        self._relays[name] = relay.Relay(known.address if known else target)
+        return self._relays[name]
+
     def find(self, name: str) -> Process:
         """Return a process."""
         return self._processes[name]
 
     def url(self, name: str) -> str:
-        """Return where a process listens."""
-        return self._processes[name].url
+        """Return the URL of a process or relay."""
+        return self._find_listener(name).url
 
     def address(self, name: str) -> str:
-        """Return IP:port of a process."""
-        return self._processes[name].address
+        """Return IP:port of a process or relay."""
+        return self._find_listener(name).address
 
     def kill(self, name: str) -> None:
         """End a process at once, as a crash would, and wait for its end."""
@@ -181,9 +188,11 @@
             process.close()
 
     def stop(self) -> None:
-        """End every process and remove what they logged."""
+        """End every process and relay, and remove what was logged."""
         for name in list(self._processes):
             self.close(name)
+        for item in self._relays.values():
+            item.close()
         self._logs.cleanup()
 
     def read_logs(self) -> str:
@@ -193,6 +202,9 @@
             for name, process in self._processes.items()
         )
 
+    def _find_listener(self, name: str) -> Process | relay.Relay:
+        return self._relays.get(name) or self._processes[name]
+
     def control(self, name: str, **settings: typing.Any) -> None:
         """Change settings of a stand-in."""
         response = call("POST", f"{self.url(name)}/control", settings)
