--- /dev/null
+++ b/bench/policy_admission.py
@@ -0,0 +1,304 @@
+"""Admission measured against queues without it: shares, starvation, goodput."""
+
+import abc
+import collections
+import collections.abc
+import dataclasses
+import itertools
+import random
+
+import policy_simulation
+from oleander_admission import admission, work
+from oleander_base import clock
+from oleander_contracts import contract
+
+_SHARES = {"a": 50, "b": 30, "c": 20}
+_SLOTS = 4
+_PLACES = 200
+_COST_MS = 50.0
+_CAPACITY = _SLOTS / (_COST_MS / 1000)
+"""Requests a second that the slots can serve."""
+_SIGMA = 0.5
+"""How far real service times scatter around predicted ones (lognormal)."""
+
+
+class Queue(abc.ABC):
+    """What stands in front of the slots."""
+
+    @abc.abstractmethod
+    def submit(self, item: work.Work) -> bool:
+        """Let work in; return whether it was."""
+
+    @abc.abstractmethod
+    def take(self) -> work.Work | None:
+        """Return the work to run next, if any."""
+
+    def finish(self, item: work.Work, service_ms: float) -> None:
+        """Take note of work that ended."""
+
+
+class FifoQueue(Queue):
+    """First come, first served; drops nothing but what does not fit."""
+
+    def __init__(self, places: int) -> None:
+        self._places = places
+        self._items: collections.deque[work.Work] = collections.deque()
+
+    def submit(self, item: work.Work) -> bool:
+        """Let work in while there is a place."""
+        if len(self._items) >= self._places:
+            return False
+        self._items.append(item)
+        return True
+
+    def take(self) -> work.Work | None:
+        """Return the oldest work."""
+        return self._items.popleft() if self._items else None
+
+
+class StrictQueue(Queue):
+    """The most urgent class first, without a floor."""
+
+    def __init__(self, places: int) -> None:
+        self._queues = [FifoQueue(places) for _ in contract.Priority]
+
+    def submit(self, item: work.Work) -> bool:
+        """Let work in while its class has a place."""
+        return self._queues[item.priority].submit(item)
+
+    def take(self) -> work.Work | None:
+        """Return the oldest work of the most urgent class."""
+        return next((item for queue in self._queues if (item := queue.take())), None)
+
+
+class OurQueue(Queue):
+    """The product's admission."""
+
+    def __init__(self, simulation: policy_simulation.Simulation, places: int) -> None:
+        source = random.Random(1)
+        self._queue = admission.AdmissionQueue(_SLOTS, places, simulation.read_now, source)
+
+    def submit(self, item: work.Work) -> bool:
+        """Ask admission."""
+        return self._queue.submit(item).is_ok()
+
+    def take(self) -> work.Work | None:
+        """Take what goes next."""
+        self._queue.take_dropped()
+        return self._queue.take(0.0)
+
+    def finish(self, item: work.Work, service_ms: float) -> None:
+        """Report the real service time."""
+        self._queue.finish(item.work_id, service_ms)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Stream:
+    """Requests of one customer and class."""
+
+    customer: str
+    priority: contract.Priority
+    rate: float
+    budget_ms: float
+    cost_ms: float = _COST_MS
+
+
+@dataclasses.dataclass(slots=True)
+class Ended:
+    """Work that was run."""
+
+    item: work.Work
+    service_ms: float
+    ended_at: float
+
+    @property
+    def is_in_time(self) -> bool:
+        """Whether its caller still waited."""
+        return self.ended_at <= self.item.deadline.expires_at
+
+
+class Server:
+    """A queue and its slots under streams of requests."""
+
+    def __init__(
+        self,
+        simulation: policy_simulation.Simulation,
+        queue: Queue,
+        streams: list[Stream],
+        seed: int,
+    ) -> None:
+        self.ended: list[Ended] = []
+        self._simulation = simulation
+        self._queue = queue
+        self._numbers = itertools.count()
+        self._running = 0
+        self._service = random.Random(seed)
+        for index, stream in enumerate(streams):
+            self._schedule_arrival(stream, random.Random(seed * 100 + index))
+
+    def _schedule_arrival(self, stream: Stream, source: random.Random) -> None:
+        def arrive() -> None:
+            deadline = clock.Deadline(self._simulation.now + stream.budget_ms / 1000)
+            cost_ms = stream.cost_ms * source.uniform(0.5, 1.5)
+            share = _SHARES[stream.customer]
+            name = str(next(self._numbers))
+            item = work.Work(name, stream.customer, stream.priority, share, cost_ms, deadline)
+            self._queue.submit(item)
+            self._start_next()
+            self._schedule_arrival(stream, source)
+
+        self._simulation.schedule(source.expovariate(stream.rate), arrive)
+
+    def _start_next(self) -> None:
+        while self._running < _SLOTS:
+            item = self._queue.take()
+            if item is None:
+                return
+            self._running += 1
+            self._schedule_end(item)
+
+    def _schedule_end(self, item: work.Work) -> None:
+        factor = self._service.lognormvariate(-_SIGMA * _SIGMA / 2, _SIGMA)
+        service_ms = item.cost_ms * factor
+
+        def end() -> None:
+            self._running -= 1
+            self._queue.finish(item, service_ms)
+            self.ended.append(Ended(item, service_ms, self._simulation.now))
+            self._start_next()
+
+        self._simulation.schedule(service_ms / 1000, end)
+
+
+def _run(
+    create: collections.abc.Callable[[policy_simulation.Simulation], Queue],
+    streams: list[Stream],
+    seconds: float,
+    seed: int,
+) -> list[Ended]:
+    simulation = policy_simulation.Simulation()
+    server = Server(simulation, create(simulation), streams, seed)
+    simulation.run(seconds)
+    return server.ended
+
+
+def _create_fifo(_: policy_simulation.Simulation) -> Queue:
+    return FifoQueue(_PLACES)
+
+
+def _create_unbounded(_: policy_simulation.Simulation) -> Queue:
+    return FifoQueue(10**9)
+
+
+def _create_strict(_: policy_simulation.Simulation) -> Queue:
+    return StrictQueue(_PLACES)
+
+
+def _create_ours(simulation: policy_simulation.Simulation) -> Queue:
+    return OurQueue(simulation, _PLACES)
+
+
+def measure_shares() -> list[policy_simulation.Figure]:
+    """Saturate with one customer that sends six times as much as each other one."""
+    interactive = contract.Priority.INTERACTIVE
+    streams = [
+        Stream("a", interactive, 0.5 * _CAPACITY, 10_000),
+        Stream("b", interactive, 3.0 * _CAPACITY, 10_000),
+        Stream("c", interactive, 0.5 * _CAPACITY, 10_000),
+    ]
+    baseline = _sum_customers(_run(_create_fifo, streams, 100, 1))
+    ours = _sum_customers(_run(_create_ours, streams, 100, 1))
+    case = "a shares, FIFO"
+    return [
+        policy_simulation.Figure(
+            case, "largest share error, %", _find_error(baseline), _find_error(ours)
+        ),
+        policy_simulation.Figure(
+            case, "least of its due a customer got, %", _find_least(baseline), _find_least(ours)
+        ),
+    ]
+
+
+def _sum_customers(ended: list[Ended]) -> dict[str, float]:
+    sums = dict.fromkeys(_SHARES, 0.0)
+    for item in ended:
+        sums[item.item.customer] += item.service_ms
+    total = sum(sums.values())
+    return {name: value / total * 100 / _SHARES[name] for name, value in sums.items()}
+
+
+def _find_error(parts: dict[str, float]) -> float:
+    return max(abs(part - 1.0) for part in parts.values()) * 100
+
+
+def _find_least(parts: dict[str, float]) -> float:
+    return min(parts.values()) * 100
+
+
+def measure_starvation() -> list[policy_simulation.Figure]:
+    """Run background work beside interactive work that alone is more than the slots can do."""
+    streams = [
+        Stream("a", contract.Priority.INTERACTIVE, 1.2 * _CAPACITY, 1_000),
+        Stream("c", contract.Priority.BACKGROUND, 0.02 * _CAPACITY, 60_000),
+    ]
+    baseline = _run(_create_strict, streams, 200, 2)
+    fifo = _run(_create_fifo, streams, 200, 2)
+    ours = _run(_create_ours, streams, 200, 2)
+    measure = "background work ended"
+    return [
+        policy_simulation.Figure(
+            "a starvation, strict", measure, _count_ended(baseline, "c"), _count_ended(ours, "c")
+        ),
+        policy_simulation.Figure(
+            "a starvation, strict",
+            "interactive in time, a second",
+            _count_in_time(baseline, "a") / 200,
+            _count_in_time(ours, "a") / 200,
+        ),
+        policy_simulation.Figure(
+            "a starvation, FIFO",
+            "interactive in time, a second",
+            _count_in_time(fifo, "a") / 200,
+            _count_in_time(ours, "a") / 200,
+        ),
+    ]
+
+
+def _count_ended(ended: list[Ended], customer: str) -> int:
+    return sum(1 for item in ended if item.item.customer == customer)
+
+
+def _count_in_time(ended: list[Ended], customer: str) -> int:
+    return sum(1 for item in ended if item.item.customer == customer and item.is_in_time)
+
+
+def measure_goodput() -> list[policy_simulation.Figure]:
+    """Offer one, two and three times what the slots can do, with deadlines of 0.3 to 1.5 s."""
+    figures = []
+    for load in (1, 2, 3):
+        rate = load * _CAPACITY / 3
+        streams = [
+            Stream("a", contract.Priority.INTERACTIVE, rate, 300),
+            Stream("b", contract.Priority.INTERACTIVE, rate, 600),
+            Stream("c", contract.Priority.INTERACTIVE, rate, 1_500),
+        ]
+        ours = _measure_in_time(_create_ours, streams)
+        for name, create in (("FIFO", _create_unbounded), ("FIFO of 200", _create_fifo)):
+            figures.append(
+                policy_simulation.Figure(
+                    f"b load {load}x, {name}",
+                    "in time, % of capacity",
+                    _measure_in_time(create, streams),
+                    ours,
+                )
+            )
+    return figures
+
+
+def _measure_in_time(
+    create: collections.abc.Callable[[policy_simulation.Simulation], Queue],
+    streams: list[Stream],
+) -> float:
+    seconds = 60.0
+    ended = _run(create, streams, seconds, 3)
+    return sum(1 for item in ended if item.is_in_time) / (seconds * _CAPACITY) * 100
--- /dev/null
+++ b/bench/policy_bench.py
@@ -0,0 +1,26 @@
+"""Measure admission and routing in simulated time, from fixed seeds, against simpler ways."""
+
+import time
+
+import policy_admission
+
+
+def main() -> None:
+    """Print each measure of a baseline and of ours, and their ratio."""
+    started_at = time.monotonic()
+    print(f"{'case':<34}{'measure':<40}{'baseline':>10}{'ours':>10}{'ratio':>9}")
+    for measure in (
+        policy_admission.measure_shares,
+        policy_admission.measure_starvation,
+        policy_admission.measure_goodput,
+    ):
+        for item in measure():
+            print(
+                f"{item.case:<34}{item.measure:<40}{item.baseline:>10.2f}{item.ours:>10.2f}"
+                f"{item.ratio:>9.2f}"
+            )
+    print(f"took {time.monotonic() - started_at:.1f} s")
+
+
+if __name__ == "__main__":
+    main()
