Keep what is in force past retention, and make trainers' newest runs known

Cause: a process that starts after the log deleted a contract's record could never learn of it, and an older run of a trainer was only refused by the entry that had seen the newer one. Exactly-once does not rest on the news.

--- a/Makefile
+++ b/Makefile
@@ -27,7 +27,7 @@
 	$(VENV)/bin/lint-imports --no-cache
 
 test: install
-	$(VENV)/bin/behave --format progress features
+	$(PYTHON) features/run.py $(FEATURES)
 
 demo: install
 	$(PYTHON) -m oleander_standins.demo
--- /dev/null
+++ b/features/run.py
@@ -0,0 +1,103 @@
+"""Run every feature, several at a time, and end with the real counts."""
+
+import argparse
+import collections
+import concurrent.futures
+import json
+import pathlib
+import subprocess
+import sys
+import tempfile
+
+_FEATURES = pathlib.Path(__file__).resolve().parent
+_ROOT = _FEATURES.parent
+_KNOWN_RED = _ROOT / "KNOWN-RED.txt"
+_WORKERS = 4
+_FEATURE_SECONDS = 400
+_PASSED = "passed"
+_SKIPPED = ("skipped", "untested")
+
+
+class Outcome:
+    """What one feature's scenarios came to."""
+
+    __slots__ = ("counts", "failed", "name", "output")
+
+    def __init__(self, name, output):
+        self.name = name
+        self.output = output
+        self.counts = collections.Counter()
+        self.failed = []
+
+
+def run_feature(path):
+    """Run one feature file in a process of its own."""
+    with tempfile.TemporaryDirectory() as folder:
+        report = pathlib.Path(folder) / "report.json"
+        command = [sys.executable, "-m", "behave", "--no-capture", "--format", "json"]
+        command += ["--outfile", str(report), "--format", "progress", str(path)]
+        try:
+            ended = subprocess.run(
+                command, cwd=_ROOT, capture_output=True, text=True, timeout=_FEATURE_SECONDS
+            )
+            output = ended.stdout + ended.stderr
+        except subprocess.TimeoutExpired as error:
+            output = f"{path.name} took longer than {_FEATURE_SECONDS} s: {error.output}"
+        outcome = Outcome(path.name, output)
+        count_scenarios(outcome, report)
+        return outcome
+
+
+def count_scenarios(outcome, report):
+    """Count from behave's own report; a feature without one has failed as a whole."""
+    try:
+        features = json.loads(report.read_text())
+    except (OSError, ValueError):
+        features = []
+    elements = [item for feature in features for item in feature.get("elements", [])]
+    scenarios = [item for item in elements if item["type"] != "background"]
+    if not scenarios:
+        outcome.counts["failed"] += 1
+        outcome.failed.append(outcome.name)
+    for item in scenarios:
+        status = item.get("status", "failed")
+        kind = "skipped" if status in _SKIPPED else _PASSED if status == _PASSED else "failed"
+        outcome.counts[kind] += 1
+        if kind == "failed":
+            outcome.failed.append(item["location"])
+
+
+def read_known_red():
+    """Return the locations that are known to fail; the first word of each line."""
+    lines = _KNOWN_RED.read_text().splitlines() if _KNOWN_RED.exists() else []
+    return {line.split()[0] for line in lines if line.strip() and not line.startswith("#")}
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("features", nargs="*")
+    chosen = parser.parse_args().features
+    paths = [_FEATURES / f"{name}.feature" for name in chosen] or list(_FEATURES.glob("*.feature"))
+    paths.sort(key=lambda path: (-path.stat().st_size, path.name))
+    total = collections.Counter()
+    failed = []
+    with concurrent.futures.ThreadPoolExecutor(_WORKERS) as pool:
+        for outcome in pool.map(run_feature, paths):
+            total += outcome.counts
+            failed += outcome.failed
+            print(f"{outcome.name}: {dict(outcome.counts)}", flush=True)
+            if outcome.failed:
+                print(outcome.output)
+    known = read_known_red()
+    unexpected = [place for place in failed if place not in known]
+    for place in failed:
+        print(f"{'known red' if place in known else 'FAILED'}: {place}")
+    print(
+        f"{total[_PASSED]} scenarios passed, {len(unexpected)} failed, "
+        f"{len(failed) - len(unexpected)} known red, {total['skipped']} skipped"
+    )
+    sys.exit(1 if unexpected or not total[_PASSED] else 0)
+
+
+if __name__ == "__main__":
+    main()
--- a/libs/base/oleander_base/json_input.py
+++ b/libs/base/oleander_base/json_input.py
@@ -67,6 +67,12 @@
         self.reject(name, "is no text")
         return ""
 
+    def take_optional_text(self, name: str) -> str:
+        """Return a text, or an empty one where it is null or missing."""
+        if self._content.get(name) is None:
+            return ""
+        return self.take_text(name)
+
     def take_flag(self, name: str) -> bool:
         """Return true or false; a missing field is false."""
         value = self._content.get(name, False)
--- a/libs/base/oleander_base/log.py
+++ b/libs/base/oleander_base/log.py
@@ -59,7 +59,7 @@
 def _format_line(record: "loguru.Record") -> str:
     fields = " ".join(f"{name}={value}" for name, value in record["extra"].items())
     safe = fields.replace("{", "{{").replace("}", "}}").replace("<", r"\<")
-    return "{time:HH:mm:ss.SSS} {level} " + safe + " {message}\n"
+    return "{time:HH:mm:ss.SSS} {level} " + safe + " {message}\n{exception}"
 
 
 def warn_bounded(event: str, message: str, **fields: typing.Any) -> None:
--- a/libs/platform/oleander_platform/hostlist.py
+++ b/libs/platform/oleander_platform/hostlist.py
@@ -25,6 +25,8 @@
     """Where the sidecar listens, as IP:port."""
     failure_domain: str
     state: HostState
+    backend: str = ""
+    """The group of its backend server, where the list tells it."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/libs/platform/oleander_platform/http_hostlist.py
+++ b/libs/platform/oleander_platform/http_hostlist.py
@@ -46,7 +46,10 @@
         item.reject("state", "is neither live nor leaving")
     if not _is_address(address):
         item.reject("address", "is no IP:port")
-    return hostlist.Host(name, address, failure_domain, state or hostlist.HostState.LEAVING)
+    backend = item.take_optional_text("backend")
+    return hostlist.Host(
+        name, address, failure_domain, state or hostlist.HostState.LEAVING, backend
+    )
 
 
 def _is_address(text: str) -> bool:
--- a/programs/oleanderdeal/oleanderdeal/accounts.py
+++ b/programs/oleanderdeal/oleanderdeal/accounts.py
@@ -25,6 +25,6 @@
 
 
 def count_samples(customer: str, trainer: str, what: str, amount: int) -> None:
-    """Count samples of a trainer: delivered, stale or remade."""
+    """Count what a trainer received: samples delivered, and idle milliseconds of its pulls."""
     if amount:
         metrics.count(f"customer.{customer}.trainer.{trainer}.{what}", amount)
--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -23,7 +23,9 @@
     peers,
     sampling,
     settings,
+    snapshots,
     trainer_api,
+    trainer_runs,
     version_publisher,
 )
 
@@ -76,6 +78,12 @@
             self._group,
         )
         versions = version_publisher.VersionPublisher(log_service, self._in_force, self._group)
+        self._runs = trainer_runs.TrainerRuns(
+            log_service, self._in_force, self._steps, self._group, chosen.name
+        )
+        self._snapshots = snapshots.SnapshotWriter(
+            log_service, self._in_force, self._group, chosen.snapshot_interval_ms
+        )
         handler = entry_handler.EntryHandler(
             tokens=access.AccessTable(
                 {item.customer: item.token for item in chosen.customer_tokens}
@@ -86,7 +94,12 @@
                 once.OnceDispatcher(self._claims, self._routes, self._links),
             ),
             trainers=trainer_api.TrainerApi(
-                self._in_force, self._steps, versions, self._find_own_url, self._leaving.is_set
+                self._in_force,
+                self._steps,
+                versions,
+                self._runs,
+                self._find_own_url,
+                self._leaving.is_set,
             ),
             follower=self._follower,
             count_peers=lambda: len(self._routes.list_peers()),
@@ -100,8 +113,11 @@
     def run(self, stop: lifecycle.StopSignal) -> None:
         """Serve until told to stop, then finish what is in progress."""
         self._follower.on_change(self._spread_change)
+        self._follower.on_change(self._runs.note_change)
         self._group.start(self._follower.follow)
         self._group.start(self._hosts.follow)
+        self._group.start(self._runs.write)
+        self._group.start(self._snapshots.write)
         self._claims.start()
         self._sampling.start()
         self._group.start(self._server.serve)
--- a/programs/oleanderdeal/oleanderdeal/hosts.py
+++ b/programs/oleanderdeal/oleanderdeal/hosts.py
@@ -54,6 +54,8 @@
         self, listed: tuple[hostlist.Host, ...]
     ) -> collections.abc.Iterable[hostlist.Host]:
         by_name = {host.name: host for host in listed}
-        described = [subset.SubsetHost(host.name, host.failure_domain) for host in listed]
+        described = [
+            subset.SubsetHost(host.name, host.failure_domain, host.backend) for host in listed
+        ]
         chosen = subset.choose_subset(self._name, described, self._most_peers)
         return [by_name[name] for name in chosen]
--- a/programs/oleanderdeal/oleanderdeal/setting_table.py
+++ b/programs/oleanderdeal/oleanderdeal/setting_table.py
@@ -229,7 +229,12 @@
         "Claims of one stream kept in memory; a key older than these is refused.",
     ),
     Setting(
-        "drain_ms", Kind.INTEGER, "ms", 30_000, 0, _HOUR_MS, _SERVERS,
+        "snapshot_interval_ms", Kind.INTEGER, "ms", 600_000, 100, _HOUR_MS, _ENTRY,
+        "A snapshot of what is in force is written to the log this often; well below the time"
+        " that the log keeps records.",
+    ),
+    Setting(
+        "drain_ms", Kind.INTEGER, "ms", 600_000, 0, _HOUR_MS, _SERVERS,
         "How long a stopping process may take to finish what runs.",
     ),
     # Operators' commands.
--- a/programs/oleanderdeal/oleanderdeal/settings.py
+++ b/programs/oleanderdeal/oleanderdeal/settings.py
@@ -60,6 +60,7 @@
     sample_tasks: int
     claim_shards: int
     claim_window: int
+    snapshot_interval_ms: int
     drain_ms: int
     file: str
     by: str
--- a/programs/oleanderdeal/oleanderdeal/trainer_api.py
+++ b/programs/oleanderdeal/oleanderdeal/trainer_api.py
@@ -7,7 +7,7 @@
 from oleander_base import clock, findings
 from oleander_contracts import contract, fold
 from oleander_samples import pulls, readers, registry
-from oleanderdeal import accounts, http_messages, version_publisher
+from oleanderdeal import accounts, http_messages, trainer_runs, version_publisher
 
 _CALL_SECONDS = 5.0
 _MOST_BODY_BYTES = 4096
@@ -23,12 +23,14 @@
         configuration: fold.ConfigurationFold,
         steps: registry.StepRegistry,
         versions: version_publisher.VersionPublisher,
+        runs: trainer_runs.TrainerRuns,
         own_url: collections.abc.Callable[[], str],
         is_draining: collections.abc.Callable[[], bool],
     ) -> None:
         self._configuration = configuration
         self._steps = steps
         self._versions = versions
+        self._runs = runs
         self._own_url = own_url
         self._is_draining = is_draining
 
@@ -72,13 +74,11 @@
         step = readers.read_step(customer, trainer, step_text, request.body)
         if step.is_error():
             return http_messages.answer_findings(step.error)
+        if self._runs.is_superseded(customer, trainer, step.ok.incarnation):
+            return _refuse_step(registry.RefusalReason.SUPERSEDED)
         put = self._steps.put(step.ok, terms)
         if put.is_error():
-            return http_messages.answer_problem(
-                http_messages.Problem(
-                    409, "The step was not registered.", "not-run", put.error.reason.value
-                )
-            )
+            return _refuse_step(put.error.reason)
         return http_messages.answer_json(
             {"step": step.ok.step, "collector": self._own_url(), "samples": step.ok.total}
         )
@@ -95,7 +95,10 @@
             found = self._steps.find(customer, trainer, int(step_text))
         if found is None:
             return _answer_missing("step-unknown")
+        started_at = clock.read_now()
         pulled = found.pull(read.ok, read.ok.wait_ms / 1000)
+        waited_ms = int((clock.read_now() - started_at) * 1000)
+        accounts.count_samples(customer, trainer, "idle_ms", waited_ms)
         if pulled.is_error():
             return _refuse_pull(pulled.error)
         accounts.count_samples(customer, trainer, "delivered", len(pulled.ok.samples))
@@ -118,6 +121,12 @@
         return terms.find_trainer(trainer) if terms else None
 
 
+def _refuse_step(reason: registry.RefusalReason) -> http_messages.HttpAnswer:
+    return http_messages.answer_problem(
+        http_messages.Problem(409, "The step was not registered.", "not-run", reason.value)
+    )
+
+
 def _read_uri(body: bytes) -> str | None:
     try:
         content = json.loads(body[:_MOST_BODY_BYTES])
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/trainer_runs.py
@@ -0,0 +1,85 @@
+"""
+Makes known which run of a trainer is the newest, to every entry.
+
+An older run of a trainer that wakes up, or that never noticed its replacement, is refused with
+"superseded" wherever it asks, once the news is there. Exactly-once does not rest on it, but on
+each run's own statement of what it holds; the news saves the work done for a run that is gone.
+"""
+
+import queue
+
+from oleander_base import clock, log, tasks
+from oleander_contracts import fold, records
+from oleander_platform import logservice
+from oleander_samples import registry
+from oleanderdeal import configuration
+
+_MOST_WAITING = 256
+_TAKE_SECONDS = 0.5
+_APPEND_SECONDS = 2.0
+_RETRY_SECONDS = 1.0
+
+
+class TrainerRuns:
+    """
+    Tells the log of new runs, and the step registry of what the log says.
+
+    The queue is bounded; at the bound the newest news is dropped, and sent again with the
+    trainer's next step.
+    """
+
+    def __init__(
+        self,
+        service: logservice.LogService,
+        in_force: fold.ConfigurationFold,
+        steps: registry.StepRegistry,
+        group: tasks.TaskGroup,
+        by: str,
+    ) -> None:
+        self._service = service
+        self._in_force = in_force
+        self._steps = steps
+        self._group = group
+        self._by = by
+        self._waiting: queue.Queue[records.TrainerRecord] = queue.Queue(_MOST_WAITING)
+
+    def is_superseded(self, customer: str, trainer: str, incarnation: int) -> bool:
+        """Return whether a newer run is known; take this one in if not."""
+        newest = self._in_force.find_incarnation(customer, trainer)
+        if incarnation > newest:
+            self._tell(records.TrainerRecord(customer, trainer, incarnation, self._by))
+        return incarnation < newest
+
+    def note_change(self) -> None:
+        """Hand the newest runs to the step registry."""
+        for terms in self._in_force.list_contracts():
+            for trainer in terms.trainers:
+                newest = self._in_force.find_incarnation(terms.customer, trainer.name)
+                if newest >= 0:
+                    self._steps.note_incarnation(terms.customer, trainer.name, newest)
+
+    def write(self) -> None:
+        """Append what waits until the group stops; an outage delays it."""
+        while not self._group.is_stopping:
+            try:
+                record = self._waiting.get(timeout=_TAKE_SECONDS)
+            except queue.Empty:
+                continue
+            self._append(record)
+
+    def _append(self, record: records.TrainerRecord) -> None:
+        while not self._group.is_stopping:
+            if record.incarnation <= self._in_force.find_incarnation(
+                record.customer, record.trainer
+            ):
+                return
+            deadline = clock.start_deadline(_APPEND_SECONDS)
+            if self._service.append(configuration.STREAM, [record.to_value()], deadline).is_ok():
+                return
+            self._group.pause(_RETRY_SECONDS)
+
+    def _tell(self, record: records.TrainerRecord) -> None:
+        try:
+            self._waiting.put_nowait(record)
+        except queue.Full:
+            log.warn_bounded("trainer-runs-dropped", "too much news of trainers waits for the log")
--- a/standins/oleander_standins/deployment.py
+++ b/standins/oleander_standins/deployment.py
@@ -130,6 +130,7 @@
             "address": address,
             "failure_domain": self._hosts[name].domain,
             "state": "live",
+            "backend": self._hosts[name].backend,
         }
         self._cluster.control("hosts", add=host)
 
