Drop waiting work that can't end in time when other work could run instead

Cause: under overload all that waits is near its deadline, and service times scatter; the queue ran work to its end that was late before it began.

--- a/bench/policy_admission.py
+++ b/bench/policy_admission.py
@@ -33,6 +33,7 @@
     def take(self) -> work.Work | None:
         """Return the work to run next, if any."""
 
+    @abc.abstractmethod
     def finish(self, item: work.Work, service_ms: float) -> None:
         """Take note of work that ended."""
 
@@ -55,6 +56,9 @@
         """Return the oldest work."""
         return self._items.popleft() if self._items else None
 
+    def finish(self, item: work.Work, service_ms: float) -> None:
+        """Learn nothing from it."""
+
 
 class StrictQueue(Queue):
     """The most urgent class first, without a floor."""
@@ -70,6 +74,9 @@
         """Return the oldest work of the most urgent class."""
         return next((item for queue in self._queues if (item := queue.take())), None)
 
+    def finish(self, item: work.Work, service_ms: float) -> None:
+        """Learn nothing from it."""
+
 
 class OurQueue(Queue):
     """The product's admission."""
--- a/features/admission.feature
+++ b/features/admission.feature
@@ -90,6 +90,25 @@
     When admission work a1 ends after 100 ms
     Then admission runs in order a3
 
+  Scenario Outline: Work that can no longer end in time makes way for work that can
+    # The work before it took longer than predicted. Its caller is told "not run" at once instead
+    # of a late answer, and the next caller's answer is not late too. Alone it is tried anyway.
+    Given an admission queue with 1 slots and 100 places
+    When admission is asked for <work>
+    And admission hands out 1 works
+    And admission time passes by 130 ms
+    And admission work a1 ends after 130 ms
+    Then admission runs in order <order>
+    And admission dropped <dropped>
+
+    Examples:
+      | work                                                               | order | dropped     |
+      | a1:interactive:100 a2:interactive:50:160 a3:interactive:50         | a3    | a2:too-late |
+      | a1:interactive:100 a2:interactive:50:160 b3:interactive:50         | b3    | a2:too-late |
+      | a1:interactive:100 a2:interactive:50:160 b3:background:50          | a2 b3 | nothing     |
+      | a1:interactive:100 a2:interactive:50:160                           | a2    | nothing     |
+      | a1:interactive:100 a2:interactive:20:160 a3:interactive:50         | a2 a3 | nothing     |
+
   Scenario Outline: Running work is given up only for more urgent work, and only when slots are short
     Given an admission queue with <slots> slots and 100 places
     When admission is asked for <work>
--- a/libs/admission/oleander_admission/admission.py
+++ b/libs/admission/oleander_admission/admission.py
@@ -206,11 +206,25 @@
         self._drop_expired(now)
         if len(self._running) >= self._slots:
             return None
-        turn = self._waiting.pop_next()
-        if turn is None:
-            return None
-        self._running[turn.work.work_id] = _Running(turn, now)
-        return turn.work
+        while (turn := self._waiting.peek_next()) is not None:
+            if not self._is_hopeless(turn.work, now):
+                self._waiting.pop(turn)
+                self._running[turn.work.work_id] = _Running(turn, now)
+                return turn.work
+            self._waiting.remove(turn.work.work_id)
+            self._drop(turn.work, work.TOO_LATE, now)
+        return None
+
+    def _is_hopeless(self, item: work.Work, now: float) -> bool:
+        """
+        Tell whether work would be late even if it ran at once, and something else could run.
+
+        Under overload all that waits is near its deadline. Run in turn, much of it would end just
+        too late and waste the slot that the next one needs to end in time.
+        """
+        if self._waiting.count_class(item.priority) < 2:
+            return False
+        return self._measure_lateness_ms(item, 0.0, now) > 0.0
 
     def _refuse(self, reason: str, milliseconds: float) -> work.Refusal:
         """
--- a/libs/admission/oleander_admission/classes.py
+++ b/libs/admission/oleander_admission/classes.py
@@ -65,16 +65,23 @@
                 return True
         return False
 
-    def pop_next(self) -> Turn | None:
-        """Take out the work that goes next, if any waits."""
+    def peek_next(self) -> Turn | None:
+        """Return the work that goes next, if any waits."""
         waiting = [priority for priority in PRIORITIES if self._queues[priority]]
         if not waiting:
             return None
-        served = self._choose_class(waiting)
-        item = self._queues[served].pop().work
-        by_floor = served != waiting[0]
-        self._settle_floors(served, item.cost_ms, by_floor)
-        return Turn(item, by_floor)
+        priority = self._choose_class(waiting)
+        return Turn(self._queues[priority].peek().work, priority != waiting[0])
+
+    def pop(self, turn: Turn) -> None:
+        """Take out the work that `peek_next` returned, at its customer's cost."""
+        priority = find_class(turn.work.priority)
+        self._queues[priority].pop()
+        self._settle_floors(priority, turn.work.cost_ms, turn.by_floor)
+
+    def count_class(self, priority: int) -> int:
+        """Return how much work of a class waits."""
+        return len(self._queues[find_class(priority)])
 
     def pop_expired(self, now: float) -> list[work.Work]:
         """Take out all work whose deadline has passed."""
