--- a/features/admission.feature
+++ b/features/admission.feature
@@ -104,7 +104,7 @@
     Examples:
       | work                                                               | order | dropped     |
       | a1:interactive:100 a2:interactive:50:160 a3:interactive:50         | a3    | a2:too-late |
-      | a1:interactive:100 a2:interactive:50:160 b3:interactive:50         | b3 a2 | nothing     |
+      | a1:interactive:100 a2:interactive:50:160 b3:interactive:500        | b3    | a2:too-late |
       | a1:interactive:100 a2:interactive:50:160 b3:background:50          | a2 b3 | nothing     |
       | a1:interactive:100 a2:interactive:50:160                           | a2    | nothing     |
       | a1:interactive:100 a2:interactive:20:160 a3:interactive:50         | a2 a3 | nothing     |
