Make the adapters' tests fail where their safeguards are taken out

Trials on a scratch copy found two safeguards that no scenario missed: one send only for what may not be repeated, and the reader woken before the engine is told.

--- a/features/adapters.feature
+++ b/features/adapters.feature
@@ -113,16 +113,18 @@
 
   Scenario Outline: A request that may not be sent twice is sent once
     # The caller sees an error. The server received the request, may have acted on it, and closed
-    # the connection without an answer; a client library that sent it again would run it twice.
-    When <call> is made through the adapter and answered with nothing and {}
-    Then the adapter's server received 1 request
+    # the connection without an answer; a client library that sent it again, as it may do with a
+    # read on a kept connection, would run it twice.
+    When <call> is made twice through one adapter and answered only the first time
+    Then the adapter reports an error and its server received <requests> requests
 
     Examples:
-      | call     |
-      | append   |
-      | service  |
-      | load     |
-      | generate |
+      | call    | requests |
+      | append  | 2        |
+      | service | 2        |
+      | load    | 2        |
+      | stream  | 2        |
+      | read    | 3        |
 
   Scenario Outline: Reads go on over a kept connection and survive its end
     # The caller sees answers only. The server closes a kept connection between two reads, and the
@@ -139,7 +141,7 @@
   Scenario Outline: A server that sends one byte in a while does not stretch the deadline
     # The caller sees an error at its deadline, though the whole answer would come in the end. Each
     # byte arrives in time for a timeout that starts anew with every receive.
-    When <call> is made through the adapter and the answer trickles past the deadline
+    When <call> is made through the adapter and its good answer trickles past the deadline
     Then the adapter's error says that something may have been done
 
     Examples:
@@ -149,11 +151,18 @@
       | service |
       | stream  |
 
-  Scenario: Cancelling a generation wakes its reader and tells the engine
+  Scenario Outline: Cancelling a generation wakes its reader and tells the engine
     # The caller's reader waits for a piece that takes minutes. Another thread cancels: the reader
-    # gets its one error at once, and the engine gives the slot back.
+    # gets its one error at once, also from an engine that is paused and obeys only later; then
+    # the engine gives the slot back.
     Given an engine stand-in for the adapter that takes 100000 ms for a token
     And a generation read through the engine adapter on another thread
+    And the engine stand-in for the adapter is <state>
     When the generation is cancelled through the engine adapter
     Then the engine adapter's reader ends with one error that names cancelled
     And the engine stand-in has 0 generations running and 1 cancelled
+
+    Examples:
+      | state   |
+      | running |
+      | frozen  |
--- a/features/raw_server.py
+++ b/features/raw_server.py
@@ -11,13 +11,14 @@
 class RawServer:
     """Serves one connection after the other; `pieces` are sent for each request it receives."""
 
-    def __init__(self, pieces, keeps_open=False, pause=0.0):
-        """Send pieces with a pause before each, then close unless connections are kept open."""
+    def __init__(self, pieces, keeps_open=False, pause=0.0, most_answers=1000):
+        """Send pieces with a pause before each; after the most answers, close without one."""
         self.requests = []
         self.connections = 0
         self._pieces = pieces
         self._keeps_open = keeps_open
         self._pause = pause
+        self._most_answers = most_answers
         self._stopping = threading.Event()
         self._listener = socket.create_server(("127.0.0.1", 0))
         self._thread = threading.Thread(target=self._serve, daemon=True)
@@ -47,7 +48,7 @@
                 self._serve_connection(connection)
 
     def _serve_connection(self, connection):
-        while self._receive_request(connection):
+        while self._receive_request(connection) and len(self.requests) <= self._most_answers:
             for piece in self._pieces:
                 if self._stopping.wait(self._pause):
                     return
--- a/features/steps/adapters_steps.py
+++ b/features/steps/adapters_steps.py
@@ -28,35 +28,48 @@
     return engine.Generation("r", "prompt", "", 8, 0, "", 0)
 
 
-def _read_stream(url, deadline):
+def _read_stream(adapter, deadline):
     """Return the last item of a stream, after checking that an error came alone and last."""
-    opened = http_engine.HttpEngine(url).generate(_generation(), deadline)
+    opened = adapter.generate(_generation(), deadline)
+    if opened.is_error():
+        return opened
     items = list(opened.ok)
     assert all(item.is_ok() for item in items[:-1]), items
     return items[-1]
 
 
 _CALLS = {
-    "append": lambda url, deadline: http_logservice.HttpLogService(url).append(
-        _STREAM, [{"n": 1}], deadline
-    ),
-    "read": lambda url, deadline: http_logservice.HttpLogService(url).read(
-        _STREAM, 0, 0, deadline
-    ),
-    "hosts": lambda url, deadline: http_hostlist.HttpHostList(url).read(deadline),
-    "service": lambda url, deadline: http_service.HttpService(url).call(
-        "book", "key", b"body", deadline
-    ),
-    "load": lambda url, deadline: http_engine.HttpEngine(url).load_version(
-        engine.LoadOrder("m", 7, 9), deadline
-    ),
-    "version": lambda url, deadline: http_engine.HttpEngine(url).read_version(deadline),
-    "report": lambda url, deadline: http_engine.HttpEngine(url).read_load(deadline),
-    "generate": lambda url, deadline: http_engine.HttpEngine(url).generate(
-        _generation(), deadline
-    ),
+    "append": lambda log, deadline: log.append(_STREAM, [{"n": 1}], deadline),
+    "read": lambda log, deadline: log.read(_STREAM, 0, 0, deadline),
+    "hosts": lambda hosts, deadline: hosts.read(deadline),
+    "service": lambda service, deadline: service.call("book", "key", b"body", deadline),
+    "load": lambda model, deadline: model.load_version(engine.LoadOrder("m", 7, 9), deadline),
+    "version": lambda model, deadline: model.read_version(deadline),
+    "report": lambda model, deadline: model.read_load(deadline),
+    "generate": lambda model, deadline: model.generate(_generation(), deadline),
     "stream": _read_stream,
 }
+_ADAPTERS = {
+    "append": http_logservice.HttpLogService,
+    "read": http_logservice.HttpLogService,
+    "hosts": http_hostlist.HttpHostList,
+    "service": http_service.HttpService,
+} | dict.fromkeys(("load", "version", "report", "generate", "stream"), http_engine.HttpEngine)
+_GOOD_BODIES = {
+    "append": '{"first_offset": 0, "count": 1}',
+    "read": '{"records": [], "first_offset": 0, "next_offset": 0}',
+    "hosts": '{"hosts": []}',
+    "service": "{}",
+    "load": '{"version": 7, "loading": false}',
+    "version": '{"version": 7, "loading": false}',
+    "report": '{"running": 0, "waiting": 0, "slots": 1}',
+    "stream": '{"text": "a", "tokens": 1, "last": true}',
+}
+
+
+def _call(call, url, seconds=_SECONDS):
+    """Make a call with an adapter of its own."""
+    return _CALLS[call](_ADAPTERS[call](url), clock.start_deadline(seconds))
 
 
 def _says_nothing_done(error):
@@ -96,14 +109,13 @@
 
 @behave.when("one record is appended through the log adapter within {budget:d} ms")
 def append_record(context, budget):
-    deadline = clock.start_deadline_ms(budget)
-    context.result = _CALLS["append"](context.url, deadline)
+    context.result = _call("append", context.url, budget / 1000)
 
 
 @behave.when("records are appended through the log adapter until one fails")
 def append_until_failure(context):
     for _ in range(1000):
-        context.result = _CALLS["append"](context.url, clock.start_deadline(_SECONDS))
+        context.result = _call("append", context.url)
         if context.result.is_error():
             return
 
@@ -139,7 +151,7 @@
 
 @behave.when("the operation book is called through the service adapter within {budget:d} ms")
 def call_service(context, budget):
-    context.result = _CALLS["service"](context.url, clock.start_deadline_ms(budget))
+    context.result = _call("service", context.url, budget / 1000)
 
 
 @behave.then("the service adapter says {result}")
@@ -166,7 +178,7 @@
 def call_nobody(context, call):
     with socket.create_server(("127.0.0.1", 0)) as listener:
         url = f"http://127.0.0.1:{listener.getsockname()[1]}"
-    context.result = _CALLS[call](url, clock.start_deadline(_SECONDS))
+    context.result = _call(call, url)
 
 
 def _create_answer(head, body):
@@ -190,16 +202,24 @@
 @behave.when("{call} is made through the adapter and answered with {head} and {body}")
 def call_raw(context, call, head, body):
     _serve(context, [_create_answer(head, body)])
-    context.result = _CALLS[call](context.server.url, clock.start_deadline(_SECONDS))
+    context.result = _call(call, context.server.url)
 
 
-@behave.when("{call} is made through the adapter and the answer trickles past the deadline")
+@behave.when("{call} is made through the adapter and its good answer trickles past the deadline")
 def call_trickling(context, call):
-    lines = b'{"text": "a", "tokens": 1, "last": true}\n'
-    head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n" % len(lines)
-    pieces = [head, *(lines[at : at + 1] for at in range(len(lines)))]
-    _serve(context, pieces, pause=0.05)
-    context.result = _CALLS[call](context.server.url, clock.start_deadline(_TRICKLE_SECONDS))
+    answer = _create_answer("HTTP/1.1 200", _GOOD_BODIES[call])
+    _serve(context, [answer[at : at + 1] for at in range(len(answer))], pause=0.02)
+    context.result = _call(call, context.server.url, _TRICKLE_SECONDS)
+
+
+@behave.when("{call} is made twice through one adapter and answered only the first time")
+def call_twice(context, call):
+    answer = _create_answer("HTTP/1.1 200", _GOOD_BODIES[call])
+    _serve(context, [answer], keeps_open=True, most_answers=1)
+    adapter = _ADAPTERS[call](context.server.url)
+    first = _CALLS[call](adapter, clock.start_deadline(_SECONDS))
+    assert first.is_ok(), first
+    context.result = _CALLS[call](adapter, clock.start_deadline(_SECONDS))
 
 
 @behave.then("the adapter's error names {detail} and says that something may have been done")
@@ -224,10 +244,10 @@
     check_certain(context, "")
 
 
-@behave.then("the adapter's server received 1 request")
-def check_one_request(context):
-    assert context.result.is_error()
-    assert len(context.server.requests) == 1, context.server.requests
+@behave.then("the adapter reports an error and its server received {requests:d} requests")
+def check_requests(context, requests):
+    assert context.result.is_error(), context.result
+    assert len(context.server.requests) == requests, context.server.requests
 
 
 @behave.given("a server for the adapter that {closes} after each answer")
@@ -274,6 +294,12 @@
     context.generation.cancel()
 
 
+@behave.given("the engine stand-in for the adapter is {state}")
+def change_engine(context, state):
+    if state == "frozen":
+        context.cluster.freeze("engine")
+
+
 @behave.then("the engine adapter's reader ends with one error that names {detail}")
 def check_reader(context, detail):
     context.reader.join(_SECONDS)
@@ -284,6 +310,8 @@
 
 @behave.then("the engine stand-in has {running:d} generations running and {cancelled:d} cancelled")
 def check_engine(context, running, cancelled):
+    context.cluster.thaw("engine")
+
     def matches():
         counts = context.cluster.read_control("engine")
         outcomes = [item["outcome"] for item in counts["generations"].values()]
