Let engines mark each token with its weights, so that labels are checked end to end

Cause: the trainer's checks could tell that a label adds up, but not that it is true. The engine stand-in writes the version into each token's text; the trainer compares it with the label. Ruled out: matching request ids with the engine's own records, which a resumed sample has several of.

--- a/standins/oleander_standins/demo.py
+++ b/standins/oleander_standins/demo.py
@@ -111,6 +111,7 @@
         flags += ["--entry", deployed.cluster.url(entry)]
     flags += ["--token", deployed.write_headers(customer)["Authorization"].split()[1]]
     flags += ["--weights-url", deployed.cluster.url("weights"), "--publish-weights"]
+    flags.append("--checks-marks")
     flags += ["--staleness-bound", str(staleness_bound), "--version-start", "2"]
     flags += ["--steps", "3", "--groups", "4", "--samples", "4", "--max-tokens", "60"]
     flags += ["--straggler-every", "7", "--straggler-tokens", "200"]
--- a/standins/oleander_standins/deployment.py
+++ b/standins/oleander_standins/deployment.py
@@ -98,6 +98,7 @@
         host = self._hosts[name]
         flags = list(host.engine_flags)
         if host.kind == "engine":
+            flags.append("--marks-version")
             flags += ["--weights-url", self._cluster.url("weights"), "--slots", str(host.slots)]
             if host.checks_fencing:
                 flags.append("--checks-fencing")
--- a/standins/oleander_standins/engine.py
+++ b/standins/oleander_standins/engine.py
@@ -30,6 +30,8 @@
     """The version at the start; below 0 for none."""
     load_ms: int = 50
     states_version: bool = True
+    marks_version: bool = False
+    """Each token's text names the weights that made it, so that a receiver can check labels."""
     checks_fencing: bool = False
     weights_url: str = ""
     fail_load: int = 0
@@ -180,7 +182,7 @@
         with self.changed:
             count = min(self.settings.piece_tokens, generation.left)
             version = self._weights.version
-            text = generation.add_tokens(version, count)
+            text = generation.add_tokens(version, count, self.settings.marks_version)
             self._counts["tokens"] += count
             piece: dict[str, typing.Any] = {"text": text, "tokens": count}
             if self.settings.states_version and version is not None:
--- a/standins/oleander_standins/generations.py
+++ b/standins/oleander_standins/generations.py
@@ -34,9 +34,10 @@
         """How many tokens are to be made."""
         return max(0, self.length - self.position)
 
-    def add_tokens(self, version: int | None, count: int) -> str:
+    def add_tokens(self, version: int | None, count: int, marked: bool) -> str:
         """Make tokens with a version of the weights; return their text."""
-        text = tokens.make_text(self.prompt, self.position, count)
+        mark = version if marked else None
+        text = tokens.make_text(self.prompt, self.position, count, mark)
         self.position += count
         if self.label and self.label[-1]["version"] == version:
             self.label[-1]["tokens"] = (self.label[-1]["tokens"] or 0) + count
--- a/standins/oleander_standins/tokens.py
+++ b/standins/oleander_standins/tokens.py
@@ -1,5 +1,6 @@
 """The tokens of the engine stand-in, which follow from the prompt alone, so callers can check."""
 
+import itertools
 import re
 import zlib
 
@@ -7,9 +8,23 @@
 _TOKEN_VALUES = 100_000
 
 
-def make_text(prompt: str, start: int, count: int) -> str:
-    """Return the text of some tokens of a prompt's answer."""
-    return "".join(_make_token(prompt, position) for position in range(start, start + count))
+def make_text(prompt: str, start: int, count: int, version: int | None = None) -> str:
+    """Return the text of some tokens of a prompt's answer, marked with a version if given."""
+    mark = "" if version is None else f"v{version}"
+    return "".join(
+        f"{_make_token(prompt, position)}{mark} " for position in range(start, start + count)
+    )
+
+
+def read_marks(text: str) -> list[tuple[int, int]]:
+    """Return the versions that the tokens are marked with, as runs of version and tokens."""
+    versions = [int(item.partition("v")[2]) for item in text.split()]
+    return [(version, len(list(run))) for version, run in itertools.groupby(versions)]
+
+
+def remove_marks(text: str) -> str:
+    """Return a marked text without its marks."""
+    return "".join(f"{item.partition('v')[0]} " for item in text.split())
 
 
 def read_length(prompt: str, max_tokens: int) -> int:
@@ -19,4 +34,4 @@
 
 
 def _make_token(prompt: str, position: int) -> str:
-    return f"{zlib.crc32(f'{prompt}|{position}'.encode()) % _TOKEN_VALUES} "
+    return str(zlib.crc32(f"{prompt}|{position}".encode()) % _TOKEN_VALUES)
--- a/standins/oleander_standins/trainer.py
+++ b/standins/oleander_standins/trainer.py
@@ -60,7 +60,9 @@
     def _take_step(self, step: int) -> None:
         groups = [self._create_group(step, index) for index in range(self._options.groups)]
         bound = self._options.staleness_bound
-        check = trainer_checks.StepCheck(step, groups, self._version, bound)
+        check = trainer_checks.StepCheck(
+            step, groups, self._version, bound, self._options.checks_marks
+        )
         started = time.monotonic()
         try:
             self._pull_all(step, groups, check)
@@ -155,6 +157,7 @@
     for name, default in numbers.items():
         parser.add_argument(f"--{name}", type=int, default=default)
     parser.add_argument("--publish-weights", action="store_true", help="a version for each step")
+    parser.add_argument("--checks-marks", action="store_true", help="engines mark each token")
     parser.add_argument("--weights-url", default="", help="store the weights there first")
     return parser
 
--- a/standins/oleander_standins/trainer_checks.py
+++ b/standins/oleander_standins/trainer_checks.py
@@ -68,12 +68,18 @@
     """Holds the samples of one step and checks each that arrives."""
 
     def __init__(
-        self, step: int, groups: collections.abc.Sequence[Group], version: int, bound: int
+        self,
+        step: int,
+        groups: collections.abc.Sequence[Group],
+        version: int,
+        bound: int,
+        checks_marks: bool = False,
     ) -> None:
         self.tally = Tally()
         self._step = step
         self._version = version
         self._bound = bound
+        self._checks_marks = checks_marks
         self._held: set[int] = set()
         self._groups = [index for index, group in enumerate(groups) for _ in range(group.samples)]
         self._prompts = [group.prompt for group in groups]
@@ -150,8 +156,19 @@
         self.tally.tokens += made
         if made != self._lengths[group]:
             self._reject(f"sample {number} has {made} tokens, not {self._lengths[group]}")
-        if sample["text"] != tokens.make_text(self._prompts[group], 0, self._lengths[group]):
+        text = sample["text"]
+        if self._checks_marks:
+            self._check_marks(number, sample)
+            text = tokens.remove_marks(text)
+        if text != tokens.make_text(self._prompts[group], 0, self._lengths[group]):
             self._reject(f"sample {number} has another text")
 
+    def _check_marks(self, number: int, sample: dict[str, typing.Any]) -> None:
+        """Compare the label with what the engines wrote into the text itself."""
+        marks = tokens.read_marks(sample["text"])
+        label = [(run["version"], run["tokens"]) for run in sample["label"]]
+        if marks != label:
+            self._reject(f"sample {number} is labelled {label}, but was made by {marks}")
+
     def _reject(self, problem: str) -> None:
         self.tally.reject(f"step {self._step}: {problem}")
