Never pass on tokens past some that are held back

Cause: an engine whose load failed midway streams without a stated version until a load succeeds. The runner held those first pieces back and passed on the later, labelled ones; when the stream then broke off, the sample was resumed from a text without its start. Ruled out: the relay, whose connections keep order; the collector, whose partial text and label agreed; the resume at the engine, which continued at the right position of a wrong start. Conclusion: a stream that mixes stated and unstated versions ends there, and what was passed on before is whole.

--- a/programs/oleanderdeal/oleanderdeal/runners.py
+++ b/programs/oleanderdeal/oleanderdeal/runners.py
@@ -77,7 +77,15 @@
     def _forward(
         self, pending: work.PendingRun, stream: engine.GenerationStream
     ) -> messages.Answer:
+        """
+        Pass tokens on while they are made.
+
+        An engine that states versions and stops, or starts, in mid-stream has no whole weights
+        for a part of it. Going on past the part would leave a hole in the text; what was passed
+        on before it is whole, and the rest is made elsewhere.
+        """
         before = self._keeper.read_state()
+        sent = 0
         unlabelled: list[engine.Chunk] = []
         for result in stream:
             if pending.is_unwanted:
@@ -88,8 +96,12 @@
             chunk = result.ok
             if chunk.version is None:
                 unlabelled.append(chunk)
-            else:
+            elif not unlabelled:
+                sent += 1
                 pending.send(_write_tokens(pending.run, chunk, chunk.version))
+            if unlabelled and (sent or chunk.version is not None):
+                stream.cancel()
+                return _answer(messages.Outcome.FAILED, REASON_LABEL_UNKNOWN)
             if chunk.is_last:
                 return self._end(pending, unlabelled, before)
         return _answer(messages.Outcome.FAILED, "stream-broke-off")
--- a/programs/oleanderdeal/oleanderdeal/weights.py
+++ b/programs/oleanderdeal/oleanderdeal/weights.py
@@ -96,7 +96,7 @@
         """Follow the version in force until the group stops."""
         self._wait_out_earlier_orders()
         while not self._group.is_stopping:
-            pause = self._advance()
+            pause = self.look()
             self._changed.wait(pause)
             self._changed.clear()
 
@@ -111,8 +111,8 @@
         if not self._checks_fencing:
             self._group.pause(self._load_timeout_ms / 1000)
 
-    def _advance(self) -> float:
-        """Do the next thing; return how many seconds to wait before looking again."""
+    def look(self) -> float:
+        """Do the next thing that is due; return how many seconds to wait before looking again."""
         wanted = self._configuration.find_version(self._model)
         if not self._confirm_by_reading():
             return self._back_off()
