Add the soak: random faults under load, checked by what everyone saw

Cause: promises must hold when faults overlap, which no table enumerates. hypothesis draws the schedule, so a seed repeats it; callers' and trainers' records are compared with the stand-ins' counts, and invariants, failed tasks and configuration offsets are read from the processes.

--- /dev/null
+++ b/features/soak_faults.py
@@ -0,0 +1,223 @@
+"""Applies a schedule of faults to a deployment, and mends each after its time."""
+
+import collections
+import json
+import random
+import threading
+import time
+
+import soak_schedule
+import support
+
+_OPERATORS = ("ada", "grace")
+_GRACE_SECONDS = 30
+
+
+class FaultRunner:
+    """Starts each fault when it is due; faults overlap."""
+
+    def __init__(self, deployed, hosts, seed):
+        self.counts = collections.Counter()
+        self.problems = []
+        self._deployed = deployed
+        self._hosts = hosts
+        self._random = random.Random(seed)
+        self._lock = threading.Lock()
+        self._busy = set()
+        self._threads = []
+        kind = soak_schedule.Kind
+        self._actions = {
+            kind.KILL: self._kill,
+            kind.GRACEFUL_RESTART: self._restart,
+            kind.FREEZE: self._freeze,
+            kind.CUT: self._cut,
+            kind.HOLD: self._hold,
+            kind.LOG_REFUSES: lambda fault: self._set("log", fault, outage="refuse"),
+            kind.LOG_HANGS: lambda fault: self._set("log", fault, outage="hang"),
+            kind.LOG_SLOW: lambda fault: self._set("log", fault, slow_ms=300),
+            kind.LOG_LOSES_ANSWERS: lambda fault: self._set("log", fault, lose_after=3),
+            kind.LOG_LOSES_APPENDS: lambda fault: self._set("log", fault, lose_before=3),
+            kind.LOG_APPENDS_LATE: lambda fault: self._set("log", fault, late=2, late_ms=1500),
+            kind.SERVICE_LOSES_ANSWERS: lambda fault: self._set_service(fault, lose_after=2),
+            kind.SERVICE_HANGS: lambda fault: self._set_service(fault, hang=True),
+            kind.WEIGHTS_DOWN: lambda fault: self._set("weights", fault, outage="refuse"),
+            kind.LOAD_FAILS: lambda fault: self._set_engine(fault, fail_load=1),
+            kind.LOAD_ANSWER_LOST: lambda fault: self._set_engine(fault, lose_load_answer=1),
+            kind.LOAD_LATE: lambda fault: self._set_engine(fault, late_load=1, late_load_ms=800),
+            kind.ENGINE_SLOW: lambda fault: self._set_engine(fault, slow_factor=5.0),
+            kind.RACE: self._race,
+        }
+
+    def run(self, schedule, give_up_at):
+        """Apply faults in order until all are done or time is up; then mend everything."""
+        for fault in schedule:
+            time.sleep(fault.wait_ms / 1000)
+            if time.monotonic() > give_up_at:
+                break
+            thread = threading.Thread(target=self._apply, args=(fault,), daemon=True)
+            self._threads.append(thread)
+            thread.start()
+        for thread in self._threads:
+            thread.join(_GRACE_SECONDS)
+        self._threads.clear()
+
+    def _apply(self, fault):
+        try:
+            if self._actions[fault.kind](fault):
+                self.counts[fault.kind.value] += 1
+        except Exception as error:
+            self.problems.append(f"{fault}: {type(error).__name__} {error}")
+
+    def _claim(self, names, fault):
+        """Take a process that no other fault has in hand, so that each is mended by its own."""
+        with self._lock:
+            free = [name for name in names if name not in self._busy]
+            if not free:
+                return None
+            chosen = free[fault.target % len(free)]
+            self._busy.add(chosen)
+            return chosen
+
+    def _release(self, name):
+        with self._lock:
+            self._busy.discard(name)
+
+    def _list_processes(self):
+        sidecars = [host.name for host in self._hosts]
+        servers = [host.server_name for host in self._hosts if host.kind == "engine"]
+        return [*sidecars, *servers, *self._deployed.entries]
+
+    def _kill(self, fault):
+        return self._replace(fault, self._deployed.cluster.kill)
+
+    def _restart(self, fault):
+        return self._replace(fault, lambda name: self._deployed.cluster.terminate(name, 60))
+
+    def _replace(self, fault, end):
+        name = self._claim(self._list_processes(), fault)
+        if name is None:
+            return False
+        try:
+            end(name)
+            time.sleep(fault.length_ms / 1000)
+            self._start(name)
+        finally:
+            self._release(name)
+        return True
+
+    def _start(self, name):
+        if name in self._deployed.entries:
+            self._deployed.start_entry(name, name[6])
+            self._point(f"{name}-front", name)
+        elif name.endswith("-engine"):
+            self._deployed.start_backend_server(name.removesuffix("-engine"))
+            self._point(f"{name}-front", name)
+        else:
+            start_sidecar(self._deployed, name)
+
+    def _point(self, relay_name, process_name):
+        cluster = self._deployed.cluster
+        cluster.find_relay(relay_name).target = cluster.find(process_name).address
+
+    def _freeze(self, fault):
+        name = self._claim(self._list_processes(), fault)
+        if name is None:
+            return False
+        self._deployed.cluster.freeze(name)
+        time.sleep(fault.length_ms / 1000)
+        self._deployed.cluster.thaw(name)
+        self._release(name)
+        return True
+
+    def _cut(self, fault):
+        relay = self._choose_relay(fault)
+        relay.cut()
+        time.sleep(fault.length_ms / 1000)
+        relay.heal()
+        return True
+
+    def _hold(self, fault):
+        relay = self._choose_relay(fault)
+        relay.block(self._random.choice(("to_server", "to_client")))
+        time.sleep(fault.length_ms / 1000)
+        relay.heal()
+        return True
+
+    def _choose_relay(self, fault):
+        names = [f"{host.name}-relay" for host in self._hosts]
+        return self._deployed.cluster.find_relay(names[fault.target % len(names)])
+
+    def _set(self, name, fault, **settings):
+        cluster = self._deployed.cluster
+        before = {key: self._find_neutral(value) for key, value in settings.items()}
+        cluster.control(name, **settings)
+        time.sleep(fault.length_ms / 1000)
+        cluster.control(name, **before)
+        return True
+
+    def _find_neutral(self, value):
+        return 1.0 if isinstance(value, float) else type(value)()
+
+    def _set_service(self, fault, **settings):
+        services = [host.server_name for host in self._hosts if host.kind == "service"]
+        return self._set(services[fault.target % len(services)], fault, **settings)
+
+    def _set_engine(self, fault, **settings):
+        name = self._claim([h.server_name for h in self._hosts if h.kind == "engine"], fault)
+        if name is None:
+            return False
+        try:
+            return self._set(name, fault, **settings)
+        finally:
+            self._release(name)
+
+    def _race(self, fault):
+        """Two operators publish a contract on the same base; one of them is told it lost."""
+        offset, document = read_contract(self._deployed)
+        for operator in _OPERATORS:
+            changed = document | {"share_percent": self._random.randint(1, 100)}
+            append_contract(self._deployed, changed, offset, operator)
+        return True
+
+
+def start_sidecar(deployed, name):
+    """Start a sidecar behind its relay, so that the link to it can be cut."""
+    cluster = deployed.cluster
+    engine = f"{name}-engine-front"
+    backend_url = cluster.url(engine) if cluster.has(engine) else ""
+    deployed.start_sidecar(name, backend_url)
+    relay_name = f"{name}-relay"
+    if cluster.has(relay_name):
+        cluster.find_relay(relay_name).target = cluster.find(name).address
+    else:
+        cluster.start_relay(relay_name, name)
+    deployed.list_host(name, cluster.address(relay_name))
+
+
+def read_contract(deployed):
+    """Return the offset and document of the newest contract record of a customer."""
+    url = f"{deployed.cluster.url('log')}/streams/configuration/records?offset=0&limit=1000"
+    for _ in range(50):
+        try:
+            page = support.call("GET", url, timeout=5).read_json()
+            break
+        except (OSError, ValueError):
+            time.sleep(0.2)
+    newest, document = -1, {}
+    for record in page["records"]:
+        value = record["value"]
+        if value.get("kind") == "contract" and value["base"] == newest:
+            newest, document = record["offset"], value["document"]
+    return newest, document
+
+
+def append_contract(deployed, document, base, by):
+    """Append a contract record as an operator's command would."""
+    value = {"kind": "contract", "customer": "catania", "base": base, "document": document}
+    value |= {"by": by, "nonce": f"{by}-{base}"}
+    body = json.dumps({"records": [value]}).encode()
+    url = f"{deployed.cluster.url('log')}/streams/configuration/records"
+    try:
+        support.call("POST", url, body, timeout=5)
+    except OSError:
+        return
--- /dev/null
+++ b/features/soak_load.py
@@ -0,0 +1,224 @@
+"""The work that goes on while things fail, and everything that its callers were told."""
+
+import collections
+import dataclasses
+import hashlib
+import http.client
+import json
+import random
+import threading
+import time
+
+import support
+from oleander_standins import trainer
+
+_TRIES = 8
+_TIMEOUT_MS = 3000
+_MOST_PAUSE_SECONDS = 1.0
+
+
+@dataclasses.dataclass(slots=True)
+class KeyHistory:
+    """What the caller of one key was told, in order."""
+
+    key: str
+    body: bytes
+    answers: list
+
+    @property
+    def last(self):
+        return self.answers[-1][0] if self.answers else "none"
+
+
+class Bookings:
+    """Callers that book, each key until it is done or its tries are used up."""
+
+    def __init__(self, deployed, seed, callers):
+        self.histories = []
+        self.problems = []
+        self._deployed = deployed
+        self._seed = seed
+        self._stopping = threading.Event()
+        self._lock = threading.Lock()
+        self._threads = [
+            threading.Thread(target=self._run, args=(number,), daemon=True)
+            for number in range(callers)
+        ]
+
+    def start(self):
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self):
+        self._stopping.set()
+        for thread in self._threads:
+            thread.join(60)
+
+    def _run(self, caller):
+        source = random.Random(f"{self._seed}-{caller}")
+        number = 0
+        while not self._stopping.is_set():
+            number += 1
+            key = f"{self._seed}-{caller}-{number}"
+            history = KeyHistory(key, json.dumps({"key": key}).encode(), [])
+            with self._lock:
+                self.histories.append(history)
+            self._book(history, source)
+            time.sleep(source.uniform(0, 0.05))
+
+    def _book(self, history, source):
+        for _ in range(_TRIES):
+            outcome, pause = self._ask(history, source)
+            if outcome == "done":
+                return
+            time.sleep(pause)
+
+    def _ask(self, history, source):
+        entry = source.choice(self._deployed.entries)
+        try:
+            response = self._deployed.call(
+                entry, "catania", "booking", history.body, history.key, _TIMEOUT_MS, 10.0
+            )
+        except (OSError, http.client.HTTPException, KeyError):
+            history.answers.append(("cut", ""))
+            return "cut", 0.1
+        content = self._read(history, response)
+        if response.status == 200:
+            self._check_done(history, response)
+            return "done", 0
+        outcome = content.get("outcome", "none")
+        history.answers.append((outcome, content.get("reason", "")))
+        return outcome, min(_MOST_PAUSE_SECONDS, content.get("retry_after_ms", 100) / 1000)
+
+    def _read(self, history, response):
+        try:
+            return json.loads(response.body)
+        except ValueError:
+            self.problems.append(f"{history.key}: the answer is no JSON: {response.body[:100]}")
+            return {}
+
+    def _check_done(self, history, response):
+        content = self._read(history, response)
+        digest = hashlib.sha256(history.body).hexdigest()
+        if content.get("key") != history.key or content.get("digest") != digest:
+            self.problems.append(f"{history.key} got another's answer: {content}")
+        earlier = [detail for outcome, detail in history.answers if outcome == "done"]
+        if earlier and earlier[0] != response.body:
+            self.problems.append(f"{history.key} got two answers")
+        history.answers.append(("done", response.body))
+
+    def check_runs(self, runs):
+        """Compare what callers were told with what the services counted."""
+        problems = list(self.problems)
+        for history in self.histories:
+            count = runs.get(history.key, 0)
+            told = [outcome for outcome, _ in history.answers]
+            if count > 1:
+                problems.append(f"{history.key} ran {count} times: {history.answers}")
+            if "done" in told and count != 1:
+                problems.append(f"{history.key} is done but ran {count} times")
+            if told and set(told) == {"not-run"} and count:
+                problems.append(f"{history.key} was told not-run only, but ran: {history.answers}")
+        return problems
+
+    def count_outcomes(self):
+        return collections.Counter(history.last for history in self.histories)
+
+
+class Training:
+    """A trainer that is started anew, with a higher incarnation, whenever it has ended."""
+
+    def __init__(self, deployed, name, bound, seed):
+        self.problems = []
+        self.samples = 0
+        self.runs = 0
+        self._deployed = deployed
+        self._name = name
+        self._bound = bound
+        self._seed = seed
+        self._version = 2
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self):
+        self._thread.start()
+
+    def stop(self):
+        self._stopping.set()
+        self._thread.join(90)
+
+    def _run(self):
+        while not self._stopping.is_set():
+            self.runs += 1
+            process = self._start_process()
+            try:
+                code = process.wait_exit(120)
+            except Exception as error:
+                self.problems.append(f"trainer {self.runs}: {error}")
+                return
+            lines = [process.lines.get_nowait() for _ in range(process.lines.qsize())]
+            self._judge(code, lines)
+
+    def _start_process(self):
+        cluster = self._deployed.cluster
+        flags = ["--customer", "catania", "--trainer", self._name, "--model", self._name]
+        for entry in self._deployed.entries:
+            flags += ["--entry", cluster.url(f"{entry}-front")]
+        token = self._deployed.write_headers("catania")["Authorization"].split()[1]
+        flags += ["--token", token, "--weights-url", cluster.url("weights"), "--publish-weights"]
+        flags += ["--staleness-bound", self._bound, "--version-start", self._version]
+        flags += ["--steps", 2, "--first-step", self.runs * 10, "--incarnation", self.runs]
+        flags += ["--groups", 3, "--samples", 4, "--max-tokens", 40, "--checks-marks"]
+        flags += ["--straggler-every", 5, "--straggler-tokens", 120, "--step-seconds", 90]
+        self._version += 2
+        return cluster.start("trainer", trainer.__name__, *flags, ready=False)
+
+    def _judge(self, code, lines):
+        for line in lines:
+            content = json.loads(line)
+            if content.get("summary"):
+                self.samples += content["samples"]
+                late = [item for item in content["problems"] if item.startswith("LateError")]
+                broken = [item for item in content["problems"] if item not in late]
+                self.problems += [f"trainer {self.runs}: {item}" for item in broken]
+        has_summary = any(json.loads(line).get("summary") for line in lines)
+        if code not in (0, 1, trainer.EXIT_SUPERSEDED) or not has_summary:
+            self.problems.append(f"trainer {self.runs} ended with {code}: {lines}")
+
+
+class Watch:
+    """Reads the configuration offsets of the entries; within one run none ever decreases."""
+
+    def __init__(self, deployed):
+        self.problems = []
+        self.reads = 0
+        self._deployed = deployed
+        self._newest = {}
+        self._stopping = threading.Event()
+        self._thread = threading.Thread(target=self._run, daemon=True)
+
+    def start(self):
+        self._thread.start()
+
+    def stop(self):
+        self._stopping.set()
+        self._thread.join(30)
+
+    def _run(self):
+        while not self._stopping.wait(0.1):
+            for entry in self._deployed.entries:
+                self._read(entry)
+
+    def _read(self, entry):
+        try:
+            address = self._deployed.cluster.address(entry)
+            headers = self._deployed.write_headers("operator")
+            url = f"http://{address}/v1/configuration"
+            content = support.call("GET", url, None, headers, 1.0).read_json()
+        except (OSError, http.client.HTTPException, ValueError, KeyError):
+            return
+        self.reads += 1
+        newest = self._newest.get(address, -1)
+        if content["applied_offset"] < newest:
+            self.problems.append(f"{entry} went back from {newest} to {content}")
+        self._newest[address] = max(newest, content["applied_offset"])
--- /dev/null
+++ b/features/soak_schedule.py
@@ -0,0 +1,74 @@
+"""Draws a schedule of faults: what fails, when, and for how long."""
+
+import dataclasses
+import enum
+
+import hypothesis
+from hypothesis import strategies
+
+
+class Kind(enum.Enum):
+    """A way to fail."""
+
+    KILL = "kill"
+    FREEZE = "freeze"
+    CUT = "cut"
+    HOLD = "hold"
+    LOG_REFUSES = "log refuses"
+    LOG_HANGS = "log hangs"
+    LOG_SLOW = "log slow"
+    LOG_LOSES_ANSWERS = "log loses answers after the effect"
+    LOG_LOSES_APPENDS = "log loses appends"
+    LOG_APPENDS_LATE = "log appends late"
+    SERVICE_LOSES_ANSWERS = "service loses answers after the effect"
+    SERVICE_HANGS = "service hangs"
+    WEIGHTS_DOWN = "weight store down"
+    LOAD_FAILS = "load fails midway"
+    LOAD_ANSWER_LOST = "load's answer is lost"
+    LOAD_LATE = "load takes effect late"
+    ENGINE_SLOW = "engine slow"
+    GRACEFUL_RESTART = "graceful restart"
+    RACE = "two operators publish"
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Fault:
+    """One fault; the target is an index into whatever can fail in this way."""
+
+    kind: Kind
+    target: int
+    wait_ms: int
+    """Since the fault before."""
+    length_ms: int
+
+
+_EXAMPLES = 5
+"""The first examples are the simplest ones, the same for every seed; the last one is kept."""
+
+_FAULT = strategies.builds(
+    Fault,
+    strategies.sampled_from(list(Kind)),
+    strategies.integers(0, 30),
+    strategies.integers(0, 1200),
+    strategies.integers(100, 3000),
+)
+
+
+def draw_schedule(seed, count):
+    """Return the same faults for the same seed."""
+    drawn = []
+
+    @hypothesis.seed(seed)
+    @hypothesis.settings(
+        max_examples=_EXAMPLES,
+        database=None,
+        deadline=None,
+        phases=[hypothesis.Phase.generate],
+        suppress_health_check=list(hypothesis.HealthCheck),
+    )
+    @hypothesis.given(strategies.lists(_FAULT, min_size=count, max_size=count))
+    def draw(schedule):
+        drawn[:] = schedule
+
+    draw()
+    return drawn
--- a/standins/oleander_standins/deployment.py
+++ b/standins/oleander_standins/deployment.py
@@ -71,9 +71,13 @@
         self._cluster.start_stand_in("hosts", "hostlist")
         self._cluster.start_stand_in("weights", "weightstore")
 
+    def add_host(self, host: BackendHost) -> None:
+        """Make a host known, to start its parts one by one."""
+        self._hosts[host.name] = host
+
     def start_host(self, host: BackendHost) -> None:
         """Start a backend server and its sidecar, and list the host."""
-        self._hosts[host.name] = host
+        self.add_host(host)
         self.start_backend_server(host.name)
         self.start_sidecar(host.name)
 
--- a/standins/oleander_standins/processes.py
+++ b/standins/oleander_standins/processes.py
@@ -151,6 +151,14 @@
         self._relays[name] = relay.Relay(known.address if known else target)
         return self._relays[name]
 
+    def find_relay(self, name: str) -> relay.Relay:
+        """Return a relay."""
+        return self._relays[name]
+
+    def has(self, name: str) -> bool:
+        """Tell whether there is a process or relay of that name."""
+        return name in self._processes or name in self._relays
+
     def find(self, name: str) -> Process:
         """Return a process."""
         return self._processes[name]
@@ -202,6 +210,11 @@
             for name, process in self._processes.items()
         )
 
+    def read_whole_logs(self) -> str:
+        """Return all that was logged, by processes that were replaced as well."""
+        paths = sorted(pathlib.Path(self._logs.name).glob("*.log"))
+        return "".join(path.read_text(errors="replace") for path in paths)
+
     def _find_listener(self, name: str) -> Process | relay.Relay:
         return self._relays.get(name) or self._processes[name]
 
--- a/standins/oleander_standins/trainer_checks.py
+++ b/standins/oleander_standins/trainer_checks.py
@@ -106,7 +106,7 @@
         """Check and keep the samples of one whole answer."""
         try:
             self._take_answer(answer)
-        except (AttributeError, KeyError, TypeError) as error:
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
             self._reject(f"malformed answer: {type(error).__name__} {error}")
 
     def _take_answer(self, answer: dict[str, typing.Any]) -> None:
@@ -160,8 +160,9 @@
         if self._checks_marks:
             self._check_marks(number, sample)
             text = tokens.remove_marks(text)
-        if text != tokens.make_text(self._prompts[group], 0, self._lengths[group]):
-            self._reject(f"sample {number} has another text")
+        expected = tokens.make_text(self._prompts[group], 0, self._lengths[group])
+        if text != expected:
+            self._reject(f"sample {number} {_describe_difference(text, expected)}")
 
     def _check_marks(self, number: int, sample: dict[str, typing.Any]) -> None:
         """Compare the label with what the engines wrote into the text itself."""
@@ -172,3 +173,15 @@
 
     def _reject(self, problem: str) -> None:
         self.tally.reject(f"step {self._step}: {problem}")
+
+
+def _describe_difference(text: str, expected: str) -> str:
+    """Return where a text leaves the expected one, and what stands there instead."""
+    found, wanted = text.split(), expected.split()
+    pairs = enumerate(zip(found, wanted, strict=False))
+    place = next((index for index, (one, other) in pairs if one != other), len(found))
+    source = (
+        wanted.index(found[place]) if found[place : place + 1] and found[place] in wanted else -1
+    )
+    order = [wanted.index(item) if item in wanted else -1 for item in found]
+    return f"has another text from token {place} on, {source}: {order}"
