Test the stand-ins, the trainer's checks and the relay

The engine stand-in can pause generations after so many tokens, and numbers their runs, so that order and a load in the middle are tested without time.

--- /dev/null
+++ b/features/standins.feature
@@ -0,0 +1,164 @@
+Feature: Stand-ins of the platform, engines, services and trainers
+  Tests rest on the stand-ins, so these must count truly and act out the faults they are told.
+
+  Scenario: The log stand-in keeps the newest records and numbers them without gaps
+    Given a running stand-in logservice with --retention 3
+    When the stand-in log is given the records 0 1 2 3 4
+    Then reading the stand-in log from offset 0 gives offsets 2 3 4 out of 2 to 5
+    And reading the stand-in log from offset 4 gives offsets 4 out of 2 to 5
+    And reading the stand-in log from offset 9 gives offsets none out of 2 to 5
+
+  Scenario: A read of the log stand-in waits for the next record
+    Given a running stand-in logservice with --retention 3
+    When a read of the stand-in log waits while a record is appended
+    Then the waiting read of the stand-in log has offset 0
+
+  Scenario Outline: The host list stand-in shows changes after its lag
+    Given a running stand-in hostlist with --lag-ms <lag>
+    When the stand-in host list is told {"set": [{"name": "a", "state": "live"}, {"name": "b", "state": "live"}]}
+    And the stand-in host list is told {"leaving": "a", "remove": "b", "add": {"name": "c", "state": "live"}}
+    Then the stand-in host list shows <shown>
+
+    Examples:
+      | lag    | shown            |
+      | 0      | a leaving, c live |
+      | 600000 | nothing          |
+
+  Scenario: The weight store stand-in limits reads
+    Given a running stand-in weightstore with --reads-per-second 2
+    When weights of 9 bytes are stored in the stand-in store
+    Then the stand-in store gives 9 bytes back
+    And the stand-in store soon answers 429 with Retry-After
+
+  Scenario Outline: A control that a stand-in does not know is refused whole
+    Given a running stand-in <kind> with --slow-ms 0
+    When the stand-in is told <content>
+    Then the stand-in refuses, naming <place>, and its slow_ms is 0
+
+    Examples:
+      | kind        | content                                | place   |
+      | engine      | {"slow_ms": 1, "slots": "many"}        | slots   |
+      | logservice  | {"slow_ms": 1, "outage": "some"}       | outage  |
+      | service     | {"slow_ms": 1, "hold": 1}              | hold    |
+      | weightstore | {"nonsense": 1}                        | nonsense |
+      | hostlist    | {"add": 5}                             | add     |
+
+  Scenario: The service stand-in holds its calls until they are released
+    Given a running stand-in service with --hold
+    When 3 calls with the keys a b b are made to the stand-in service
+    Then the stand-in service holds 3 calls
+    When the held calls of the stand-in service are released
+    Then each call gets its own answer from the stand-in service
+    And the stand-in service ran a 1 time and b 2 times
+
+  Scenario: The engine stand-in fills its slots by priority, then arrival
+    Given a running stand-in engine with --slots 1 --token-ms 60000 --prefill-ms 0
+    And stand-in generations first:5 second:5 third:1 fourth:5 have arrived in this order
+    When the stand-in engine is made quick and the generation first is cancelled
+    Then the stand-in generations run in the order first third second fourth
+
+  Scenario: The engine stand-in skips the prefill of prefixes that it used last
+    Given a running stand-in engine with --cache-entries 2 --prefill-ms 0
+    When the stand-in engine generates with the prefixes a b a c b a
+    Then the stand-in engine counts 1 cache hits and 5 misses
+
+  Scenario Outline: The length of an answer of the engine stand-in
+    Given a running stand-in engine with --token-ms 0 --piece-tokens 4
+    When the stand-in engine generates <prompt> of at most <most> tokens after <resumed>
+    Then the stand-in engine's answer has <tokens> tokens, the same as without a break
+
+    Examples:
+      | prompt        | most | resumed | tokens |
+      | short         | 10   | 0       | 10     |
+      | long length=3 | 10   | 0       | 3      |
+      | long length=30 | 10  | 0       | 30     |
+      | short         | 10   | 7       | 3      |
+      | short         | 10   | 10      | 0      |
+
+  Scenario Outline: A generation of the engine stand-in goes on after a load and is labelled truly
+    # The reader sees one stream whose pieces name the version that made each. The weights change
+    # between two pieces; a load that fails midway leaves weights that have no version.
+    Given a running stand-in engine with --token-ms 0 --prefill-ms 0 --load-ms 0 <flags>
+    When the stand-in engine loads version 2 with <fault> during a generation
+    Then the stand-in engine's load ends with <status> and version <version>
+    And the stand-in engine's pieces name the versions <stated>
+    And the stand-in engine knows the true versions <true>
+
+    Examples:
+      | flags              | fault              | status  | version | stated | true   |
+      | --states-version   | nothing            | 200     | 2       | 1 2    | 1 2    |
+      | --no-states-version | nothing           | 200     | 2       | none   | 1 2    |
+      | --states-version   | fail_load          | 500     | none    | 1 none | 1 none |
+      | --states-version   | lose_load_answer   | dropped | 2       | 1 2    | 1 2    |
+      | --states-version   | a dead weight store | 503    | 1       | 1      | 1      |
+
+  Scenario Outline: The engine stand-in checks fencing numbers only where it is told to
+    Given a running stand-in engine with --load-ms 0 <flag>
+    When the stand-in engine is ordered to load versions 5:50 6:40 7:50 8:51
+    Then the stand-in engine answered <statuses> and has version 8
+
+    Examples:
+      | flag                | statuses        |
+      | --checks-fencing    | 200 409 200 200 |
+      | --no-checks-fencing | 200 200 200 200 |
+
+  Scenario: The engine stand-in's load report lags
+    Given a running stand-in engine with --token-ms 60000 --load-lag-ms 600000
+    And stand-in generations one:1 two:1 have arrived in this order
+    Then the stand-in engine reports 0 running
+    When the stand-in engine is told {"load_lag_ms": 0}
+    Then the stand-in engine reports 2 running
+
+  Scenario Outline: The trainer stand-in finds every broken promise
+    # The trainer's operator sees exit code 0 only if every promise was kept. The entry breaks one,
+    # once; what the interface lets a trainer repair by asking again is repaired and no fault.
+    Given a fake entry for the stand-in trainer with the fault <fault>
+    When the stand-in trainer takes 2 steps of 2 groups of 4 samples
+    Then the stand-in trainer ends with <code> and names <problem>
+
+    Examples:
+      | fault           | code | problem              |
+      | none            | 0    | nothing              |
+      | refused         | 0    | nothing              |
+      | unknown step    | 0    | nothing              |
+      | dropped         | 0    | nothing              |
+      | wrong digest    | 0    | nothing              |
+      | superseded      | 3    | nothing              |
+      | twice           | 1    | came twice           |
+      | early complete  | 1    | complete is True     |
+      | malformed       | 1    | malformed answer     |
+      | stale           | 1    | is 2 versions old    |
+      | version to come | 1    | a version to come    |
+      | no tokens       | 1    | a run of no tokens   |
+      | no version      | 1    | has label            |
+      | no label        | 1    | has label            |
+      | short label     | 1    | has 7 tokens, not 8  |
+      | another text    | 1    | has another text     |
+      | another group   | 1    | has group 99         |
+      | another number  | 1    | there is no sample 99 |
+
+  Scenario: The trainer stand-in prints what it received
+    Given a fake entry for the stand-in trainer with the fault none
+    When the stand-in trainer takes 2 steps of 2 groups of 4 samples
+    Then the stand-in trainer printed 8 samples of 64 tokens a step, 1 version old at most
+
+  Scenario Outline: The relay between test processes holds one direction
+    # A caller waits: its request, or the answer to it, is held on the way while both connections
+    # stay open. What was held flows once the relay is healed, so the call acts late, not never.
+    Given a running stand-in service with --service-ms 0
+    And a test relay before the stand-in service that blocks <direction>
+    When the stand-in service is called through the test relay on another thread
+    Then the stand-in service has <runs> runs before the test relay is healed
+    And the call through the test relay is answered after it is healed
+
+    Examples:
+      | direction | runs |
+      | to_server | 0    |
+      | to_client | 1    |
+
+  Scenario: The relay between test processes cuts connections
+    Given a running stand-in service with --hold
+    And a test relay before the stand-in service
+    When the stand-in service is called through the test relay on another thread
+    And the test relay is cut once the stand-in service holds the call
+    Then the call through the test relay fails, and so do new ones until it is healed
--- a/features/support.py
+++ b/features/support.py
@@ -88,6 +88,11 @@
         """Wait for the end; return the exit code."""
         return self._child.wait(seconds)
 
+    def wait_lines(self):
+        """Return the lines not taken yet of a process that has ended."""
+        self._reader.join(_STOP_SECONDS)
+        return [self.lines.get_nowait() for _ in range(self.lines.qsize())]
+
     def send(self, signal_number):
         """Send a signal; one that has ended already is left alone."""
         self._child.send_signal(signal_number)
--- a/standins/oleander_standins/engine.py
+++ b/standins/oleander_standins/engine.py
@@ -41,6 +41,8 @@
     late_load_ms: int = 1000
     cut: int = 0
     """So many next generations break off after their first line."""
+    pause_after: int = 0
+    """Generations pause after so many tokens until this is changed; 0 for not at all."""
     slow_factor: float = 1.0
     refuse: bool = False
     """New generations are answered 503."""
@@ -158,12 +160,14 @@
                 exchange.send_line(self._make_piece(generation))
                 if generation.outcome == generations.FINISHED or cuts:
                     return
+                self.wait_while(lambda: self._is_paused(generation))
         finally:
             self._batch.leave()
 
     def _prefill(self, generation: generations.Generation) -> None:
         with self.changed:
             self._counts["runs"] += 1
+            generation.run = self._counts["runs"]
             hit = bool(generation.prefix) and self._cache.use(
                 generation.prefix, self.settings.cache_entries
             )
@@ -171,6 +175,10 @@
             seconds = self.settings.prefill_ms * self.settings.slow_factor / 1000
             generation.cancelled.wait(seconds)
 
+    def _is_paused(self, generation: generations.Generation) -> bool:
+        after = self.settings.pause_after
+        return 0 < after <= generation.position and not generation.cancelled.is_set()
+
     def _read_pace(self, generation: generations.Generation) -> float:
         count = min(self.settings.piece_tokens, generation.left)
         crowding = 1.0 + _CROWDING * (self._batch.running - 1)
@@ -194,9 +202,10 @@
         with self.changed:
             generation = self._live.get(str(exchange.read_object().get("request_id")))
             self._counts["cancels"] += 1
-        if generation is not None:
-            generation.cancelled.set()
-            self._batch.wake()
+            if generation is not None:
+                generation.cancelled.set()
+                self.changed.notify_all()
+        self._batch.wake()
         exchange.send_json(200, {"cancelled": generation is not None})
 
     def _answer_load(self, exchange: server.Exchange) -> None:
--- a/standins/oleander_standins/generations.py
+++ b/standins/oleander_standins/generations.py
@@ -27,6 +27,8 @@
     label: list[dict[str, int | None]]
     """The true versions of the tokens made here."""
     outcome: str
+    run: int
+    """Its place in the order of those that got a slot; 0 before that."""
     cancelled: threading.Event
 
     @property
@@ -47,7 +49,12 @@
     def describe(self) -> dict[str, typing.Any]:
         """Return what checks need to know."""
         made = sum(run["tokens"] or 0 for run in self.label)
-        return {"label": self.label, "outcome": self.outcome, "tokens": made}
+        return {
+            "label": self.label,
+            "outcome": self.outcome,
+            "tokens": made,
+            "run": self.run,
+        }
 
 
 class PrefixCache:
@@ -87,6 +94,7 @@
             int(content.get("resumed_tokens", 0)),
             [],
             WAITING,
+            0,
             threading.Event(),
         )
     except (KeyError, TypeError, ValueError):
--- a/standins/oleander_standins/hostlist.py
+++ b/standins/oleander_standins/hostlist.py
@@ -54,9 +54,9 @@
         current = self._changes[-1][1]
         match name:
             case "set":
-                hosts = list(value)
+                hosts = list({host["name"]: host for host in value}.values())
             case "add":
-                hosts = [host for host in current if host["name"] != value["name"]] + [value]
+                hosts = list({host["name"]: host for host in [*current, value]}.values())
             case "remove":
                 hosts = [host for host in current if host["name"] != value]
             case "leaving":
