--- a/Makefile
+++ b/Makefile
@@ -16,8 +16,9 @@
 	touch $@
 
 format: install
-	$(VENV)/bin/ruff check --fix --quiet .
+	$(VENV)/bin/ruff check --select I --fix --quiet .
 	$(VENV)/bin/ruff format --quiet .
+	$(VENV)/bin/ruff check --fix .
 
 check: install
 	$(VENV)/bin/ruff format --check .
@@ -26,7 +27,7 @@
 	$(VENV)/bin/lint-imports --no-cache
 
 test: install
-	$(VENV)/bin/behave --format progress features
+	$(PYTHON) features/run.py $(FEATURES)
 
 demo: install
 	$(PYTHON) -m oleander_standins.demo
--- a/features/relay.py
+++ b/standins/oleander_standins/relay.py
@@ -1,5 +1,6 @@
 """A TCP relay that stands between two processes and cuts or holds what they send."""
 
+import collections.abc
 import contextlib
 import socket
 import threading
@@ -21,59 +22,60 @@
     A target that refuses shows as a connection that closes at once.
     """
 
-    def __init__(self, target):
+    def __init__(self, target: str) -> None:
         """Listen on a free port for a target given as IP:port, which may be changed later."""
         self.target = target
         self._changed = threading.Condition()
-        self._blocked = set()
+        self._blocked: set[str] = set()
         self._is_cut = False
         self._is_closed = False
-        self._pairs = set()
-        self._threads = set()
+        self._pairs: set[_Pair] = set()
+        self._threads: set[threading.Thread] = set()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
         self._start_thread(self._accept)
 
     @property
-    def address(self):
+    def address(self) -> str:
         """Where it listens, as IP:port."""
         host, port = self._listener.getsockname()
         return f"{host}:{port}"
 
     @property
-    def url(self):
+    def url(self) -> str:
+        """Where it listens, as a URL."""
         return f"http://{self.address}"
 
     @property
-    def connections(self):
+    def connections(self) -> int:
         """How many connections are open."""
         with self._changed:
             return len(self._pairs)
 
-    def cut(self):
+    def cut(self) -> None:
         """Close every connection, and each new one at once, until healed."""
         with self._changed:
             self._is_cut = True
             self._close_pairs()
 
-    def drop_connections(self):
+    def drop_connections(self) -> None:
         """Close every connection; new ones pass."""
         with self._changed:
             self._close_pairs()
 
-    def block(self, direction):
+    def block(self, direction: str) -> None:
         """Hold what is sent one way until healed; the connections stay open."""
         assert direction in _DIRECTIONS, direction
         with self._changed:
             self._blocked.add(direction)
 
-    def heal(self):
+    def heal(self) -> None:
         """Pass everything again, what was held first."""
         with self._changed:
             self._is_cut = False
             self._blocked.clear()
             self._changed.notify_all()
 
-    def close(self):
+    def close(self) -> None:
         """Close every connection and end every thread."""
         with self._changed:
             self._is_closed = True
@@ -84,20 +86,20 @@
             thread.join(_JOIN_SECONDS)
         self._listener.close()
 
-    def _start_thread(self, task, *arguments):
+    def _start_thread(self, task: collections.abc.Callable[..., None], *arguments: object) -> None:
         thread = threading.Thread(target=self._run, args=(task, *arguments), daemon=True)
         with self._changed:
             self._threads.add(thread)
         thread.start()
 
-    def _run(self, task, *arguments):
+    def _run(self, task: collections.abc.Callable[..., None], *arguments: object) -> None:
         try:
             task(*arguments)
         finally:
             with self._changed:
                 self._threads.discard(threading.current_thread())
 
-    def _accept(self):
+    def _accept(self) -> None:
         while not self._is_closed:
             try:
                 client, _ = self._listener.accept()
@@ -105,7 +107,7 @@
                 return
             self._start_thread(self._join_target, client)
 
-    def _join_target(self, client):
+    def _join_target(self, client: socket.socket) -> None:
         host, _, port = self.target.rpartition(":")
         try:
             server = socket.create_connection((host, int(port)), _CONNECT_SECONDS)
@@ -123,7 +125,9 @@
         self._start_thread(self._pump, pair, server, client, TO_CLIENT)
         self._pump(pair, client, server, TO_SERVER)
 
-    def _pump(self, pair, source, sink, direction):
+    def _pump(
+        self, pair: "_Pair", source: socket.socket, sink: socket.socket, direction: str
+    ) -> None:
         try:
             while data := source.recv(_MOST_BYTES):
                 self._wait_open(pair, direction)
@@ -134,20 +138,20 @@
             pair.shut()
         self._finish(pair)
 
-    def _wait_open(self, pair, direction):
+    def _wait_open(self, pair: "_Pair", direction: str) -> None:
         with self._changed:
             self._changed.wait_for(
                 lambda: pair.is_closed or direction not in self._blocked, _LONGEST_HOLD_SECONDS
             )
 
-    def _finish(self, pair):
+    def _finish(self, pair: "_Pair") -> None:
         with self._changed:
             pair.pumps_left -= 1
             if pair.pumps_left == 0:
                 pair.close()
                 self._pairs.discard(pair)
 
-    def _close_pairs(self):
+    def _close_pairs(self) -> None:
         for pair in self._pairs:
             pair.shut()
         self._changed.notify_all()
@@ -158,7 +162,7 @@
 
     __slots__ = ("client", "is_closed", "pumps_left", "server")
 
-    def __init__(self, client, server):
+    def __init__(self, client: socket.socket, server: socket.socket) -> None:
         for end in (client, server):
             end.settimeout(None)
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -167,18 +171,19 @@
         self.is_closed = False
         self.pumps_left = 2
 
-    def shut(self):
+    def shut(self) -> None:
         """Make blocked reads of both sockets end."""
         self.is_closed = True
         _shut(self.client)
         _shut(self.server)
 
-    def close(self):
+    def close(self) -> None:
+        """Close both sockets."""
         self.shut()
         self.client.close()
         self.server.close()
 
 
-def _shut(end):
+def _shut(end: socket.socket) -> None:
     with contextlib.suppress(OSError):
         end.shutdown(socket.SHUT_RDWR)
