--- a/features/standins.feature
+++ b/features/standins.feature
@@ -102,6 +102,16 @@
       | --checks-fencing    | 200 409 200 200 |
       | --no-checks-fencing | 200 200 200 200 |
 
+  Scenario: The engine stand-in fetches weights before it changes anything
+    Given a running stand-in weightstore with --reads-per-second 1
+    And weights of 9 bytes are stored in the stand-in store
+    And a stand-in engine that fetches from the stand-in store
+    When the stand-in engine is ordered to load versions 7:50
+    Then the stand-in engine answered 503 and has version 1
+    When the stand-in store is told {"reads_per_second": 0}
+    And the stand-in engine is ordered to load versions 1:51 7:52
+    Then the stand-in engine answered 200 503 and has version 1
+
   Scenario: The engine stand-in's load report lags
     Given a running stand-in engine with --token-ms 60000 --load-lag-ms 600000
     And stand-in generations one:1 two:1 have arrived in this order
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -90,6 +90,7 @@
     assert (found or "nothing") == shown, hosts
 
 
+@behave.given("weights of {count:d} bytes are stored in the stand-in store")
 @behave.when("weights of {count:d} bytes are stored in the stand-in store")
 def store_weights(context, count):
     assert _call(context, "PUT", "/weights/m/1", b"w" * count).status == 200
@@ -264,6 +265,18 @@
     assert sum(run["tokens"] for run in label) == 8, label
 
 
+@behave.given("a stand-in engine that fetches from the stand-in store")
+def start_fetching_engine(context):
+    context.kind = "engine"
+    store = context.cluster.url("weightstore")
+    context.cluster.start_stand_in("engine", "engine", "--load-ms", 0, "--weights-url", store)
+
+
+@behave.when("the stand-in store is told {content}")
+def tell_store(context, content):
+    context.cluster.control("weightstore", **json.loads(content))
+
+
 @behave.when("the stand-in engine is ordered to load versions {orders}")
 def order_loads(context, orders):
     pairs = [order.split(":") for order in orders.split()]
@@ -274,7 +287,7 @@
 def check_loads(context, statuses, version):
     assert context.statuses == statuses.split(), context.statuses
     assert _call(context, "GET", "/v1/version").read_json()["version"] == version
-    loads = _read_counts(context)["loads"]
+    loads = _read_counts(context)["loads"][-len(context.statuses) :]
     assert [str(load["status"]) for load in loads] == context.statuses, loads
 
 
