--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -3,6 +3,8 @@
 import time
 
 import policy_admission
+import policy_retries
+import policy_routing
 
 
 def main() -> None:
@@ -13,6 +15,10 @@
         policy_admission.measure_shares,
         policy_admission.measure_starvation,
         policy_admission.measure_goodput,
+        policy_routing.measure_herding,
+        policy_routing.measure_prefixes,
+        policy_routing.measure_grey_peer,
+        policy_retries.measure_storm,
     ):
         for item in measure():
             print(
--- /dev/null
+++ b/bench/policy_fleet.py
@@ -0,0 +1,284 @@
+"""Simulated entries and backend servers, and ways to choose among them."""
+
+import abc
+import collections
+import collections.abc
+import dataclasses
+import random
+
+import policy_simulation
+from oleander_base import identifiers
+from oleander_contracts import contract
+from oleander_routing import peers, router
+
+SLOTS = 4
+_BACKEND = "engines"
+_BUDGET_MS = 60_000
+
+
+@dataclasses.dataclass(slots=True)
+class Request:
+    """One request, from its start at an entry to its end."""
+
+    prefix: str
+    service_ms: float
+    started_at: float
+    peer: str = ""
+    was_cached: bool = False
+    ended_at: float = 0.0
+
+    @property
+    def latency_ms(self) -> float:
+        """How long its caller waited."""
+        return (self.ended_at - self.started_at) * 1000
+
+
+class Server:
+    """A backend server: some slots, a line before them and a cache of prefixes."""
+
+    def __init__(
+        self,
+        name: str,
+        simulation: policy_simulation.Simulation,
+        cached_prefixes: int,
+        prefill_ms: float,
+    ) -> None:
+        self.name = name
+        self.running = 0
+        self.slowdown = 1.0
+        self.fails = False
+        self.waiting: collections.deque[tuple[Request, collections.abc.Callable[[bool], None]]]
+        self.waiting = collections.deque()
+        self._simulation = simulation
+        self._cached_prefixes = cached_prefixes
+        self._prefill_ms = prefill_ms
+        self._cache: collections.OrderedDict[str, None] = collections.OrderedDict()
+
+    @property
+    def outstanding(self) -> int:
+        """Requests that wait or run."""
+        return self.running + len(self.waiting)
+
+    def accept(self, request: Request, ended: collections.abc.Callable[[bool], None]) -> None:
+        """Run a request when a slot is free; a server that fails does so at once."""
+        request.peer = self.name
+        if self.fails:
+            self._simulation.schedule(0.001, lambda: self._end(request, ended, False))
+            self.running += 1
+            return
+        self.waiting.append((request, ended))
+        self._start_next()
+
+    def _start_next(self) -> None:
+        while self.waiting and self.running < SLOTS:
+            request, ended = self.waiting.popleft()
+            self.running += 1
+            service_ms = (request.service_ms + self._prefill(request)) * self.slowdown
+            self._schedule_end(request, ended, service_ms)
+
+    def _schedule_end(
+        self, request: Request, ended: collections.abc.Callable[[bool], None], service_ms: float
+    ) -> None:
+        self._simulation.schedule(service_ms / 1000, lambda: self._end(request, ended, True))
+
+    def _end(
+        self, request: Request, ended: collections.abc.Callable[[bool], None], succeeded: bool
+    ) -> None:
+        self.running -= 1
+        request.ended_at = self._simulation.now
+        ended(succeeded)
+        self._start_next()
+
+    def _prefill(self, request: Request) -> float:
+        if not request.prefix:
+            return 0.0
+        request.was_cached = request.prefix in self._cache
+        self._cache[request.prefix] = None
+        self._cache.move_to_end(request.prefix)
+        while len(self._cache) > self._cached_prefixes:
+            self._cache.popitem(last=False)
+        return 0.0 if request.was_cached else self._prefill_ms
+
+
+class Chooser(abc.ABC):
+    """How one entry chooses."""
+
+    @abc.abstractmethod
+    def choose(self, prefix: str) -> str:
+        """Return the server for a request."""
+
+    @abc.abstractmethod
+    def report(self, name: str, outstanding: int) -> None:
+        """Take in a load report."""
+
+    def note_started(self, name: str) -> None:  # noqa: B027
+        """Count a request that was sent."""
+
+    def note_finished(self, name: str, succeeded: bool, latency_ms: float) -> None:  # noqa: B027
+        """Count a request that ended."""
+
+
+class LeastReported(Chooser):
+    """The server whose last report is lowest; ties at random."""
+
+    def __init__(self, source: random.Random) -> None:
+        self._source = source
+        self._loads: dict[str, int] = {}
+
+    def choose(self, prefix: str) -> str:
+        """Return the least loaded of all."""
+        least = min(self._loads.values())
+        return self._source.choice([name for name, load in self._loads.items() if load == least])
+
+    def report(self, name: str, outstanding: int) -> None:
+        """Keep the load."""
+        self._loads[name] = outstanding
+
+
+class TwoReported(LeastReported):
+    """The lower of two random servers' last reports."""
+
+    def choose(self, prefix: str) -> str:
+        """Return the less loaded of two."""
+        return min(self._source.sample(list(self._loads), 2), key=lambda name: self._loads[name])
+
+
+class PureHash(LeastReported):
+    """The server that the prefix hashes to, whatever its load."""
+
+    def choose(self, prefix: str) -> str:
+        """Return the first in the prefix's rank."""
+        return max(self._loads, key=lambda name: identifiers.hash_text(f"{name}\n{prefix}"))
+
+
+class OurRouter(Chooser):
+    """The product's router, with parts of it switched off where a case compares them."""
+
+    def __init__(
+        self, simulation: policy_simulation.Simulation, seed: int, by_prefix: bool, judges: bool
+    ) -> None:
+        self._router = router.Router(seed, simulation.read_now)
+        self._by_prefix = by_prefix
+        self._judges = judges
+
+    def choose(self, prefix: str) -> str:
+        """Ask the router."""
+        return self._router.choose(
+            router.RouteRequest(
+                backend=_BACKEND,
+                affinity=prefix if self._by_prefix else "",
+                priority=contract.Priority.INTERACTIVE,
+                oldest_version=-1,
+                excluded=frozenset(),
+                budget_ms=_BUDGET_MS,
+            )
+        ).ok
+
+    def report(self, name: str, outstanding: int) -> None:
+        """Pass a report on."""
+        report = peers.PeerReport(
+            failure_domain="x",
+            backend=_BACKEND,
+            incarnation="1",
+            queued=max(0, outstanding - SLOTS),
+            running=min(SLOTS, outstanding),
+            slots=SLOTS,
+            wait_ms=0,
+            version=None,
+            in_rotation=True,
+            leaving=False,
+        )
+        self._router.update(name, report)
+
+    def note_started(self, name: str) -> None:
+        """Pass it on."""
+        self._router.note_started(name)
+
+    def note_finished(self, name: str, succeeded: bool, latency_ms: float) -> None:
+        """Pass the outcome on, or only that there was one."""
+        outcome = router.RouteOutcome.OK if succeeded else router.RouteOutcome.FAILED
+        if not self._judges:
+            outcome = router.RouteOutcome.REFUSED
+        self._router.note_finished(name, outcome, latency_ms)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Traffic:
+    """What a fleet is given."""
+
+    servers: int
+    entries: int
+    rate: float
+    """Requests a second, all entries together."""
+    service_ms: float
+    report_seconds: float
+    prefixes: int = 0
+    prefill_ms: float = 0.0
+    cached_prefixes: int = 0
+    lognormal_sigma: float = 0.5
+
+
+class Fleet:
+    """Entries that send to servers, whose load reports come at intervals."""
+
+    def __init__(
+        self,
+        simulation: policy_simulation.Simulation,
+        traffic: Traffic,
+        choosers: list[Chooser],
+        seed: int,
+    ) -> None:
+        self.ended: list[Request] = []
+        self.failed: list[Request] = []
+        self._simulation = simulation
+        self._traffic = traffic
+        self._choosers = choosers
+        self._source = random.Random(seed)
+        self._weights = [1.0 / (rank + 1) for rank in range(traffic.prefixes)]
+        self.servers = {
+            name: Server(name, simulation, traffic.cached_prefixes, traffic.prefill_ms)
+            for name in (f"server-{number}" for number in range(traffic.servers))
+        }
+        for server in self.servers.values():
+            self._send_report(server)
+            simulation.schedule(
+                self._source.uniform(0, traffic.report_seconds), self._create_reporter(server)
+            )
+        self._schedule_arrival()
+
+    def _create_reporter(self, server: Server) -> collections.abc.Callable[[], None]:
+        def report() -> None:
+            self._send_report(server)
+            self._simulation.schedule(self._traffic.report_seconds, report)
+
+        return report
+
+    def _send_report(self, server: Server) -> None:
+        for chooser in self._choosers:
+            chooser.report(server.name, server.outstanding)
+
+    def _schedule_arrival(self) -> None:
+        self._simulation.schedule(self._source.expovariate(self._traffic.rate), self._arrive)
+
+    def _arrive(self) -> None:
+        self._schedule_arrival()
+        sigma = self._traffic.lognormal_sigma
+        factor = self._source.lognormvariate(-sigma * sigma / 2, sigma)
+        request = Request(
+            self._pick_prefix(), self._traffic.service_ms * factor, self._simulation.now
+        )
+        chooser = self._source.choice(self._choosers)
+        name = chooser.choose(request.prefix)
+        chooser.note_started(name)
+
+        def ended(succeeded: bool) -> None:
+            (self.ended if succeeded else self.failed).append(request)
+            chooser.note_finished(name, succeeded, request.latency_ms)
+
+        self.servers[name].accept(request, ended)
+
+    def _pick_prefix(self) -> str:
+        if not self._weights:
+            return ""
+        rank = self._source.choices(range(len(self._weights)), self._weights)[0]
+        return f"prefix-{rank}"
--- /dev/null
+++ b/bench/policy_retries.py
@@ -0,0 +1,126 @@
+"""A retry storm measured: does a backend that was slow for a moment come back."""
+
+import collections
+import dataclasses
+import random
+
+import policy_simulation
+from oleander_routing import retries
+
+_RATE = 80.0
+_SERVICE_SECONDS = 0.01
+"""One server; the load is four fifths of what it can do."""
+_TIMEOUT_SECONDS = 1.0
+_MOST_RETRIES = 3
+_DIP_FROM = 20.0
+_DIP_UNTIL = 30.0
+_DIP_SLOWDOWN = 4.0
+_END = 120.0
+_BASE_MS = 100
+_MOST_MS = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class _Request:
+    """One request and its tries."""
+
+    started_at: float
+    tries: int = 0
+    answered: bool = False
+
+
+class _Storm:
+    """Callers that retry at a server which does not know that a caller has given up."""
+
+    def __init__(self, budget: retries.RetryBudget | None) -> None:
+        self.requests: list[_Request] = []
+        self._budget = budget
+        self._simulation = policy_simulation.Simulation()
+        self._source = random.Random(7)
+        self._waiting: collections.deque[_Request] = collections.deque()
+        self._is_busy = False
+
+    def run(self) -> None:
+        """Run all of it."""
+        self._schedule_arrival()
+        self._simulation.run(_END)
+
+    def count_tries(self, since: float, until: float) -> float:
+        """Return tries for each request that started then."""
+        inside = [item for item in self.requests if since <= item.started_at < until]
+        return sum(item.tries for item in inside) / len(inside)
+
+    def count_answered(self, since: float, until: float) -> float:
+        """Return the percentage of requests answered of those that started then."""
+        inside = [item for item in self.requests if since <= item.started_at < until]
+        return sum(1 for item in inside if item.answered) / len(inside) * 100
+
+    def _schedule_arrival(self) -> None:
+        self._simulation.schedule(self._source.expovariate(_RATE), self._arrive)
+
+    def _arrive(self) -> None:
+        self._schedule_arrival()
+        request = _Request(self._simulation.now)
+        self.requests.append(request)
+        if self._budget is not None:
+            self._budget.note_fresh()
+        self._send(request)
+
+    def _send(self, request: _Request) -> None:
+        request.tries += 1
+        tried = request.tries
+        self._waiting.append(request)
+        self._start_next()
+        self._simulation.schedule(_TIMEOUT_SECONDS, lambda: self._give_up(request, tried))
+
+    def _give_up(self, request: _Request, tried: int) -> None:
+        if request.answered or tried > _MOST_RETRIES:
+            return
+        if self._budget is not None and not self._budget.try_take():
+            return
+        wait_ms = retries.compute_backoff(tried - 1, _BASE_MS, _MOST_MS, self._source)
+        self._simulation.schedule(wait_ms / 1000, lambda: self._send(request))
+
+    def _start_next(self) -> None:
+        if self._is_busy or not self._waiting:
+            return
+        self._is_busy = True
+        request = self._waiting.popleft()
+        is_slow = _DIP_FROM <= self._simulation.now < _DIP_UNTIL
+        seconds = _SERVICE_SECONDS * (_DIP_SLOWDOWN if is_slow else 1.0)
+        sent_at = self._simulation.now
+
+        def end() -> None:
+            self._is_busy = False
+            is_wanted = sent_at + seconds - request.started_at <= self._allowed(request)
+            request.answered = request.answered or is_wanted
+            self._start_next()
+
+        self._simulation.schedule(seconds, end)
+
+    @staticmethod
+    def _allowed(request: _Request) -> float:
+        return _TIMEOUT_SECONDS * request.tries
+
+
+def measure_storm() -> list[policy_simulation.Figure]:
+    """Slow one server down to a quarter for ten seconds, at four fifths of its load."""
+    baseline = _Storm(None)
+    baseline.run()
+    ours = _Storm(retries.RetryBudget(10, 10))
+    ours.run()
+    case = "f retry storm, no budget"
+    return [
+        policy_simulation.Figure(
+            case,
+            "tries a request, fault and 30 s on",
+            baseline.count_tries(_DIP_FROM, _DIP_UNTIL + 30),
+            ours.count_tries(_DIP_FROM, _DIP_UNTIL + 30),
+        ),
+        policy_simulation.Figure(
+            case,
+            "answered 30 to 60 s after it, %",
+            baseline.count_answered(_DIP_UNTIL + 30, _DIP_UNTIL + 60),
+            ours.count_answered(_DIP_UNTIL + 30, _DIP_UNTIL + 60),
+        ),
+    ]
--- /dev/null
+++ b/bench/policy_routing.py
@@ -0,0 +1,186 @@
+"""Routing measured: herding, prefix caches and grey peers."""
+
+import collections.abc
+import dataclasses
+import random
+
+import policy_fleet
+import policy_simulation
+
+CreateChooser = collections.abc.Callable[[policy_simulation.Simulation, int], policy_fleet.Chooser]
+
+_HERD = policy_fleet.Traffic(
+    servers=20, entries=10, rate=600.0, service_ms=100.0, report_seconds=1.0
+)
+"""Three quarters of what 80 slots can do."""
+_PREFIXES = policy_fleet.Traffic(
+    servers=10,
+    entries=5,
+    rate=115.0,
+    service_ms=200.0,
+    report_seconds=0.5,
+    prefixes=400,
+    prefill_ms=200.0,
+    cached_prefixes=60,
+)
+"""Three fifths of what 40 slots can do with every prefix cached, more than all without."""
+_GREY = policy_fleet.Traffic(
+    servers=10, entries=3, rate=200.0, service_ms=100.0, report_seconds=0.5
+)
+"""Half of what 40 slots can do."""
+_HERD_SAMPLES_FROM = 2.0
+_HERD_SECONDS = 22.0
+
+
+def _create_least(_: policy_simulation.Simulation, seed: int) -> policy_fleet.Chooser:
+    return policy_fleet.LeastReported(random.Random(seed))
+
+
+def _create_two(_: policy_simulation.Simulation, seed: int) -> policy_fleet.Chooser:
+    return policy_fleet.TwoReported(random.Random(seed))
+
+
+def _create_hash(_: policy_simulation.Simulation, seed: int) -> policy_fleet.Chooser:
+    return policy_fleet.PureHash(random.Random(seed))
+
+
+def _create_by_load(simulation: policy_simulation.Simulation, seed: int) -> policy_fleet.Chooser:
+    return policy_fleet.OurRouter(simulation, seed, by_prefix=False, judges=True)
+
+
+def _create_unjudging(simulation: policy_simulation.Simulation, seed: int) -> policy_fleet.Chooser:
+    return policy_fleet.OurRouter(simulation, seed, by_prefix=False, judges=False)
+
+
+def _create_ours(simulation: policy_simulation.Simulation, seed: int) -> policy_fleet.Chooser:
+    return policy_fleet.OurRouter(simulation, seed, by_prefix=True, judges=True)
+
+
+def _build(
+    create: CreateChooser, traffic: policy_fleet.Traffic, seed: int
+) -> tuple[policy_simulation.Simulation, policy_fleet.Fleet]:
+    simulation = policy_simulation.Simulation()
+    choosers = [create(simulation, seed + number) for number in range(traffic.entries)]
+    return simulation, policy_fleet.Fleet(simulation, traffic, choosers, seed)
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Herding:
+    """How unevenly a fleet was loaded."""
+
+    peak: float
+    """The most loaded server's load to the mean, averaged over time."""
+    wait_ms: float
+    slowest_ms: float
+
+
+def _run_herd(create: CreateChooser) -> _Herding:
+    simulation, fleet = _build(create, _HERD, 4)
+    peaks: list[float] = []
+
+    def sample() -> None:
+        loads = [server.outstanding for server in fleet.servers.values()]
+        peaks.append(max(loads) / max(1.0, sum(loads) / len(loads)))
+        simulation.schedule(0.1, sample)
+
+    simulation.schedule(_HERD_SAMPLES_FROM, sample)
+    simulation.run(_HERD_SECONDS)
+    waits = [item.latency_ms - item.service_ms for item in fleet.ended]
+    return _Herding(
+        policy_simulation.find_mean(peaks),
+        policy_simulation.find_mean(waits),
+        policy_simulation.find_quantile(waits, 0.99),
+    )
+
+
+def measure_herding() -> list[policy_simulation.Figure]:
+    """Send from ten entries to twenty servers whose reports are up to a second old."""
+    ours = _run_herd(_create_by_load)
+    figures = []
+    for name, create in (("least reported", _create_least), ("two reported", _create_two)):
+        found = _run_herd(create)
+        case = f"c herding, {name}"
+        figures += [
+            policy_simulation.Figure(case, "most to mean load", found.peak, ours.peak),
+            policy_simulation.Figure(case, "mean wait, ms", found.wait_ms, ours.wait_ms),
+            policy_simulation.Figure(case, "99th wait, ms", found.slowest_ms, ours.slowest_ms),
+        ]
+    return figures
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Caching:
+    """What prefix caches brought."""
+
+    hit_percent: float
+    latency_ms: float
+    slowest_ms: float
+
+
+def _run_prefixes(create: CreateChooser) -> _Caching:
+    simulation, fleet = _build(create, _PREFIXES, 5)
+    simulation.run(60.0)
+    late = [item for item in fleet.ended if item.started_at > 10.0]
+    latencies = [item.latency_ms for item in late]
+    hits = sum(1 for item in late if item.was_cached)
+    return _Caching(
+        hits / len(late) * 100,
+        policy_simulation.find_mean(latencies),
+        policy_simulation.find_quantile(latencies, 0.99),
+    )
+
+
+def measure_prefixes() -> list[policy_simulation.Figure]:
+    """Send prompts whose 400 prefixes are as popular as words are, to caches of 60 each."""
+    ours = _run_prefixes(_create_ours)
+    figures = []
+    for name, create in (("load only", _create_by_load), ("hash only", _create_hash)):
+        found = _run_prefixes(create)
+        case = f"d prefixes, {name}"
+        figures += [
+            policy_simulation.Figure(case, "cache hits, %", found.hit_percent, ours.hit_percent),
+            policy_simulation.Figure(case, "mean latency, ms", found.latency_ms, ours.latency_ms),
+            policy_simulation.Figure(case, "99th latency, ms", found.slowest_ms, ours.slowest_ms),
+        ]
+    return figures
+
+
+def _run_grey(create: CreateChooser, fails: bool) -> tuple[float, float]:
+    """Return the percentage of requests at the grey server, and the one after it is well again."""
+    simulation, fleet = _build(create, _GREY, 6)
+    grey = fleet.servers["server-0"]
+    simulation.run(10.0)
+    grey.fails = fails
+    grey.slowdown = 1.0 if fails else 10.0
+    simulation.run(40.0)
+    grey.fails = False
+    grey.slowdown = 1.0
+    simulation.run(90.0)
+    everything = fleet.ended + fleet.failed
+    return (
+        _find_part(everything, grey.name, 10.0, 40.0),
+        _find_part(everything, grey.name, 70.0, 90.0),
+    )
+
+
+def _find_part(
+    requests: list[policy_fleet.Request], name: str, since: float, until: float
+) -> float:
+    inside = [item for item in requests if since <= item.started_at < until]
+    return sum(1 for item in inside if item.peer == name) / len(inside) * 100
+
+
+def measure_grey_peer() -> list[policy_simulation.Figure]:
+    """Let one of ten servers fail at once, or take ten times as long, for half a minute."""
+    figures = []
+    for name, fails in (("fails", True), ("slow", False)):
+        baseline, baseline_after = _run_grey(_create_unjudging, fails)
+        ours, ours_after = _run_grey(_create_by_load, fails)
+        case = f"e grey peer {name}, no ejection"
+        figures += [
+            policy_simulation.Figure(case, "requests at it, %", baseline, ours),
+            policy_simulation.Figure(
+                case, "30 to 50 s after the end, %", baseline_after, ours_after
+            ),
+        ]
+    return figures
