Weigh a load report by its age against the time a request takes

Cause: a report that is ten requests old says nothing of the load now, yet all entries followed it to the peer that was idle then. Each entry now adds its own requests in flight, known exactly, to the others' part of the report, which fades to the mean with the mean latency and is rounded to whole requests.

--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+_NEWEST_WEIGHT = 0.1
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class PeerReport:
@@ -38,16 +40,15 @@
     reported_at: float
     in_flight: int = 0
     """Requests of this entry that were started and not finished."""
-    unreported: int = 0
-    """Started less finished since the last report; negative when more were finished."""
+    others: int = 0
+    """Requests of other entries that waited or ran there by the last report."""
+    latency_ms: float = 0.0
+    """How long this entry's requests take there, as a moving average; 0 while unknown."""
+    outstanding: float = 0.0
+    """How many requests are estimated to wait or run there now."""
     weight: float = 1.0
     """The part of its usual work that it is given; 0 while it is ejected."""
 
-    @property
-    def outstanding(self) -> int:
-        """Requests that wait or run there, by the report and by what was done since."""
-        return max(self.in_flight, self.queued + self.running + self.unreported)
-
     @property
     def load(self) -> float:
         """Outstanding requests for each slot."""
@@ -59,7 +60,7 @@
         return self.in_rotation and not self.leaving
 
     def apply(self, report: PeerReport, now: float) -> None:
-        """Take in a report; it counts all that was started before it."""
+        """Take in a report; it counts all that this entry started before it."""
         self.failure_domain = report.failure_domain
         self.backend = report.backend
         self.queued = report.queued
@@ -70,7 +71,12 @@
         self.in_rotation = report.in_rotation
         self.leaving = self.leaving or report.leaving
         self.reported_at = now
-        self.unreported = 0
+        self.others = max(0, report.queued + report.running - self.in_flight)
+
+    def observe(self, latency_ms: float) -> None:
+        """Take in how long a request took."""
+        weight = _NEWEST_WEIGHT if self.latency_ms > 0.0 else 1.0
+        self.latency_ms += weight * (latency_ms - self.latency_ms)
 
 
 def create_peer(name: str, report: PeerReport, now: float) -> Peer:
@@ -88,4 +94,5 @@
         in_rotation=report.in_rotation,
         leaving=report.leaving,
         reported_at=now,
+        others=report.queued + report.running,
     )
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -9,7 +9,7 @@
 import expression
 
 from oleander_base import clock, log
-from oleander_routing import health, peers, selection
+from oleander_routing import health, loads, peers, selection
 
 NO_PEERS = "no-peers"
 """No backend server of that name is connected."""
@@ -124,7 +124,6 @@
             peer = self._peers.get(name)
             if peer is not None:
                 peer.in_flight += 1
-                peer.unreported += 1
 
     def note_finished(
         self, name: str, outcome: RouteOutcome, service_ms: float, now: float | None = None
@@ -135,19 +134,21 @@
             if peer is None:
                 return
             peer.in_flight = max(0, peer.in_flight - 1)
-            peer.unreported -= 1
             if outcome is RouteOutcome.REFUSED:
                 return
             moment = self._read_now() if now is None else now
             group = self._list_usable(peer.backend)
             failed = outcome in {RouteOutcome.FAILED, RouteOutcome.TIMED_OUT}
             latency_ms = None if outcome is RouteOutcome.FAILED else service_ms
+            if latency_ms is not None:
+                peer.observe(latency_ms)
             self._health.note_outcome(name, group, failed, latency_ms, moment)
 
     def list_peers(self) -> list[peers.Peer]:
         """Return copies of all peers as they are now."""
         with self._lock:
-            self._refresh_weights(list(self._peers.values()))
+            for backend in {peer.backend for peer in self._peers.values()}:
+                self._refresh([peer for peer in self._peers.values() if peer.backend == backend])
             return [dataclasses.replace(peer) for peer in self._peers.values()]
 
     def _list_usable(self, backend: str) -> list[str]:
@@ -157,8 +158,10 @@
             if peer.backend == backend and peer.is_usable
         ]
 
-    def _refresh_weights(self, listed: list[peers.Peer]) -> None:
+    def _refresh(self, listed: list[peers.Peer]) -> None:
+        """Bring up to date what changes with time."""
         now = self._read_now()
+        loads.estimate_loads(listed, now)
         for peer in listed:
             peer.weight = self._health.read_weight(peer.name, now)
 
@@ -181,7 +184,7 @@
         return expression.Ok(candidates)
 
     def _pick(self, candidates: list[peers.Peer], request: RouteRequest) -> peers.Peer:
-        self._refresh_weights(candidates)
+        self._refresh(candidates)
         probed = self._pick_probe(candidates, request)
         if probed is not None:
             return probed
