--- a/features/routing.feature
+++ b/features/routing.feature
@@ -51,6 +51,23 @@
       | 3       | 0        | p1,running=3 p2,running=8 | p1 |
       | 0       | 0        | p1,running=3         | p2     |
 
+  Scenario Outline: An old report fades to the mean as fast as requests end
+    # Every entry sees the same old report. If all trusted it, the peer that was idle then would get
+    # everything until its next report, and the callers would wait there while others are idle.
+    Given a router with the peers p1,running=<busy> p2
+    When routing ends 10 requests at each of p1 p2 as ok in <latency> ms
+    And routing time passes by <age> seconds
+    And routing 50 requests for any
+    Then routing chose only <chosen>
+
+    Examples:
+      | busy | latency | age | chosen |
+      | 4    | 100     | 0   | p2     |
+      | 4    | 100     | 1   | p1 p2  |
+      | 4    | 10000   | 1   | p2     |
+      | 4    | 10000   | 20  | p1 p2  |
+      | 40   | 10000   | 20  | p2     |
+
   Scenario: A prefix goes to the same peer from every entry and moves only when it must
     # The prompt's start is cached at one engine; sending it elsewhere makes the caller wait for a
     # new prefill. When a peer goes, only its own prefixes lose their cache.
