Register steps, and play a model trainer against two entries

Cause: only the newest step of the newest incarnation may be served, in a bounded table. Each run fails if a kind of event did not occur in it.

--- a/features/pulls.feature
+++ b/features/pulls.feature
@@ -94,3 +94,51 @@
         {"number": 1, "group": 0, "text": "\u00e9\ud83d\n",
          "label": [{"version": 6, "tokens": 3}, {"version": 7, "tokens": 2}]}]}
       """
+
+  Scenario Outline: Only the newest step of the newest incarnation is collected
+    # A trainer that was paused wakes up and puts a step that its successor has long gone past; it
+    # sees a refusal. A step in the registry is written incarnation/step; 3/5b has other groups.
+    Given a sample registry for 3 trainers and 2 open steps
+    When these sample steps are put: <steps>
+    Then the sample registry answered <answers>
+    And the sample steps open are <open>
+
+    Examples:
+      | steps                               | answers                             | open        |
+      | a3/5                                | new                                 | a3/5        |
+      | a3/5 a3/5                           | new same                            | a3/5        |
+      | a3/5 a3/5b                          | new conflict                        | a3/5        |
+      | a3/5 a3/4                           | new superseded                      | a3/5        |
+      | a3/5 a2/9                           | new superseded                      | a3/5        |
+      | a3/5 a3/6                           | new new                             | a3/6        |
+      | a3/5 a4/1                           | new new                             | a4/1        |
+      | a3/5 a4/5b                          | new new                             | a4/5        |
+      | a3/5 heard:a4 a3/6                  | new superseded                      | none        |
+      | a3/5 heard:a3 a3/5                  | new same                            | a3/5        |
+      | a3/5 deleted:a3/4 a3/5              | new same                            | a3/5        |
+      | a3/5 deleted:a3/5 a3/5b a3/4        | new new superseded                  | a3/5        |
+      | a3/5 b3/5 c3/5 a3/6                 | new new too-many new                | a3/6 b3/5   |
+      | a3/5 b3/5 deleted:a3/5 c3/5         | new new new                         | b3/5 c3/5   |
+      | a3/5 silent:1799 b3/5 silent:2 c3/5 | new new new                         | b3/5 c3/5   |
+      | heard:a9 heard:b9 heard:c9 a3/5 heard:d9 a3/5 | superseded new            | a3/5        |
+
+  Scenario: A closed step's work is cancelled and its pulls are told to put the step again
+    Given a sample registry for 3 trainers and 2 open steps
+    When these sample steps are put: a3/5 started:2 a3/6 started:1 a4/1
+    Then 3 pieces of work of the sample registry are cancelled, each once
+
+  Scenario Outline: A random run of lost answers, restarts, hedges and new versions
+    # The trainer sees each sample once, none older than its bound when it arrives, and in the end
+    # all of them, whatever is lost, late, repeated or replaced. The model plays the trainer, the
+    # engines and two entries, in any order, and checks every answer that arrives.
+    When a model trainer plays <events> events with seed <seed> against two sample registries
+    Then no sample was lost, doubled, stale or wrongly labelled, and each kind of event had occurred
+
+    Examples:
+      | seed | events |
+      | 1    | 25000  |
+      | 2    | 25000  |
+      | 3    | 25000  |
+      | 4    | 25000  |
+      | 5    | 25000  |
+      | 6    | 25000  |
