--- a/libs/samples/oleander_samples/collector.py
+++ b/libs/samples/oleander_samples/collector.py
@@ -7,7 +7,7 @@
 
 from oleander_base import clock, findings, invariants, metrics
 from oleander_contracts import contract
-from oleander_samples import inventory, labels, pulls, scheduler, steps, work
+from oleander_samples import hedging, inventory, labels, pulls, scheduler, steps, work
 
 SampleWork = work.SampleWork
 FinishedWork = work.FinishedWork
@@ -34,6 +34,7 @@
         terms: contract.TrainerTerms,
         random_seed: int,
         read_now: collections.abc.Callable[[], float],
+        policy: hedging.StragglerPolicy | None = None,
     ) -> None:
         self._step = step
         self._digest = step.digest
@@ -41,7 +42,8 @@
         self._staleness_bound = terms.staleness_bound
         self._read_now = read_now
         self._changed = threading.Condition()
-        self._scheduler = scheduler.WorkScheduler(step, terms.hedge_percent, random_seed)
+        policy = policy or hedging.StragglerPolicy(terms.hedge_percent)
+        self._scheduler = scheduler.WorkScheduler(step, policy, random_seed)
         self._inventory = inventory.Inventory(step.total)
         self._version = 0
         self._heard_at = read_now()
@@ -94,7 +96,12 @@
             return self._scheduler.hedge_tokens
 
     def next_work(self) -> work.SampleWork | None:
-        """Return what to start next, a hedge if nothing else is left; nothing if none is due."""
+        """
+        Return what to start next, or nothing if none is due.
+
+        Once everything has been started, this is a straggler's next attempt: a hedge, or the
+        straggler itself to be moved, whose old attempt is then among the cancellations.
+        """
         with self._changed:
             if not self._may_start():
                 return None
--- a/libs/samples/oleander_samples/hedging.py
+++ b/libs/samples/oleander_samples/hedging.py
@@ -1,6 +1,7 @@
-"""Which stragglers to run a second time, and what that may cost."""
+"""Which samples are stragglers, and what running them a second time may cost."""
 
 import collections.abc
+import dataclasses
 
 from oleander_samples import predictions, work
 
@@ -9,7 +10,23 @@
 _START_TOKENS = 32
 """What starting elsewhere costs, in tokens at the usual rate."""
 _SCAN_SECONDS = 1.0
-_NEARLY_WHOLE_PERCENT = 75
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class StragglerPolicy:
+    """What is done about stragglers."""
+
+    hedge_percent: int
+    """The tokens that hedges may make, in percent of the step's."""
+    moves: bool = True
+    """Whether one that may not be hedged is cancelled and resumed on another engine."""
+    nearly_whole_percent: int = 75
+    """Nothing is a straggler before so much of the step is whole."""
+
+    @property
+    def is_active(self) -> bool:
+        """Whether anything is done at all."""
+        return self.moves or self.hedge_percent > 0
 
 
 class HedgePlanner:
@@ -24,12 +41,12 @@
 
     def __init__(
         self,
-        percent: int,
+        policy: StragglerPolicy,
         total: int,
         lengths: predictions.LengthModel,
         rates: predictions.RateModel,
     ) -> None:
-        self._percent = percent
+        self._policy = policy
         self._total = total
         self._lengths = lengths
         self._rates = rates
@@ -40,7 +57,7 @@
     @property
     def budget(self) -> float:
         """The tokens that hedges may make."""
-        return self._lengths.mean * self._total * self._percent / 100
+        return self._lengths.mean * self._total * self._policy.hedge_percent / 100
 
     @property
     def spent(self) -> int:
@@ -54,7 +71,8 @@
 
     def is_due(self, whole: int, now: float) -> bool:
         """Tell whether to look for stragglers: the step is nearly whole, not looked lately."""
-        if self._percent <= 0 or whole * 100 < self._total * _NEARLY_WHOLE_PERCENT:
+        least = self._total * self._policy.nearly_whole_percent / 100
+        if not self._policy.is_active or whole < least:
             return False
         if now < self._next_scan_at:
             return False
@@ -63,19 +81,27 @@
 
     def find_stragglers(
         self, attempts: collections.abc.Iterable[work.Attempt], now: float
-    ) -> list[str]:
-        """Return the work that another engine would finish far sooner, the latest first."""
+    ) -> list[int]:
+        """
+        Return the samples that another engine would finish far sooner, the latest first.
+
+        Where a sample has two attempts, both must be late.
+        """
         typical = self._rates.typical
         if typical is None:
             return []
-        late = []
+        late: dict[int, float] = {}
+        in_time = set()
         for attempt in attempts:
+            number = attempt.work.number
             tokens = self.predict_remaining(attempt)
             here = tokens / attempt.predict_rate(typical, now)
             elsewhere = (tokens + _START_TOKENS) / typical
             if here > _FAR_OVER * elsewhere:
-                late.append((-here, attempt.work.work_id))
-        return [work_id for _, work_id in sorted(late)]
+                late[number] = min(here, late.get(number, here))
+            else:
+                in_time.add(number)
+        return sorted(late.keys() - in_time, key=lambda number: (-late[number], number))
 
     def find_slower(self, first: work.Attempt, second: work.Attempt, now: float) -> work.Attempt:
         """Return which of two attempts at one sample is expected to end later."""
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -25,7 +25,9 @@
     to be delivered, is made anew.
     """
 
-    def __init__(self, step: steps.Step, hedge_percent: int, random_seed: int) -> None:
+    def __init__(
+        self, step: steps.Step, policy: hedging.StragglerPolicy, random_seed: int
+    ) -> None:
         self._step = step
         self._random = random.Random(random_seed)
         self._work_name = identifiers.create_nonce()
@@ -37,9 +39,10 @@
         self._lengths = predictions.LengthModel([group.max_tokens for group in step.groups])
         self._rates = predictions.RateModel()
         self._backlog = backlog.Backlog(self._group_of, self._lengths)
+        self._policy = policy
         self._attempts = attempts.AttemptTable()
-        self._hedges = hedging.HedgePlanner(hedge_percent, step.total, self._lengths, self._rates)
-        self._stragglers: collections.deque[str] = collections.deque()
+        self._hedges = hedging.HedgePlanner(policy, step.total, self._lengths, self._rates)
+        self._stragglers: collections.deque[int] = collections.deque()
         self._partials: dict[int, work.Partial] = {}
         self._failures: dict[int, int] = {}
         self._cancellations: list[str] = []
@@ -65,13 +68,13 @@
         return self._hedges.spent
 
     def start_next(self, now: float) -> work.SampleWork | None:
-        """Return what to start: a waiting sample, or else a hedge."""
+        """Return what to start: a waiting sample, or else a straggler's next attempt."""
         number = self._backlog.pop(now)
         if number is not None:
             return self._start(number, self._partials.pop(number, None), now, is_hedge=False)
         if self._backlog:
             return None
-        return self._start_hedge(now)
+        return self._start_straggler(now)
 
     def note_progress(
         self, work_id: str, text: str, tokens: int, version: int | None, now: float
@@ -201,24 +204,44 @@
         self._attempts.add(work.Attempt(started, now))
         return started
 
-    def _start_hedge(self, now: float) -> work.SampleWork | None:
+    def _start_straggler(self, now: float) -> work.SampleWork | None:
         whole = self._step.total - self.waiting - self.running
         if self._hedges.is_due(whole, now):
-            single = self._attempts.list_single()
-            self._stragglers = collections.deque(self._hedges.find_stragglers(single, now))
+            self._stragglers.clear()
+            self._stragglers.extend(self._hedges.find_stragglers(self._attempts, now))
         while self._stragglers:
-            straggler = self._attempts.find(self._stragglers.popleft())
-            if straggler is None or len(self._attempts.find_all(straggler.work.number)) > 1:
-                continue
-            partial = straggler.find_partial()
-            made = partial.tokens if partial else 0
-            tokens = self._hedges.predict_hedge(straggler.work.group, made)
-            if self._hedges.admits(tokens):
-                hedge = self._start(straggler.work.number, partial, now, is_hedge=True)
-                self._hedges.reserve(hedge.work_id, tokens)
-                return hedge
+            number = self._stragglers.popleft()
+            same = self._attempts.find_all(number)
+            started = self._hedge(same[0], now) if len(same) == 1 else None
+            if started is None:
+                started = self._move(number, now)
+            if started is not None:
+                return started
         return None
 
+    def _hedge(self, straggler: work.Attempt, now: float) -> work.SampleWork | None:
+        """Start a second attempt from the text so far, if the budget has room for it."""
+        partial = straggler.find_partial()
+        made = partial.tokens if partial else 0
+        tokens = self._hedges.predict_hedge(straggler.work.group, made)
+        if not self._hedges.admits(tokens):
+            return None
+        hedge = self._start(straggler.work.number, partial, now, is_hedge=True)
+        self._hedges.reserve(hedge.work_id, tokens)
+        return hedge
+
+    def _move(self, number: int, now: float) -> work.SampleWork | None:
+        """Cancel a sample's attempts and start one from the longest text; no token is lost."""
+        same = self._attempts.find_all(number)
+        partials = [partial for item in same if (partial := item.find_partial()) is not None]
+        longest = max(partials, key=lambda item: item.tokens, default=None)
+        made = max((item.tokens for item in same), default=0)
+        if not same or not self._policy.moves or made > (longest.tokens if longest else 0):
+            return None
+        for attempt in same:
+            self._cancel(attempt)
+        return self._start(number, longest, now, is_hedge=False)
+
     def _end_race(self, number: int, now: float) -> None:
         """Cancel the later of two attempts, so that hedges cost no more than they may."""
         same = self._attempts.find_all(number)
--- a/libs/samples/oleander_samples/work.py
+++ b/libs/samples/oleander_samples/work.py
@@ -15,7 +15,11 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class SampleWork:
-    """A sample to be made, or to be finished from a text that has been begun."""
+    """
+    A sample to be made, or to be finished from a text that has been begun.
+
+    Choose another engine than the one that had the same number before: it may have been slow.
+    """
 
     work_id: str
     number: int
@@ -30,7 +34,7 @@
     oldest_version: int
     """Weights older than this are of no use."""
     is_hedge: bool
-    """Whether another attempt at the same sample runs: choose another engine than its."""
+    """Whether another attempt at the same sample runs."""
 
 
 class Outcome(enum.Enum):
