Add steps that start a small deployment and stop, pause or cut off its parts

For the fault scenarios of any promise: two plain services with sidecars, two entries and the platform, started at once; relays between entries and sidecars, sidecars and services, and entries and the log only where a scenario names them. The relay can hold what the connections open now send, so that a request arrives after what was sent later, and tells what it holds, so that a scenario waits for that and not for time. A killed service's counts are kept.

--- /dev/null
+++ b/features/deployments.py
@@ -0,0 +1,207 @@
+"""A small deployment whose scenario can stop, pause and cut off each part of it."""
+
+import concurrent.futures
+import json
+import pathlib
+
+import support
+from oleander_contracts import contract, in_force, readers, records
+from oleander_standins import deployment, relay
+
+EXAMPLES = pathlib.Path(__file__).resolve().parent.parent / "docs" / "examples"
+LONG_CUSTOMER = "long"
+"""Its operations wait for half a minute, so that an early answer can be told from a late one."""
+_LONG_CONTRACT = """
+customer: long
+share_percent: 50
+retry_percent: 100
+operations:
+  - {name: charge, backend: desk, priority: critical, repeatable: false, timeout_ms: 30000}
+  - {name: look-up, backend: desk, priority: critical, repeatable: true, timeout_ms: 30000}
+  - {name: draft, backend: designs, priority: interactive, repeatable: true, timeout_ms: 30000,
+     generates: true}
+trainers: []
+"""
+DESKS = (
+    deployment.BackendHost("desk-a", "desk", "service", "a"),
+    deployment.BackendHost("desk-b", "desk", "service", "b"),
+)
+ENTRIES = ("entry-a", "entry-b")
+_RELAY_KINDS = ("link", "service", "log")
+_NOWHERE = "127.0.0.1:1"
+_CALL_SECONDS = 40.0
+_MOST_TASKS = 16
+
+
+class SmallDeployment:
+    """
+    The platform, some hosts with sidecars, and two entries, all started at once.
+
+    A relay is named after what it leads to and who uses it: `link-desk-a` stands between the
+    entries and a sidecar, `service-desk-a` between a sidecar and its backend server, and
+    `log-entry-a` between an entry and the log. Only those that were asked for are started.
+    """
+
+    def __init__(self, cluster, relays=(), hosts=DESKS, entry_flags=()):
+        self.cluster = cluster
+        self.deployed = deployment.Deployment(cluster)
+        self.hosts = {host.name: host for host in hosts}
+        self._entry_flags = entry_flags
+        self._pool = concurrent.futures.ThreadPoolExecutor(_MOST_TASKS)
+        self._calls = {}
+        self._runs_of_ended = {}
+        self.relays = {name: cluster.start_relay(name, _NOWHERE) for name in relays}
+        assert all(name.split("-")[0] in _RELAY_KINDS for name in relays), relays
+
+    def start(self):
+        """Start everything and put the contracts in force at every entry."""
+        terms = read_contracts()
+        for item in terms:
+            self.deployed.add_customer(item.customer)
+        for host in self.hosts.values():
+            self.deployed.add_host(host)
+        platform = (("log", "logservice"), ("hosts", "hostlist"), ("weights", "weightstore"))
+        self._run_all((self.cluster.start_stand_in, *item) for item in platform)
+        self._run_all((self.deployed.start_backend_server, name) for name in self.hosts)
+        self._run_all(
+            [(self._put_contracts, terms)]
+            + [(self.start_sidecar, name) for name in self.hosts]
+            + [(self.start_entry, name) for name in ENTRIES]
+        )
+        self.await_entries(len(terms) - 1)
+
+    def await_entries(self, offset=0):
+        """Wait until each entry has links to all sidecars and the configuration."""
+        self.deployed.await_ready(len(self.hosts))
+        for name in self.deployed.entries:
+            support.wait_until(
+                lambda name=name: self.read_configuration(name)["applied_offset"] >= offset,
+                f"{name} has the configuration up to {offset}",
+            )
+
+    def read_configuration(self, entry):
+        """Return what an entry says of its configuration and peers."""
+        url = f"{self.cluster.url(entry)}/v1/configuration"
+        headers = self.deployed.write_headers("operator")
+        return support.call("GET", url, None, headers).read_json()
+
+    def start_sidecar(self, name):
+        """Start a sidecar, or start it anew; a relay before it keeps its address."""
+        link = self.relays.get(f"link-{name}")
+        self.deployed.start_sidecar(
+            name, backend_url=self._lead_to("service", name), is_listed=link is None
+        )
+        if link is not None:
+            link.target = self.cluster.address(name)
+            self.deployed.list_host(name, link.address)
+
+    def start_entry(self, name):
+        """Start an entry, or start it anew."""
+        log_url = self._lead_to("log", name)
+        self.deployed.start_entry(name, name[6], *self._entry_flags, log_url=log_url)
+
+    def start_server(self, name):
+        """Start a backend server anew where it listened before."""
+        host = self.find_host(name)
+        port = self.cluster.address(name).rpartition(":")[2]
+        self.deployed.start_backend_server(host.name, int(port))
+
+    def restart(self, name):
+        """Start a process that has ended."""
+        if name in self.hosts:
+            self.start_sidecar(name)
+        elif name in ENTRIES:
+            self.start_entry(name)
+        else:
+            self.start_server(name)
+
+    def find_host(self, server_name):
+        """Return the host of a backend server."""
+        return next(item for item in self.hosts.values() if item.server_name == server_name)
+
+    def kill(self, name):
+        """End a process as a crash would; what a service counted until then is kept."""
+        if name not in self.hosts and name not in ENTRIES:
+            for key, runs in self._read_runs(name).items():
+                self._runs_of_ended[key] = self._runs_of_ended.get(key, 0) + runs
+        self.cluster.kill(name)
+
+    def freeze(self, name):
+        """Pause a process, and wait until it stands still."""
+        self.cluster.freeze(name)
+        status = pathlib.Path(f"/proc/{self.cluster.find(name).pid}/stat")
+        support.wait_until(
+            lambda: status.read_text().rpartition(")")[2].split()[0] == "T", f"{name} is paused"
+        )
+
+    def count_runs(self, key):
+        """Return how often all services together, the ended ones too, ran a key."""
+        services = [host.server_name for host in self.hosts.values() if host.kind == "service"]
+        alive = [name for name in services if self.cluster.find(name).code is None]
+        now = sum(self._read_runs(name).get(key, 0) for name in alive)
+        return now + self._runs_of_ended.get(key, 0)
+
+    def read_stream(self, stream):
+        """Return the records of a log stream."""
+        url = f"{self.cluster.url('log')}/streams/{stream}/records?offset=0&limit=500"
+        return support.call("GET", url).read_json()["records"]
+
+    def start_call(self, name, entry, customer, operation, body, key="", timeout_ms=0):
+        """Send a caller's request on a thread of its own; the answer is kept under the name."""
+        arguments = (entry, customer, operation, body, key, timeout_ms, _CALL_SECONDS)
+        self._calls[name] = self._pool.submit(self.deployed.call, *arguments)
+
+    def is_answered(self, name):
+        """Return whether a caller's request has ended."""
+        return self._calls[name].done()
+
+    def read_answer(self, name):
+        """Return a caller's answer once it has come, or nothing where the connection was cut."""
+        try:
+            return self._calls[name].result(_CALL_SECONDS)
+        except Exception as error:
+            assert not isinstance(error, (AssertionError, TimeoutError)), error
+            return None
+
+    def _read_runs(self, service):
+        return self.cluster.read_control(service)["runs_by_key"]
+
+    def _lead_to(self, kind, user):
+        """Return the URL of the relay to what a process uses; empty where there is none."""
+        found = self.relays.get(f"{kind}-{user}")
+        if found is None:
+            return ""
+        target = "log" if kind == "log" else self.hosts[user].server_name
+        found.target = self.cluster.address(target)
+        return found.url
+
+    def _put_contracts(self, terms):
+        values = [
+            records.ContractRecord(item, in_force.NO_OFFSET, "a scenario").to_value()
+            for item in terms
+        ]
+        url = f"{self.cluster.url('log')}/streams/{records.STREAM}/records"
+        assert support.call("POST", url, {"records": values}).status == 200
+
+    def _run_all(self, tasks):
+        for future in [self._pool.submit(task, *arguments) for task, *arguments in tasks]:
+            future.result()
+
+
+def read_contracts() -> list[contract.Contract]:
+    """Return the example contracts and one with long timeouts."""
+    texts = [path.read_text() for path in sorted(EXAMPLES.glob("*.yaml"))]
+    return [readers.read_contract(text, "scenario").ok for text in [*texts, _LONG_CONTRACT]]
+
+
+def read_outcome(response):
+    """Return an answer's outcome and reason as one text; `cut` where there was none."""
+    if response is None:
+        return "cut"
+    if response.status == 200:
+        return "done"
+    problem = json.loads(response.body)
+    return f"{problem['outcome']} {problem['reason']}"
+
+
+DIRECTIONS = {"to the server": relay.TO_SERVER, "to the client": relay.TO_CLIENT}
--- a/standins/oleander_standins/deployment.py
+++ b/standins/oleander_standins/deployment.py
@@ -71,9 +71,13 @@
         self._cluster.start_stand_in("hosts", "hostlist")
         self._cluster.start_stand_in("weights", "weightstore")
 
+    def add_host(self, host: BackendHost) -> None:
+        """Make a host known, whose backend server and sidecar are started one by one."""
+        self._hosts[host.name] = host
+
     def start_host(self, host: BackendHost) -> None:
         """Start a backend server and its sidecar, and list the host."""
-        self._hosts[host.name] = host
+        self.add_host(host)
         self.start_backend_server(host.name)
         self.start_sidecar(host.name)
 
@@ -93,17 +97,19 @@
                 future.result()
         self._entries.sort()
 
-    def start_backend_server(self, name: str) -> None:
+    def start_backend_server(self, name: str, port: int = 0) -> None:
         """Start, or start anew, the backend server of a host."""
         host = self._hosts[name]
-        flags = list(host.engine_flags)
+        flags = ["--port", str(port), *host.engine_flags]
         if host.kind == "engine":
             flags += ["--weights-url", self._cluster.url("weights"), "--slots", str(host.slots)]
             if host.checks_fencing:
                 flags.append("--checks-fencing")
         self._cluster.start_stand_in(host.server_name, host.kind, *flags)
 
-    def start_sidecar(self, name: str, backend_url: str = "", log_url: str = "") -> None:
+    def start_sidecar(
+        self, name: str, backend_url: str = "", log_url: str = "", is_listed: bool = True
+    ) -> None:
         """Start, or start anew, the sidecar of a host, and list its address."""
         host = self._hosts[name]
         arguments = [
@@ -121,7 +127,8 @@
             arguments += ["--model", host.model]
             arguments += ["--checks_fencing"] if host.checks_fencing else []
         self._cluster.start(name, "oleanderdeal", *arguments)
-        self.list_host(name, self._cluster.address(name))
+        if is_listed:
+            self.list_host(name, self._cluster.address(name))
 
     def list_host(self, name: str, address: str) -> None:
         """Put a sidecar's address into the host list."""
--- a/standins/oleander_standins/relay.py
+++ b/standins/oleander_standins/relay.py
@@ -68,12 +68,32 @@
         with self._changed:
             self._blocked.add(direction)
 
+    def block_open_connections(self) -> None:
+        """Hold what the connections open now send, both ways; later ones pass."""
+        with self._changed:
+            for pair in self._pairs:
+                pair.blocked.update(_DIRECTIONS)
+
+    def release(self, direction: str) -> None:
+        """Pass again what is sent one way, what was held first."""
+        assert direction in _DIRECTIONS, direction
+        with self._changed:
+            self._blocked.discard(direction)
+            for pair in self._pairs:
+                pair.blocked.discard(direction)
+            self._changed.notify_all()
+
+    def count_held(self, direction: str) -> int:
+        """Return how many connections have bytes that are held on their way."""
+        with self._changed:
+            return sum(direction in pair.held for pair in self._pairs)
+
     def heal(self) -> None:
         """Pass everything again, what was held first."""
         with self._changed:
             self._is_cut = False
-            self._blocked.clear()
-            self._changed.notify_all()
+        for direction in _DIRECTIONS:
+            self.release(direction)
 
     def close(self) -> None:
         """Close every connection and end every thread."""
@@ -130,8 +150,10 @@
     ) -> None:
         try:
             while data := source.recv(_MOST_BYTES):
+                pair.held.add(direction)
                 self._wait_open(pair, direction)
                 sink.sendall(data)
+                pair.held.discard(direction)
             self._wait_open(pair, direction)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
@@ -141,9 +163,13 @@
     def _wait_open(self, pair: "_Pair", direction: str) -> None:
         with self._changed:
             self._changed.wait_for(
-                lambda: pair.is_closed or direction not in self._blocked, _LONGEST_HOLD_SECONDS
+                lambda: pair.is_closed or not self._is_blocked(pair, direction),
+                _LONGEST_HOLD_SECONDS,
             )
 
+    def _is_blocked(self, pair: "_Pair", direction: str) -> bool:
+        return direction in self._blocked or direction in pair.blocked
+
     def _finish(self, pair: "_Pair") -> None:
         with self._changed:
             pair.pumps_left -= 1
@@ -160,7 +186,7 @@
 class _Pair:
     """The two sockets of one connection."""
 
-    __slots__ = ("client", "is_closed", "pumps_left", "server")
+    __slots__ = ("blocked", "client", "held", "is_closed", "pumps_left", "server")
 
     def __init__(self, client: socket.socket, server: socket.socket) -> None:
         for end in (client, server):
@@ -168,6 +194,8 @@
             end.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.client = client
         self.server = server
+        self.blocked: set[str] = set()
+        self.held: set[str] = set()
         self.is_closed = False
         self.pumps_left = 2
 
