Keep threads for urgent work, find samples by one task, wait out calls that run anyway

Three causes, found by reading. (1) Background requests may wait ten minutes; enough of them held every HTTP thread of an entry and a booking was not looked at. Each class now has a part of the pool and what is beyond it is refused at once. Ruled out: a second pool, which waitress does not offer. (2) 64 sample tasks woke twenty times a second each to find nothing; one task finds work now. (3) A service call that outlived its caller was given up at the caller's deadline, and the retry was told unknown for ever although the call had run; it is waited for now, a minute at most.

--- a/programs/oleanderdeal/oleanderdeal/caller_api.py
+++ b/programs/oleanderdeal/oleanderdeal/caller_api.py
@@ -14,6 +14,7 @@
     caller_requests,
     callers,
     dispatch,
+    gates,
     http_messages,
     once,
 )
@@ -33,10 +34,12 @@
         configuration: fold.ConfigurationFold,
         dispatcher: dispatch.Dispatcher,
         once_dispatcher: once.OnceDispatcher,
+        threads: gates.ThreadGates,
     ) -> None:
         self._configuration = configuration
         self._dispatcher = dispatcher
         self._once = once_dispatcher
+        self._threads = threads
 
     def handle(
         self, request: http_messages.HttpRequest, customer: str, operation_name: str
@@ -54,7 +57,12 @@
         read = caller_requests.read_caller_request(request, terms, operation)
         if read.is_error():
             return http_messages.answer_findings(read.error)
-        return self._run(read.ok, request.is_gone)
+        with self._threads.enter(gates.find_gate(operation.priority)) as is_free:
+            if is_free:
+                return self._run(read.ok, request.is_gone)
+        answer = callers.refuse("entry-busy", gates.RETRY_AFTER_MS)
+        accounts.count_answer(read.ok, answer)
+        return _write_answer(read.ok, answer)
 
     def _run(
         self, request: callers.CallerRequest, is_gone: collections.abc.Callable[[], bool]
--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -15,6 +15,7 @@
     configuration,
     dispatch,
     entry_handler,
+    gates,
     hosts,
     http_server,
     lifecycle,
@@ -84,6 +85,7 @@
         self._snapshots = snapshots.SnapshotWriter(
             log_service, self._in_force, self._group, chosen.snapshot_interval_ms
         )
+        threads = gates.ThreadGates(chosen.http_threads)
         handler = entry_handler.EntryHandler(
             tokens=access.AccessTable(
                 {item.customer: item.token for item in chosen.customer_tokens}
@@ -92,6 +94,7 @@
                 self._in_force,
                 dispatcher,
                 once.OnceDispatcher(self._claims, self._routes, self._links),
+                threads,
             ),
             trainers=trainer_api.TrainerApi(
                 self._in_force,
@@ -100,6 +103,7 @@
                 self._runs,
                 self._find_own_url,
                 self._leaving.is_set,
+                threads,
             ),
             follower=self._follower,
             count_peers=lambda: len(self._routes.list_peers()),
@@ -119,7 +123,7 @@
         self._group.start(self._runs.write)
         self._group.start(self._snapshots.write)
         self._claims.start()
-        self._sampling.start()
+        self._group.start(self._sampling.feed)
         self._group.start(self._server.serve)
         lifecycle.announce_address(self._chosen.listen_host, self._server.port)
         while not stop.wait(1.0):
--- a/programs/oleanderdeal/oleanderdeal/runners.py
+++ b/programs/oleanderdeal/oleanderdeal/runners.py
@@ -10,6 +10,7 @@
 REASON_CANCELLED = "cancelled"
 REASON_LABEL_UNKNOWN = "label-unknown"
 REASON_OUT_OF_ROTATION = "out-of-rotation"
+_ONCE_SECONDS = 60.0
 
 
 class Runner(abc.ABC):
@@ -33,9 +34,17 @@
         self._backend = backend
 
     def run(self, pending: work.PendingRun) -> messages.Answer:
-        """Call the service; a lost answer makes the outcome unknown, never a second call."""
+        """
+        Call the service; a lost answer makes the outcome unknown, never a second call.
+
+        A call that may not be repeated is waited for past its caller's deadline: it runs anyway,
+        and the caller's retry gets the answer instead of "unknown" for ever.
+        """
         run = pending.run
-        result = self._backend.call(run.operation, run.key, run.body, pending.deadline)
+        deadline = pending.deadline
+        if not run.repeatable:
+            deadline = clock.start_deadline(max(deadline.remaining, _ONCE_SECONDS))
+        result = self._backend.call(run.operation, run.key, run.body, deadline)
         if result.is_ok():
             return messages.Answer(
                 "", _judge_status(result.ok.status), result.ok.status, "", 0, result.ok.body, 0
--- a/programs/oleanderdeal/oleanderdeal/sampling.py
+++ b/programs/oleanderdeal/oleanderdeal/sampling.py
@@ -1,5 +1,6 @@
-"""Makes the samples of registered steps: each task runs one sample at a time."""
+"""Makes the samples of registered steps: one task finds work, each sample has its own."""
 
+import dataclasses
 import threading
 
 from oleander_base import clock, log, tasks
@@ -38,8 +39,20 @@
         return self._cancelled.is_set()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Taken:
+    """Work and the step that it belongs to."""
+
+    made_for: collector.StepCollector
+    work: sample_work.SampleWork
+
+
 class SamplingPool:
-    """Bounded tasks that take work from every open step in turn."""
+    """
+    Takes work from every open step in turn and runs a bounded number of samples at once.
+
+    At the bound no more work is taken from the steps, where it waits.
+    """
 
     def __init__(
         self,
@@ -53,7 +66,7 @@
         self._dispatcher = dispatcher
         self._configuration = configuration
         self._group = group
-        self._most_samples = most_samples
+        self._slots = threading.BoundedSemaphore(most_samples)
         self._lock = threading.Lock()
         self._observers: dict[str, SampleObserver] = {}
         self._draining = threading.Event()
@@ -64,24 +77,37 @@
         """Whether no sample is being made."""
         return not self._observers
 
-    def start(self) -> None:
-        """Start the tasks."""
-        for _ in range(self._most_samples):
-            self._group.start(self._serve)
-
     def drain(self) -> None:
         """Start no more samples; those under way are finished."""
         self._draining.set()
 
-    def _serve(self) -> None:
+    def feed(self) -> None:
+        """Start samples as long as there is work and room, until the group stops."""
         while not self._group.is_stopping:
+            if not self._slots.acquire(timeout=_IDLE_SECONDS):
+                continue
             taken = None if self._draining.is_set() else self._take_work()
             if taken is None:
+                self._slots.release()
                 self._group.pause(_IDLE_SECONDS)
             else:
-                self._make(*taken)
+                self._start(taken)
+
+    def _start(self, taken: _Taken) -> None:
+        observer = SampleObserver(taken.made_for, taken.work)
+        with self._lock:
+            self._observers[taken.work.work_id] = observer
+        self._group.start(lambda: self._run_slot(taken, observer))
+
+    def _run_slot(self, taken: _Taken, observer: SampleObserver) -> None:
+        try:
+            self._make(taken.made_for, taken.work, observer)
+        finally:
+            with self._lock:
+                self._observers.pop(taken.work.work_id, None)
+            self._slots.release()
 
-    def _take_work(self) -> tuple[collector.StepCollector, sample_work.SampleWork] | None:
+    def _take_work(self) -> _Taken | None:
         self._cancel_all(self._steps.take_cancellations())
         open_steps = self._steps.collectors
         self._turn += 1
@@ -89,10 +115,15 @@
             made_for = open_steps[(position + self._turn) % len(open_steps)]
             work = made_for.next_work()
             if work is not None:
-                return made_for, work
+                return _Taken(made_for, work)
         return None
 
-    def _make(self, made_for: collector.StepCollector, work: sample_work.SampleWork) -> None:
+    def _make(
+        self,
+        made_for: collector.StepCollector,
+        work: sample_work.SampleWork,
+        observer: SampleObserver,
+    ) -> None:
         terms = self._configuration.find_contract(made_for.step.customer)
         trainer = terms.find_trainer(made_for.step.trainer) if terms else None
         if terms is None or trainer is None:
@@ -100,14 +131,7 @@
             log.warn_bounded("sample-without-contract", "a step's contract is no longer in force")
             self._group.pause(_MOST_PAUSE_SECONDS)
             return
-        observer = SampleObserver(made_for, work)
-        with self._lock:
-            self._observers[work.work_id] = observer
-        try:
-            self._run(made_for, work, _write_job(work, terms, trainer), observer)
-        finally:
-            with self._lock:
-                self._observers.pop(work.work_id, None)
+        self._run(made_for, work, _write_job(work, terms, trainer), observer)
 
     def _run(
         self,
--- a/programs/oleanderdeal/oleanderdeal/trainer_api.py
+++ b/programs/oleanderdeal/oleanderdeal/trainer_api.py
@@ -7,7 +7,7 @@
 from oleander_base import clock, findings
 from oleander_contracts import contract, fold
 from oleander_samples import pulls, readers, registry
-from oleanderdeal import accounts, http_messages, trainer_runs, version_publisher
+from oleanderdeal import accounts, gates, http_messages, trainer_runs, version_publisher
 
 _CALL_SECONDS = 5.0
 _MOST_BODY_BYTES = 4096
@@ -26,6 +26,7 @@
         runs: trainer_runs.TrainerRuns,
         own_url: collections.abc.Callable[[], str],
         is_draining: collections.abc.Callable[[], bool],
+        threads: gates.ThreadGates,
     ) -> None:
         self._configuration = configuration
         self._steps = steps
@@ -33,6 +34,7 @@
         self._runs = runs
         self._own_url = own_url
         self._is_draining = is_draining
+        self._threads = threads
 
     def put_version(
         self, request: http_messages.HttpRequest, customer: str, model: str, text: str
@@ -96,7 +98,8 @@
         if found is None:
             return _answer_missing("step-unknown")
         started_at = clock.read_now()
-        pulled = found.pull(read.ok, read.ok.wait_ms / 1000)
+        with self._threads.enter(gates.Gate.PULL) as may_wait:
+            pulled = found.pull(read.ok, read.ok.wait_ms / 1000 if may_wait else 0.0)
         waited_ms = int((clock.read_now() - started_at) * 1000)
         accounts.count_samples(customer, trainer, "idle_ms", waited_ms)
         if pulled.is_error():
