Let sidecars read the log seldom while entries feed them

Cause: every sidecar polled the configuration stream twice a second; 3,000 of them would ask the log 6,000 times a second. Entries push each change over the link anyway, so a linked sidecar reads the log every 30 s only. Ruled out: never reading, since a sidecar whose entries are all cut from the log would hear nothing.

--- a/programs/oleanderdeal/oleanderdeal/configuration.py
+++ b/programs/oleanderdeal/oleanderdeal/configuration.py
@@ -10,6 +10,7 @@
 
 STREAM = "configuration"
 _READ_SECONDS = 5.0
+_FED_READ_SECONDS = 30.0
 
 
 class ConfigurationFollower:
@@ -21,11 +22,15 @@
         configuration: fold.ConfigurationFold,
         group: tasks.TaskGroup,
         poll_ms: int,
+        is_fed: collections.abc.Callable[[], bool] = lambda: False,
     ) -> None:
+        """Create a follower; while it is fed by peers it reads the log only now and then."""
         self._service = service
         self._configuration = configuration
         self._group = group
         self._poll_ms = poll_ms
+        self._is_fed = is_fed
+        self._read_at_latest = clock.start_deadline(0)
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._caught_up = threading.Event()
 
@@ -46,8 +51,9 @@
     def follow(self) -> None:
         """Read the log until the group stops."""
         while not self._group.is_stopping:
-            if not self._read_page():
-                self._group.pause(self._poll_ms / 1000)
+            if self._is_read_due() and self._read_page():
+                continue
+            self._group.pause(self._poll_ms / 1000)
 
     def write_missing(self, peer_offset: int) -> messages.Records:
         """Return what a peer lacks: the records themselves, or a snapshot where they are gone."""
@@ -72,6 +78,12 @@
         self._caught_up.set()
         self._announce_since(before)
 
+    def _is_read_due(self) -> bool:
+        """Tell whether to ask the log; thousands of sidecars that all do would overload it."""
+        if not self._caught_up.is_set() or not self._is_fed():
+            return True
+        return self._read_at_latest.is_past
+
     def _read_page(self) -> bool:
         deadline = clock.start_deadline(self._poll_ms / 1000 + _READ_SECONDS)
         offset = self._configuration.next_offset
@@ -81,6 +93,7 @@
             log.warn_bounded("log-read-failed", f"{STREAM}: {page.error.detail}")
             return False
         self._fold_page(page.ok)
+        self._read_at_latest = clock.start_deadline(_FED_READ_SECONDS)
         if self._configuration.applied_offset + 1 >= page.ok.next_offset:
             self._caught_up.set()
         return True
--- a/programs/oleanderdeal/oleanderdeal/sidecar.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar.py
@@ -41,7 +41,11 @@
         log_service = http_logservice.HttpLogService(chosen.log_url)
         self._in_force = fold.ConfigurationFold()
         self._follower = configuration.ConfigurationFollower(
-            log_service, self._in_force, self._group, chosen.configuration_poll_ms
+            log_service,
+            self._in_force,
+            self._group,
+            chosen.configuration_poll_ms,
+            is_fed=lambda: self._links.is_linked,
         )
         self._trail = order_trail.OrderTrail(chosen.name, log_service, self._group)
         self._keeper: weights.WeightKeeper | None = None
--- a/programs/oleanderdeal/oleanderdeal/sidecar_links.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar_links.py
@@ -38,6 +38,11 @@
         self._open: set[link.Link] = set()
         self._stopping = threading.Event()
 
+    @property
+    def is_linked(self) -> bool:
+        """Whether any entry is connected, which then also sends what changed."""
+        return bool(self._open)
+
     def serve(self, opened: link.Link) -> None:
         """Serve one link until it closes."""
         if not self._greet(opened):
