--- a/bench/policy_fleet.py
+++ b/bench/policy_fleet.py
@@ -39,10 +39,11 @@
         self.name = name
         self.running = 0
         self.slowdown = 1.0
-        self.fails = False
+        self.failing_part = 0.0
         self.waiting: collections.deque[tuple[Request, collections.abc.Callable[[bool], None]]]
         self.waiting = collections.deque()
         self._simulation = simulation
+        self._source = random.Random(name)
         self._cached_prefixes = cached_prefixes
         self._prefill_ms = prefill_ms
         self._cache: collections.OrderedDict[str, None] = collections.OrderedDict()
@@ -53,9 +54,9 @@
         return self.running + len(self.waiting)
 
     def accept(self, request: Request, ended: collections.abc.Callable[[bool], None]) -> None:
-        """Run a request when a slot is free; a server that fails does so at once."""
+        """Run a request when a slot is free; one that fails does so at once."""
         request.peer = self.name
-        if self.fails:
+        if self._source.random() < self.failing_part:
             self._simulation.schedule(0.001, lambda: self._end(request, ended, False))
             self.running += 1
             return
--- a/bench/policy_routing.py
+++ b/bench/policy_routing.py
@@ -165,15 +165,15 @@
     return figures
 
 
-def _run_grey(create: CreateChooser, fails: bool) -> tuple[float, float]:
+def _run_grey(create: CreateChooser, failing_part: float, slowdown: float) -> tuple[float, float]:
     """Return the percentage of requests at the grey server, and the one after it is well again."""
     simulation, fleet = _build(create, _GREY, 6)
     grey = fleet.servers["server-0"]
     simulation.run(_FAULT_FROM)
-    grey.fails = fails
-    grey.slowdown = 1.0 if fails else 10.0
+    grey.failing_part = failing_part
+    grey.slowdown = slowdown
     simulation.run(_FAULT_UNTIL)
-    grey.fails = False
+    grey.failing_part = 0.0
     grey.slowdown = 1.0
     simulation.run(_AFTER_UNTIL)
     everything = fleet.ended + fleet.failed
@@ -191,12 +191,16 @@
 
 
 def measure_grey_peer() -> list[policy_simulation.Figure]:
-    """Let one of ten servers fail at once, or take ten times as long, for twenty seconds."""
+    """Let one of ten servers fail all or half of its work, or take ten times as long, for 20 s."""
     figures = []
-    for name, fails in (("fails", True), ("slow", False)):
-        baseline, baseline_after = _run_grey(_create_unjudging, fails)
-        ours, ours_after = _run_grey(_create_by_load, fails)
-        case = f"e grey peer {name}, no ejection"
+    for name, failing_part, slowdown in (
+        ("fails", 1.0, 1.0),
+        ("fails half", 0.5, 1.0),
+        ("slow", 0.0, 10.0),
+    ):
+        baseline, baseline_after = _run_grey(_create_unjudging, failing_part, slowdown)
+        ours, ours_after = _run_grey(_create_by_load, failing_part, slowdown)
+        case = f"e {name}, no ejection"
         figures += [
             policy_simulation.Figure(case, "requests at it, %", baseline, ours),
             policy_simulation.Figure(
