--- a/libs/routing/oleander_routing/health.py
+++ b/libs/routing/oleander_routing/health.py
@@ -28,18 +28,6 @@
     """Its probes succeeded; it gets more work bit by bit."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class Outcome:
-    """What became of one request at a peer."""
-
-    name: str
-    failed: bool
-    latency_ms: float | None
-    """Missing where it says nothing, as of a request that failed at once."""
-    was_alone: bool
-    """Whether nothing else of this entry is in flight there."""
-
-
 @dataclasses.dataclass(slots=True)
 class _Health:
     """The outcomes of one peer, as moving averages."""
@@ -109,14 +97,19 @@
             return 1.0
         return max(_RAMP_START, passed)
 
-    def note_outcome(self, outcome: Outcome, group: list[str], now: float) -> None:
-        """Take in an outcome at one peer of a backend; the group is all its usable peers."""
-        health = self._find_or_add(outcome.name)
+    def note_outcome(
+        self, name: str, group: list[str], failed: bool, latency_ms: float | None, now: float
+    ) -> None:
+        """Take in an outcome of one peer of a backend; the group is all its usable peers."""
+        health = self._find_or_add(name)
+        was_good = not failed and not self._is_slow(latency_ms, group)
         if health.state is _State.EJECTED:
-            self._note_probe(health, outcome, group, now)
+            health.probes = health.probes + 1 if was_good else 0
+            if health.probes >= _PROBES_NEEDED:
+                health.start_ramp(now)
             return
-        health.observe(outcome.failed, outcome.latency_ms)
-        if self._is_outlier(health, group) and self._may_eject(outcome.name, group):
+        health.observe(failed, latency_ms)
+        if self._is_outlier(health, group) and self._may_eject(name, group):
             health.state = _State.EJECTED
             health.probes = 0
 
@@ -126,20 +119,6 @@
         for name in ejected[len(group) // 2 :]:
             self._table[name].start_ramp(now)
 
-    def _note_probe(self, health: _Health, outcome: Outcome, group: list[str], now: float) -> None:
-        """
-        Count probes that succeed in a row.
-
-        Probes are sent one at a time, so what ends while others are in flight was sent before the
-        ejection. Counting that would take a peer that fails half of its work back at once.
-        """
-        if not outcome.was_alone:
-            return
-        was_good = not outcome.failed and not self._is_slow(outcome.latency_ms, group)
-        health.probes = health.probes + 1 if was_good else 0
-        if health.probes >= _PROBES_NEEDED:
-            health.start_ramp(now)
-
     def _find_or_add(self, name: str) -> _Health:
         health = self._table.get(name)
         if health is None:
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -136,15 +136,13 @@
             peer.in_flight = max(0, peer.in_flight - 1)
             if outcome is RouteOutcome.REFUSED:
                 return
+            moment = self._read_now() if now is None else now
+            group = self._list_usable(peer.backend)
             failed = outcome in {RouteOutcome.FAILED, RouteOutcome.TIMED_OUT}
             latency_ms = None if outcome is RouteOutcome.FAILED else service_ms
             if latency_ms is not None:
                 peer.observe(latency_ms)
-            self._health.note_outcome(
-                health.Outcome(name, failed, latency_ms, was_alone=peer.in_flight == 0),
-                self._list_usable(peer.backend),
-                self._read_now() if now is None else now,
-            )
+            self._health.note_outcome(name, group, failed, latency_ms, moment)
 
     def list_peers(self) -> list[peers.Peer]:
         """Return copies of all peers as they are now."""
