Prove reserved places and that accepted work ends once

Cause: nothing checked the places kept for each class, nor that no call order makes work both run and be answered 'not run'. Ruled out: a model of the queue to compare with (it would be the queue again); counting ends is enough.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -78,6 +78,36 @@
       | 3      | a1:interactive:10 a2:interactive:10 a3:interactive:10   | b1:interactive:10 | ok         | a3:queue-full  |
       | 3      | a1:interactive:10 b2:interactive:10 b3:interactive:10   | d1:interactive:10 | queue-full | nothing        |
 
+  Scenario Outline: Each class keeps one place in twenty
+    # Without it a queue full of urgent work refuses every background sync, whose retry is refused
+    # again; the floor in service time can't help work that is never let in.
+    Given an admission queue with 1 slots and 20 places
+    When admission is filled with 20 works of <filling> class
+    And admission is asked for <work>
+    Then admission answered <answer> to the last one
+    And admission dropped <dropped>
+
+    Examples:
+      | filling     | work                            | answer     | dropped             |
+      | interactive | b1:background:10                | ok         | a20:queue-full      |
+      | critical    | b1:background:10                | ok         | a20:queue-full      |
+      | interactive | b1:background:10 b2:background:10 | queue-full | a20:queue-full    |
+      | background  | b1:critical:10 b2:critical:10   | ok         | a20:queue-full a19:queue-full |
+
+  Scenario Outline: Whatever happens, accepted work ends in exactly one way
+    # A caller that was told "not run" must never have run, and one that was let in must hear how it
+    # ended: handed out, dropped, or cancelled by itself. Random calls, also after the close.
+    Given an admission queue with <slots> slots and <places> places
+    When admission gets 3000 random calls from seed <seed>
+    Then admission ended each accepted work once and kept its bounds
+
+    Examples:
+      | slots | places | seed |
+      | 1     | 1      | 1    |
+      | 2     | 5      | 2    |
+      | 4     | 40     | 3    |
+      | 8     | 200    | 4    |
+
   Scenario: Work whose deadline passes while it waits is answered and never handed out
     # The one slot stays busy for longer than the waiting work has. Its caller hears "not run" as
     # soon as the deadline is past, though no slot became free to look at the queue.
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -22,6 +22,7 @@
     def __init__(self, slots, places):
         self.now = 1000.0
         self.slots = slots
+        self.places = places
         self.queue = admission.AdmissionQueue(
             slots, places, lambda: self.now, random.Random(_SEED)
         )
@@ -190,7 +191,7 @@
 def simulate_urgent(context, load):
     source = random.Random(_SEED)
     server = context.server
-    until = server.now + 300 / server.slots
+    until = server.now + 160 / server.slots
     for number in itertools.count():
         server.run_until(server.now + source.expovariate(load * server.slots / 0.02))
         if server.now >= until:
@@ -285,3 +286,86 @@
 def check_handed_out(context, count):
     assert len(context.taken) == count
     assert set(context.taken) == context.expected
+
+
+@behave.when("admission is filled with {count:d} works of {priority} class")
+def fill_queue(context, count, priority):
+    for number in range(1, count + 1):
+        context.server.submit(f"a{number}", _read_priority(priority), 10)
+
+
+@behave.when("admission gets {count:d} random calls from seed {seed:d}")
+def call_randomly(context, count, seed):
+    context.calls = _RandomCalls(context.server, random.Random(seed))
+    for number in range(count):
+        context.calls.call(number)
+        context.server.now += 0.005
+    context.server.now += 1000
+    context.calls.drain()
+
+
+class _RandomCalls:
+    """Calls a queue at random and counts how each work ended."""
+
+    def __init__(self, server, source):
+        self.server = server
+        self.accepted = set()
+        self.ends = collections.Counter()
+        self.most_queued = 0
+        self.most_running = 0
+        self._source = source
+        self._running = []
+
+    def call(self, number):
+        choices = [self._submit] * 4 + [self._take] * 2 + [self._finish, self._cancel]
+        self._source.choice(choices)(number)
+        if number % 20 == 0:
+            self._collect()
+        queue = self.server.queue
+        self.most_queued = max(self.most_queued, queue.queued)
+        self.most_running = max(self.most_running, queue.running)
+
+    def drain(self):
+        self.server.queue.close()
+        while self._running:
+            self._finish(0)
+        assert self.server.queue.take(0) is None
+        self._collect()
+
+    def _submit(self, number):
+        name = f"{self._source.choice('abcd')}{number}"
+        cost_ms = self._source.uniform(1, 50)
+        budget_ms = self._source.uniform(1, 400)
+        self.server.submit(name, self._source.randrange(4), cost_ms, budget_ms)
+        if self.server.answers[-1] is None:
+            self.accepted.add(name)
+
+    def _take(self, _):
+        item = self.server.queue.take(0)
+        if item is not None:
+            self.ends[item.work_id] += 1
+            self._running.append(item)
+
+    def _finish(self, _):
+        if self._running:
+            item = self._running.pop(self._source.randrange(len(self._running)))
+            self.server.queue.finish(item.work_id, item.cost_ms * self._source.uniform(0.2, 3))
+
+    def _cancel(self, _):
+        name = self._source.choice(sorted(self.accepted) or ["nothing"])
+        if self.server.queue.cancel(name):
+            self.ends[name] += 1
+
+    def _collect(self):
+        for item in self.server.queue.take_dropped():
+            self.ends[item.work.work_id] += 1
+
+
+@behave.then("admission ended each accepted work once and kept its bounds")
+def check_ends(context):
+    calls = context.calls
+    assert len(calls.accepted) > 100
+    assert set(calls.ends) == calls.accepted
+    assert set(calls.ends.values()) == {1}
+    assert calls.most_queued <= calls.server.places
+    assert calls.most_running <= calls.server.slots
