--- /dev/null
+++ b/features/configuration_support.py
@@ -0,0 +1,203 @@
+"""Records and logs for the steps about the configuration stream."""
+
+import json
+
+import expression
+from hypothesis import strategies
+
+from oleander_contracts import contract, fold, records
+
+_CUSTOMERS = ("desk", "sales")
+_MODELS = ("art", "ink")
+
+
+def create_terms(customer, share=1):
+    return contract.Contract(customer, share, 0, (), ())
+
+
+def create_version(version, model="art", by="ann"):
+    return records.VersionRecord(model, version, "u", by).to_value()
+
+
+def create_contract(customer, base, by):
+    return records.ContractRecord(create_terms(customer), base, by).to_value()
+
+
+def create_large_contract(number):
+    operations = tuple(
+        contract.Operation(f"o{i}", "b" * 64, contract.Priority.CRITICAL, True, 1, 1, False)
+        for i in range(64)
+    )
+    terms = contract.Contract(f"c{number}", 1, 0, operations, ())
+    return records.ContractRecord(terms, -1, "ann").to_value()
+
+
+def create_monster(what):
+    size = int("".join(letter for letter in what if letter.isdigit()))
+    if "levels" in what:
+        value = []
+        for _ in range(size):
+            value = [value]
+        return {"kind": "later", "value": value}
+    if "document" in what:
+        return {**create_contract("desk", -1, "ann"), "added": "x" * size}
+    return {"kind": "contract", "by": "x" * size}
+
+
+def read_value(configuration, text):
+    """Return the record that a few words of a table stand for."""
+    words = text.split()
+    if text.startswith("{"):
+        return json.loads(text.replace(";", ","))
+    if words[0] == "contract":
+        return create_contract(words[1], int(words[3]), words[5])
+    if words[0] == "version":
+        return create_version(int(words[2]), words[1], words[4])
+    if words[0] == "trainer":
+        return records.TrainerRecord(words[1], words[2], int(words[3]), words[5]).to_value()
+    return configuration.create_snapshot()
+
+
+def describe_in_force(configuration):
+    snapshot = configuration.create_snapshot()
+    parts = [
+        f"{item['document']['customer']} {item['offset']} {item['by']}"
+        for item in snapshot["contracts"]
+    ]
+    parts += [
+        f"{item['model']}={item['version']} {item['offset']} {item['by']}"
+        for item in snapshot["versions"]
+    ]
+    parts += [
+        f"{item['customer']}/{item['trainer']}={item['incarnation']} {item['offset']} {item['by']}"
+        for item in snapshot["trainers"]
+    ]
+    return ", ".join(parts) or "nothing"
+
+
+def wrap(verdict):
+    return expression.Ok(verdict)
+
+
+def fold_versions(count, most_records):
+    configuration = fold.ConfigurationFold(most_records=most_records)
+    for offset in range(count):
+        configuration.apply(offset, 0, create_version(offset + 1))
+    return configuration
+
+
+def create_log(texts):
+    """Return the values of a log; a snapshot is of the state through an earlier record."""
+    log = []
+    for offset, text in enumerate(texts):
+        words = text.split()
+        if words[0] == "snapshot":
+            log.append(_create_snapshot(log, int(words[2])))
+        elif words[0] == "contract":
+            log.append(create_contract("desk", -1, "ann"))
+        else:
+            log.append(create_version(offset + 1))
+    return log
+
+
+def _create_snapshot(log, through):
+    configuration = fold.ConfigurationFold()
+    follow(configuration, log[: through + 1], 0)
+    return {**configuration.create_snapshot(), "through": through}
+
+
+def follow(configuration, log, first):
+    """Read the log as a process does: note what is gone, then apply what follows."""
+    configuration.skip_to(first)
+    for offset in range(configuration.next_offset, len(log)):
+        assert configuration.next_offset == offset
+        result = configuration.apply(offset, 0, log[offset])
+        assert result.is_ok(), result.error
+
+
+_STEP = strategies.one_of(
+    strategies.tuples(
+        strategies.just("contract"),
+        strategies.sampled_from(_CUSTOMERS),
+        strategies.integers(-1, 8),
+        strategies.integers(1, 100),
+    ),
+    strategies.tuples(
+        strategies.just("version"), strategies.sampled_from(_MODELS), strategies.integers(0, 9)
+    ),
+    strategies.tuples(
+        strategies.just("trainer"), strategies.sampled_from(_CUSTOMERS), strategies.integers(0, 9)
+    ),
+    strategies.tuples(strategies.just("snapshot"), strategies.integers(0, 4)),
+    strategies.tuples(strategies.just("rebase"), strategies.sampled_from(_CUSTOMERS)),
+    strategies.tuples(strategies.just("junk")),
+)
+LOGS = strategies.lists(_STEP, min_size=1, max_size=25)
+PATHS = strategies.tuples(
+    strategies.integers(-1, 25),
+    strategies.integers(0, 25),
+    strategies.integers(0, 5),
+    strategies.integers(1, 3),
+)
+
+
+def create_random_log(steps):
+    """Return the values of a log; a snapshot is of the state some records ago."""
+    log = []
+    for step in steps:
+        log.append(_create_random_value(log, step))
+    return log
+
+
+def _create_random_value(log, step):
+    if step[0] == "contract":
+        terms = create_terms(step[1], step[3])
+        return records.ContractRecord(terms, step[2], "ann").to_value()
+    if step[0] == "rebase":
+        configuration = fold.ConfigurationFold()
+        follow(configuration, log, 0)
+        held = configuration.read_in_force(step[1])
+        return create_contract(step[1], -1 if held is None else held.offset, "bo")
+    if step[0] == "version":
+        return create_version(step[2], step[1])
+    if step[0] == "trainer":
+        return records.TrainerRecord(step[1], "art", step[2], "e1").to_value()
+    if step[0] == "snapshot" and log:
+        return _create_snapshot(log, max(0, len(log) - 1 - step[1]))
+    return {"kind": "contract", "junk": True}
+
+
+def check_path(log, path):
+    """
+    Compare a process that saw everything with one that was away while records were deleted.
+
+    The second applied some records, then goes on where the log now begins, gets some of what it
+    lacks from a peer and every record several times, and at last all that a peer has.
+    """
+    applied, first, filled, repeats = path
+    first = min(first, len(log))
+    whole = fold.ConfigurationFold()
+    follow(whole, log, 0)
+    away = fold.ConfigurationFold()
+    follow(away, log[: applied + 1], 0)
+    follow(away, log, first)
+    held = [*range(applied + 1, applied + 1 + filled), *range(first, len(log))]
+    for offset in held * repeats:
+        seen = away.applied_offset
+        if offset < len(log):
+            away.apply(offset, 0, log[offset])
+        assert away.applied_offset >= seen
+    assert away.is_waiting == (not _can_go_on(log, applied + filled, first))
+    if away.is_waiting:
+        away.install_snapshot(whole.create_snapshot())
+    assert not away.is_waiting
+    assert away.create_snapshot() == whole.create_snapshot()
+
+
+def _can_go_on(log, applied, first):
+    """Tell whether nothing is missing, or a snapshot in the log covers what is."""
+    if first <= applied + 1:
+        return True
+    return any(
+        value.get("kind") == "snapshot" and value["through"] >= first - 1 for value in log[first:]
+    )
--- a/libs/contracts/oleander_contracts/__init__.py
+++ b/libs/contracts/oleander_contracts/__init__.py
@@ -1,5 +1,5 @@
 """Contracts: what each customer was promised, and which of them is in force."""
 
-from oleander_contracts import contract, names, readers
+from oleander_contracts import contract, fold, in_force, names, readers, records, windows
 
-__all__ = ["contract", "names", "readers"]
+__all__ = ["contract", "fold", "in_force", "names", "readers", "records", "windows"]
--- a/libs/contracts/oleander_contracts/fields.py
+++ b/libs/contracts/oleander_contracts/fields.py
@@ -123,7 +123,14 @@
         return self._find(name, True)
 
     def check_unknown(self) -> None:
-        """Report every field that was never asked for; call it last."""
+        """
+        Report every field that was never asked for; call it last.
+
+        In what a program wrote they are ignored: a record with a field of a later release must get
+        the same verdict from processes of both releases, or they would differ in what is in force.
+        """
+        if not self._node.is_handwritten:
+            return
         for name, entry in self._entries.items():
             if name in self._asked:
                 continue
--- /dev/null
+++ b/libs/contracts/oleander_contracts/fold.py
@@ -0,0 +1,284 @@
+"""
+The configuration stream, folded into what is in force.
+
+Every process folds the same records by the same rules, so the log's order alone decides a race,
+and records may come from the log or from a peer, in pieces and more than once.
+"""
+
+import dataclasses
+import threading
+import typing
+
+import expression
+
+from oleander_base import invariants
+from oleander_contracts import contract, in_force, records, state, windows
+
+MOST_RECENT_RECORDS = 1000
+MOST_RECENT_BYTES = 4 * 1024 * 1024
+MOST_PEER_BYTES = 1024 * 1024
+
+_MOST_REASON_LETTERS = 500
+_WAITS = "waits for a snapshot: records before it are gone"
+_OVERSIZED_VALUE = {"kind": "oversized"}
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class GapError:
+    """A record came too early: the records between are missing."""
+
+    expected_offset: int
+    """The record to fetch first."""
+    offset: int
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TooOldError:
+    """The records that a peer asks for are no longer kept; it gets a snapshot instead."""
+
+    oldest_offset: int
+
+
+class ConfigurationFold:
+    """
+    What is in force, as far as the records were applied; thread-safe.
+
+    The newest records are kept for peers, bounded in number and bytes; the oldest make room. What
+    is in force is bounded too, see `state`. Nothing here ever goes backwards: neither the applied
+    offset nor the offset of anything in force.
+
+    Where the log has deleted records that were not applied, later ones are held (within the same
+    bound) until a snapshot covers those that are gone; until then `is_waiting` is true, and what
+    was in force before stays so.
+    """
+
+    def __init__(
+        self,
+        most_records: int = MOST_RECENT_RECORDS,
+        most_bytes: int = MOST_RECENT_BYTES,
+    ) -> None:
+        self._lock = threading.Lock()
+        self._most_records = most_records
+        self._most_bytes = most_bytes
+        self._state = state.ConfigurationState()
+        self._applied_offset = in_force.NO_OFFSET
+        self._snapshot_offset = in_force.NO_OFFSET
+        self._recent = self._create_window(0)
+        self._held: windows.RecordWindow | None = None
+
+    @property
+    def applied_offset(self) -> int:
+        """The newest record that was applied; -1 before the first."""
+        with self._lock:
+            return self._applied_offset
+
+    @property
+    def next_offset(self) -> int:
+        """The record that the log should be read from next."""
+        with self._lock:
+            return self._read_next_offset()
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether records are missing that only a snapshot can make up for."""
+        with self._lock:
+            return self._held is not None
+
+    @property
+    def snapshot_offset(self) -> int:
+        """The newest snapshot record seen in the log; -1 if none was."""
+        with self._lock:
+            return self._snapshot_offset
+
+    def apply(
+        self, offset: int, logged_at_ms: int, value: dict[str, typing.Any]
+    ) -> expression.Result[in_force.Verdict, GapError]:
+        """
+        Take in a record; one that was applied before changes nothing.
+
+        A record that does not follow on what is here is refused with the offset to fetch first.
+        """
+        with self._lock:
+            if offset <= self._applied_offset:
+                return expression.Ok(self._recall(offset))
+            record = windows.KeptRecord(offset, logged_at_ms, _limit_size(value))
+            if offset == self._applied_offset + 1:
+                verdict = self._apply_next(record)
+                self._apply_held()
+                return expression.Ok(verdict)
+            if self._held is not None and offset >= self._held.first_offset:
+                return self._hold(record, self._held)
+            return expression.Error(GapError(self._applied_offset + 1, offset))
+
+    def skip_to(self, first_offset: int) -> None:
+        """Take note that the log has deleted the records below an offset."""
+        with self._lock:
+            if first_offset > self._read_next_offset():
+                self._held = self._create_window(first_offset)
+
+    def install_snapshot(self, value: dict[str, typing.Any]) -> in_force.Verdict:
+        """Take over what a peer has in force, if it is ahead."""
+        with self._lock:
+            match records.read_record(value):
+                case expression.Result(tag="ok", ok=records.SnapshotRecord() as snapshot):
+                    return self._install(snapshot)
+                case expression.Result(tag="ok"):
+                    return _void("is no snapshot")
+                case expression.Result(error=found):
+                    return _void(str(found))
+
+    def create_snapshot(self) -> dict[str, typing.Any]:
+        """Return everything in force, to append to the log or to hand to a peer."""
+        with self._lock:
+            return self._state.create_snapshot(self._applied_offset).to_value()
+
+    def records_after(
+        self, offset: int, most_bytes: int = MOST_PEER_BYTES
+    ) -> expression.Result[tuple[windows.KeptRecord, ...], TooOldError]:
+        """Return the records that follow an offset, as many as fit, for a peer that lacks them."""
+        with self._lock:
+            if offset + 1 < self._recent.first_offset:
+                return expression.Error(TooOldError(self._recent.first_offset))
+            return expression.Ok(self._recent.list_after(offset, most_bytes))
+
+    def find_verdict(self, offset: int) -> in_force.Verdict | None:
+        """Return the verdict on a record, if it was applied not long ago."""
+        with self._lock:
+            kept = self._recent.find(offset)
+            return None if kept is None else kept.verdict
+
+    def find_contract(self, customer: str) -> contract.Contract | None:
+        """Return a customer's contract, if it has one."""
+        found = self.read_in_force(customer)
+        return None if found is None else found.contract
+
+    def read_in_force(self, customer: str) -> in_force.InForce | None:
+        """Return a customer's contract with its offset and author."""
+        with self._lock:
+            return self._state.contracts.get(customer)
+
+    def list_contracts(self) -> tuple[contract.Contract, ...]:
+        """Return every contract in force, by customer."""
+        return tuple(item.contract for item in self.list_in_force())
+
+    def list_in_force(self) -> tuple[in_force.InForce, ...]:
+        """Return every contract in force with offset and author, by customer."""
+        with self._lock:
+            return tuple(item for _, item in sorted(self._state.contracts.items()))
+
+    def find_version(self, model: str) -> in_force.ModelVersion | None:
+        """Return the newest weight version of a model, if any was announced."""
+        with self._lock:
+            return self._state.versions.get(model)
+
+    def list_versions(self) -> tuple[in_force.ModelVersion, ...]:
+        """Return the newest weight version of every model."""
+        with self._lock:
+            return tuple(item for _, item in sorted(self._state.versions.items()))
+
+    def find_incarnation(self, customer: str, trainer: str) -> int:
+        """Return the highest incarnation of a trainer that was seen; -1 if none was."""
+        with self._lock:
+            run = self._state.trainers.get((customer, trainer))
+            return in_force.NO_OFFSET if run is None else run.incarnation
+
+    def _create_window(self, first_offset: int) -> windows.RecordWindow:
+        return windows.RecordWindow(first_offset, self._most_records, self._most_bytes)
+
+    def _read_next_offset(self) -> int:
+        if self._held is not None:
+            return self._held.next_offset
+        return self._applied_offset + 1
+
+    def _recall(self, offset: int) -> in_force.Verdict:
+        kept = self._recent.find(offset)
+        if kept is None or kept.verdict is None:
+            return _ignore("applied before; the verdict is no longer kept")
+        return kept.verdict
+
+    def _apply_next(self, kept: windows.KeptRecord) -> in_force.Verdict:
+        match records.read_record(kept.value):
+            case expression.Result(tag="ok", ok=record):
+                verdict = self._state.fold(kept.offset, record)
+                self._note_snapshot(kept.offset, record)
+            case expression.Result(error=found):
+                # Anyone with access to the log may write anything there. Raising would end every
+                # process that reads it, at each start again; a void record harms no one.
+                verdict = _void(str(found)[:_MOST_REASON_LETTERS])
+        self._advance_to(kept.offset)
+        self._recent.add(dataclasses.replace(kept, verdict=verdict))
+        return verdict
+
+    def _hold(
+        self, record: windows.KeptRecord, held: windows.RecordWindow
+    ) -> expression.Result[in_force.Verdict, GapError]:
+        """Keep a record that can't be applied yet; a snapshot may end the wait."""
+        if record.offset > held.next_offset:
+            return expression.Error(GapError(held.next_offset, record.offset))
+        if record.offset == held.next_offset:
+            held.add(record)
+            self._use_snapshot(record, held.first_offset)
+        if record.offset <= self._applied_offset:
+            return expression.Ok(self._recall(record.offset))
+        return expression.Ok(_ignore(_WAITS))
+
+    def _use_snapshot(self, kept: windows.KeptRecord, first_held: int) -> None:
+        """Start from a snapshot if nothing is missing between it and the records held."""
+        match records.read_record(kept.value):
+            case expression.Result(tag="ok", ok=records.SnapshotRecord() as snapshot):
+                covers_gap = first_held - 1 <= snapshot.through < kept.offset
+                if covers_gap:
+                    self._install(snapshot)
+            case _:
+                pass
+
+    def _install(self, snapshot: records.SnapshotRecord) -> in_force.Verdict:
+        if snapshot.through <= self._applied_offset:
+            return _ignore("covers no more than was applied")
+        after = state.ConfigurationState.from_snapshot(snapshot)
+        if after.size > state.MOST_STATE_BYTES:
+            return _void("holds more than can be in force")
+        # Nothing in force is ever withdrawn, so a snapshot without it was not folded from this
+        # stream; taking it would revert what was accepted.
+        decrease = self._state.find_decrease(after)
+        if decrease:
+            return _void(f"would take back {decrease}")
+        self._state = after
+        self._advance_to(snapshot.through)
+        self._recent = self._create_window(snapshot.through + 1)
+        self._apply_held()
+        return in_force.Verdict(in_force.Decision.ACCEPTED, "", snapshot.through, "")
+
+    def _apply_held(self) -> None:
+        """Apply the records held that follow on; the wait ends when nothing is missing."""
+        held = self._held
+        if held is None:
+            return
+        held.drop_before(self._applied_offset + 1)
+        while held.find(self._applied_offset + 1) is not None:
+            self._apply_next(held.take_first())
+        if held.next_offset == self._applied_offset + 1:
+            self._held = None
+
+    def _note_snapshot(self, offset: int, record: records.Record) -> None:
+        if isinstance(record, records.SnapshotRecord) and record.through < offset:
+            self._snapshot_offset = max(self._snapshot_offset, offset)
+
+    def _advance_to(self, offset: int) -> None:
+        detail = f"{self._applied_offset} to {offset}"
+        invariants.require(offset > self._applied_offset, "applied-offset-grows", detail)
+        self._applied_offset = offset
+
+
+def _limit_size(value: dict[str, typing.Any]) -> dict[str, typing.Any]:
+    """Return a value, or a stand-in for one that is too large to be anything of ours."""
+    size = in_force.measure_value(value)
+    return _OVERSIZED_VALUE if size is None or size > records.MOST_RECORD_BYTES else value
+
+
+def _void(reason: str) -> in_force.Verdict:
+    return in_force.Verdict(in_force.Decision.VOID, reason, in_force.NO_OFFSET, "")
+
+
+def _ignore(reason: str) -> in_force.Verdict:
+    return in_force.Verdict(in_force.Decision.IGNORED, reason, in_force.NO_OFFSET, "")
--- a/libs/contracts/oleander_contracts/nodes.py
+++ b/libs/contracts/oleander_contracts/nodes.py
@@ -43,6 +43,11 @@
     def place(self) -> str:
         """Where the node stands, for a finding."""
 
+    @property
+    @abc.abstractmethod
+    def is_handwritten(self) -> bool:
+        """Whether a person wrote it, so that a field nobody knows is a slip of the pen."""
+
     @abc.abstractmethod
     def describe_field(self, name: str) -> str:
         """Return the place of a field that this mapping should have."""
@@ -76,6 +81,11 @@
         """The path from the document's start."""
         return self._path or "document"
 
+    @property
+    def is_handwritten(self) -> bool:
+        """No: a program wrote it, and a later release may have added fields."""
+        return False
+
     def describe_field(self, name: str) -> str:
         """Return the path of a field."""
         return _join_path(self._path, name)
@@ -120,6 +130,11 @@
         """Where the node starts."""
         return f"{_describe_mark(self._mark, self._source)} {self._path}".rstrip()
 
+    @property
+    def is_handwritten(self) -> bool:
+        """Yes."""
+        return True
+
     def describe_field(self, name: str) -> str:
         """Return the place of the mapping, with the path of the field."""
         return f"{_describe_mark(self._mark, self._source)} {_join_path(self._path, name)}"
--- a/libs/contracts/oleander_contracts/readers.py
+++ b/libs/contracts/oleander_contracts/readers.py
@@ -117,13 +117,14 @@
 
 def _read_root(node: nodes.Node) -> ContractResult:
     found: list[findings.Finding] = []
-    terms = _read_terms(node, found)
+    terms = read_terms(node, found)
     if found:
         return expression.Error(findings.Findings(tuple(found)))
     return expression.Ok(terms)
 
 
-def _read_terms(node: nodes.Node, found: list[findings.Finding]) -> contract.Contract:
+def read_terms(node: nodes.Node, found: list[findings.Finding]) -> contract.Contract:
+    """Return the contract of a node; it is of no use if anything was found."""
     reader = fields.FieldReader(node, found)
     customer = reader.read_name("customer")
     if customer == names.OPERATOR:
--- /dev/null
+++ b/libs/contracts/oleander_contracts/windows.py
@@ -0,0 +1,86 @@
+"""Consecutive records kept in memory, within a bound."""
+
+import collections
+import dataclasses
+import itertools
+import typing
+
+from oleander_contracts import in_force
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class KeptRecord:
+    """A record as the log holds it, and the verdict once there is one."""
+
+    offset: int
+    logged_at_ms: int
+    value: dict[str, typing.Any]
+    verdict: in_force.Verdict | None = None
+
+
+class RecordWindow:
+    """
+    Records with consecutive offsets; not thread-safe.
+
+    Bounded in number and bytes: the oldest are dropped to make room, but the newest always stays.
+    """
+
+    def __init__(self, first_offset: int, most_records: int, most_bytes: int) -> None:
+        self._records: collections.deque[KeptRecord] = collections.deque()
+        self._sizes: collections.deque[int] = collections.deque()
+        self._bytes = 0
+        self._next_offset = first_offset
+        self._most_records = most_records
+        self._most_bytes = most_bytes
+
+    @property
+    def first_offset(self) -> int:
+        """The oldest record kept; where nothing is kept, the offset that comes next."""
+        return self._records[0].offset if self._records else self._next_offset
+
+    @property
+    def next_offset(self) -> int:
+        """The only offset that can be added."""
+        return self._next_offset
+
+    def add(self, record: KeptRecord) -> None:
+        """Add the record that comes next."""
+        size = in_force.measure_value(record.value) or 0
+        self._records.append(record)
+        self._sizes.append(size)
+        self._bytes += size
+        self._next_offset = record.offset + 1
+        while len(self._records) > 1 and self._is_over():
+            self.take_first()
+
+    def take_first(self) -> KeptRecord:
+        """Remove and return the oldest record."""
+        self._bytes -= self._sizes.popleft()
+        return self._records.popleft()
+
+    def drop_before(self, offset: int) -> None:
+        """Remove the records below an offset."""
+        while self._records and self._records[0].offset < offset:
+            self.take_first()
+        self._next_offset = max(self._next_offset, offset)
+
+    def find(self, offset: int) -> KeptRecord | None:
+        """Return the record at an offset, if it is kept."""
+        place = offset - self.first_offset
+        return self._records[place] if 0 <= place < len(self._records) else None
+
+    def list_after(self, offset: int, most_bytes: int) -> tuple[KeptRecord, ...]:
+        """Return the records that follow an offset: as many as fit, and one at least."""
+        taken: list[KeptRecord] = []
+        total = 0
+        start = max(0, offset + 1 - self.first_offset)
+        following = zip(self._records, self._sizes, strict=True)
+        for record, size in itertools.islice(following, start, None):
+            total += size
+            if taken and total > most_bytes:
+                break
+            taken.append(record)
+        return tuple(taken)
+
+    def _is_over(self) -> bool:
+        return len(self._records) > self._most_records or self._bytes > self._most_bytes
