Start in a log outage from the newest of several peers, not from the first

Cause: a process replaced during an outage took itself for caught up after the first records from any one peer, even a partial hand-over of a peer that lagged; it could have shown a contract that was already replaced. It now hears its peers for a second and reaches the newest of them. Ruled out: waiting for all peers, one of which may be paused for long.

--- a/programs/oleanderdeal/oleanderdeal/configuration.py
+++ b/programs/oleanderdeal/oleanderdeal/configuration.py
@@ -11,6 +11,7 @@
 STREAM = "configuration"
 _READ_SECONDS = 5.0
 _FED_READ_SECONDS = 30.0
+_PEERS_SECONDS = 1.0
 
 
 class ConfigurationFollower:
@@ -33,6 +34,9 @@
         self._read_at_latest = clock.start_deadline(0)
         self._listeners: list[collections.abc.Callable[[], None]] = []
         self._caught_up = threading.Event()
+        self._log_failed = False
+        self._newest_peer_offset = -1
+        self._peers_heard_by: clock.Deadline | None = None
 
     @property
     def is_caught_up(self) -> bool:
@@ -67,6 +71,20 @@
             None,
         )
 
+    def note_peer_offset(self, offset: int) -> None:
+        """
+        Take in how far a peer is; catch up with the newest peer if the log can't be read.
+
+        The first peer heard may itself lag. Starting from it could show a contract that was
+        already replaced, so others are waited for a while, and the newest of them is reached.
+        """
+        self._newest_peer_offset = max(self._newest_peer_offset, offset)
+        if self._peers_heard_by is None:
+            self._peers_heard_by = clock.start_deadline(_PEERS_SECONDS)
+        has_newest = self._configuration.applied_offset >= self._newest_peer_offset
+        if self._log_failed and self._peers_heard_by.is_past and has_newest:
+            self._caught_up.set()
+
     def take_peer_records(self, sent: messages.Records) -> None:
         """Fold what a peer sent; the log's order is in the offsets, so the source is no matter."""
         before = self._configuration.applied_offset
@@ -75,7 +93,6 @@
         for offset, time_ms, value in zip(sent.offsets, sent.times_ms, sent.values, strict=False):
             if self._configuration.apply(offset, time_ms, value).is_error():
                 break
-        self._caught_up.set()
         self._announce_since(before)
 
     def _is_read_due(self) -> bool:
@@ -88,6 +105,7 @@
         deadline = clock.start_deadline(self._poll_ms / 1000 + _READ_SECONDS)
         offset = self._configuration.next_offset
         page = self._service.read(STREAM, offset, self._poll_ms, deadline)
+        self._log_failed = page.is_error()
         if page.is_error():
             metrics.count(metrics.LOG_OUTAGES)
             log.warn_bounded("log-read-failed", f"{STREAM}: {page.error.detail}")
--- a/programs/oleanderdeal/oleanderdeal/peer_records.py
+++ b/programs/oleanderdeal/oleanderdeal/peer_records.py
@@ -16,6 +16,7 @@
 
     def compare(self, peer_offset: int, opened: link.Link) -> None:
         """Send the peer what it lacks, or ask it for what is lacking here."""
+        self._follower.note_peer_offset(peer_offset)
         own = self._follower.configuration.applied_offset
         if peer_offset < own:
             self._send_missing(peer_offset, opened)
@@ -25,6 +26,7 @@
     def handle(self, message: messages.RecordsOffer | messages.Records, opened: link.Link) -> None:
         """Answer a peer's offer, or take in the records that it sent."""
         if isinstance(message, messages.RecordsOffer):
+            self._follower.note_peer_offset(message.applied_offset)
             self._send_missing(message.applied_offset, opened)
         else:
             self._follower.take_peer_records(message)
