Wait for the late answer of a call that may not be repeated

Found by the fault matrix (running, the caller's deadline passes, a retry comes): the sidecar gave up its call at the first caller's deadline and kept "unknown" for the key, though the service answered a moment later, so no retry could ever have the answer. The sidecar now waits ten seconds more, and a retry joins the call. Repeatable calls are given up as before.

--- a/programs/oleanderdeal/oleanderdeal/runners.py
+++ b/programs/oleanderdeal/oleanderdeal/runners.py
@@ -10,6 +10,7 @@
 REASON_CANCELLED = "cancelled"
 REASON_LABEL_UNKNOWN = "label-unknown"
 REASON_OUT_OF_ROTATION = "out-of-rotation"
+_LATE_ANSWER_SECONDS = 10.0
 
 
 class Runner(abc.ABC):
@@ -27,7 +28,14 @@
 
 
 class ServiceRunner(Runner):
-    """Calls the plain service once."""
+    """
+    Calls the plain service once.
+
+    A call that may not be repeated is waited for ten seconds past its caller's deadline. Were it
+    given up at the deadline, the service would end it all the same, and a caller that asks again
+    would hear "unknown" for ever; so it gets the whole answer, late. The slot stays taken as long,
+    which is no loss: the service is still at work.
+    """
 
     def __init__(self, backend: service.Service) -> None:
         self._backend = backend
@@ -35,7 +43,9 @@
     def run(self, pending: work.PendingRun) -> messages.Answer:
         """Call the service; a lost answer makes the outcome unknown, never a second call."""
         run = pending.run
-        result = self._backend.call(run.operation, run.key, run.body, pending.deadline)
+        late_seconds = 0.0 if run.repeatable else _LATE_ANSWER_SECONDS
+        deadline = clock.start_deadline(pending.deadline.remaining + late_seconds)
+        result = self._backend.call(run.operation, run.key, run.body, deadline)
         if result.is_ok():
             return messages.Answer(
                 "", _judge_status(result.ok.status), result.ok.status, "", 0, result.ok.body, 0
