Go on at once when a sidecar is lost, instead of waiting for the deadline

An entry that held its own claim for a sidecar that had died waited for the dead link until the deadline and then refused, though nothing had been sent and the next attempt could be claimed elsewhere at once; now it is. One that follows a claim whose sidecar's address refuses connections says unknown at once. A lost link was closed in order before its calls were told and before the next dial, which took a further second with a paused peer; it is aborted now. Claims no longer go to ejected peers as probes, since they can't be tried again.

--- a/libs/wire/oleander_wire/link.py
+++ b/libs/wire/oleander_wire/link.py
@@ -27,6 +27,8 @@
     """The connection is of no more use."""
 
     detail: str
+    is_refused: bool = False
+    """Whether nobody listens at the address."""
 
 
 def _bound_sends(connected: socket.socket) -> None:
@@ -92,6 +94,13 @@
         with contextlib.suppress(websockets.exceptions.WebSocketException, OSError):
             self._connection.close(code, reason[:100])
 
+    def abort(self) -> None:
+        """Close the connection without waiting for a peer that may be paused."""
+        self._closed.set()
+        with contextlib.suppress(OSError):
+            self._connection.socket.shutdown(socket.SHUT_RDWR)
+        self.close()
+
     def _close_on_bad_frame(
         self, problem: findings.Findings
     ) -> expression.Result[messages.Message | None, LinkError]:
@@ -113,7 +122,8 @@
             max_size=codec.MOST_FRAME_BYTES,
         )
     except (OSError, TimeoutError, websockets.exceptions.WebSocketException) as error:
-        return expression.Error(LinkError(f"{address}: {type(error).__name__}"))
+        is_refused = isinstance(error, ConnectionRefusedError)
+        return expression.Error(LinkError(f"{address}: {type(error).__name__}", is_refused))
     return expression.Ok(Link(connection))
 
 
--- a/programs/oleanderdeal/oleanderdeal/once.py
+++ b/programs/oleanderdeal/oleanderdeal/once.py
@@ -130,6 +130,7 @@
                 oldest_version=-1,
                 excluded=excluded,
                 budget_ms=request.deadline.remaining_ms,
+                may_probe=False,
             )
         )
         if chosen.is_error():
@@ -144,12 +145,14 @@
     def _try(self, request: callers.CallerRequest, attempt: _Attempt) -> _Tried:
         """Send the request if the claim is this entry's own, and follow it to its end."""
         claim = attempt.logged.claim
-        link = self._links.find_or_dial(claim.sidecar, claim.address, request.deadline)
         if not attempt.is_own:
-            return self._ask(request, attempt.logged, link)
-        if link is None or request.deadline.is_past:
-            reason = "too-late" if request.deadline.is_past else "link-lost"
-            return _tell_not_run(claim, _NOT_SENT, reason)
+            return self._ask(request, attempt.logged)
+        link = self._links.find_or_dial(claim.sidecar, claim.address)
+        is_open = link.await_open(request.deadline.earlier(_SLICE_SECONDS))
+        if request.deadline.is_past:
+            return _tell_not_run(claim, _NOT_SENT, "too-late")
+        if not is_open:
+            return _tell_not_run(claim, _NOT_SENT, "link-lost")
         started_at = clock.read_now()
         self._routes.note_started(claim.sidecar)
         tried = self._send(request, attempt.logged, link)
@@ -175,17 +178,21 @@
         finally:
             link.close_call(call)
         if answer is None and not request.deadline.is_past:
-            return self._ask(request, logged, link)
+            return self._ask(request, logged)
         return _judge_answer(answer, logged.claim, _REFUSED)
 
-    def _ask(
-        self,
-        request: callers.CallerRequest,
-        logged: records.LoggedClaim,
-        link: peers.PeerLink | None,
-    ) -> _Tried:
-        """Ask the claimed sidecar what became of the key, until it says or time is up."""
-        while link is not None and not request.deadline.is_past:
+    def _ask(self, request: callers.CallerRequest, logged: records.LoggedClaim) -> _Tried:
+        """
+        Ask the claimed sidecar what became of the key, until it says or time is up.
+
+        Where nobody listens any more, that incarnation has ended and can't say; the caller is
+        told so at once.
+        """
+        claim = logged.claim
+        while not request.deadline.is_past:
+            link = self._links.find_or_dial(claim.sidecar, claim.address)
+            if link.is_refused and not link.is_open:
+                return expression.Ok(callers.tell_unknown("sidecar-gone"))
             call = link.open_call(peers.create_request_id())
             try:
                 sent = link.send(_write_join(call.request_id, request, logged))
@@ -195,7 +202,7 @@
             if answer is not None:
                 return _judge_answer(answer, logged.claim, _SEALED)
             link.await_open(request.deadline.earlier(_SLICE_SECONDS))
-        log.warn_bounded("claim-unreachable", f"can't ask {logged.claim.sidecar} about its claim")
+        log.warn_bounded("claim-unreachable", f"can't ask {claim.sidecar} about its claim")
         return expression.Ok(callers.tell_unknown("sidecar-unreachable"))
 
 
--- a/programs/oleanderdeal/oleanderdeal/peers.py
+++ b/programs/oleanderdeal/oleanderdeal/peers.py
@@ -96,6 +96,7 @@
         self._calls: dict[str, Call] = {}
         self._stopped = threading.Event()
         self._failures = 0
+        self._is_refused = False
 
     @property
     def name(self) -> str:
@@ -117,6 +118,11 @@
         """Whether requests can be sent."""
         return self._link is not None
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether nobody listened at the address at the last try: that run of it has ended."""
+        return self._is_refused
+
     def keep_open(self) -> None:
         """Dial, receive until the link breaks, and dial again."""
         while not self._is_ending:
@@ -175,6 +181,7 @@
     def _dial(self) -> link.Link | None:
         self._failures += 1
         dialled = link.dial_link(self._host.address, clock.start_deadline(_DIAL_SECONDS))
+        self._is_refused = dialled.is_error() and dialled.error.is_refused
         if dialled.is_error():
             log.warn_bounded(
                 f"dial-{self.name}", f"can't reach {self.name}: {dialled.error.detail}"
@@ -252,14 +259,20 @@
         self._routes.update(self.name, report)
 
     def _lose(self, opened: link.Link) -> None:
+        """
+        Take the link out of use and tell its calls.
+
+        An orderly close would wait for the peer's own, which never comes from one that is paused;
+        its calls, and the next dial, would wait for that second too.
+        """
         if self._routes is not None:
             self._routes.remove(self.name)
         with self._lock:
             self._link = None
             calls = list(self._calls.values())
-        opened.close()
         for call in calls:
             call.put(LinkLost())
+        opened.abort()
 
 
 class PeerLinks:
@@ -288,13 +301,13 @@
         with self._lock:
             return self._links.get(name)
 
-    def find_or_dial(self, name: str, address: str, deadline: clock.Deadline) -> PeerLink | None:
-        """Return an open link to the sidecar at an address, or nothing if it can't be reached."""
+    def find_or_dial(self, name: str, address: str) -> PeerLink:
+        """Return the link to the sidecar at an address, which need not be open yet."""
         with self._lock:
             found = self._links.get(name)
             if found is None or found.host.address != address:
                 found = self._extra.get(address) or self._add_extra(name, address)
-        return found if found.await_open(deadline) else None
+        return found
 
     def list_links(self) -> list[PeerLink]:
         """Return every link."""
