Add the operators' commands: publish, check, show, audit, report

Cause: operators race each other and lose answers, and need to hear what became of a contract and what each customer got. Ruled out: trusting the append's answer, since it may be lost after the effect; a nonce in the record and the stream decide. Ruled out: appending only once; the record names its base, so a second copy is void and appending again is safe. Ruled out: exit status 1 where entries are late; the contract is accepted, and the output says on how many it is in force.

--- /dev/null
+++ b/features/operator.feature
@@ -0,0 +1,194 @@
+Feature: Operators' commands
+  Operators publish contracts, race each other, and read back what is in force and what was delivered.
+
+  Background:
+    Given an operator's log and two entries
+
+  Scenario Outline: A publisher learns the fate of its record, whatever became of the answer
+    # The log refuses, or its answer is lost before or after the record took effect, or the record
+    # takes effect late, after it was appended again; or another operator is first. Only what the
+    # stream holds tells. The first copy decides, so appending again can't publish twice.
+    Given the operator's log will answer appends with <appends>
+    When the operator runs publish with share 60
+    Then the operator's exit status is <status> and the output tells <told>
+    And the operator's log holds <records> records and share <share> is in force
+
+    Examples:
+      | appends                    | status | told                                                          | records | share |
+      | ok                         | 0      | accepted at offset 0                                          | 1       | 60    |
+      | refused, refused, ok       | 0      | accepted at offset 0                                          | 1       | 60    |
+      | lost                       | 0      | accepted at offset 0                                          | 1       | 60    |
+      | vanished, ok               | 0      | accepted at offset 0                                          | 1       | 60    |
+      | late, ok                   | 0      | accepted at offset 0                                          | 2       | 60    |
+      | late, late, lost           | 0      | accepted at offset 0                                          | 3       | 60    |
+      | second                     | 3      | void: based on no contract, but offset 0 by bo is in force    | 2       | 7     |
+      | refused, second            | 3      | void: based on no contract, but offset 0 by bo is in force    | 2       | 7     |
+
+  Scenario Outline: A publisher that gives up tells whether its record may still take effect
+    # The log fails until the operator's time is up. If every append was refused, nothing stands in
+    # the log; otherwise one of them may still appear, and saying "not published" could be false.
+    Given the operator's log fails every append with <failure>
+    When the operator runs publish with share 60 for 1 ms
+    Then the operator's exit status is 4 and the output tells <told>
+
+    Examples:
+      | failure  | told                                     |
+      | refused  | not published: down                      |
+      | vanished | not known whether it was published: timed out |
+
+  Scenario: A log that can't be read leaves everything as it is
+    Given the operator's log is down
+    When the operator runs publish with share 60 for 1 ms
+    Then the operator's exit status is 4 and the output tells not published: the log can't be read: down
+
+  Scenario: Publishing the same again changes nothing, and a change is shown field by field
+    When the operator runs publish with share 60
+    And the operator runs publish with share 60
+    Then the operator's exit status is 0 and the output tells in force already, at offset 0
+    When the operator runs publish with share 30
+    Then the operator's exit status is 0 and the output tells share_percent  60        30
+    And the operator's log holds 2 records and share 30 is in force
+
+  Scenario Outline: The publisher says on how many entries the contract is in force
+    Given the operator's entries answer <answers>
+    When the operator runs publish with share 60 for <time> ms
+    Then the operator's exit status is 0 and the output tells in force on <count> of 2 entries
+
+    Examples:
+      | answers          | time | count |
+      | 0; 5             | 8000 | 2     |
+      | -1 -1 0; -1 4    | 8000 | 2     |
+      | -1; 0            | 1    | 1     |
+      | down; 0          | 1    | 1     |
+      | down down 0; 0   | 8000 | 2     |
+
+  Scenario: A contract with faults is not published
+    When the operator runs publish with share 101
+    Then the operator's exit status is 1 and the output tells stdin:1:39 share_percent  101 is outside 1 to 100
+    And the operator's log holds 0 records and share none is in force
+
+  Scenario Outline: Check tells the same faults, without a log
+    Given the operator's log is down
+    When the operator runs check with share <share>
+    Then the operator's exit status is <status> and the output tells <told>
+
+    Examples:
+      | share | status | told |
+      | 60    | 0      | the contract of desk has no faults |
+      | 0     | 1      | stdin:1:39 share_percent  0 is outside 1 to 100 |
+
+  Scenario: A contract file that isn't there is a finding
+    When the operator runs check with the file /nowhere
+    Then the operator's exit status is 1 and the output tells /nowhere
+
+  Scenario Outline: What the log tells after retention has taken its beginning
+    # The records that put the contract in force are gone. With a snapshot that covers them it is
+    # known; without one, nothing is claimed.
+    Given the operator's log holds two contracts and then <then>, and begins at 2
+    When the operator runs <command>
+    Then the operator's exit status is <status> and the output tells <told>
+
+    Examples:
+      | then              | command | status | told |
+      | a snapshot        | show    | 0      | desk      1       bo  7 |
+      | a version         | show    | 4      | the log has deleted records and holds no snapshot |
+      | a version         | publish with share 60 | 4 | not published: the log has deleted records |
+      | a version         | audit   | 0      | version 1 of art        not known |
+      | a snapshot        | audit   | 0      | snapshot through 1        ignored |
+
+  Scenario: The audit trail tells when, who, what, on which base, and why not
+    When the operator runs publish with share 60
+    And the operator runs publish with share 30
+    And another operator's record based on nothing arrives late
+    And somebody writes a record with control letters
+    And a sidecar has logged an order
+    And the operator runs audit
+    Then the operator's output is
+      """
+      offset  time                      by        what                                    base  verdict   why
+      0       1970-01-01T00:00:00.000Z  ann       contract desk                           -1    accepted
+      1       1970-01-01T00:00:01.000Z  ann       contract desk: share_percent: 60 to 30  0     accepted
+      2       1970-01-01T00:00:02.000Z  bo        contract desk: share_percent: 30 to 7   -1    void      based on no contract, but offset 1 by ann is in force
+      3       1970-01-01T00:00:03.000Z  ev?[2Jil  version that can't be read                    void      version: is missing; uri: is missing; by: is no printable text of at most 200 letters: 'ev\x1b[2Jil'
+
+      offset  time                      host    model  version  fencing  outcome
+      0       1970-01-01T00:00:00.000Z  desk-1  art    7        12       loaded
+      """
+
+  Scenario: The report sets what was received against what was promised
+    Given the operator's entries counted
+      | entry | name                                  | count |
+      | 0     | customer.desk.booking.answered        | 90    |
+      | 1     | customer.desk.booking.answered        | 5     |
+      | 1     | customer.desk.booking.late            | 2     |
+      | 0     | customer.desk.booking.refused.share   | 2     |
+      | 1     | customer.desk.booking.refused.share   | 1     |
+      | 0     | customer.desk.lookup.answered         | 10    |
+      | 0     | customer.desk.lookup.unknown          | 10    |
+      | 0     | customer.desk.trainer.art.delivered   | 64    |
+      | 1     | customer.desk.trainer.art.stale       | 3     |
+      | 1     | customer.desk.trainer.art.idle_ms     | 1500  |
+      | 1     | customer.other.booking.failed         | 1     |
+      | 1     | invariant.broken                      | 9     |
+      | 1     | customer.desk.booking                 | 9     |
+    When the operator publishes the terms of desk and runs report
+    Then the operator's output is
+      """
+      customer  promised_share_percent  requests  service_percent
+      desk      60                      120       94.1
+      other     no contract             1         0.0
+
+      customer  operation  promised                         requests  in_time  in_time_percent  late  refused  unknown  failed  refusals
+      desk      booking    critical, 2000 ms, at most once  100       95       95.0             2     3        0        0       share=3
+      desk      lookup     background, 9000 ms, repeatable  20        10       50.0             0     0        10       0
+      desk      offer      interactive, 500 ms, repeatable  0         0                         0     0        0        0
+      other     booking    no contract                      1         0        0.0              0     0        0        1
+
+      customer  trainer  promised                           delivered  stale  remade  idle_ms
+      desk      art      at most 2 behind, staleness first  64         3      0       1500
+
+      """
+
+  Scenario Outline: A report that lacks something says so
+    Given the operator's entries answer <answers>
+    And the operator's log is <log>
+    When the operator runs report
+    Then the operator's exit status is <status> and the output tells <told>
+
+    Examples:
+      | answers | log  | status | told |
+      | down; 0 | up   | 4      | without http://127.0.0.1:1, which can't be reached |
+      | 0; 0    | down | 4      | no promises are shown: the log can't be read: down |
+
+  Scenario: Every line is JSON where programs read it
+    When the operator runs publish with share 60
+    And the operator runs show as JSON
+    Then every line of the operator's output is JSON, and one is of kind contract with share_percent 60
+
+  Scenario Outline: What an entry answers over HTTP
+    Given an entry at a port of its own that answers <answer>
+    When the operator's client asks it for its configuration
+    Then the operator's client finds <result>
+
+    Examples:
+      | answer                               | result                       |
+      | 200 {"applied_offset": 7, "peers": 3} | applied 7 with 3 peers      |
+      | 200 {"applied_offset": "7"}          | answered no applied_offset   |
+      | 200 []                               | answered no applied_offset   |
+      | 200 nonsense                         | answered something that is no JSON |
+      | 403 {}                               | answered 403                 |
+      | nothing                              | can't be reached: RemoteDisconnected |
+
+  Scenario Outline: The program's own exit status
+    When the program is run with <arguments>
+    Then the program's exit status is <status> and it prints <told>
+
+    Examples:
+      | arguments      | status | told |
+      | --version      | 0      | 0.1.0 |
+      | --help         | 0      | usage: oleanderdeal COMMAND |
+      | publish --help | 0      | variable: OLEANDERDEAL_BY |
+      | nothing        | 2      | usage: oleanderdeal COMMAND |
+      | publsh         | 2      | publsh: is no command (did you mean publish?) |
+      | publish        | 2      | --by: must be given |
+      | check --file=/nowhere | 1 | /nowhere |
--- a/libs/contracts/oleander_contracts/__init__.py
+++ b/libs/contracts/oleander_contracts/__init__.py
@@ -1,5 +1,23 @@
 """Contracts: what each customer was promised, and which of them is in force."""
 
-from oleander_contracts import contract, fold, in_force, names, readers, records, windows
+from oleander_contracts import (
+    contract,
+    differences,
+    fold,
+    in_force,
+    names,
+    readers,
+    records,
+    windows,
+)
 
-__all__ = ["contract", "fold", "in_force", "names", "readers", "records", "windows"]
+__all__ = [
+    "contract",
+    "differences",
+    "fold",
+    "in_force",
+    "names",
+    "readers",
+    "records",
+    "windows",
+]
--- /dev/null
+++ b/libs/contracts/oleander_contracts/differences.py
@@ -0,0 +1,52 @@
+"""What changes from one contract to the next, for people to read."""
+
+import dataclasses
+import typing
+
+from oleander_contracts import contract, readers
+
+_LISTS = ("operations", "trainers")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Difference:
+    """One field, before and after; an empty text where there was or is none."""
+
+    path: str
+    before: str
+    after: str
+
+    def __str__(self) -> str:
+        """Return one line for a person."""
+        return f"{self.path}: {self.before or 'none'} to {self.after or 'none'}"
+
+
+def list_differences(
+    before: contract.Contract | None, after: contract.Contract
+) -> tuple[Difference, ...]:
+    """Return what differs, field by field; operations and trainers are compared by name."""
+    old = {} if before is None else _flatten(readers.write_document(before))
+    new = _flatten(readers.write_document(after))
+    paths = [*new, *(path for path in old if path not in new)]
+    return tuple(
+        Difference(path, old.get(path, ""), new.get(path, ""))
+        for path in paths
+        if old.get(path) != new.get(path)
+    )
+
+
+def _flatten(document: dict[str, typing.Any]) -> dict[str, str]:
+    fields = {}
+    for name, value in document.items():
+        if name not in _LISTS:
+            fields[name] = _show(value)
+            continue
+        for item in value:
+            for key, part in item.items():
+                if key != "name":
+                    fields[f"{name}.{item['name']}.{key}"] = _show(part)
+    return fields
+
+
+def _show(value: typing.Any) -> str:
+    return str(value).lower() if isinstance(value, bool) else str(value)
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/commands/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' commands, one module each."""
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/configuration_reader.py
@@ -0,0 +1,73 @@
+"""Reads the configuration stream to its end, for one command."""
+
+import collections.abc
+
+import expression
+
+from oleander_contracts import fold, records
+from oleander_platform import logservice
+from oleanderdeal import patient_log
+
+_MOST_RECORDS = 10_000
+_MOST_BYTES = 64 * 1024 * 1024
+
+NO_SNAPSHOT = "the log has deleted records and holds no snapshot that makes up for them"
+
+RecordListener = collections.abc.Callable[[logservice.Record], None]
+
+
+class ConfigurationReader:
+    """
+    Folds the stream as every process does, and shows each record to a listener.
+
+    The verdicts on the newest records are kept, bounded in number and bytes.
+    """
+
+    def __init__(
+        self, log: patient_log.PatientLog, listener: RecordListener | None = None
+    ) -> None:
+        self._log = log
+        self._listener = listener
+        self._fold = fold.ConfigurationFold(_MOST_RECORDS, _MOST_BYTES)
+
+    @property
+    def fold(self) -> fold.ConfigurationFold:
+        """What is in force, as far as was read."""
+        return self._fold
+
+    def find_problem(self) -> str:
+        """Read to the end; return why what is in force can't be told, or an empty text."""
+        result = self.read_to_end()
+        if result.is_error():
+            return f"the log can't be read: {result.error.detail}"
+        return NO_SNAPSHOT if self._fold.is_waiting else ""
+
+    def read_to_end(self) -> expression.Result[None, logservice.LogError]:
+        """Read until nothing is left to read now."""
+        while True:
+            before = self._fold.next_offset
+            match self._log.read(records.STREAM, before):
+                case expression.Result(tag="ok", ok=page):
+                    self._take_page(page)
+                case expression.Result(error=error):
+                    return expression.Error(error)
+            if self._fold.next_offset >= page.next_offset:
+                return expression.Ok(None)
+            if self._fold.next_offset > before:
+                continue
+            if self._log.is_over:
+                return expression.Error(_create_error("it holds back records"))
+            self._log.wait()
+
+    def _take_page(self, page: logservice.Page) -> None:
+        self._fold.skip_to(page.first_offset)
+        for record in page.records:
+            if record.offset != self._fold.next_offset:
+                return
+            self._fold.apply(record.offset, record.logged_at_ms, record.value)
+            if self._listener is not None:
+                self._listener(record)
+
+
+def _create_error(detail: str) -> logservice.LogError:
+    return logservice.LogError(detail, may_have_effect=False, retry_after_ms=0)
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/operator_commands.py
@@ -0,0 +1,44 @@
+"""Operators' commands: each reads and prints, and only `publish` writes."""
+
+import collections.abc
+import sys
+import time
+
+from oleanderdeal import (
+    connect,
+    entry_clients,
+    operator_context,
+    output,
+    setting_table,
+    settings,
+)
+from oleanderdeal.commands import audit, check, publish, report, show
+
+_Run = collections.abc.Callable[[operator_context.OperatorContext], int]
+_RUNS: dict[setting_table.Command, _Run] = {
+    setting_table.Command.PUBLISH: publish.run_publish,
+    setting_table.Command.CHECK: check.run_check,
+    setting_table.Command.SHOW: show.run_show,
+    setting_table.Command.AUDIT: audit.run_audit,
+    setting_table.Command.REPORT: report.run_report,
+}
+
+
+def run_operator_command(chosen: settings.Settings) -> int:
+    """Run the command on standard input and output, and return the exit status."""
+    printer = output.JsonOutput if chosen.json else output.TableOutput
+    needs_log = chosen.command is not setting_table.Command.CHECK
+    context = operator_context.OperatorContext(
+        settings=chosen,
+        log=connect.open_log(chosen) if needs_log else None,
+        entries=entry_clients.HttpEntryClient(chosen.operator_token),
+        source=sys.stdin,
+        output=printer(sys.stdout),
+        pause=time.sleep,
+    )
+    return run_with(context)
+
+
+def run_with(context: operator_context.OperatorContext) -> int:
+    """Run the command of a context."""
+    return _RUNS[context.settings.command](context)
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/output.py
@@ -0,0 +1,83 @@
+"""What operators' commands print: tables for people, or JSON lines for programs."""
+
+import abc
+import collections.abc
+import json
+import typing
+
+Cell = str | int | float | bool
+Row = collections.abc.Sequence[Cell]
+Columns = collections.abc.Sequence[str]
+
+_MOST_CELL_LETTERS = 120
+
+
+class Output(abc.ABC):
+    """Prints one command's results."""
+
+    def __init__(self, stream: typing.TextIO) -> None:
+        self._stream = stream
+
+    @abc.abstractmethod
+    def print_table(
+        self, kind: str, columns: Columns, rows: collections.abc.Iterable[Row]
+    ) -> None:
+        """Print rows that have the same columns; `kind` names what they are."""
+
+    @abc.abstractmethod
+    def print_note(self, text: str) -> None:
+        """Print a sentence."""
+
+    def _print_line(self, line: str) -> None:
+        self._stream.write(line + "\n")
+
+
+class TableOutput(Output):
+    """Prints aligned columns."""
+
+    def print_table(
+        self, kind: str, columns: Columns, rows: collections.abc.Iterable[Row]
+    ) -> None:
+        """Print a heading and a line for each row; nothing where there are no rows."""
+        lines = [[_clean(cell) for cell in row] for row in rows]
+        if not lines:
+            return
+        widths = [
+            max(len(column), *(len(line[place]) for line in lines))
+            for place, column in enumerate(columns)
+        ]
+        for line in [list(columns), *lines]:
+            cells = [cell.ljust(width) for cell, width in zip(line, widths, strict=True)]
+            self._print_line("  ".join(cells).rstrip())
+        self._print_line("")
+
+    def print_note(self, text: str) -> None:
+        """Print a sentence."""
+        self._print_line(_clean(text, len(text)))
+
+
+class JsonOutput(Output):
+    """Prints one JSON object a line; the field `kind` tells what it is."""
+
+    def print_table(
+        self, kind: str, columns: Columns, rows: collections.abc.Iterable[Row]
+    ) -> None:
+        """Print a line for each row."""
+        for row in rows:
+            fields = dict(zip(columns, row, strict=True))
+            self._print_line(json.dumps({"kind": kind, **fields}))
+
+    def print_note(self, text: str) -> None:
+        """Print a sentence."""
+        self._print_line(json.dumps({"kind": "note", "text": text}))
+
+
+def _clean(cell: Cell, most: int = _MOST_CELL_LETTERS) -> str:
+    """
+    Return a cell that can't move the cursor.
+
+    Records of the log are shown as anyone wrote them, and control letters in one would rewrite
+    what the terminal shows of the others.
+    """
+    text = str(cell).lower() if isinstance(cell, bool) else str(cell)
+    return "".join(letter if letter.isprintable() else "?" for letter in text[:most])
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/patient_log.py
@@ -0,0 +1,58 @@
+"""The log service for one command: asked again until the command's deadline."""
+
+import collections.abc
+import typing
+
+import expression
+
+from oleander_base import clock
+from oleander_platform import logservice
+
+_LEAST_PAUSE_MS = 100
+
+
+class PatientLog:
+    """Repeats what failed until a deadline; tries everything once at least."""
+
+    def __init__(
+        self,
+        log: logservice.LogService,
+        call_ms: int,
+        deadline: clock.Deadline,
+        pause: collections.abc.Callable[[float], None],
+    ) -> None:
+        self._log = log
+        self._call_ms = call_ms
+        self._deadline = deadline
+        self._pause = pause
+
+    @property
+    def is_over(self) -> bool:
+        """Whether the deadline has passed."""
+        return self._deadline.is_past
+
+    def read(
+        self, stream: str, offset: int
+    ) -> expression.Result[logservice.Page, logservice.LogError]:
+        """Return what the stream holds from an offset on, now."""
+        while True:
+            result = self._log.read(stream, offset, 0, self._limit_call())
+            match result:
+                case expression.Result(tag="error", error=error) if not self.is_over:
+                    self.wait(error.retry_after_ms)
+                case _:
+                    return result
+
+    def append_once(
+        self, stream: str, value: dict[str, typing.Any]
+    ) -> expression.Result[int, logservice.LogError]:
+        """Append one record; not repeated, since a failed append may have had its effect."""
+        return self._log.append(stream, [value], self._limit_call())
+
+    def wait(self, milliseconds: int = 0) -> None:
+        """Wait a while, at most until the deadline."""
+        seconds = max(milliseconds, _LEAST_PAUSE_MS) / 1000
+        self._pause(min(seconds, self._deadline.remaining))
+
+    def _limit_call(self) -> clock.Deadline:
+        return clock.start_deadline_ms(self._call_ms)
