--- a/libs/wire/oleander_wire/link.py
+++ b/libs/wire/oleander_wire/link.py
@@ -3,6 +3,8 @@
 import collections.abc
 import contextlib
 import dataclasses
+import socket
+import struct
 import threading
 
 import expression
@@ -17,6 +19,7 @@
 _CLOSE_BAD_FRAME = 1007
 _CLOSE_SECONDS = 1.0
 _HANDSHAKE_SECONDS = 5.0
+_SEND_SECONDS = 2
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -24,6 +27,20 @@
     """The connection is of no more use."""
 
     detail: str
+    is_refused: bool = False
+    """Whether nobody listens at the address."""
+
+
+def _bound_sends(connected: socket.socket) -> None:
+    """
+    Let a send fail after a while.
+
+    A peer that is paused stops reading; once the buffers are full, a send to it would block its
+    thread for as long as the pause lasts. With the bound the link is closed instead.
+    """
+    bound = struct.pack("ll", _SEND_SECONDS, 0)
+    connected.setsockopt(socket.SOL_SOCKET, socket.SO_SNDTIMEO, bound)
+    connected.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
 
 class Link:
@@ -31,6 +48,7 @@
 
     def __init__(self, connection: websockets.sync.connection.Connection) -> None:
         self._connection = connection
+        _bound_sends(connection.socket)
         self._send_lock = threading.Lock()
         self._closed = threading.Event()
 
@@ -76,6 +94,13 @@
         with contextlib.suppress(websockets.exceptions.WebSocketException, OSError):
             self._connection.close(code, reason[:100])
 
+    def abort(self) -> None:
+        """Close the connection without waiting for a peer that may be paused."""
+        self._closed.set()
+        with contextlib.suppress(OSError):
+            self._connection.socket.shutdown(socket.SHUT_RDWR)
+        self.close()
+
     def _close_on_bad_frame(
         self, problem: findings.Findings
     ) -> expression.Result[messages.Message | None, LinkError]:
@@ -97,7 +122,8 @@
             max_size=codec.MOST_FRAME_BYTES,
         )
     except (OSError, TimeoutError, websockets.exceptions.WebSocketException) as error:
-        return expression.Error(LinkError(f"{address}: {type(error).__name__}"))
+        is_refused = isinstance(error, ConnectionRefusedError)
+        return expression.Error(LinkError(f"{address}: {type(error).__name__}", is_refused))
     return expression.Ok(Link(connection))
 
 
@@ -124,6 +150,11 @@
             max_size=codec.MOST_FRAME_BYTES,
         )
 
+    @property
+    def port(self) -> int:
+        """The port that is listened on."""
+        return int(self._server.socket.getsockname()[1])
+
     def serve(self) -> None:
         """Accept connections until stopped."""
         self._server.serve_forever()
--- a/libs/wire/oleander_wire/messages.py
+++ b/libs/wire/oleander_wire/messages.py
@@ -65,6 +65,8 @@
     offsets: list[int]
     times_ms: list[int]
     values: list[dict[str, typing.Any]]
+    snapshot: dict[str, typing.Any] | None
+    """Everything in force, where the records that led to it are no longer kept."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -79,8 +81,9 @@
     key: str
     digest: str
     attempt: int
+    shard: int
     claim_offset: int
-    """The offset of the record that chose this sidecar; -1 for a repeatable request."""
+    """Where the record that chose this sidecar stands; -1 for a repeatable request."""
     repeatable: bool
     priority: int
     share_percent: int
@@ -112,6 +115,8 @@
     key: str
     digest: str
     attempt: int
+    shard: int
+    claim_offset: int
     budget_ms: int
 
 
--- a/programs/oleanderdeal/oleanderdeal/setting_table.py
+++ b/programs/oleanderdeal/oleanderdeal/setting_table.py
@@ -216,6 +216,10 @@
         "http_threads", Kind.INTEGER, "threads", 64, 1, 1024, _ENTRY,
         "Requests that an entry answers at a time; further ones wait in line.",
     ),
+    Setting(
+        "sample_tasks", Kind.INTEGER, "samples", 64, 1, 4096, _ENTRY,
+        "Samples of training steps that an entry has in the making at a time.",
+    ),
     Setting(
         "claim_shards", Kind.INTEGER, "streams", 4, 1, 64, _ENTRY,
         "Streams that claims are spread over; must be the same at every entry.",
@@ -225,7 +229,12 @@
         "Claims of one stream kept in memory; a key older than these is refused.",
     ),
     Setting(
-        "drain_ms", Kind.INTEGER, "ms", 30_000, 0, _HOUR_MS, _SERVERS,
+        "snapshot_interval_ms", Kind.INTEGER, "ms", 600_000, 100, _HOUR_MS, _ENTRY,
+        "A snapshot of what is in force is written to the log this often; well below the time"
+        " that the log keeps records.",
+    ),
+    Setting(
+        "drain_ms", Kind.INTEGER, "ms", 600_000, 0, _HOUR_MS, _SERVERS,
         "How long a stopping process may take to finish what runs.",
     ),
     # Operators' commands.
--- a/programs/oleanderdeal/oleanderdeal/settings.py
+++ b/programs/oleanderdeal/oleanderdeal/settings.py
@@ -57,8 +57,10 @@
     heartbeat_ms: int
     peer_limit: int
     http_threads: int
+    sample_tasks: int
     claim_shards: int
     claim_window: int
+    snapshot_interval_ms: int
     drain_ms: int
     file: str
     by: str
--- /dev/null
+++ b/standins/oleander_standins/processes.py
@@ -0,0 +1,233 @@
+"""Child processes of the project, HTTP calls and waiting, for tests, the demo and the bench."""
+
+import collections.abc
+import json
+import pathlib
+import queue
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+import typing
+
+from oleander_standins import client, relay
+
+_START_SECONDS = 15.0
+_STOP_SECONDS = 10.0
+_CALL_SECONDS = 10.0
+_READY = "listening on "
+_MOST_LINES = 100_000
+_MOST_LOG_CHARACTERS = 4000
+
+
+def call(
+    method: str,
+    url: str,
+    body: typing.Any = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = _CALL_SECONDS,
+) -> client.Response:
+    """Return the answer, with status, headers and body; a body that is no bytes goes as JSON."""
+    if body is not None and not isinstance(body, bytes):
+        body = json.dumps(body).encode()
+    return client.call(method, url, body, headers or {}, timeout)
+
+
+def wait_until(
+    condition: collections.abc.Callable[[], typing.Any], what: str, seconds: float = 10
+) -> typing.Any:
+    """Poll until a condition holds and return its value; fail with what was waited for."""
+    deadline = time.monotonic() + seconds
+    while True:
+        value = condition()
+        if value:
+            return value
+        assert time.monotonic() < deadline, f"not within {seconds} s: {what}"
+        time.sleep(0.01)
+
+
+class Process:
+    """One child; a thread reads its output, so that it never blocks, up to a bound of lines."""
+
+    def __init__(
+        self, name: str, arguments: collections.abc.Iterable[object], log_path: pathlib.Path
+    ) -> None:
+        self.name = name
+        self.address = ""
+        self.lines: queue.Queue[str] = queue.Queue(_MOST_LINES)
+        self._log_path = log_path
+        with log_path.open("ab") as log_file:
+            self._child = subprocess.Popen(
+                [sys.executable, "-m", *map(str, arguments)],
+                stdout=subprocess.PIPE,
+                stderr=log_file,
+                text=True,
+            )
+        self._ready = threading.Event()
+        self._reader = threading.Thread(target=self._read_lines, daemon=True)
+        self._reader.start()
+
+    @property
+    def pid(self) -> int:
+        """The process id."""
+        return self._child.pid
+
+    @property
+    def code(self) -> int | None:
+        """The exit code, or None while it runs."""
+        return self._child.poll()
+
+    @property
+    def url(self) -> str:
+        """Where it listens."""
+        return f"http://{self.address}"
+
+    def read_log(self) -> str:
+        """Return the end of what it wrote to standard error."""
+        return self._log_path.read_text(errors="replace")[-_MOST_LOG_CHARACTERS:]
+
+    def wait_ready(self, seconds: float = _START_SECONDS) -> None:
+        """Wait for the line that tells where it listens."""
+        deadline = time.monotonic() + seconds
+        while not self._ready.wait(0.02):
+            ended = self.code is not None and not self._reader.is_alive()
+            assert not ended and time.monotonic() < deadline, (
+                f"{self.name} is not ready (exit code {self.code}): {self.read_log()}"
+            )
+
+    def wait_exit(self, seconds: float = _STOP_SECONDS) -> int:
+        """Wait for the end; return the exit code."""
+        return self._child.wait(seconds)
+
+    def wait_lines(self) -> list[str]:
+        """Return the lines not taken yet of a process that has ended."""
+        self._reader.join(_STOP_SECONDS)
+        return [self.lines.get_nowait() for _ in range(self.lines.qsize())]
+
+    def send(self, signal_number: int) -> None:
+        """Send a signal; one that has ended already is left alone."""
+        self._child.send_signal(signal_number)
+
+    def close(self) -> None:
+        """End it, frozen or not, and take back what it used."""
+        self.send(signal.SIGKILL)
+        self._child.wait(_STOP_SECONDS)
+        self._reader.join(_STOP_SECONDS)
+        if self._child.stdout is not None:
+            self._child.stdout.close()
+
+    def _read_lines(self) -> None:
+        for line in self._child.stdout or ():
+            line = line.rstrip("\n")
+            if line.startswith(_READY) and not self.address:
+                self.address = line.removeprefix(_READY)
+                self._ready.set()
+            elif not self.lines.full():
+                self.lines.put_nowait(line)
+
+
+class Cluster:
+    """The child processes and relays of a run by name; `stop` ends every one of them."""
+
+    def __init__(self) -> None:
+        self._processes: dict[str, Process] = {}
+        self._relays: dict[str, relay.Relay] = {}
+        self._logs = tempfile.TemporaryDirectory(prefix="oleander-")
+
+    def start(self, name: str, module: str, *arguments: object, ready: bool = True) -> Process:
+        """Start a module and, unless told otherwise, wait until it listens."""
+        self.close(name)
+        log_path = pathlib.Path(self._logs.name) / f"{name}.log"
+        process = Process(name, [module, *arguments], log_path)
+        self._processes[name] = process
+        if ready:
+            process.wait_ready()
+        return process
+
+    def start_stand_in(self, name: str, kind: str, *arguments: object) -> Process:
+        """Start a stand-in on a free port."""
+        return self.start(name, f"oleander_standins.{kind}", "--port", 0, *arguments)
+
+    def start_relay(self, name: str, target: str) -> relay.Relay:
+        """Start a relay to a process of that name, or to IP:port."""
+        known = self._processes.get(target)
+        self._relays[name] = relay.Relay(known.address if known else target)
+        return self._relays[name]
+
+    def find_relay(self, name: str) -> relay.Relay:
+        """Return a relay."""
+        return self._relays[name]
+
+    def has(self, name: str) -> bool:
+        """Tell whether there is a process or relay of that name."""
+        return name in self._processes or name in self._relays
+
+    def find(self, name: str) -> Process:
+        """Return a process."""
+        return self._processes[name]
+
+    def url(self, name: str) -> str:
+        """Return the URL of a process or relay."""
+        return self._find_listener(name).url
+
+    def address(self, name: str) -> str:
+        """Return IP:port of a process or relay."""
+        return self._find_listener(name).address
+
+    def kill(self, name: str) -> None:
+        """End a process at once, as a crash would, and wait for its end."""
+        self._processes[name].send(signal.SIGKILL)
+        self._processes[name].wait_exit()
+
+    def freeze(self, name: str) -> None:
+        """Pause a process."""
+        self._processes[name].send(signal.SIGSTOP)
+
+    def thaw(self, name: str) -> None:
+        """Let a paused process go on."""
+        self._processes[name].send(signal.SIGCONT)
+
+    def terminate(self, name: str, seconds: float = _STOP_SECONDS) -> int:
+        """Ask a process to stop; return its exit code."""
+        self._processes[name].send(signal.SIGTERM)
+        return self._processes[name].wait_exit(seconds)
+
+    def close(self, name: str) -> None:
+        """End a process if there is one of that name, and forget it."""
+        process = self._processes.pop(name, None)
+        if process is not None:
+            process.close()
+
+    def stop(self) -> None:
+        """End every process and relay, and remove what was logged."""
+        for name in list(self._processes):
+            self.close(name)
+        for item in self._relays.values():
+            item.close()
+        self._logs.cleanup()
+
+    def read_logs(self) -> str:
+        """Return the ends of all logs, to tell why a scenario failed."""
+        return "".join(
+            f"--- {name}, exit code {process.code}\n{process.read_log()}"
+            for name, process in self._processes.items()
+        )
+
+    def read_whole_logs(self) -> str:
+        """Return all that was logged, by processes that were replaced as well."""
+        paths = sorted(pathlib.Path(self._logs.name).glob("*.log"))
+        return "".join(path.read_text(errors="replace") for path in paths)
+
+    def _find_listener(self, name: str) -> Process | relay.Relay:
+        return self._relays.get(name) or self._processes[name]
+
+    def control(self, name: str, **settings: typing.Any) -> None:
+        """Change settings of a stand-in."""
+        response = call("POST", f"{self.url(name)}/control", settings)
+        assert response.status == 200, response.body
+
+    def read_control(self, name: str, query: str = "") -> typing.Any:
+        """Return what a stand-in counted; the query may be generations=no for an engine."""
+        return call("GET", f"{self.url(name)}/control?{query}").read_json()
