Reject URLs that no adapter can use

Cause: the adapters speak plain HTTP to host and port, and raise on https or on a path; a setting that passed its check would end the process later. Ruled out: teaching the adapters both, which nobody asked for. Conclusion: the finding names the flag and the form.

--- a/features/settings.feature
+++ b/features/settings.feature
@@ -45,8 +45,10 @@
       | none                       | --address=desk:80          | --address                  | 'desk:80' is no IP:port (in IP:port) |
       | none                       | --address=127.0.0.1:65536  | --address                  | '65536' is no port from 0 to 65535 (in IP:port) |
       | none                       | --name=Desk_1              | --name                     | 'Desk_1' is no name: lower-case letters, digits and hyphens, first a letter, at most 64 (name) |
-      | none                       | --log_url=127.0.0.1:80     | --log_url                  | '127.0.0.1:80' is no URL of the form http://host:port (URL) |
-      | none                       | --log_url=http://a:b       | --log_url                  | 'http://a:b' is no URL (URL) |
+      | none                       | --log_url=127.0.0.1:80     | --log_url                  | '127.0.0.1:80' is no URL of the form http://host:port (http://host:port) |
+      | none                       | --log_url=http://a:b       | --log_url                  | 'http://a:b' is no URL (http://host:port) |
+      | none                       | --log_url=https://a:1      | --log_url                  | 'https://a:1' is no URL of the form http://host:port (http://host:port) |
+      | none                       | --log_url=http://a:1/log   | --log_url                  | 'http://a:1/log' has more than host and port (http://host:port) |
       | none                       | --statsd_host=statsd       | --statsd_host              | 'statsd' is no IP number (IP number) |
       | none                       | --backend_kind=engine      | --model                    | must be given (an engine runs one model) |
 
--- a/programs/oleanderdeal/oleanderdeal/setting_table.py
+++ b/programs/oleanderdeal/oleanderdeal/setting_table.py
@@ -28,9 +28,9 @@
     NAME = "name"
     IP = "IP number"
     ADDRESS = "IP:port"
-    URL = "URL"
-    URL_LIST = "URLs separated by commas"
-    TOKEN_LIST = "customer=token pairs separated by commas"
+    URL = "http://host:port"
+    URL_LIST = "http://host:port,..."
+    TOKEN_LIST = "customer=token,..."
 
 
 class BackendKind(enum.StrEnum):
