Ask entries through the shared HTTP exchange, and run the commands as processes

Cause: the client for entries did by itself what http_exchange does better (one deadline for the whole answer, cut answers found), and no command had run against the real adapters. Conclusion: publish, show, audit and report work against the stand-ins, and tell when the log is gone.

--- a/features/operator.feature
+++ b/features/operator.feature
@@ -174,10 +174,29 @@
       | answer                               | result                       |
       | 200 {"applied_offset": 7, "peers": 3} | applied 7 with 3 peers      |
       | 200 {"applied_offset": "7"}          | answered no applied_offset   |
-      | 200 []                               | answered no applied_offset   |
-      | 200 nonsense                         | answered something that is no JSON |
+      | 200 []                               | answered no JSON object      |
+      | 200 nonsense                         | answered no JSON object      |
       | 403 {}                               | answered 403                 |
-      | nothing                              | can't be reached: RemoteDisconnected |
+      | nothing                              | can't be reached: RemoteDisconnected: Remote end closed connection without response |
+
+  Scenario: The commands against separate processes
+    # The same program that runs as entry and sidecar reads and writes the real streams. Once the
+    # log is gone the publisher says so; what the entries counted can still be read.
+    Given an operator's deployment of separate processes
+    When the operator starts the program with publish of catania.yaml
+    Then the started program ended with 0 and printed in force on 2 of 2 entries
+    When a booking of catania is answered
+    And the operator starts the program with show
+    Then the started program ended with 0 and printed catania booking desk critical false
+    When the operator starts the program with audit
+    Then the started program ended with 0 and printed contract catania
+    When the operator starts the program with report
+    Then the started program ended with 0 and printed catania booking critical, 2000 ms, at most once 1 1 100.0
+    When the log of the operator's deployment is killed
+    And the operator starts the program with publish of catania.yaml
+    Then the started program ended with 4 and printed not published: the log can't be read
+    When the operator starts the program with report
+    Then the started program ended with 4 and printed catania booking no contract 1 1 100.0
 
   Scenario Outline: The program's own exit status
     When the program is run with <arguments>
--- a/features/steps/operator_steps.py
+++ b/features/steps/operator_steps.py
@@ -9,9 +9,12 @@
 import behave
 import expression
 
+import deployments
+import support
 import support_log
 from oleander_base import clock
 from oleander_contracts import contract, fold, readers, records
+from oleander_standins import deployment
 from oleanderdeal import (
     entry_clients,
     main,
@@ -233,6 +236,7 @@
                 return
             status, body = answer.split(" ", 1)
             self.send_response(int(status))
+            self.send_header("Content-Length", str(len(body)))
             self.end_headers()
             self.wfile.write(body.encode())
 
@@ -262,6 +266,50 @@
     assert found == result, found
 
 
+@behave.given("an operator's deployment of separate processes")
+def start_processes(context):
+    context.deployed = deployment.Deployment(support.get_cluster(context))
+    context.deployed.add_customer("catania")
+    context.deployed.start_platform()
+    context.deployed.start_host(deployment.BackendHost("desk-1", "desk", "service", "a"))
+    context.deployed.start_entries(2)
+    context.deployed.await_ready(1)
+
+
+@behave.when("the operator starts the program with {command:w}")
+def start_command(context, command):
+    flags = ["--log_url", context.deployed.cluster.url("log"), "--wait_ms", "3000"]
+    if command in {"publish", "report"}:
+        flags += context.deployed.entry_flags()
+    context.ended = context.deployed.run_command(command, *flags, *context.command_flags)
+
+
+@behave.when("the operator starts the program with publish of {file}")
+def start_publish(context, file):
+    context.command_flags = ["--by", "ann", "--file", str(deployments.EXAMPLES / file)]
+    start_command(context, "publish")
+    context.command_flags = []
+
+
+@behave.when("a booking of catania is answered")
+def call_booking(context):
+    entry = context.deployed.entries[0]
+    answer = context.deployed.call(entry, "catania", "booking", {"chair": 1}, key="k")
+    assert answer.status == 200, answer.body
+
+
+@behave.when("the log of the operator's deployment is killed")
+def kill_log(context):
+    context.deployed.cluster.kill("log")
+
+
+@behave.then("the started program ended with {status:d} and printed {told}")
+def check_ended(context, status, told):
+    printed = " ".join(context.ended.stdout.split())
+    assert told in printed, (context.ended.stdout, context.ended.stderr)
+    assert context.ended.returncode == status, context.ended.returncode
+
+
 @behave.when("the program is run with {arguments}")
 def run_program(context, arguments):
     words = [] if arguments == "nothing" else arguments.split()
--- a/programs/oleanderdeal/oleanderdeal/commands/audit.py
+++ b/programs/oleanderdeal/oleanderdeal/commands/audit.py
@@ -8,10 +8,14 @@
 
 from oleander_contracts import contract, differences, in_force, records
 from oleander_platform import logservice
-from oleanderdeal import configuration_reader, exit_codes, operator_context, output, patient_log
-
-ORDERS_STREAM = "orders"
-"""What sidecars ordered their engines to load."""
+from oleanderdeal import (
+    configuration_reader,
+    exit_codes,
+    operator_context,
+    order_trail,
+    output,
+    patient_log,
+)
 
 _MOST_ROWS = 10_000
 _MOST_SHOWN_DIFFERENCES = 3
@@ -122,7 +126,7 @@
     rows: collections.deque[output.Row] = collections.deque(maxlen=_MOST_ROWS)
     offset = 0
     while True:
-        match log.read(ORDERS_STREAM, offset):
+        match log.read(order_trail.STREAM, offset):
             case expression.Result(tag="ok", ok=page):
                 rows.extend(_list_order(record) for record in page.records)
             case expression.Result(error=error):
