Credit a new attempt with 128 tokens before it counts as slow

Cause: with 32 tokens and pieces of 64, an attempt on a slow engine was judged before its first piece came; moves then lost the piece under way each time and ran in circles.

--- a/features/samples.feature
+++ b/features/samples.feature
@@ -101,7 +101,7 @@
     # The trainer sees the step whole although one engine is ten times slower than the others. The
     # same sample runs twice from its text so far; whichever ends first is kept, once.
     Given a collector of 1 groups of 8 samples, hedges of 50 percent
-    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, whole g 7/100, tokens h 7/10, <events>
+    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, whole g 7/100, tokens h 7/10, after 50, <events>
     Then the samples started were 0 1 2 3 4 5 6 7 <works>
     And the sample work cancelled was <cancelled>
     And the sample pulls were answered empty; <answer>
@@ -118,7 +118,7 @@
 
   Scenario Outline: Hedges keep to their budget, and length alone is no reason
     Given a collector of 1 groups of 8 samples, hedges of <percent> percent
-    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, <events>
+    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, after 50, <events>
     Then the samples started were 0 1 2 3 4 5 6 7 <works>
     And the sample work cancelled was <cancelled>
 
@@ -138,7 +138,7 @@
     # The trainer sees the step whole although an engine hangs and the budget is spent. The text so
     # far is resumed on another engine and the old attempt is cancelled, so no token is made twice.
     Given a collector of 1 groups of 8 samples, hedges of <percent> percent, then moves
-    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, whole g 7/100, <events>
+    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, whole g 7/100, after 50, <events>
     Then the samples started were 0 1 2 3 4 5 6 7 <works>
     And the sample work cancelled was <cancelled>
     And the sample pulls were answered empty; <answer>
@@ -149,6 +149,6 @@
       | 11      | tokens h 7/10, start, whole i 8/3, pull 7 0-6                      | 7<10           | h         | 7:7/10+8/3 complete |
       | 0       | start, whole i 8/3, pull 7 0-6                                     | 7              | h         | 7:8/3 complete      |
       | 0       | tokens h ?/10, start, settled h 7, pull 7 0-6                      | none           | none      | 7:7/10 complete     |
-      | 0       | tokens h 7/10, start, after 20, start, whole j 8/3, pull 7 0-6     | 7<10 7<10      | h i       | 7:7/10+8/3 complete |
+      | 0       | tokens h 7/10, start, after 60, start, whole j 8/3, pull 7 0-6     | 7<10 7<10      | h i       | 7:7/10+8/3 complete |
       | 12      | tokens h 7/10, start, after 20, tokens h 7/2, after 20, start, whole j 8/3, pull 7 0-6 | 7<10! 7<12 | h i | 7:7/12+8/3 complete |
       | 12      | tokens h 7/10, start, after 9, tokens i 7/80, start, whole i 8/3, pull 7 0-6 | 7<10! none | h | 7:7/90+8/3 complete |
--- a/libs/samples/oleander_samples/work.py
+++ b/libs/samples/oleander_samples/work.py
@@ -9,7 +9,7 @@
 from oleander_base import invariants
 from oleander_samples import labels, steps
 
-_PRIOR_TOKENS = 32
+_PRIOR_TOKENS = 128
 """How many tokens at the usual rate an attempt is credited with before it has shown its own."""
 
 _WINDOW_SECONDS = 5.0
