Measure outages, stragglers, staleness, replaced entries and costs

Cause: the choices of the collector are to rest on figures. The record before each delivery is implemented in the bench only.

--- a/bench/samples_bench.py
+++ b/bench/samples_bench.py
@@ -5,37 +5,18 @@
 All times are simulated and all seeds fixed, so a second run prints the same figures.
 """
 
-import collections.abc
 import dataclasses
 import functools
-import math
 import statistics
 import sys
 
+import samples_outage
 import samples_simulation as simulation
-from oleander_samples import hedging, pulls
-
-SEEDS = (1, 2, 3, 4, 5)
-SMALL = simulation.Workload(groups=32, samples=8, engines=8, slots=8)
-PULL_SECONDS = 0.5
-MOST_PULLED = 64
-OUTAGE_STEPS = 4
-OUTAGE_FROM = 100.0
-TRAIN_SECONDS = 20.0
-APPEND_SECONDS = 0.02
-APPEND_RETRY_SECONDS = 1.0
-VERSION_SECONDS = 12.0
-LOAD_SECONDS = 4.0
-REPLACED_AFTER = 40.0
-
+from oleander_samples import hedging
 
-def print_table(title: str, header: str, rows: collections.abc.Iterable[str]) -> None:
-    """Print a table in Markdown."""
-    print(f"\n### {title}\n")
-    print(f"| {header} |")
-    print("|" + "---|" * (header.count("|") + 1))
-    for row in rows:
-        print(f"| {row} |", flush=True)
+VERSION_SECONDS = 15.0
+LOAD_SECONDS = 5.0
+REPLACED_AFTER = 40.0
 
 
 # Stragglers
@@ -54,7 +35,7 @@
     """Collect one step."""
     timeline = simulation.Timeline()
     entry = simulation.Entry(timeline, workload, seed)
-    trainer = simulation.Trainer(timeline, PULL_SECONDS)
+    trainer = simulation.Trainer(timeline, simulation.PULL_SECONDS)
     entry.open_step(1, trainer.version)
     trainer.pull_until_complete(entry)
     trainer.run(timeline)
@@ -84,115 +65,26 @@
         ("2 of 8 engines at a fifth of the speed", 0.2, 0.0),
         ("2 of 8 engines all but hang from 60 s on", 0.02, 60.0),
     ):
+        slow = dataclasses.replace(
+            simulation.SMALL, slow_engines=2, slow_factor=factor, slow_from=since
+        )
         rows = []
         for name, policy in policies.items():
-            workload = dataclasses.replace(
-                SMALL, slow_engines=2, slow_factor=factor, slow_from=since, policy=policy
-            )
-            runs = [run_step(workload, seed) for seed in SEEDS]
+            workload = dataclasses.replace(slow, policy=policy)
+            runs = [run_step(workload, seed) for seed in simulation.SEEDS]
             seconds = [run.seconds for run in runs]
             rows.append(
                 f"{name} | {statistics.mean(seconds):.1f} | {max(seconds):.1f}"
                 f" | {statistics.mean(run.extra_percent for run in runs):.2f}"
                 f" | {statistics.mean(run.mean_tokens for run in runs):.1f}"
             )
-        print_table(
+        simulation.print_table(
             f"Stragglers: {title}",
             "handling | step s, mean | step s, worst | extra tokens % | mean sample tokens",
             rows,
         )
 
 
-# Log outage
-
-
-class RecordedTrainer(simulation.Trainer):
-    """The other way: each batch is recorded in the log before it is delivered."""
-
-    def __init__(self, timeline: simulation.Timeline, outage_from: float, outage: float) -> None:
-        super().__init__(timeline, PULL_SECONDS)
-        self._outage_from = outage_from
-        self._outage_until = outage_from + outage
-        self.appends = 0
-
-    def pull_until_complete(self, entry: simulation.Entry) -> None:
-        """Record what is whole, deliver it, and go on."""
-        if entry.collector is None:
-            return
-        request = pulls.Pull(1, self.version, frozenset(self.held), 0, MOST_PULLED)
-        answer = entry.collector.pull(request, 0.0).ok
-        entry.dispatch()
-        delay = self._record() if answer.samples else PULL_SECONDS
-        self._timeline.call_in(delay, lambda: self._deliver(entry, answer))
-
-    def _record(self) -> float:
-        """Return how long it takes until the batch's record stands in the log."""
-        self.appends += 1
-        now = self._timeline.now
-        if not self._outage_from <= now < self._outage_until:
-            return APPEND_SECONDS
-        retries = math.ceil((self._outage_until - now) / APPEND_RETRY_SECONDS)
-        return retries * APPEND_RETRY_SECONDS + APPEND_SECONDS
-
-    def _deliver(self, entry: simulation.Entry, answer: pulls.PullAnswer) -> None:
-        self.take(answer.samples)
-        self.is_complete = answer.complete
-        if not self.is_complete:
-            self.pull_until_complete(entry)
-
-
-def run_steps(trainer: simulation.Trainer, timeline: simulation.Timeline, seed: int) -> float:
-    """Collect and train several steps in turn; return how long the trainer was idle."""
-    entry = simulation.Entry(timeline, SMALL, seed)
-    idle = 0.0
-    for step in range(OUTAGE_STEPS):
-        opened = timeline.now
-        trainer.held.clear()
-        trainer.is_complete = False
-        entry.open_step(step, trainer.version)
-        trainer.pull_until_complete(entry)
-        trainer.run(timeline)
-        idle += timeline.now - opened
-        trained = timeline.now + TRAIN_SECONDS
-        timeline.call_in(TRAIN_SECONDS, lambda: None)
-        timeline.run_until(functools.partial(_is_past, timeline, trained))
-    return idle
-
-
-def _is_past(timeline: simulation.Timeline, time: float) -> bool:
-    return timeline.now >= time
-
-
-def measure_outage() -> None:
-    """
-    Compare the trainer's own statement with a record before each delivery.
-
-    The first way has nothing to do with the log, so it is run once for all outages.
-    """
-    stated = []
-    for seed in SEEDS:
-        timeline = simulation.Timeline()
-        stated.append(run_steps(simulation.Trainer(timeline, PULL_SECONDS), timeline, seed))
-    rows = []
-    for outage in (0.0, 30.0, 120.0, 600.0):
-        recorded, appends = [], []
-        for seed in SEEDS:
-            timeline = simulation.Timeline()
-            trainer = RecordedTrainer(timeline, OUTAGE_FROM, outage)
-            recorded.append(run_steps(trainer, timeline, seed))
-            appends.append(trainer.appends / OUTAGE_STEPS)
-        rows.append(
-            f"{outage:.0f} | {statistics.mean(stated):.1f} | {statistics.mean(recorded):.1f}"
-            f" | 0 | {statistics.mean(appends):.0f}"
-        )
-    print_table(
-        f"Log outage: trainer idle seconds over {OUTAGE_STEPS} steps",
-        "outage s | idle s, trainer's statement | idle s, record first"
-        " | appends a step, statement | appends a step, record first",
-        rows,
-    )
-
-
 # Staleness
 
 
@@ -234,11 +126,12 @@
 def measure_staleness() -> None:
     """Compare going on with new weights and starting anew, while versions change."""
     rows = []
+    short = dataclasses.replace(simulation.SMALL, max_tokens=1024)
     for bound in (1, 2, 4):
         for name, restarts in (("resume, mixed label", False), ("drop and restart", True)):
-            workload = dataclasses.replace(SMALL, staleness_bound=bound, max_tokens=1024)
+            workload = dataclasses.replace(short, staleness_bound=bound)
             rows.append(f"{bound} | {name} | {_run_versions(workload, restarts)}")
-    print_table(
+    simulation.print_table(
         f"Staleness: a version each {VERSION_SECONDS:.0f} s",
         "bound | handling | step s, mean | step s, worst | extra tokens %"
         " | staleness mean | staleness max | mean sample tokens",
@@ -248,10 +141,10 @@
 
 def _run_versions(workload: simulation.Workload, restarts: bool) -> str:
     figures, staleness = [], []
-    for seed in SEEDS:
+    for seed in simulation.SEEDS:
         timeline = simulation.Timeline()
         entry = simulation.Entry(timeline, workload, seed)
-        trainer = simulation.Trainer(timeline, PULL_SECONDS)
+        trainer = simulation.Trainer(timeline, simulation.PULL_SECONDS)
         entry.open_step(1, trainer.version)
         VersionClock(entry, trainer, restarts)
         trainer.pull_until_complete(entry)
@@ -275,12 +168,12 @@
     rows = []
     for gap in (0.01, 5.0):
         for name in ("at once", "at the first pull", "at once, `held` in the body"):
-            runs = [_run_replaced(name, gap, seed) for seed in SEEDS]
+            runs = [_run_replaced(name, gap, seed) for seed in simulation.SEEDS]
             rows.append(
                 f"{gap:g} | {name} | {statistics.mean(run.seconds for run in runs):.1f}"
                 f" | {statistics.mean(run.extra_percent for run in runs):.2f}"
             )
-    print_table(
+    simulation.print_table(
         f"An entry replaced after {REPLACED_AFTER:.0f} s",
         "s from registration to first pull | work starts | step s | extra tokens %",
         rows,
@@ -289,8 +182,8 @@
 
 def _run_replaced(name: str, gap: float, seed: int) -> StepFigures:
     timeline = simulation.Timeline()
-    entry = simulation.Entry(timeline, SMALL, seed)
-    trainer = simulation.Trainer(timeline, PULL_SECONDS)
+    entry = simulation.Entry(timeline, simulation.SMALL, seed)
+    trainer = simulation.Trainer(timeline, simulation.PULL_SECONDS)
 
     def register() -> None:
         known = {
@@ -310,7 +203,7 @@
 
 
 MEASURES = {
-    "outage": measure_outage,
+    "outage": samples_outage.measure_outage,
     "stragglers": measure_stragglers,
     "staleness": measure_staleness,
     "replaced": measure_replaced,
--- a/bench/samples_simulation.py
+++ b/bench/samples_simulation.py
@@ -10,6 +10,8 @@
 from oleander_samples import collector, hedging, pulls, steps
 
 PIECE_TOKENS = 64
+SEEDS = (1, 2, 3, 4, 5)
+PULL_SECONDS = 0.5
 _POLL_SECONDS = 0.5
 _MOST_SECONDS = 100_000.0
 
@@ -42,6 +44,18 @@
         return self.groups * self.samples
 
 
+SMALL = Workload(groups=32, samples=8, engines=8, slots=8)
+
+
+def print_table(title: str, header: str, rows: collections.abc.Iterable[str]) -> None:
+    """Print a table in Markdown."""
+    print(f"\n### {title}\n")
+    print(f"| {header} |")
+    print("|" + "---|" * (header.count("|") + 1))
+    for row in rows:
+        print(f"| {row} |", flush=True)
+
+
 class Timeline:
     """Events in the order of their simulated times."""
 
--- a/features/samples.feature
+++ b/features/samples.feature
@@ -85,6 +85,20 @@
       | after 0.1, start, broke b, after 0.09, start | 0 none      |
       | after 0.1, start, broke b, after 0.2, start  | 0 0         |
 
+  Scenario Outline: Texts are bounded, one by one, in an answer and in all
+    # The trainer sees short answers, and none of a runaway text. What waits for a trainer that does
+    # not pull is bounded: nothing more is started until it says that it holds some.
+    Given a collector of 20 samples, staleness bound 1
+    When its sample events are pull 7, <events>
+    Then the samples started were <works>
+    And the sample pulls were answered empty<answers>
+
+    Examples:
+      | events                                                                   | works | answers       |
+      | start, flood a 4194305, start, after 1, start                            | 0 1 0 | |
+      | start 2, flood a 4194304, flood b 4194304, done a, done b, pull 7, pull 7 0 | 0 1 | ; 0:7/1; 1:7/1 |
+      | start 16, fill 16, start, pull 7 0, start                                | 0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 none 16 | ; 1:7/1 |
+
   Scenario Outline: The longest predicted sample starts first, and groups in turn
     Given a collector of 3 groups of 3 samples, hedges of 0 percent
     When its sample events are pull 7, <events>
--- a/features/steps/samples_steps.py
+++ b/features/steps/samples_steps.py
@@ -83,6 +83,14 @@
             text = f"<{name}{index}>" if tokens else ""
             self.collector.note_progress(self._find(name), text, tokens, version)
 
+    def _flood(self, name, characters):
+        self.collector.note_progress(self._find(name), "x" * int(characters), 1, 7)
+
+    def _fill(self, count):
+        for name in NAMES[: int(count)]:
+            self._flood(name, collector.MOST_KEPT_CHARACTERS // int(count))
+            self._done(name)
+
     def _done(self, name):
         self.finished.append(self.collector.finish_work(self._find(name)))
 
--- a/libs/samples/oleander_samples/hedging.py
+++ b/libs/samples/oleander_samples/hedging.py
@@ -94,13 +94,11 @@
         in_time = set()
         for attempt in attempts:
             number = attempt.work.number
-            tokens = self.predict_remaining(attempt)
-            here = tokens / attempt.measure_rate(typical, now)
-            elsewhere = (tokens + _START_TOKENS) / typical
-            if here > _FAR_OVER * elsewhere:
-                late[number] = min(here, late.get(number, here))
-            else:
+            seconds = self._measure_lateness(attempt, typical, now)
+            if seconds is None:
                 in_time.add(number)
+            else:
+                late[number] = min(seconds, late.get(number, seconds))
         return sorted(late.keys() - in_time, key=lambda number: (-late[number], number))
 
     def find_slower(self, first: work.Attempt, second: work.Attempt, now: float) -> work.Attempt:
@@ -139,3 +137,13 @@
     def release(self, work_id: str) -> None:
         """Forget a hedge that ended or that has no rival any more."""
         self._reserved.pop(work_id, None)
+
+    def _measure_lateness(self, attempt: work.Attempt, typical: float, now: float) -> float | None:
+        """Return the seconds that an attempt still needs, if that is far over what others do."""
+        rate = attempt.measure_rate(typical, now)
+        if rate * _FAR_OVER >= typical:
+            return None
+        tokens = self.predict_remaining(attempt)
+        here = tokens / rate
+        elsewhere = (tokens + _START_TOKENS) / typical
+        return here if here > _FAR_OVER * elsewhere else None
