Stop new work once a pulling trainer falls silent, and lower the bounds of texts

Cause: a trainer that lost its entry's address registers the step elsewhere, and the first entry would make the rest of the step a second time. After 120 s without a pull it starts nothing more; a trainer that has not pulled yet has 1800 s, so that it may register a step ahead. Ruled out: one limit of 1800 s for both. The silence costs work, never truth: nothing but new starts depends on it.

--- a/features/pulls.feature
+++ b/features/pulls.feature
@@ -15,19 +15,20 @@
       | start, pull 7 0-2, start 2                | none 3 none         |
       | pull 7 0-3, start                         | none                |
       | pull 7, close, start                      | none                |
-      | pull 7, after 1801, start                 | none                |
-      | pull 7, after 1801, start, pull 7, start  | none 0              |
+      | pull 7, after 120, start                  | 0                   |
+      | pull 7, after 121, start, pull 7, start   | none 0              |
 
   Scenario Outline: A step that says what is held needs no first pull
     Given a collector of 4 samples whose trainer said it holds "<held>"
-    When its sample events are start 4
+    When its sample events are <events>
     Then the samples started were <works>
 
     Examples:
-      | held | works             |
-      |      | 0 1 2 3           |
-      | 0,2  | 1 3 none none     |
-      | 0-3  | none none none none |
+      | held | events                                 | works         |
+      |      | start 4                                | 0 1 2 3       |
+      | 0,2  | start 4                                | 1 3 none none |
+      | 0-3  | start                                  | none          |
+      | 0    | after 1800, start, after 1, start      | 1 none        |
 
   Scenario Outline: A lost answer is offered again and a held sample never
     # The trainer sees an answer cut off and pulls again. The first answer may have reached it or
--- a/features/samples.feature
+++ b/features/samples.feature
@@ -97,7 +97,7 @@
       | events                                                                   | works | answers       |
       | start, flood a 4194305, start, after 1, start                            | 0 1 0 | |
       | start 2, flood a 4194304, flood b 4194304, done a, done b, pull 7, pull 7 0 | 0 1 | ; 0:7/1; 1:7/1 |
-      | start 16, fill 16, start, pull 7 0, start                                | 0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 none 16 | ; 1:7/1 |
+      | start 16, fill 16, start, pull 7 0, start                                | 0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 none 16 | ; 1:7/1 2:7/1 3:7/1 4:7/1 |
 
   Scenario Outline: The longest predicted sample starts first, and groups in turn
     Given a collector of 3 groups of 3 samples, hedges of 0 percent
@@ -143,7 +143,7 @@
       | 12      | tokens h 7/10, start 2                                   | 7<10! none  | none      |
       | 12      | tokens g 7/10, tokens h 7/9, start 2                     | 7<9! none   | none      |
       | 50      | tokens g 7/10, tokens h 7/9, start 3                     | 7<9! 6<10! none | none  |
-      | 50      | tokens g 7/100, tokens h 7/100, after 90, tokens h 7/200, tokens g 7/899, start | 7<300! | none |
+      | 50      | tokens g 7/100, tokens h 7/100, after 90, tokens h 7/200, tokens g 7/899, pull 7, start | 7<300! | none |
       | 50      | tokens g 7/500, tokens h 7/600, start                    | none        | none      |
       | 12      | tokens h 7/10, start, after 1, tokens i 7/97             | 7<10!       | h         |
       | 12      | tokens h 7/10, start, after 1, tokens h 7/80, tokens i 7/3, after 100, tokens i 7/94 | 7<10! | i |
--- a/libs/samples/oleander_samples/collector.py
+++ b/libs/samples/oleander_samples/collector.py
@@ -12,10 +12,12 @@
 SampleWork = work.SampleWork
 FinishedWork = work.FinishedWork
 
-MOST_KEPT_CHARACTERS = 64 * 1024 * 1024
+MOST_KEPT_CHARACTERS = 16 * 1024 * 1024
 """While so much text waits for the trainer, nothing is started."""
+PAUSE_SECONDS = 120.0
+"""Once a trainer has pulled, a silence of so long stops new work until it is heard again."""
 ABANDONED_SECONDS = 1800.0
-"""A step whose trainer was silent for so long starts nothing until it is heard again."""
+"""The same for a trainer that has not pulled yet; a step may be forgotten after it."""
 
 
 class StepCollector:
@@ -25,6 +27,8 @@
     Nothing is started before the trainer has said what it holds, with the step or by its first
     pull: a replaced entry knows nothing and would make held samples again. The trainer's own
     statement is the only truth about what was delivered; a sample stays here until then.
+    A trainer that pulls no more may have gone to another entry, which makes the same samples:
+    new work stops while it is silent.
     All state is bounded by the samples of the step and by `MOST_KEPT_CHARACTERS`.
     """
 
@@ -87,7 +91,7 @@
     def is_abandoned(self) -> bool:
         """Whether the trainer was silent for so long that the step may be forgotten."""
         with self._changed:
-            return self._was_silent()
+            return self._measure_silence() > ABANDONED_SECONDS
 
     @property
     def hedge_tokens(self) -> int:
@@ -233,12 +237,15 @@
         return pulls.PullAnswer(self._step.step, self._version, complete, samples)
 
     def _may_start(self) -> bool:
-        if not self._is_started or self._is_closed or self._was_silent():
+        if not self._is_started or self._is_closed:
+            return False
+        patience = PAUSE_SECONDS if self._latest_pull else ABANDONED_SECONDS
+        if self._measure_silence() > patience:
             return False
         return self._inventory.kept_characters < MOST_KEPT_CHARACTERS
 
-    def _was_silent(self) -> bool:
-        return self._read_now() - self._heard_at > ABANDONED_SECONDS
+    def _measure_silence(self) -> float:
+        return self._read_now() - self._heard_at
 
     def _note_heard(self, version: int) -> None:
         self._heard_at = self._read_now()
--- a/libs/samples/oleander_samples/registry.py
+++ b/libs/samples/oleander_samples/registry.py
@@ -1,5 +1,6 @@
 """The steps that are collected here: one for each trainer, its newest."""
 
+import collections
 import collections.abc
 import dataclasses
 import enum
@@ -9,11 +10,11 @@
 
 from oleander_base import clock, identifiers, invariants
 from oleander_contracts import contract
-from oleander_samples import collector, steps
+from oleander_samples import collector, scheduler, steps
 
 MOST_TRAINERS = 256
 """Trainers whose newest incarnation is remembered."""
-MOST_OPEN_STEPS = 64
+MOST_OPEN_STEPS = 32
 
 
 class RefusalReason(enum.Enum):
@@ -69,7 +70,9 @@
         self._most_open_steps = most_open_steps
         self._lock = threading.Lock()
         self._trainers: dict[tuple[str, str], _Trainer] = {}
-        self._cancellations: list[str] = []
+        self._cancellations: collections.deque[str] = collections.deque(
+            maxlen=scheduler.MOST_CANCELLATIONS
+        )
 
     @property
     def collectors(self) -> tuple[collector.StepCollector, ...]:
@@ -123,8 +126,8 @@
         with self._lock:
             for item in self._list_open():
                 self._cancellations.extend(item.take_cancellations())
-            taken = self._cancellations
-            self._cancellations = []
+            taken = list(self._cancellations)
+            self._cancellations.clear()
             return taken
 
     def close(self) -> None:
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -11,6 +11,8 @@
 
 MOST_TEXT_CHARACTERS = 4 * 1024 * 1024
 """A sample that grows beyond this is thrown away and made anew."""
+MOST_CANCELLATIONS = 64 * 1024
+"""Beyond this the oldest are forgotten: their engines make what nobody takes."""
 _FIRST_DELAY_SECONDS = 0.1
 _MOST_DELAY_SECONDS = 5.0
 _MOST_DOUBLINGS = 10
@@ -45,7 +47,7 @@
         self._stragglers: collections.deque[int] = collections.deque()
         self._partials: dict[int, work.Partial] = {}
         self._failures: dict[int, int] = {}
-        self._cancellations: list[str] = []
+        self._cancellations: collections.deque[str] = collections.deque(maxlen=MOST_CANCELLATIONS)
 
     @property
     def waiting(self) -> int:
@@ -173,8 +175,8 @@
 
     def take_cancellations(self) -> list[str]:
         """Return the work to be cancelled, each once."""
-        taken = self._cancellations
-        self._cancellations = []
+        taken = list(self._cancellations)
+        self._cancellations.clear()
         return taken
 
     def _start(
