--- a/features/sample_steps_readers.feature
+++ b/features/sample_steps_readers.feature
@@ -4,7 +4,7 @@
   Scenario Outline: A compact set of sample numbers is read and written
     When the sample set "<text>" of a step of 10 is read
     Then the sample numbers are <numbers>
-    And they are written as "<text>"
+    And the sample set is written as "<text>"
 
     Examples:
       | text      | numbers             |
--- a/features/samples.feature
+++ b/features/samples.feature
@@ -3,7 +3,7 @@
 
   Scenario Outline: A label follows from the pieces of a sample
     When a sample resumed from <resumed> is made of the pieces <pieces>
-    And its engine read <before> before and <after> after, with <orders> order open
+    And the sample's engine read <before> before and <after> after, with <orders> order open
     Then the sample's label is <label>
 
     Examples: all pieces stated
@@ -41,7 +41,7 @@
     When its sample events are pull 7, start 2, <events>, start, whole c 8/3, pull 7
     Then the samples started were 0 1 <work>
     And the sample pulls were answered empty; <answer>
-    And the last delivered text is "<text>"
+    And the last delivered sample's text is "<text>"
     And 0 samples were counted stale and <remade> made anew
 
     Examples:
--- a/features/steps/sample_steps_readers_steps.py
+++ b/features/steps/sample_steps_readers_steps.py
@@ -22,8 +22,8 @@
     assert context.sample_read.ok == _read_numbers(numbers), context.sample_read
 
 
-@behave.then('they are written as "{text}"')
-@behave.then('they are written as ""')
+@behave.then('the sample set is written as "{text}"')
+@behave.then('the sample set is written as ""')
 def check_written(context, text=""):
     assert held.write_held(context.sample_read.ok) == text
 
