--- a/features/samples.feature
+++ b/features/samples.feature
@@ -3,7 +3,7 @@
 
   Scenario Outline: A label follows from the pieces of a sample
     When a sample resumed from <resumed> is made of the pieces <pieces>
-    And the sample's engine read <before> before and <after> after, with <orders> order open
+    And the sample's engine read <before> before and <after> after, <orders> order open
     Then the sample's label is <label>
 
     Examples: all pieces stated
--- a/features/steps/samples_steps.py
+++ b/features/steps/samples_steps.py
@@ -26,7 +26,7 @@
         context.sample_label.add(version, tokens)
 
 
-@behave.when("the sample's engine read {before} before and {after} after, with {orders} order open")
+@behave.when("the sample's engine read {before} before and {after} after, {orders} order open")
 def assume_label(context, before, after, orders):
     context.sample_label.assume(_read_optional(before), _read_optional(after), orders == "an")
 
@@ -201,6 +201,6 @@
     assert shown == (stale, remade), shown
 
 
-@behave.then("the last delivered sample's text is \"{text}\"")
+@behave.then('the last delivered sample\'s text is "{text}"')
 def check_text(context, text):
     assert context.sample_driver.answers[-1].ok.samples[-1].text == text
