--- a/features/samples.feature
+++ b/features/samples.feature
@@ -3,7 +3,7 @@
 
   Scenario Outline: A label follows from the pieces of a sample
     When a sample resumed from <resumed> is made of the pieces <pieces>
-    And its engine read <before> before and <after> after, with <orders> order open
+    And the sample's engine read <before> before and <after> after, <orders> order open
     Then the sample's label is <label>
 
     Examples: all pieces stated
@@ -41,7 +41,7 @@
     When its sample events are pull 7, start 2, <events>, start, whole c 8/3, pull 7
     Then the samples started were 0 1 <work>
     And the sample pulls were answered empty; <answer>
-    And the last delivered text is "<text>"
+    And the last delivered sample's text is "<text>"
     And 0 samples were counted stale and <remade> made anew
 
     Examples:
@@ -85,6 +85,20 @@
       | after 0.1, start, broke b, after 0.09, start | 0 none      |
       | after 0.1, start, broke b, after 0.2, start  | 0 0         |
 
+  Scenario Outline: Texts are bounded, one by one, in an answer and in all
+    # The trainer sees short answers, and none of a runaway text. What waits for a trainer that does
+    # not pull is bounded: nothing more is started until it says that it holds some.
+    Given a collector of 20 samples, staleness bound 1
+    When its sample events are pull 7, <events>
+    Then the samples started were <works>
+    And the sample pulls were answered empty<answers>
+
+    Examples:
+      | events                                                                   | works | answers       |
+      | start, flood a 4194305, start, after 1, start                            | 0 1 0 | |
+      | start 2, flood a 4194304, flood b 4194304, done a, done b, pull 7, pull 7 0 | 0 1 | ; 0:7/1; 1:7/1 |
+      | start 16, fill 16, start, pull 7 0, start                                | 0 1 2 3 4 5 6 7 8 9 10 11 12 13 14 15 none 16 | ; 1:7/1 2:7/1 3:7/1 4:7/1 |
+
   Scenario Outline: The longest predicted sample starts first, and groups in turn
     Given a collector of 3 groups of 3 samples, hedges of 0 percent
     When its sample events are pull 7, <events>
@@ -101,7 +115,7 @@
     # The trainer sees the step whole although one engine is ten times slower than the others. The
     # same sample runs twice from its text so far; whichever ends first is kept, once.
     Given a collector of 1 groups of 8 samples, hedges of 50 percent
-    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, whole g 7/100, tokens h 7/10, <events>
+    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, whole g 7/100, tokens h 7/10, after 50, <events>
     Then the samples started were 0 1 2 3 4 5 6 7 <works>
     And the sample work cancelled was <cancelled>
     And the sample pulls were answered empty; <answer>
@@ -118,7 +132,7 @@
 
   Scenario Outline: Hedges keep to their budget, and length alone is no reason
     Given a collector of 1 groups of 8 samples, hedges of <percent> percent
-    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, <events>
+    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, after 50, <events>
     Then the samples started were 0 1 2 3 4 5 6 7 <works>
     And the sample work cancelled was <cancelled>
 
@@ -129,7 +143,7 @@
       | 12      | tokens h 7/10, start 2                                   | 7<10! none  | none      |
       | 12      | tokens g 7/10, tokens h 7/9, start 2                     | 7<9! none   | none      |
       | 50      | tokens g 7/10, tokens h 7/9, start 3                     | 7<9! 6<10! none | none  |
-      | 50      | tokens g 7/100, tokens h 7/100, after 90, tokens h 7/200, tokens g 7/899, start | 7<300! | none |
+      | 50      | tokens g 7/100, tokens h 7/100, after 90, tokens h 7/200, tokens g 7/899, pull 7, start | 7<300! | none |
       | 50      | tokens g 7/500, tokens h 7/600, start                    | none        | none      |
       | 12      | tokens h 7/10, start, after 1, tokens i 7/97             | 7<10!       | h         |
       | 12      | tokens h 7/10, start, after 1, tokens h 7/80, tokens i 7/3, after 100, tokens i 7/94 | 7<10! | i |
@@ -138,7 +152,7 @@
     # The trainer sees the step whole although an engine hangs and the budget is spent. The text so
     # far is resumed on another engine and the old attempt is cancelled, so no token is made twice.
     Given a collector of 1 groups of 8 samples, hedges of <percent> percent, then moves
-    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, whole g 7/100, <events>
+    When its sample events are pull 7, start 8, after 10, whole a 7/100, whole b 7/100, whole c 7/100, whole d 7/100, whole e 7/100, whole f 7/100, whole g 7/100, after 50, <events>
     Then the samples started were 0 1 2 3 4 5 6 7 <works>
     And the sample work cancelled was <cancelled>
     And the sample pulls were answered empty; <answer>
@@ -149,6 +163,6 @@
       | 11      | tokens h 7/10, start, whole i 8/3, pull 7 0-6                      | 7<10           | h         | 7:7/10+8/3 complete |
       | 0       | start, whole i 8/3, pull 7 0-6                                     | 7              | h         | 7:8/3 complete      |
       | 0       | tokens h ?/10, start, settled h 7, pull 7 0-6                      | none           | none      | 7:7/10 complete     |
-      | 0       | tokens h 7/10, start, after 20, start, whole j 8/3, pull 7 0-6     | 7<10 7<10      | h i       | 7:7/10+8/3 complete |
+      | 0       | tokens h 7/10, start, after 60, start, whole j 8/3, pull 7 0-6     | 7<10 7<10      | h i       | 7:7/10+8/3 complete |
       | 12      | tokens h 7/10, start, after 20, tokens h 7/2, after 20, start, whole j 8/3, pull 7 0-6 | 7<10! 7<12 | h i | 7:7/12+8/3 complete |
       | 12      | tokens h 7/10, start, after 9, tokens i 7/80, start, whole i 8/3, pull 7 0-6 | 7<10! none | h | 7:7/90+8/3 complete |
