Send a sample's next attempt elsewhere, and count what each trainer received

The last sidecar of a sample is avoided if there is another, cancellations go out first, the counts are made where a sample is known to be new, and too many steps is 503 with Retry-After.

--- a/libs/claims/oleander_claims/shard.py
+++ b/libs/claims/oleander_claims/shard.py
@@ -143,9 +143,9 @@
         After an error the claimant must not act: its record may still come to stand in the log.
         """
         if not self._caught_up:
-            return expression.Error(ClaimError("claims are still being read", 1000))
+            return expression.Error(ClaimError("claims-unread", 1000))
         if self._is_log_failing():
-            return expression.Error(ClaimError("the log is failing", 1000))
+            return expression.Error(ClaimError("log-failing", 1000))
         proposal = _Proposal(claim, deadline, concurrent.futures.Future())
         with self._lock:
             self._proposals[claim.nonce] = proposal
@@ -166,12 +166,12 @@
         try:
             self._waiting.put_nowait(proposal)
         except queue.Full:
-            return expression.Error(ClaimError("too many claims are waiting", 500))
+            return expression.Error(ClaimError("claims-waiting", 500))
         try:
             return proposal.decided.result(timeout=proposal.deadline.remaining)
         except concurrent.futures.TimeoutError:
             if proposal.decided.cancel():
-                return expression.Error(ClaimError("the log did not answer in time", 1000))
+                return expression.Error(ClaimError("log-slow", 1000))
             return proposal.decided.result()
 
     def _append_groups(self) -> None:
@@ -215,7 +215,7 @@
             futures = [item.decided for item in group]
             concurrent.futures.wait(futures, timeout=_READ_BACK_SECONDS)
         self._failing_until = clock.start_deadline(_RETRY_SECONDS)
-        refusal = ClaimError("the log did not take the claim", max(200, error.retry_after_ms))
+        refusal = ClaimError("log-failing", max(200, error.retry_after_ms))
         for item in group:
             item.settle(expression.Error(refusal))
 
@@ -267,7 +267,7 @@
             lost = list(self._proposals.values())
             self._next_offset = first_offset
         for proposal in lost:
-            proposal.settle(expression.Error(ClaimError("the claim can't be read back", 1000)))
+            proposal.settle(expression.Error(ClaimError("claim-lost", 1000)))
 
     def _fold_record(self, record: logservice.Record) -> None:
         invariants.require(
--- a/libs/samples/oleander_samples/collector.py
+++ b/libs/samples/oleander_samples/collector.py
@@ -195,7 +195,8 @@
                     return expression.Error(pulls.PullRefusal(refused))
                 answer = self._build_answer(pull)
                 if answer.samples or answer.complete or deadline.is_past:
-                    metrics.count(metrics.SAMPLES_DELIVERED, self._inventory.note_offered(answer))
+                    fresh = self._inventory.note_offered(answer)
+                    steps.count_samples(self._step, metrics.SAMPLES_DELIVERED, fresh)
                     return expression.Ok(answer)
                 self._changed.wait(deadline.remaining)
 
@@ -263,8 +264,8 @@
         oldest_version = self._find_oldest_allowed()
         self._scheduler.raise_oldest(oldest_version, now)
         for number in self._inventory.drop_stale(oldest_version):
-            metrics.count(metrics.SAMPLES_STALE)
-            metrics.count(metrics.SAMPLES_REMADE)
+            steps.count_samples(self._step, metrics.SAMPLES_STALE)
+            steps.count_samples(self._step, metrics.SAMPLES_REMADE)
             self._scheduler.restore(number, now)
 
     def _set_held(self, numbers: frozenset[int]) -> None:
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -107,7 +107,7 @@
             self._make_anew(attempt, now + self._choose_delay(attempt.work.number))
             return expression.Error(work.Outcome.UNKNOWN_LABEL)
         if self._is_stale(built.ok.oldest_version):
-            metrics.count(metrics.SAMPLES_STALE)
+            steps.count_samples(self._step, metrics.SAMPLES_STALE)
             self._make_anew(attempt, now)
             return expression.Error(work.Outcome.STALE)
         self._learn(attempt, now)
@@ -160,8 +160,8 @@
         for number, partial in list(self._partials.items()):
             if self._is_stale(partial.oldest_version):
                 del self._partials[number]
-                metrics.count(metrics.SAMPLES_STALE)
-                metrics.count(metrics.SAMPLES_REMADE)
+                steps.count_samples(self._step, metrics.SAMPLES_STALE)
+                steps.count_samples(self._step, metrics.SAMPLES_REMADE)
 
     def cancel(self, work_ids: tuple[str, ...]) -> None:
         """Remember work to be cancelled at its engines."""
@@ -259,7 +259,7 @@
         return oldest_version is not None and oldest_version < self._oldest_version
 
     def _cancel_stale(self, attempt: work.Attempt, now: float) -> None:
-        metrics.count(metrics.SAMPLES_STALE)
+        steps.count_samples(self._step, metrics.SAMPLES_STALE)
         self._cancel(attempt)
         self._make_anew(attempt, now)
 
@@ -281,7 +281,7 @@
         if self._attempts.find_all(number):
             return
         if attempt.tokens:
-            metrics.count(metrics.SAMPLES_REMADE)
+            steps.count_samples(self._step, metrics.SAMPLES_REMADE)
         self._backlog.add_retry(number, ready_at)
 
     def _choose_delay(self, number: int) -> float:
--- a/libs/samples/oleander_samples/steps.py
+++ b/libs/samples/oleander_samples/steps.py
@@ -3,7 +3,7 @@
 import dataclasses
 import json
 
-from oleander_base import identifiers
+from oleander_base import identifiers, metrics
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -47,6 +47,13 @@
         return sum(item.samples for item in self.groups)
 
 
+def count_samples(step: Step, metric: str, amount: int = 1) -> None:
+    """Count samples under a metric, and under the trainer for the report."""
+    kind = metric.rpartition(".")[2]
+    metrics.count(metric, amount)
+    metrics.count(f"customer.{step.customer}.trainer.{step.trainer}.{kind}", amount)
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class LabelPart:
     """Consecutive tokens that one weight version made."""
--- a/programs/oleanderdeal/oleanderdeal/dispatch.py
+++ b/programs/oleanderdeal/oleanderdeal/dispatch.py
@@ -44,6 +44,9 @@
 class Observer:
     """Sees a job's tokens as they come, and says when nobody wants them any more."""
 
+    def see_peer(self, name: str) -> None:
+        """Take the name of the sidecar that the job is given to."""
+
     def see_tokens(self, tokens: messages.Tokens) -> None:
         """Take the next tokens."""
 
@@ -94,9 +97,23 @@
             excluded |= {ended.peer}
         yield _correct_outcome(ended, may_have_run)
 
-    def run_once(self, job: Job, deadline: clock.Deadline, observer: Observer) -> Ended:
-        """Return what became of a single attempt, for callers that retry by themselves."""
-        events = self._try_once(job, 1, frozenset(), deadline, observer)
+    def run_once(
+        self, job: Job, deadline: clock.Deadline, observer: Observer, avoided: frozenset[str]
+    ) -> Ended:
+        """
+        Return what became of a single attempt, for callers that retry by themselves.
+
+        Sidecars to avoid are taken all the same if there are no others.
+        """
+        ended = self._run_attempt(job, deadline, observer, avoided)
+        if avoided and not ended.peer:
+            return self._run_attempt(job, deadline, observer, frozenset())
+        return ended
+
+    def _run_attempt(
+        self, job: Job, deadline: clock.Deadline, observer: Observer, avoided: frozenset[str]
+    ) -> Ended:
+        events = self._try_once(job, 1, avoided, deadline, observer)
         while True:
             try:
                 next(events)
@@ -120,6 +137,7 @@
         started_at = clock.read_now()
         outcome = router.RouteOutcome.OK
         self._routes.note_started(chosen.ok)
+        observer.see_peer(chosen.ok)
         try:
             answer = yield from self._call(link, job, attempt, deadline, observer)
             outcome = _judge_route(answer, observer)
--- a/programs/oleanderdeal/oleanderdeal/sampling.py
+++ b/programs/oleanderdeal/oleanderdeal/sampling.py
@@ -6,6 +6,7 @@
 from oleander_base import clock, log, tasks
 from oleander_contracts import contract, fold
 from oleander_samples import collector, registry
+from oleander_samples import steps as sample_steps
 from oleander_samples import work as sample_work
 from oleander_wire import messages
 from oleanderdeal import dispatch
@@ -14,16 +15,55 @@
 _SAMPLE_SECONDS = 600.0
 _LEAST_PAUSE_SECONDS = 0.02
 _MOST_PAUSE_SECONDS = 1.0
+_MOST_LAST_PEERS = 32768
+
+
+class LastPeers:
+    """
+    Who made each sample last; bounded, the sample noted longest ago is forgotten.
+
+    A sample that is moved away from a slow engine, or raced against it, gains nothing by going
+    there again, and an engine that was emptied for its slowness draws work by its low load.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._names: dict[tuple[str, str, int, int], str] = {}
+
+    def note(self, step: sample_steps.Step, number: int, name: str) -> None:
+        """Remember the sidecar that a sample is given to."""
+        key = (step.customer, step.trainer, step.step, number)
+        with self._lock:
+            self._names.pop(key, None)
+            self._names[key] = name
+            while len(self._names) > _MOST_LAST_PEERS:
+                self._names.pop(next(iter(self._names)))
+
+    def find(self, step: sample_steps.Step, number: int) -> frozenset[str]:
+        """Return the sidecar to avoid, if any."""
+        with self._lock:
+            name = self._names.get((step.customer, step.trainer, step.step, number))
+        return frozenset() if name is None else frozenset((name,))
 
 
 class SampleObserver(dispatch.Observer):
     """Hands a sample's tokens to its step as they come."""
 
-    def __init__(self, made_for: collector.StepCollector, work: sample_work.SampleWork) -> None:
+    def __init__(
+        self,
+        made_for: collector.StepCollector,
+        work: sample_work.SampleWork,
+        last_peers: "LastPeers",
+    ) -> None:
         self._made_for = made_for
+        self._last_peers = last_peers
         self._work = work
         self._cancelled = threading.Event()
 
+    def see_peer(self, name: str) -> None:
+        """Remember who makes the sample, so that its next attempt goes elsewhere."""
+        self._last_peers.note(self._made_for.step, self._work.number, name)
+
     def see_tokens(self, tokens: messages.Tokens) -> None:
         """Add the next tokens."""
         self._made_for.note_progress(
@@ -70,6 +110,7 @@
         self._lock = threading.Lock()
         self._observers: dict[str, SampleObserver] = {}
         self._draining = threading.Event()
+        self._last_peers = LastPeers()
         self._turn = 0
 
     @property
@@ -84,6 +125,7 @@
     def feed(self) -> None:
         """Start samples as long as there is work and room, until the group stops."""
         while not self._group.is_stopping:
+            self._cancel_all(self._steps.take_cancellations())
             if not self._slots.acquire(timeout=_IDLE_SECONDS):
                 continue
             taken = None if self._draining.is_set() else self._take_work()
@@ -94,7 +136,7 @@
                 self._start(taken)
 
     def _start(self, taken: _Taken) -> None:
-        observer = SampleObserver(taken.made_for, taken.work)
+        observer = SampleObserver(taken.made_for, taken.work, self._last_peers)
         with self._lock:
             self._observers[taken.work.work_id] = observer
         self._group.start(lambda: self._run_slot(taken, observer))
@@ -108,7 +150,6 @@
             self._slots.release()
 
     def _take_work(self) -> _Taken | None:
-        self._cancel_all(self._steps.take_cancellations())
         open_steps = self._steps.collectors
         self._turn += 1
         for position in range(len(open_steps)):
@@ -141,7 +182,8 @@
         observer: SampleObserver,
     ) -> None:
         deadline = clock.start_deadline(_SAMPLE_SECONDS)
-        ended = self._dispatcher.run_once(job, deadline, observer)
+        avoided = self._last_peers.find(made_for.step, work.number)
+        ended = self._dispatcher.run_once(job, deadline, observer, avoided)
         if ended.answer.outcome is messages.Outcome.DONE:
             self._cancel_all(made_for.finish_work(work.work_id).losers)
             return
--- a/programs/oleanderdeal/oleanderdeal/trainer_api.py
+++ b/programs/oleanderdeal/oleanderdeal/trainer_api.py
@@ -105,7 +105,6 @@
         accounts.count_samples(customer, trainer, "idle_ms", waited_ms)
         if pulled.is_error():
             return _refuse_pull(pulled.error)
-        accounts.count_samples(customer, trainer, "delivered", len(pulled.ok.samples))
         encoded = pulls.write_answer(pulled.ok)
         return http_messages.HttpAnswer(
             200,
@@ -137,6 +136,12 @@
 
 
 def _refuse_step(reason: registry.RefusalReason) -> http_messages.HttpAnswer:
+    if reason is registry.RefusalReason.TOO_MANY:
+        return http_messages.answer_problem(
+            http_messages.Problem(
+                503, "Too many steps are open here.", "not-run", reason.value, _RETRY_MS
+            )
+        )
     return http_messages.answer_problem(
         http_messages.Problem(409, "The step was not registered.", "not-run", reason.value)
     )
--- a/standins/oleander_standins/demo.py
+++ b/standins/oleander_standins/demo.py
@@ -53,9 +53,11 @@
         call_operations(deployed)
         for future in trained:
             print(future.result())
-    report = deployed.run_command("report", *deployed.entry_flags())
-    assert report.returncode == 0, report.stderr
-    print(report.stdout)
+    log_flags = ("--log_url", deployed.cluster.url("log"))
+    for command in (("report", *deployed.entry_flags()), ("audit",)):
+        ended = deployed.run_command(*command, *log_flags)
+        assert ended.returncode == 0, ended.stderr
+        print(ended.stdout)
 
 
 def start_all(deployed: deployment.Deployment) -> None:
