--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export PYTHONPATH = $(subst $(space),:,$(abspath $(SOURCE_PATHS)))
 export PYTHONDONTWRITEBYTECODE = 1
 
-.PHONY: install format check test demo bench soak binary
+.PHONY: install format check pages test demo bench soak binary
 
 install: $(VENV)/.installed
 
@@ -25,6 +25,10 @@
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy $(SOURCE_PATHS)
 	$(VENV)/bin/lint-imports --no-cache
+	$(PYTHON) programs/generate_pages.py --check
+
+pages: install
+	$(PYTHON) programs/generate_pages.py
 
 test: install
 	$(PYTHON) features/run.py $(FEATURES)
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -82,6 +82,38 @@
     "queue.depth", "gauge", "requests", "Requests waiting at a sidecar.", "Add servers."
 )
 
+RUNNING = _declare(
+    "queue.running",
+    "gauge",
+    "requests",
+    "Requests that run at a sidecar's backend server.",
+    "None.",
+)
+REQUEST_MS = _declare(
+    "requests.ms",
+    "timer",
+    "ms",
+    "How long an entry took to answer a caller.",
+    "Compare p99 with the timeouts of the contracts.",
+)
+SAMPLES_RUNNING = _declare(
+    "samples.running", "gauge", "samples", "Samples that an entry has in the making.", "None."
+)
+CONFIGURATION_OFFSET = _declare(
+    "configuration.offset",
+    "gauge",
+    "offset",
+    "The newest configuration record applied.",
+    "Hosts that stay behind are cut off from the log and from their peers.",
+)
+WEIGHT_VERSION = _declare(
+    "weights.version",
+    "gauge",
+    "version",
+    "The version that the engine confirmed; -1 in doubt.",
+    "An engine that stays at -1 or behind gets no work: see the orders in the audit trail.",
+)
+
 _lock = threading.Lock()
 _counts: collections.Counter[str] = collections.Counter()
 _client: statsd.StatsClient | None = None
--- /dev/null
+++ b/programs/generate_pages.py
@@ -0,0 +1,79 @@
+"""Write the pages that are made from tables in the code; `--check` only tells drift."""
+
+import pathlib
+import sys
+
+from oleander_base import metrics
+from oleanderdeal import setting_table, usage
+
+_DOCS = pathlib.Path(__file__).resolve().parent.parent / "docs"
+_SETTINGS_HEAD = """# Settings
+
+Made from the table in `setting_table.py` by `make pages`. Each setting is a flag `--name` and an
+environment variable; the flag goes first. All are checked together at the start, and every fault is
+reported with its source. An unknown flag or variable with our prefix is an error that names the nearest.
+"""
+_METRICS_HEAD = """# Metrics
+
+Made from the table in `metrics.py` by `make pages`. Sent by UDP in statsd's form to `--statsd_host`, named
+`oleanderdeal.ROLE.NAME.` and what stands below. Counts are kept in memory too; `report` reads them.
+"""
+_ALERTS = """
+## Alerts to start with
+
+| alert | when | first look |
+|---|---|---|
+| a promise is broken | `invariant.broken` above 0 | the log line `event=invariant-broken`; keep all logs |
+| outcomes unknown | `requests.unknown` above 1 in 1,000 for 5 min | sidecars that ended, links that break |
+| the log is down | `log.failed_calls` rises on most hosts for 1 min | the platform's log; OPERATIONS, "The log is down" |
+| too little capacity | `requests.refused` above 5 in 100 for 5 min | `queue.depth`, the report's refusals by reason |
+| samples go stale | `samples.stale` above 1 in 10 of `samples.delivered` | step length against version interval; the contract's bound |
+| configuration lags | `configuration.offset` differs between hosts for 30 s | hosts cut off from the log and from their peers |
+"""
+
+
+def write_settings() -> str:
+    """Return the page of settings."""
+    lines = [_SETTINGS_HEAD]
+    for command in setting_table.Command:
+        lines += [f"## oleanderdeal {command}", "", usage.summarize(command), ""]
+        lines += ["| flag | variable | values | default | meaning |", "|---|---|---|---|---|"]
+        for setting in setting_table.list_settings(command):
+            default = usage.describe_default(setting).removeprefix("default: ")
+            values = usage.describe_values(setting)
+            lines.append(
+                f"| `{setting.flag}` | `{setting.variable}` | {values} | {default} "
+                f"| {setting.help} |"
+            )
+        lines.append("")
+    return "\n".join(lines)
+
+
+def write_metrics() -> str:
+    """Return the page of metrics."""
+    lines = [_METRICS_HEAD, "| name | type | unit | meaning | when it moves |"]
+    lines.append("|---|---|---|---|---|")
+    for item in metrics.list_metrics():
+        lines.append(
+            f"| `{item.name}` | {item.kind} | {item.unit} | {item.meaning} | {item.action} |"
+        )
+    return "\n".join(lines) + "\n" + _ALERTS
+
+
+def main() -> None:
+    """Write both pages, or say which one has drifted."""
+    pages = {"SETTINGS.md": write_settings(), "METRICS.md": write_metrics()}
+    is_check = "--check" in sys.argv
+    drifted = [
+        name
+        for name, text in pages.items()
+        if not (_DOCS / name).exists() or (_DOCS / name).read_text() != text
+    ]
+    if is_check and drifted:
+        sys.exit(f"docs differ from the tables, run make pages: {', '.join(drifted)}")
+    for name in drifted:
+        (_DOCS / name).write_text(pages[name])
+
+
+if __name__ == "__main__":
+    main()
--- a/programs/oleanderdeal/oleanderdeal/caller_api.py
+++ b/programs/oleanderdeal/oleanderdeal/caller_api.py
@@ -7,7 +7,7 @@
 import json
 import typing
 
-from oleander_base import metrics
+from oleander_base import clock, metrics
 from oleander_contracts import fold
 from oleander_wire import messages
 from oleanderdeal import (
@@ -62,10 +62,12 @@
             return _write_answer(read.ok, answer)
         if read.ok.is_streamed:
             return self._stream(read.ok, request.is_gone, gate)
+        started_at = clock.read_now()
         try:
             return self._run(read.ok, request.is_gone)
         finally:
             self._threads.give_back(gate)
+            metrics.record_timing(metrics.REQUEST_MS, (clock.read_now() - started_at) * 1000)
 
     def issue_key(self, customer: str, operation_name: str) -> http_messages.HttpAnswer:
         """Issue an idempotency key for one request that may not be repeated."""
--- a/programs/oleanderdeal/oleanderdeal/configuration.py
+++ b/programs/oleanderdeal/oleanderdeal/configuration.py
@@ -127,6 +127,8 @@
         self._announce_since(before)
 
     def _announce_since(self, before: int) -> None:
-        if self._configuration.applied_offset > before:
+        applied = self._configuration.applied_offset
+        metrics.record_gauge(metrics.CONFIGURATION_OFFSET, applied)
+        if applied > before:
             for listener in self._listeners:
                 listener()
--- a/programs/oleanderdeal/oleanderdeal/executor.py
+++ b/programs/oleanderdeal/oleanderdeal/executor.py
@@ -109,6 +109,7 @@
         for dropped in self._queue.take_dropped():
             self._refuse(dropped.work.work_id, dropped.refusal)
         metrics.record_gauge(metrics.QUEUE_DEPTH, self._queue.queued)
+        metrics.record_gauge(metrics.RUNNING, self._queue.running)
 
     def _refuse(self, work_id: str, refusal: admission_work.Refusal) -> None:
         answer = messages.Answer(
--- a/programs/oleanderdeal/oleanderdeal/sampling.py
+++ b/programs/oleanderdeal/oleanderdeal/sampling.py
@@ -3,7 +3,7 @@
 import dataclasses
 import threading
 
-from oleander_base import clock, log, tasks
+from oleander_base import clock, log, metrics, tasks
 from oleander_contracts import contract, fold
 from oleander_samples import collector, registry
 from oleander_samples import steps as sample_steps
@@ -126,6 +126,7 @@
         """Start samples as long as there is work and room, until the group stops."""
         while not self._group.is_stopping:
             self._cancel_all(self._steps.take_cancellations())
+            metrics.record_gauge(metrics.SAMPLES_RUNNING, len(self._observers))
             if not self._slots.acquire(timeout=_IDLE_SECONDS):
                 continue
             taken = None if self._draining.is_set() else self._take_work()
--- a/programs/oleanderdeal/oleanderdeal/usage.py
+++ b/programs/oleanderdeal/oleanderdeal/usage.py
@@ -15,6 +15,11 @@
 }
 
 
+def summarize(command: setting_table.Command) -> str:
+    """Return what a command does, in a few words."""
+    return _SUMMARIES[command]
+
+
 def format_usage() -> str:
     """Return the help of the program as a whole."""
     width = max(len(command) for command in setting_table.Command)
@@ -35,13 +40,14 @@
 
 def _format_setting(setting: setting_table.Setting) -> list[str]:
     return [
-        f"  {setting.flag}  ({_describe_values(setting)}; {_describe_default(setting)})",
+        f"  {setting.flag}  ({describe_values(setting)}; {describe_default(setting)})",
         f"      {setting.help}",
         f"      variable: {setting.variable}",
     ]
 
 
-def _describe_values(setting: setting_table.Setting) -> str:
+def describe_values(setting: setting_table.Setting) -> str:
+    """Return what a setting may be, with its unit."""
     if setting.kind is setting_table.Kind.CHOICE:
         return ", ".join(str(choice) for choice in setting.choices)
     if setting.kind is setting_table.Kind.INTEGER:
@@ -51,7 +57,8 @@
     return str(setting.kind)
 
 
-def _describe_default(setting: setting_table.Setting) -> str:
+def describe_default(setting: setting_table.Setting) -> str:
+    """Return what holds where a setting is not given."""
     if setting.default is None:
         return "must be given"
     if setting.default == "":
--- a/programs/oleanderdeal/oleanderdeal/weights.py
+++ b/programs/oleanderdeal/oleanderdeal/weights.py
@@ -11,7 +11,7 @@
 import threading
 
 from oleander_backends import engine
-from oleander_base import clock, log, tasks
+from oleander_base import clock, log, metrics, tasks
 from oleander_contracts import fold
 
 _CALL_SECONDS = 2.0
@@ -165,6 +165,7 @@
     def _set_state(self, version: int | None, order_open: bool) -> None:
         with self._lock:
             self._state = WeightState(version, self._state.orders_given, order_open)
+        metrics.record_gauge(metrics.WEIGHT_VERSION, -1 if version is None else version)
 
     def _back_off(self) -> float:
         self._failures = min(self._failures + 1, 10)
