Let nobody in without a token, allow two tokens a customer, be ready once claims are read

Causes, found in review and by a flaky scenario. (1) An empty table of tokens let everyone in, the operators' reads too, though the help said the opposite. (2) A customer's second token silently replaced the first, so that none could be rotated.

--- a/libs/claims/oleander_claims/book.py
+++ b/libs/claims/oleander_claims/book.py
@@ -16,9 +16,9 @@
         self._shards = [shard.ClaimShard(n, service, group, window) for n in range(shards)]
 
     @property
-    def is_caught_up(self) -> bool:
-        """Whether every stream was read to what was its end at start."""
-        return all(item.is_caught_up for item in self._shards)
+    def is_settled(self) -> bool:
+        """Whether claims are decided as well as they can be: all read, or the log is down."""
+        return all(item.is_settled for item in self._shards)
 
     def start(self) -> None:
         """Start following every stream."""
--- a/libs/claims/oleander_claims/shard.py
+++ b/libs/claims/oleander_claims/shard.py
@@ -111,6 +111,7 @@
         self._table = ClaimTable(shard, window)
         self._next_offset = 0
         self._caught_up = False
+        self._read_failed = False
         self._failing_until: clock.Deadline | None = None
         self._append_stuck_at: clock.Deadline | None = None
         self._waiting: queue.Queue[_Proposal] = queue.Queue(_MOST_WAITING)
@@ -122,9 +123,9 @@
         return self._caught_up
 
     @property
-    def next_offset(self) -> int:
-        """The first offset that was not read yet."""
-        return self._next_offset
+    def is_settled(self) -> bool:
+        """Whether the stream was read to its end, or can't be read now."""
+        return self._caught_up or self._read_failed
 
     def start(self) -> None:
         """Start the two tasks that follow the stream and append to it."""
@@ -231,6 +232,7 @@
         page = self._service.read(
             self._stream, _BEYOND_END, 0, clock.start_deadline(_READ_SECONDS)
         )
+        self._read_failed = page.is_error()
         if page.is_error():
             self._report_read_failure(page.error)
             return False
@@ -242,6 +244,7 @@
     def _read_page(self) -> bool:
         deadline = clock.start_deadline(_READ_WAIT_MS / 1000 + _READ_SECONDS)
         page = self._service.read(self._stream, self._next_offset, _READ_WAIT_MS, deadline)
+        self._read_failed = page.is_error()
         if page.is_error():
             self._report_read_failure(page.error)
             return False
--- a/programs/oleanderdeal/oleanderdeal/access.py
+++ b/programs/oleanderdeal/oleanderdeal/access.py
@@ -1,8 +1,11 @@
 """Who may do what: one token a customer, one for operators."""
 
+import collections.abc
 import enum
 import hmac
 
+from oleanderdeal import setting_values
+
 OPERATOR = "operator"
 _SCHEME = "Bearer "
 
@@ -16,21 +19,23 @@
 
 
 class AccessTable:
-    """Compares tokens in constant time."""
+    """
+    Compares tokens in constant time; who has none is not let in.
+
+    A customer may have several, so that a new one is known before the old one goes.
+    """
 
-    def __init__(self, tokens: dict[str, str]) -> None:
-        self._tokens = tokens
+    def __init__(self, tokens: collections.abc.Iterable[setting_values.CustomerToken]) -> None:
+        self._tokens = tuple(tokens)
 
     def check(self, customer: str, authorization: str) -> Access:
         """Return whether the header's token is this customer's or an operator's."""
-        if not self._tokens:
-            return Access.ALLOWED
         if not authorization.startswith(_SCHEME):
             return Access.NO_TOKEN
         presented = authorization[len(_SCHEME) :]
-        matches = [self._matches(name, presented) for name in (customer, OPERATOR)]
+        matches = [
+            hmac.compare_digest(presented.encode(), item.token.encode())
+            for item in self._tokens
+            if item.customer in (customer, OPERATOR)
+        ]
         return Access.ALLOWED if any(matches) else Access.FORBIDDEN
-
-    def _matches(self, name: str, presented: str) -> bool:
-        expected = self._tokens.get(name, "")
-        return bool(expected) and hmac.compare_digest(presented.encode(), expected.encode())
--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -89,9 +89,7 @@
         )
         threads = gates.ThreadGates(chosen.http_threads)
         handler = entry_handler.EntryHandler(
-            tokens=access.AccessTable(
-                {item.customer: item.token for item in chosen.customer_tokens}
-            ),
+            tokens=access.AccessTable(chosen.customer_tokens),
             callers=caller_api.CallerApi(
                 self._in_force,
                 dispatcher,
@@ -160,7 +158,7 @@
     def _is_ready(self) -> bool:
         if self._leaving.is_set() or not self._follower.is_caught_up:
             return False
-        return bool(self._routes.list_peers())
+        return self._claims.is_settled and bool(self._routes.list_peers())
 
     def _spread_change(self) -> None:
         for item in self._links.list_links():
