Let the stand-ins stop an order to load at any step

Tests of weight changes must stop one order where they want it, not by time. The relay holds the connections that send a text, one way, and can let later ones pass; the engine stand-in can stop a load halfway and counts generations that begin without whole weights. An entry says how many of its peers take new work, so that a test can wait for what it knows. Ruled out: blocking a direction as a whole, which holds the sidecar's readings as well, so that the order is never given.

--- a/features/deployments.py
+++ b/features/deployments.py
@@ -42,17 +42,23 @@
     `log-entry-a` between an entry and the log. Only those that were asked for are started.
     """
 
-    def __init__(self, cluster, relays=(), hosts=DESKS, entry_flags=()):
+    def __init__(self, cluster, relays=(), hosts=DESKS, entry_flags=(), entries=ENTRIES):
         self.cluster = cluster
         self.deployed = deployment.Deployment(cluster)
         self.hosts = {host.name: host for host in hosts}
         self._entry_flags = entry_flags
+        self.entries = entries
         self._pool = concurrent.futures.ThreadPoolExecutor(_MOST_TASKS)
         self._calls = {}
         self._runs_of_ended = {}
         self.relays = {name: cluster.start_relay(name, _NOWHERE) for name in relays}
         assert all(name.split("-")[0] in _RELAY_KINDS for name in relays), relays
 
+    @property
+    def server_names(self):
+        """The process names of the backend servers."""
+        return [host.server_name for host in self.hosts.values()]
+
     def start(self):
         """Start everything and put the contracts in force at every entry."""
         terms = read_contracts()
@@ -66,7 +72,7 @@
         self._run_all(
             [(self._put_contracts, terms)]
             + [(self.start_sidecar, name) for name in self.hosts]
-            + [(self.start_entry, name) for name in ENTRIES]
+            + [(self.start_entry, name) for name in self.entries]
         )
         self.await_entries(len(terms) - 1)
 
@@ -89,7 +95,10 @@
         """Start a sidecar, or start it anew; a relay before it keeps its address."""
         link = self.relays.get(f"link-{name}")
         self.deployed.start_sidecar(
-            name, backend_url=self._lead_to("service", name), is_listed=link is None
+            name,
+            backend_url=self._lead_to("service", name),
+            log_url=self._lead_to("log", name),
+            is_listed=link is None,
         )
         if link is not None:
             link.target = self.cluster.address(name)
@@ -110,7 +119,7 @@
         """Start a process that has ended."""
         if name in self.hosts:
             self.start_sidecar(name)
-        elif name in ENTRIES:
+        elif name in self.entries:
             self.start_entry(name)
         else:
             self.start_server(name)
@@ -119,9 +128,13 @@
         """Return the host of a backend server."""
         return next(item for item in self.hosts.values() if item.server_name == server_name)
 
+    def find_service(self, name):
+        """Return whether a name is that of a plain service."""
+        return name in self.server_names and self.find_host(name).kind == "service"
+
     def kill(self, name):
         """End a process as a crash would; what a service counted until then is kept."""
-        if name not in self.hosts and name not in ENTRIES:
+        if self.find_service(name):
             for key, runs in self._read_runs(name).items():
                 self._runs_of_ended[key] = self._runs_of_ended.get(key, 0) + runs
         self.cluster.kill(name)
@@ -136,11 +149,19 @@
 
     def count_runs(self, key):
         """Return how often all services together, the ended ones too, ran a key."""
-        services = [host.server_name for host in self.hosts.values() if host.kind == "service"]
+        services = [name for name in self.server_names if self.find_service(name)]
         alive = [name for name in services if self.cluster.find(name).code is None]
         now = sum(self._read_runs(name).get(key, 0) for name in alive)
         return now + self._runs_of_ended.get(key, 0)
 
+    def await_usable(self, count):
+        """Wait until each entry gives new work to so many sidecars."""
+        for name in self.entries:
+            support.wait_until(
+                lambda name=name: self.read_configuration(name)["usable"] == count,
+                f"{name} gives work to {count} sidecars",
+            )
+
     def read_stream(self, stream):
         """Return the records of a log stream."""
         url = f"{self.cluster.url('log')}/streams/{stream}/records?offset=0&limit=500"
--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -102,7 +102,7 @@
                 self._leaving.is_set,
             ),
             follower=self._follower,
-            count_peers=lambda: len(self._routes.list_peers()),
+            list_peers=self._routes.list_peers,
             issue_key=self._claims.issue_key,
             is_ready=self._is_ready,
         )
--- a/programs/oleanderdeal/oleanderdeal/entry_handler.py
+++ b/programs/oleanderdeal/oleanderdeal/entry_handler.py
@@ -3,6 +3,7 @@
 import collections.abc
 
 from oleander_base import metrics
+from oleander_routing import peers
 from oleanderdeal import (
     access,
     caller_api,
@@ -31,7 +32,7 @@
         callers: caller_api.CallerApi,
         trainers: trainer_api.TrainerApi,
         follower: configuration.ConfigurationFollower,
-        count_peers: collections.abc.Callable[[], int],
+        list_peers: collections.abc.Callable[[], list[peers.Peer]],
         issue_key: collections.abc.Callable[[str], str],
         is_ready: collections.abc.Callable[[], bool],
     ) -> None:
@@ -39,7 +40,7 @@
         self._callers = callers
         self._trainers = trainers
         self._follower = follower
-        self._count_peers = count_peers
+        self._list_peers = list_peers
         self._issue_key = issue_key
         self._is_ready = is_ready
 
@@ -70,7 +71,11 @@
         if what == "report":
             return http_messages.answer_json({"counts": metrics.read_counts()})
         offset = self._follower.configuration.applied_offset
-        return http_messages.answer_json({"applied_offset": offset, "peers": self._count_peers()})
+        known = self._list_peers()
+        usable = sum(peer.is_usable for peer in known)
+        return http_messages.answer_json(
+            {"applied_offset": offset, "peers": len(known), "usable": usable}
+        )
 
     def _answer_customer(
         self, request: http_messages.HttpRequest, customer: str, rest: tuple[str, ...]
--- a/standins/oleander_standins/engine.py
+++ b/standins/oleander_standins/engine.py
@@ -41,6 +41,8 @@
     late_load: int = 0
     """So many next loads are dropped at once and carried out after `late_load_ms`."""
     late_load_ms: int = 1000
+    hold_load: bool = False
+    """Loads stop halfway until this is cleared."""
     cut: int = 0
     """So many next generations break off after their first line."""
     pause_after: int = 0
@@ -90,7 +92,8 @@
     def count(self, query: dict[str, str]) -> dict[str, typing.Any]:
         """Return the counts, and the generations unless the query says `generations=no`."""
         counts: dict[str, typing.Any] = {
-            name: self._counts[name] for name in ("runs", "tokens", "cancels", "refused")
+            name: self._counts[name]
+            for name in ("runs", "runs_without_version", "tokens", "cancels", "refused")
         }
         counts |= {
             "running": self._batch.running,
@@ -169,6 +172,7 @@
     def _prefill(self, generation: generations.Generation) -> None:
         with self.changed:
             self._counts["runs"] += 1
+            self._counts["runs_without_version"] += self._weights.version is None
             generation.run = self._counts["runs"]
             hit = bool(generation.prefix) and self._cache.use(
                 generation.prefix, self.settings.cache_entries
@@ -237,6 +241,7 @@
             self.take("fail_load"),
             self.settings.load_ms / 1000,
             self.settings.weights_url,
+            lambda: self.wait_while(lambda: self.settings.hold_load),
         )
         return self._weights.load(order, faults)
 
--- a/standins/oleander_standins/relay.py
+++ b/standins/oleander_standins/relay.py
@@ -27,6 +27,8 @@
         self.target = target
         self._changed = threading.Condition()
         self._blocked: set[str] = set()
+        self._held_text = b""
+        self._held_direction = TO_SERVER
         self._is_cut = False
         self._is_closed = False
         self._pairs: set[_Pair] = set()
@@ -74,6 +76,18 @@
             for pair in self._pairs:
                 pair.blocked.update(_DIRECTIONS)
 
+    def hold_requests(self, text: str, direction: str) -> None:
+        """Hold one way, until healed, each connection that sends a text from now on."""
+        assert direction in _DIRECTIONS, direction
+        with self._changed:
+            self._held_text = text.encode()
+            self._held_direction = direction
+
+    def pass_requests(self) -> None:
+        """Let new connections pass whatever they send; what is held stays held."""
+        with self._changed:
+            self._held_text = b""
+
     def release(self, direction: str) -> None:
         """Pass again what is sent one way, what was held first."""
         assert direction in _DIRECTIONS, direction
@@ -92,6 +106,7 @@
         """Pass everything again, what was held first."""
         with self._changed:
             self._is_cut = False
+            self._held_text = b""
         for direction in _DIRECTIONS:
             self.release(direction)
 
@@ -150,6 +165,8 @@
     ) -> None:
         try:
             while data := source.recv(_MOST_BYTES):
+                if direction == TO_SERVER:
+                    self._hold_matching(pair, data)
                 pair.held.add(direction)
                 self._wait_open(pair, direction)
                 sink.sendall(data)
@@ -160,6 +177,11 @@
             pair.shut()
         self._finish(pair)
 
+    def _hold_matching(self, pair: "_Pair", data: bytes) -> None:
+        with self._changed:
+            if self._held_text and self._held_text in data:
+                pair.blocked.add(self._held_direction)
+
     def _wait_open(self, pair: "_Pair", direction: str) -> None:
         with self._changed:
             self._changed.wait_for(
--- a/standins/oleander_standins/weights.py
+++ b/standins/oleander_standins/weights.py
@@ -35,6 +35,7 @@
     fails: bool
     load_seconds: float
     weights_url: str
+    pause_halfway: collections.abc.Callable[[], None]
 
 
 class Weights:
@@ -102,6 +103,7 @@
     if faults.weights_url and not _fetch(faults.weights_url, order):
         return _STATUS_UNAVAILABLE
     time.sleep(faults.load_seconds / 2)
+    faults.pause_halfway()
     if faults.fails:
         return _STATUS_FAILED
     time.sleep(faults.load_seconds / 2)
