--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -106,7 +106,7 @@
                 threads,
             ),
             follower=self._follower,
-            count_peers=lambda: len(self._routes.list_peers()),
+            list_peers=self._routes.list_peers,
             is_ready=self._is_ready,
         )
         self._server = http_server.HttpServer(
