Walk through the product with the one-file program in an empty environment

Cause: nothing ran the binary's roles, so a part that can't be loaded from an archive would have been found by a user. Packages are fetched only when their pins change.

--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 SOURCE_PATHS = $(wildcard libs/*) programs/oleanderdeal standins
+PRODUCT_FILES = $(shell find libs programs -name '*.py')
 space := $(subst ,, )
 export PYTHONPATH = $(subst $(space),:,$(abspath $(SOURCE_PATHS)))
 export PYTHONDONTWRITEBYTECODE = 1
@@ -30,7 +31,7 @@
 pages: install
 	$(PYTHON) programs/generate_pages.py
 
-test: install
+test: install binary
 	$(PYTHON) features/run.py $(FEATURES)
 
 demo: install
@@ -42,5 +43,7 @@
 soak: install
 	$(PYTHON) features/soak.py --seed $(or $(SEED),1) --minutes $(or $(MINUTES),1)
 
-binary: install
+binary: dist/oleanderdeal
+
+dist/oleanderdeal: requirements.txt $(PRODUCT_FILES) | install
 	$(PYTHON) programs/build_binary.py
--- a/programs/build_binary.py
+++ b/programs/build_binary.py
@@ -7,6 +7,9 @@
 import zipapp
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent
+_REQUIREMENTS = _ROOT / "requirements.txt"
+_PACKAGES = _ROOT / "build" / "packages"
+_PACKAGES_OF = _ROOT / "build" / "packages-of.txt"
 _STAGE = _ROOT / "build" / "zipapp"
 _TARGET = _ROOT / "dist" / "oleanderdeal"
 _NOT_NEEDED = ("*.so", "*.dist-info", "__pycache__", "tests", "bin")
@@ -19,6 +22,10 @@
     Compiled parts can't be loaded from inside an archive, so pip is asked for wheels that have
     none; a package that stops offering one fails the build here rather than at the first start.
     """
+    pinned = _REQUIREMENTS.read_text()
+    if _PACKAGES_OF.exists() and _PACKAGES_OF.read_text() == pinned:
+        return
+    shutil.rmtree(_PACKAGES, ignore_errors=True)
     subprocess.run(
         [
             sys.executable,
@@ -27,9 +34,9 @@
             "install",
             "--quiet",
             "--target",
-            str(_STAGE),
+            str(_PACKAGES),
             "--requirement",
-            str(_ROOT / "requirements.txt"),
+            str(_REQUIREMENTS),
             "--no-deps",
             "--only-binary=:all:",
             "--platform=any",
@@ -39,6 +46,7 @@
         ],
         check=True,
     )
+    _PACKAGES_OF.write_text(pinned)
 
 
 def copy_sources() -> None:
@@ -64,9 +72,10 @@
 def main() -> None:
     """Build dist/oleanderdeal."""
     shutil.rmtree(_STAGE, ignore_errors=True)
-    _STAGE.mkdir(parents=True)
     _TARGET.parent.mkdir(exist_ok=True)
+    _STAGE.parent.mkdir(exist_ok=True)
     install_packages()
+    shutil.copytree(_PACKAGES, _STAGE)
     copy_sources()
     remove_unneeded()
     zipapp.create_archive(
--- a/standins/oleander_standins/deployment.py
+++ b/standins/oleander_standins/deployment.py
@@ -44,9 +44,16 @@
 class Deployment:
     """Starts processes in order and tells the host list about the sidecars."""
 
-    def __init__(self, cluster: processes.Cluster, program: tuple[str, ...] = ()) -> None:
+    def __init__(
+        self,
+        cluster: processes.Cluster,
+        program: tuple[str, ...] = (),
+        environ: dict[str, str] | None = None,
+    ) -> None:
+        """Run the program from the tree, or the given one in its own environment."""
         self._cluster = cluster
         self._program = program or (sys.executable, "-m", "oleanderdeal")
+        self._environ = environ
         self._hosts: dict[str, BackendHost] = {}
         self._entries: list[str] = []
         self._tokens = {"operator": OPERATOR_TOKEN}
@@ -127,7 +134,7 @@
         if host.kind == "engine":
             arguments += ["--model", host.model]
             arguments += ["--checks_fencing"] if host.checks_fencing else []
-        self._cluster.start(name, "oleanderdeal", *arguments)
+        self._start_program(name, arguments)
         if is_listed:
             self.list_host(name, self._cluster.address(name))
 
@@ -145,9 +152,7 @@
     def start_entry(self, name: str, domain: str, *flags: str, log_url: str = "") -> None:
         """Start an entry."""
         tokens = ",".join(f"{customer}={token}" for customer, token in self._tokens.items())
-        self._cluster.start(
-            name,
-            "oleanderdeal",
+        arguments = [
             "entry",
             *("--name", name, "--address", "127.0.0.1:0", "--failure_domain", domain),
             *("--log_url", log_url or self._cluster.url("log")),
@@ -155,7 +160,8 @@
             *("--customer_tokens", tokens, "--heartbeat_ms", "200"),
             *("--configuration_poll_ms", "200"),
             *flags,
-        )
+        ]
+        self._start_program(name, arguments)
         if name not in self._entries:
             self._entries.append(name)
 
@@ -176,6 +182,7 @@
             text=True,
             timeout=_COMMAND_SECONDS,
             check=False,
+            env=self._environ,
         )
 
     def publish(self, path: pathlib.Path) -> subprocess.CompletedProcess[str]:
@@ -222,6 +229,9 @@
         """Return the headers that show a customer's token."""
         return {"Authorization": f"Bearer {self._tokens[customer]}"}
 
+    def _start_program(self, name: str, arguments: list[str]) -> None:
+        self._cluster.start_command(name, [*self._program, *arguments], self._environ)
+
     def _has_peers(self, name: str, peers: int) -> bool:
         return self._count_peers(name) >= peers
 
--- a/standins/oleander_standins/processes.py
+++ b/standins/oleander_standins/processes.py
@@ -52,18 +52,24 @@
     """One child; a thread reads its output, so that it never blocks, up to a bound of lines."""
 
     def __init__(
-        self, name: str, arguments: collections.abc.Iterable[object], log_path: pathlib.Path
+        self,
+        name: str,
+        command: collections.abc.Sequence[str],
+        log_path: pathlib.Path,
+        environ: dict[str, str] | None = None,
     ) -> None:
+        """Start a command, in its own environment or in this process's."""
         self.name = name
         self.address = ""
         self.lines: queue.Queue[str] = queue.Queue(_MOST_LINES)
         self._log_path = log_path
         with log_path.open("ab") as log_file:
             self._child = subprocess.Popen(
-                [sys.executable, "-m", *map(str, arguments)],
+                command,
                 stdout=subprocess.PIPE,
                 stderr=log_file,
                 text=True,
+                env=environ,
             )
         self._ready = threading.Event()
         self._reader = threading.Thread(target=self._read_lines, daemon=True)
@@ -138,9 +144,20 @@
 
     def start(self, name: str, module: str, *arguments: object, ready: bool = True) -> Process:
         """Start a module and, unless told otherwise, wait until it listens."""
+        command = [sys.executable, "-m", module, *map(str, arguments)]
+        return self.start_command(name, command, None, ready)
+
+    def start_command(
+        self,
+        name: str,
+        command: collections.abc.Sequence[str],
+        environ: dict[str, str] | None,
+        ready: bool = True,
+    ) -> Process:
+        """Start a command, with this process's environment if none is given."""
         self.close(name)
         log_path = pathlib.Path(self._logs.name) / f"{name}.log"
-        process = Process(name, [module, *arguments], log_path)
+        process = Process(name, command, log_path, environ)
         self._processes[name] = process
         if ready:
             process.wait_ready()
