--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH = $(subst $(space),:,$(abspath $(SOURCE_PATHS)))
 export PYTHONDONTWRITEBYTECODE = 1
 
-.PHONY: install format check pages test demo bench soak binary
+.PHONY: install format check pages test demo site bench soak binary
 
 install: $(VENV)/.installed
 
@@ -37,6 +37,9 @@
 demo: install
 	$(PYTHON) -m oleander_standins.demo
 
+site: install binary
+	$(PYTHON) -m oleander_standins.site
+
 bench: install
 	$(PYTHON) bench/run.py
 
