--- a/programs/oleanderdeal/oleanderdeal/accounts.py
+++ b/programs/oleanderdeal/oleanderdeal/accounts.py
@@ -1,12 +1,18 @@
 """Counts what each customer received, by the names that the report reads."""
 
-from oleander_base import metrics
+from oleander_base import log, metrics
 from oleander_wire import messages
 from oleanderdeal import callers
 
 
 def count_answer(request: callers.CallerRequest, answer: callers.CallerAnswer) -> None:
     """Count one caller's answer under its customer and operation."""
+    log.logger.bind(
+        event="request",
+        trace=request.trace_id,
+        customer=request.customer,
+        operation=request.operation.name,
+    ).debug(f"{answer.outcome.value} {answer.reason}")
     name = f"customer.{request.customer}.{request.operation.name}"
     match answer.outcome:
         case messages.Outcome.DONE if request.deadline.is_past:
--- a/programs/oleanderdeal/oleanderdeal/executor.py
+++ b/programs/oleanderdeal/oleanderdeal/executor.py
@@ -97,6 +97,7 @@
         service_ms = (clock.read_now() - started_at) * 1000
         is_whole = answer.outcome is messages.Outcome.DONE
         self._queue.finish(work_id, service_ms, completed=is_whole)
+        _log_run(pending, answer, service_ms)
         self._answer(work_id, answer)
 
     def _run_wanted(self, pending: work.PendingRun) -> messages.Answer:
@@ -128,6 +129,13 @@
             pending.answer(answer)
 
 
+def _log_run(pending: work.PendingRun, answer: messages.Answer, service_ms: float) -> None:
+    run = pending.run
+    log.logger.bind(
+        event="run", trace=run.trace_id, customer=run.customer, operation=run.operation
+    ).debug(f"{answer.outcome.value} {answer.reason} in {service_ms:.0f} ms")
+
+
 def _describe_work(pending: work.PendingRun) -> admission_work.Work:
     run = pending.run
     cost = _SERVICE_COST_MS
--- a/programs/oleanderdeal/oleanderdeal/runners.py
+++ b/programs/oleanderdeal/oleanderdeal/runners.py
@@ -139,7 +139,7 @@
 
 def _read_generation(run: messages.Run, terms: messages.GenerationTerms) -> engine.Generation:
     return engine.Generation(
-        request_id=run.request_id,
+        request_id=f"{run.trace_id}.{run.request_id}",
         prompt=run.body.decode("utf-8", "replace"),
         prefix=terms.prefix,
         max_tokens=terms.max_tokens,
