Run lasting tasks anew when they fail, and let a delisted host finish its calls

Causes, found by reading. (1) An unexpected error ended the task that held a link, a slot or a follower for good while the process looked healthy. (2) The host list lags and may be wrong; a host that fell out of it had its link closed at once, which cut requests in progress and made bookings unknown. Ruled out for (2): keeping such links for ever, since subsets change.

--- a/libs/base/oleander_base/tasks.py
+++ b/libs/base/oleander_base/tasks.py
@@ -6,6 +6,8 @@
 
 from oleander_base import clock, log
 
+_AGAIN_SECONDS = 0.5
+
 
 class TaskGroup:
     """Runs a bounded number of tasks; `stop` tells them all, `join` waits for them."""
@@ -30,6 +32,15 @@
         future.add_done_callback(self._forget)
         return future
 
+    def keep(self, task: collections.abc.Callable[[], None]) -> concurrent.futures.Future[None]:
+        """
+        Run a task that is meant to last as long as the group, and run it anew if it fails.
+
+        Without this an unexpected error would end, say, the task that keeps one link open; the
+        process would look healthy and never use that sidecar again.
+        """
+        return self.start(lambda: self._run_again(task))
+
     def pause(self, seconds: float) -> bool:
         """Wait; return False as soon as the group is stopping."""
         return not self._stopping.wait(seconds)
@@ -46,6 +57,15 @@
         self._pool.shutdown(wait=not running, cancel_futures=True)
         return not running
 
+    def _run_again(self, task: collections.abc.Callable[[], None]) -> None:
+        while not self.is_stopping:
+            try:
+                task()
+                return
+            except Exception:
+                log.logger.bind(event="task-failed", group=self._name).exception("running it anew")
+                self.pause(_AGAIN_SECONDS)
+
     def _run(self, task: collections.abc.Callable[[], None]) -> None:
         try:
             task()
--- a/libs/claims/oleander_claims/shard.py
+++ b/libs/claims/oleander_claims/shard.py
@@ -129,8 +129,8 @@
 
     def start(self) -> None:
         """Start the two tasks that follow the stream and append to it."""
-        self._group.start(self._follow)
-        self._group.start(self._append_groups)
+        self._group.keep(self._follow)
+        self._group.keep(self._append_groups)
 
     def find(self, customer: str, key: str) -> records.LoggedClaim | None:
         """Return the claim in force for a key, as far as the stream was read."""
--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -117,12 +117,12 @@
         """Serve until told to stop, then finish what is in progress."""
         self._follower.on_change(self._spread_change)
         self._follower.on_change(self._runs.note_change)
-        self._group.start(self._follower.follow)
-        self._group.start(self._hosts.follow)
-        self._group.start(self._runs.write)
-        self._group.start(self._snapshots.write)
+        self._group.keep(self._follower.follow)
+        self._group.keep(self._hosts.follow)
+        self._group.keep(self._runs.write)
+        self._group.keep(self._snapshots.write)
         self._claims.start()
-        self._group.start(self._sampling.feed)
+        self._group.keep(self._sampling.feed)
         self._group.start(self._server.serve)
         lifecycle.announce_address(self._chosen.listen_host, self._server.port)
         while not stop.wait(1.0):
--- a/programs/oleanderdeal/oleanderdeal/executor.py
+++ b/programs/oleanderdeal/oleanderdeal/executor.py
@@ -45,7 +45,7 @@
     def start(self) -> None:
         """Start one task a slot."""
         for _ in range(self._slots):
-            self._group.start(self._serve_slot)
+            self._group.keep(self._serve_slot)
 
     def submit(self, pending: work.PendingRun) -> None:
         """Queue a request or refuse it at once."""
--- a/programs/oleanderdeal/oleanderdeal/peers.py
+++ b/programs/oleanderdeal/oleanderdeal/peers.py
@@ -98,6 +98,7 @@
         self._stopped = threading.Event()
         self._failures = 0
         self._is_refused = False
+        self._is_retired = False
 
     @property
     def name(self) -> str:
@@ -150,6 +151,14 @@
         with self._opened:
             return self._opened.wait_for(lambda: self.is_open, deadline.remaining)
 
+    def retire(self, is_unwanted: bool) -> bool:
+        """Take the link out of routing or back into it; return whether it can be closed."""
+        if self._routes is not None and is_unwanted:
+            self._routes.remove(self.name)
+        self._is_retired = is_unwanted
+        with self._lock:
+            return is_unwanted and not self._calls
+
     def open_call(self, request_id: str) -> Call:
         """Register a call before its request is sent, so that no event is missed."""
         call = Call(request_id, self.name)
@@ -249,7 +258,7 @@
                 log.warn_bounded("odd-message", f"ignored a {type(message).__name__}")
 
     def _report(self, beat: messages.Heartbeat) -> None:
-        if self._routes is None:
+        if self._routes is None or self._is_retired:
             return
         report = routing_peers.PeerReport(
             failure_domain=self._host.failure_domain,
@@ -322,7 +331,12 @@
             return [*self._links.values(), *self._extra.values()]
 
     def set_hosts(self, hosts: collections.abc.Iterable[hostlist.Host]) -> None:
-        """Route to exactly these hosts; a host whose address changed is linked to anew."""
+        """
+        Route to these hosts; a host whose address changed is linked to anew.
+
+        The list lags and may be wrong, so a host that is not in it gets no new work, but its link
+        stays open until the calls on it have ended.
+        """
         wanted = {host.name: host for host in hosts}
         with self._lock:
             ended = self._drop_unwanted(wanted)
@@ -341,7 +355,7 @@
         ended = [
             item
             for name, item in self._links.items()
-            if name not in wanted or wanted[name].address != item.host.address
+            if item.retire(name not in wanted or wanted[name].address != item.host.address)
         ]
         for item in ended:
             del self._links[item.name]
@@ -356,7 +370,7 @@
 
     def _start(self, host: hostlist.Host, is_routed: bool) -> PeerLink:
         created = self._create_link(host, is_routed)
-        self._group.start(created.keep_open)
+        self._group.keep(created.keep_open)
         return created
 
 
--- a/programs/oleanderdeal/oleanderdeal/sidecar.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar.py
@@ -80,11 +80,11 @@
 
     def run(self, stop: lifecycle.StopSignal) -> None:
         """Serve until told to stop, then finish what runs and what waits."""
-        self._group.start(self._follower.follow)
-        self._group.start(self._trail.write)
+        self._group.keep(self._follower.follow)
+        self._group.keep(self._trail.write)
         if self._keeper is not None:
             self._follower.on_change(self._keeper.wake)
-            self._group.start(self._keeper.keep)
+            self._group.keep(self._keeper.keep)
         self._executor.start()
         self._group.start(self._server.serve)
         lifecycle.announce_address(self._chosen.listen_host, self._server.port)
