Measure the whole service against a baseline in real processes

The baseline is a proxy in bench/: least loaded by lagged reports, FIFO by slots, up to two plain retries, no deadlines or keys. No setting of the product was turned to make it.

Ruled out: a baseline made of settings, since none turns admission or priorities off, and a fault hook in the product for it was not wanted.

--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	$(PYTHON) -m oleander_standins.demo
 
 bench: install
-	$(PYTHON) bench/run.py
+	$(PYTHON) bench/run.py --seed $(or $(SEED),1) --scale $(or $(SCALE),1) --only '$(ONLY)' --json '$(JSON)'
 
 soak: install
 	$(PYTHON) features/soak.py --seed $(or $(SEED),1) --minutes $(or $(MINUTES),1)
--- /dev/null
+++ b/bench/loads.py
@@ -0,0 +1,95 @@
+"""The loads of the bench: who asks for what, how often, and what fails meanwhile."""
+
+import collections.abc
+import dataclasses
+
+import sites
+import traffic
+
+_STRAGGLERS = ("--straggler-every", "5", "--straggler-tokens", "320")
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Fault:
+    """Something that is done to the site at a time after the start."""
+
+    at: float
+    act: collections.abc.Callable[[sites.Site], None]
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class Load:
+    """One load; the same for the baseline and for ours."""
+
+    name: str
+    site: str = "catania"
+    times: float = 1.0
+    """How many times the usual rate."""
+    seconds: float = 6.0
+    behaviour: traffic.Behaviour = traffic.Behaviour()
+    faults: tuple[Fault, ...] = ()
+    trainer_flags: tuple[str, ...] = ()
+    compares: bool = True
+    """Whether the baseline runs it too."""
+
+
+def _set_log_outage(site: sites.Site) -> None:
+    site.cluster.control("log", outage="refuse")
+
+
+def _end_log_outage(site: sites.Site) -> None:
+    site.cluster.control("log", outage="")
+
+
+def _crash_engine(site: sites.Site) -> None:
+    site.cluster.kill(site.engines[0].server_name)
+
+
+def _restart_engine(site: sites.Site) -> None:
+    site.restart_engine(site.engines[0])
+
+
+def _slow_swaps(site: sites.Site) -> None:
+    for host in site.engines[::2]:
+        site.cluster.control(host.server_name, load_ms=1500)
+
+
+def _end_slow_swaps(site: sites.Site) -> None:
+    for host in site.engines[::2]:
+        site.cluster.control(host.server_name, load_ms=50)
+
+
+def _slow_service(site: sites.Site) -> None:
+    site.cluster.control(site.services[0].server_name, service_ms=10 * sites.SERVICE_MS)
+
+
+def _end_slow_service(site: sites.Site) -> None:
+    site.cluster.control(site.services[0].server_name, service_ms=sites.SERVICE_MS)
+
+
+_OUTAGE = (Fault(1.0, _set_log_outage), Fault(4.0, _end_log_outage))
+_GREY = (Fault(0.0, _slow_service), Fault(6.0, _end_slow_service))
+
+LOADS = (
+    Load("catania"),
+    Load("overload-2x", times=2.0),
+    Load("overload-3x", times=3.0),
+    Load("crash", faults=(Fault(1.5, _crash_engine), Fault(4.0, _restart_engine))),
+    Load("swaps", faults=(Fault(0.0, _slow_swaps), Fault(6.0, _end_slow_swaps))),
+    Load("log-outage-own-keys", faults=_OUTAGE),
+    Load(
+        "log-outage-tickets",
+        faults=_OUTAGE,
+        behaviour=traffic.Behaviour(tickets=True),
+        compares=False,
+    ),
+    Load("grey", faults=_GREY),
+    Load("retry-storm", times=3.0, behaviour=traffic.Behaviour(retries=3)),
+    Load("stragglers", times=0.5, seconds=8.0, trainer_flags=_STRAGGLERS),
+    Load("trinidad", site="trinidad"),
+)
+
+
+def find_loads(only: str) -> list[Load]:
+    """Return the loads whose names begin with a text; all for an empty one."""
+    return [load for load in LOADS if load.name.startswith(only)]
