Keep some threads of an entry free to refuse

Cause: the bounds of the classes came to 2.5 times the pool. Ruled out: the sidecars' queues (they saw few expiries), the log (no log-slow refusals).

--- /dev/null
+++ b/features/steps/gates_steps.py
@@ -0,0 +1,22 @@
+"""Steps for the gates of an entry's threads."""
+
+import behave
+
+from oleanderdeal import gates
+
+
+@behave.given(
+    "an entry's gates for {threads:d} threads, held by {critical:d} critical, "
+    "{interactive:d} interactive, {background:d} background and {pulls:d} pulls"
+)
+def step_hold_gates(context, threads, critical, interactive, background, pulls):
+    context.gates = gates.ThreadGates(threads)
+    held = (critical, interactive, background, pulls)
+    for gate, count in zip(gates.Gate, held, strict=True):
+        for _ in range(count):
+            assert context.gates.take(gate), gate
+
+
+@behave.then("the entry's gates {answer} one more {asked}")
+def step_check_gates(context, answer, asked):
+    assert context.gates.take(gates.Gate(asked)) == (answer == "admit")
