--- a/programs/oleanderdeal/oleanderdeal/gates.py
+++ b/programs/oleanderdeal/oleanderdeal/gates.py
@@ -32,7 +32,7 @@
 _OTHERS_PART = 0.6
 """The part that all classes but the critical one may hold together."""
 _PARTS = {
-    Gate.CRITICAL: 0.7,
+    Gate.CRITICAL: _ALL_PART,
     Gate.INTERACTIVE: _OTHERS_PART,
     Gate.BACKGROUND: 0.3,
     Gate.PULL: 0.3,
