Keep a part of the caller's time for the answer's way back

Cause: a sidecar was given all the time that was left. Work that ended just in time was answered just too late, and of work that expired in a queue the refusal came after the entry had given up, so that callers heard unknown of what never ran.

--- a/programs/oleanderdeal/oleanderdeal/dispatch.py
+++ b/programs/oleanderdeal/oleanderdeal/dispatch.py
@@ -8,7 +8,7 @@
 from oleander_contracts import contract
 from oleander_routing import retries, router
 from oleander_wire import messages
-from oleanderdeal import peers
+from oleanderdeal import budgets, peers
 
 NO_CLAIM = -1
 _SLICE_SECONDS = 0.1
@@ -252,7 +252,7 @@
         repeatable=True,
         priority=int(job.priority),
         share_percent=job.share_percent,
-        budget_ms=deadline.remaining_ms,
+        budget_ms=budgets.compute_budget_ms(deadline),
         body=job.body,
         generation=terms,
     )
--- a/programs/oleanderdeal/oleanderdeal/once.py
+++ b/programs/oleanderdeal/oleanderdeal/once.py
@@ -15,7 +15,7 @@
 from oleander_contracts import contract
 from oleander_routing import router
 from oleander_wire import messages
-from oleanderdeal import callers, peers
+from oleanderdeal import budgets, callers, peers
 
 _MOST_ATTEMPTS = 4
 _SLICE_SECONDS = 0.1
@@ -291,7 +291,7 @@
         repeatable=False,
         priority=int(request.operation.priority),
         share_percent=request.terms.share_percent,
-        budget_ms=request.deadline.remaining_ms,
+        budget_ms=budgets.compute_budget_ms(request.deadline),
         body=request.body,
         generation=None,
     )
