Read the log soon where fed by peers, and never start from nothing in an outage

Cause, both found by processes in the configuration matrix: - A sidecar with any link asked the log once in 30 s. With both entries cut off from the log (or paused with their links open) a change reached nobody for that long: 'entry-a has applied 11, not only 9' after 20 s. It now asks every 2 to 4 s, at random. - With everything replaced in an outage, an entry a second after it had heard its empty peers took offset -1 for the newest and answered 404 as if there had never been a contract. It now waits for a peer that has something, or the log.

Ruled out: telling sidecars which entries still read the log; it needs a new message and trusts a peer's word for what a cheap read shows.

--- a/programs/oleanderdeal/oleanderdeal/configuration.py
+++ b/programs/oleanderdeal/oleanderdeal/configuration.py
@@ -1,6 +1,7 @@
 """Follows the configuration stream, and trades records with peers while the log is down."""
 
 import collections.abc
+import random
 import threading
 
 from oleander_base import clock, log, metrics, tasks
@@ -10,7 +11,8 @@
 
 STREAM = "configuration"
 _READ_SECONDS = 5.0
-_FED_READ_SECONDS = 30.0
+_FED_READ_SECONDS = 4.0
+_FED_READ_JITTER = 0.5
 _PEERS_SECONDS = 1.0
 
 
@@ -77,11 +79,13 @@
 
         The first peer heard may itself lag. Starting from it could show a contract that was
         already replaced, so others are waited for a while, and the newest of them is reached.
+        Where no peer has anything, all were replaced in the outage. To go on with nothing would
+        answer callers as if no contract had ever been accepted; only the log can tell then.
         """
         self._newest_peer_offset = max(self._newest_peer_offset, offset)
         if self._peers_heard_by is None:
             self._peers_heard_by = clock.start_deadline(_PEERS_SECONDS)
-        has_newest = self._configuration.applied_offset >= self._newest_peer_offset
+        has_newest = self._configuration.applied_offset >= max(0, self._newest_peer_offset)
         if self._log_failed and self._peers_heard_by.is_past and has_newest:
             self._caught_up.set()
 
@@ -96,7 +100,13 @@
         self._announce_since(before)
 
     def _is_read_due(self) -> bool:
-        """Tell whether to ask the log; thousands of sidecars that all do would overload it."""
+        """
+        Tell whether to ask the log; thousands of sidecars that all do would overload it.
+
+        A link does not show that its entry still reads the log: it may be cut off or paused. Were
+        the log left alone for long, a change would reach neither the sidecar nor, through it, the
+        entry for as long; a read every few seconds bounds that.
+        """
         if not self._caught_up.is_set() or not self._is_fed():
             return True
         return self._read_at_latest.is_past
@@ -111,7 +121,7 @@
             log.warn_bounded("log-read-failed", f"{STREAM}: {page.error.detail}")
             return False
         self._fold_page(page.ok)
-        self._read_at_latest = clock.start_deadline(_FED_READ_SECONDS)
+        self._read_at_latest = _create_read_deadline()
         if self._configuration.applied_offset + 1 >= page.ok.next_offset:
             self._caught_up.set()
         return True
@@ -132,3 +142,9 @@
         if applied > before:
             for listener in self._listeners:
                 listener()
+
+
+def _create_read_deadline() -> clock.Deadline:
+    """Return when a fed process asks the log next; at random, so that many don't ask at once."""
+    shortest = _FED_READ_SECONDS * (1 - _FED_READ_JITTER)
+    return clock.start_deadline(random.uniform(shortest, _FED_READ_SECONDS))
