Let a started entry read the claims first, and tell a lost answer from a failing log

An entry asked for a claim in the moment after its start refused, while it was milliseconds from having read the claims; it now waits up to half a second. One append whose answer was lost, and whose claims were all read back, still marked the log as failing, so that the next claims were refused for no reason. A claim that was appended and can't be read back is refused after five seconds at most and no longer held until a late deadline.

--- a/features/steps/claims_steps.py
+++ b/features/steps/claims_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from oleander_claims import keys, records, shard
+from oleander_claims import keys, records, table
 
 _KEY = "key"
 
@@ -13,11 +13,11 @@
 
 
 def fold_claims(window, names, skipped=0):
-    table = shard.ClaimTable(0, window)
+    claims = table.ClaimTable(0, window)
     for offset, name in enumerate(names):
         if offset >= skipped:
-            table.fold(offset, write_claim(name))
-    return table.find("catania", _KEY)
+            claims.fold(offset, write_claim(name))
+    return claims.find("catania", _KEY)
 
 
 @behave.given("a table of claims with a window of {window:d} records")
--- a/libs/claims/oleander_claims/book.py
+++ b/libs/claims/oleander_claims/book.py
@@ -30,6 +30,11 @@
         place = keys.find_place(customer, key, len(self._shards))
         return self._shards[place.shard].find(customer, key)
 
+    def find_read_time(self, customer: str, key: str) -> float:
+        """Return when the newest whole read of a key's stream began, in monotonic seconds."""
+        place = keys.find_place(customer, key, len(self._shards))
+        return self._shards[place.shard].read_at
+
     def propose(self, claim: records.Claim, deadline: clock.Deadline) -> shard.ClaimResult:
         """Append a claim and return the one in force for its key, which may be another's."""
         place = keys.find_place(claim.customer, claim.key, len(self._shards))
--- a/libs/claims/oleander_claims/shard.py
+++ b/libs/claims/oleander_claims/shard.py
@@ -1,16 +1,16 @@
 """One claims stream: appended to in groups, followed to its end, decided by its order."""
 
-import collections
 import concurrent.futures
 import contextlib
 import dataclasses
+import math
 import queue
 import threading
 
 import expression
 
 from oleander_base import clock, invariants, log, metrics, tasks
-from oleander_claims import records
+from oleander_claims import records, table
 from oleander_platform import logservice
 
 _MOST_IN_APPEND = 200
@@ -18,6 +18,8 @@
 _APPEND_SECONDS = 2.0
 _STUCK_SECONDS = 1.0
 _READ_BACK_SECONDS = 0.5
+_CATCH_UP_SECONDS = 0.5
+_DECISION_SECONDS = 5.0
 _READ_WAIT_MS = 1000
 _READ_SECONDS = 5.0
 _RETRY_SECONDS = 0.2
@@ -48,49 +50,6 @@
             self.decided.set_result(result)
 
 
-class ClaimTable:
-    """
-    The claims in force: for each key the first record of its newest attempt.
-
-    Every process that folds the same records has the same table. It holds the claims of the
-    newest `window` records; what is older is forgotten by offset, the same on every host.
-    """
-
-    def __init__(self, shard: int, window: int) -> None:
-        self._shard = shard
-        self._window = window
-        self._in_force: collections.OrderedDict[tuple[str, str], records.LoggedClaim] = (
-            collections.OrderedDict()
-        )
-
-    def __len__(self) -> int:
-        """Return how many keys are held."""
-        return len(self._in_force)
-
-    def find(self, customer: str, key: str) -> records.LoggedClaim | None:
-        """Return the claim in force for a key."""
-        return self._in_force.get((customer, key))
-
-    def fold(self, offset: int, claim: records.Claim) -> records.LoggedClaim:
-        """Take in the next record; return the claim that is in force for its key."""
-        self._forget_before(offset - self._window)
-        name = (claim.customer, claim.key)
-        current = self._in_force.get(name)
-        logged = records.LoggedClaim(claim, self._shard, offset)
-        if current is not None and claim.attempt != current.claim.attempt + 1:
-            return current
-        self._in_force[name] = logged
-        self._in_force.move_to_end(name)
-        return logged
-
-    def _forget_before(self, offset: int) -> None:
-        while self._in_force:
-            oldest = next(iter(self._in_force.values()))
-            if oldest.offset >= offset:
-                return
-            self._in_force.popitem(last=False)
-
-
 class ClaimShard:
     """
     Decides claims by the order of one stream's records.
@@ -109,9 +68,10 @@
         self._group = group
         self._window = window
         self._lock = threading.Lock()
-        self._table = ClaimTable(shard, window)
+        self._table = table.ClaimTable(shard, window)
         self._next_offset = 0
-        self._caught_up = False
+        self._caught_up = threading.Event()
+        self._read_at = -math.inf
         self._failing_until: clock.Deadline | None = None
         self._append_stuck_at: clock.Deadline | None = None
         self._waiting: queue.Queue[_Proposal] = queue.Queue(_MOST_WAITING)
@@ -120,7 +80,12 @@
     @property
     def is_caught_up(self) -> bool:
         """Whether the stream has been read to what was its end at start."""
-        return self._caught_up
+        return self._caught_up.is_set()
+
+    @property
+    def read_at(self) -> float:
+        """When the newest read that reached the stream's end began, in monotonic seconds."""
+        return self._read_at
 
     @property
     def next_offset(self) -> int:
@@ -145,7 +110,7 @@
 
         After an error the claimant must not act: its record may still come to stand in the log.
         """
-        if not self._caught_up:
+        if not self._caught_up.wait(deadline.earlier(_CATCH_UP_SECONDS).remaining):
             return expression.Error(ClaimError("claims are still being read", 1000))
         if self._is_log_failing():
             return expression.Error(ClaimError("the log is failing", 1000))
@@ -171,7 +136,8 @@
         except queue.Full:
             return expression.Error(ClaimError("too many claims are waiting", 500))
         try:
-            result = proposal.decided.result(timeout=proposal.deadline.remaining)
+            limit = proposal.deadline.earlier(_DECISION_SECONDS)
+            result = proposal.decided.result(timeout=limit.remaining)
         except concurrent.futures.TimeoutError:
             if proposal.decided.cancel():
                 return expression.Error(ClaimError("the log did not answer in time", 1000))
@@ -231,6 +197,8 @@
         if error.may_have_effect:
             futures = [item.decided for item in group]
             concurrent.futures.wait(futures, timeout=_READ_BACK_SECONDS)
+            if all(future.done() for future in futures):
+                return
         self._failing_until = clock.start_deadline(_RETRY_SECONDS)
         refusal = ClaimError("the log did not take the claim", max(200, error.retry_after_ms))
         for item in group:
@@ -245,6 +213,7 @@
 
     def _find_start(self) -> bool:
         """Start one window before the end: older claims are forgotten by everyone."""
+        started_at = clock.read_now()
         page = self._service.read(
             self._stream, _BEYOND_END, 0, clock.start_deadline(_READ_SECONDS)
         )
@@ -253,10 +222,11 @@
             return False
         start = max(page.ok.first_offset, page.ok.next_offset - self._window)
         self._next_offset = max(0, start)
-        self._caught_up = self._next_offset >= page.ok.next_offset
+        self._note_read(page.ok, started_at)
         return True
 
     def _read_page(self) -> bool:
+        started_at = clock.read_now()
         deadline = clock.start_deadline(_READ_WAIT_MS / 1000 + _READ_SECONDS)
         page = self._service.read(self._stream, self._next_offset, _READ_WAIT_MS, deadline)
         if page.is_error():
@@ -266,9 +236,14 @@
             self._skip_lost(page.ok.first_offset)
         for record in page.ok.records:
             self._fold_record(record)
-        self._caught_up = self._caught_up or self._next_offset >= page.ok.next_offset
+        self._note_read(page.ok, started_at)
         return True
 
+    def _note_read(self, page: logservice.Page, started_at: float) -> None:
+        if self._next_offset >= page.next_offset:
+            self._read_at = started_at
+            self._caught_up.set()
+
     def _report_read_failure(self, error: logservice.LogError) -> None:
         metrics.count(metrics.LOG_OUTAGES)
         log.warn_bounded("log-read-failed", f"{self._stream}: {error.detail}")
--- /dev/null
+++ b/libs/claims/oleander_claims/table.py
@@ -0,0 +1,49 @@
+"""The claims in force of one stream, folded from its records."""
+
+import collections
+
+from oleander_base import clock
+from oleander_claims import records
+
+
+class ClaimTable:
+    """
+    The claims in force: for each key the first record of its newest attempt.
+
+    Every process that folds the same records has the same table. It holds the claims of the
+    newest `window` records; what is older is forgotten by offset, the same on every host.
+    """
+
+    def __init__(self, shard: int, window: int) -> None:
+        self._shard = shard
+        self._window = window
+        self._in_force: collections.OrderedDict[tuple[str, str], records.LoggedClaim] = (
+            collections.OrderedDict()
+        )
+
+    def __len__(self) -> int:
+        """Return how many keys are held."""
+        return len(self._in_force)
+
+    def find(self, customer: str, key: str) -> records.LoggedClaim | None:
+        """Return the claim in force for a key."""
+        return self._in_force.get((customer, key))
+
+    def fold(self, offset: int, claim: records.Claim) -> records.LoggedClaim:
+        """Take in the next record; return the claim that is in force for its key."""
+        self._forget_before(offset - self._window)
+        name = (claim.customer, claim.key)
+        current = self._in_force.get(name)
+        logged = records.LoggedClaim(claim, self._shard, offset, clock.read_now())
+        if current is not None and claim.attempt != current.claim.attempt + 1:
+            return current
+        self._in_force[name] = logged
+        self._in_force.move_to_end(name)
+        return logged
+
+    def _forget_before(self, offset: int) -> None:
+        while self._in_force:
+            oldest = next(iter(self._in_force.values()))
+            if oldest.offset >= offset:
+                return
+            self._in_force.popitem(last=False)
