Ask the sidecars about a key before refusing it, and let a fresh claim's request arrive

A caller whose answer was lost asked another entry that could not read the log (its connection cut or hung, or the entry just started in an outage). That entry knew of no claim and said not-run of a key that had run. An entry paused past its deadline said the same while another had run the key. An entry that has not decided a claim now asks the linked sidecars first, by a message that seals nothing: a kept answer is passed on; a run in progress, a sidecar that can't be asked, or one lost since the claims were last read make it unknown. A new key is still refused as not run at once in an outage as long as no sidecar is lost. Ruled out: unknown for everything while the log is down, which tells callers of new keys less than is known; and trusting the claims table's age, a clock.

Two entries asked at the same moment sealed each other's attempts in turn until both refused all-excluded, on a sound system. A follower now leaves a claim it read less than 0.3 s ago the time for its request to arrive, asking without sealing, and a sealed attempt no longer rules its sidecar out for the next one. Sealing early or late breaks nothing; it only costs an attempt.

--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -32,6 +32,13 @@
       | join 1 for another incarnation           | unknown incarnation-gone          | 0      |
       | run 1, join 1 with another body          | unknown key-used-for-another-body | 1      |
       | run 1, end done, run 1 with another body | unknown key-used-for-another-body | 1      |
+      | find                                     | not-run key-unseen                | 0      |
+      | find, run 1                              | not-run key-unseen                | 1      |
+      | run 1, find                              | unknown still-running             | 1      |
+      | run 1, end done, find                    | done                              | 1      |
+      | run 1, end unknown, find                 | unknown                           | 1      |
+      | join 1, find                             | not-run sealed                    | 0      |
+      | run 1, find with another body            | unknown key-used-for-another-body | 1      |
 
   Scenario Outline: At its bounds the ledger says unknown rather than start or seal
     # The key ran, its entry was forgotten to make room, and its caller comes back. Sealing it
--- a/features/steps/ledger_steps.py
+++ b/features/steps/ledger_steps.py
@@ -26,6 +26,8 @@
         digest = "other" if "body" in words else "digest"
         if words[0] == "run":
             self.run("key", int(words[1]), incarnation, digest, self.answers.append)
+        elif words[0] == "find":
+            self.answers.append(self.ledger.find(messages.Find("f", "customer", "key", digest)))
         else:
             join = messages.Join(
                 "j", incarnation, "customer", "key", digest, int(words[1]), 0, 0, 1000
--- a/libs/wire/oleander_wire/messages.py
+++ b/libs/wire/oleander_wire/messages.py
@@ -9,6 +9,10 @@
 import typing
 
 PROTOCOL = 1
+REASON_UNSEEN = "key-unseen"
+"""The reason of an answer to `Find` for a key that never came."""
+REASON_OTHER_BODY = "key-used-for-another-body"
+"""The reason of an answer for a key that came before with another body."""
 
 
 class Outcome(enum.Enum):
@@ -120,6 +124,16 @@
     budget_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Find:
+    """Ask a sidecar what it knows of a key, and change nothing there; answered at once."""
+
+    request_id: str
+    customer: str
+    key: str
+    digest: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class Cancel:
     """Nobody wants the answer any more."""
@@ -151,4 +165,4 @@
     service_ms: int
 
 
-Message = Hello | Heartbeat | RecordsOffer | Records | Run | Join | Cancel | Tokens | Answer
+Message = Hello | Heartbeat | RecordsOffer | Records | Run | Join | Find | Cancel | Tokens | Answer
--- a/programs/oleanderdeal/oleanderdeal/callers.py
+++ b/programs/oleanderdeal/oleanderdeal/callers.py
@@ -62,9 +62,9 @@
     )
 
 
-def tell_unknown(reason: str) -> CallerAnswer:
-    """Say that the request may have run."""
-    return CallerAnswer(messages.Outcome.UNKNOWN, STATUS_UNKNOWN, reason, 0, b"")
+def tell_unknown(reason: str, retry_after_ms: int = 0) -> CallerAnswer:
+    """Say that the request may have run, and when asking again may tell."""
+    return CallerAnswer(messages.Outcome.UNKNOWN, STATUS_UNKNOWN, reason, retry_after_ms, b"")
 
 
 def tell_failed(reason: str, status: int = STATUS_FAILED, body: bytes = b"") -> CallerAnswer:
@@ -75,7 +75,7 @@
 def tell_conflict() -> CallerAnswer:
     """Say that the key was used before with another body; this request did not run."""
     return CallerAnswer(
-        messages.Outcome.NOT_RUN, STATUS_CONFLICT, "key-used-for-another-body", 0, b""
+        messages.Outcome.NOT_RUN, STATUS_CONFLICT, messages.REASON_OTHER_BODY, 0, b""
     )
 
 
--- a/programs/oleanderdeal/oleanderdeal/ledger.py
+++ b/programs/oleanderdeal/oleanderdeal/ledger.py
@@ -23,7 +23,7 @@
 REASON_OTHER_INCARNATION = "incarnation-gone"
 REASON_FORGOTTEN = "key-forgotten"
 REASON_ANSWER_DROPPED = "answer-no-longer-kept"
-REASON_OTHER_BODY = "key-used-for-another-body"
+REASON_RUNNING = "still-running"
 REASON_TOO_MANY_WAITING = "too-many-wait-for-this-key"
 
 
@@ -102,6 +102,21 @@
         if answer is not None:
             listener(answer)
 
+    def find(self, asked: messages.Find) -> messages.Answer:
+        """
+        Return what became of a key so far, and leave an unseen one as it is.
+
+        A key forgotten at the bound counts as unseen; it is older than the claims that any entry
+        remembers.
+        """
+        with self._lock:
+            entry = self._entries.get((asked.customer, asked.key))
+            if entry is None:
+                return create_answer(messages.Outcome.NOT_RUN, messages.REASON_UNSEEN)
+            if entry.digest == asked.digest and entry.state is KeyState.STARTED:
+                return create_answer(messages.Outcome.UNKNOWN, REASON_RUNNING)
+            return _read_ended(entry, asked.digest)
+
     def end(self, run: messages.Run, answer: messages.Answer) -> None:
         """Keep a started key's answer and hand it to everyone who waits for it."""
         with self._lock:
@@ -142,13 +157,8 @@
     ) -> messages.Answer | None:
         if entry is None:
             return create_answer(messages.Outcome.UNKNOWN, REASON_FORGOTTEN)
-        if entry.digest != asked.digest:
-            return create_answer(messages.Outcome.UNKNOWN, REASON_OTHER_BODY)
-        if entry.state is KeyState.SEALED:
-            return create_answer(messages.Outcome.NOT_RUN, REASON_SEALED)
-        if entry.state is KeyState.ENDED:
-            dropped = create_answer(messages.Outcome.UNKNOWN, REASON_ANSWER_DROPPED)
-            return entry.answer or dropped
+        if entry.digest != asked.digest or entry.state is not KeyState.STARTED:
+            return _read_ended(entry, asked.digest)
         if len(entry.listeners) >= _MOST_LISTENERS:
             return create_answer(messages.Outcome.UNKNOWN, REASON_TOO_MANY_WAITING)
         entry.listeners.append(listener)
@@ -187,5 +197,14 @@
             self._forgotten_offsets[entry.shard] = max(newest, entry.claim_offset)
 
 
+def _read_ended(entry: _KeyEntry, digest: str) -> messages.Answer:
+    if entry.digest != digest:
+        return create_answer(messages.Outcome.UNKNOWN, messages.REASON_OTHER_BODY)
+    if entry.state is KeyState.SEALED:
+        return create_answer(messages.Outcome.NOT_RUN, REASON_SEALED)
+    dropped = create_answer(messages.Outcome.UNKNOWN, REASON_ANSWER_DROPPED)
+    return entry.answer or dropped
+
+
 def _count_bytes(entry: _KeyEntry) -> int:
     return len(entry.answer.body) if entry.answer is not None else 0
--- a/programs/oleanderdeal/oleanderdeal/once.py
+++ b/programs/oleanderdeal/oleanderdeal/once.py
@@ -7,6 +7,7 @@
 """
 
 import dataclasses
+import time
 
 import expression
 
@@ -14,10 +15,12 @@
 from oleander_claims import book, records, shard
 from oleander_routing import router
 from oleander_wire import messages
-from oleanderdeal import callers, peers
+from oleanderdeal import callers, key_inquiry, once_messages, peers
 
 _MOST_ATTEMPTS = 4
 _SLICE_SECONDS = 0.1
+_FRESH_SECONDS = 0.3
+_POLL_SECONDS = 0.02
 _SEALED = "sealed by its sidecar"
 _REFUSED = "refused by its sidecar"
 _NOT_SENT = "never sent by its claimant"
@@ -52,6 +55,7 @@
         self._claims = claims
         self._routes = routes
         self._links = links
+        self._inquiry = key_inquiry.KeyInquiry(claims, links)
 
     def run(self, request: callers.CallerRequest) -> callers.CallerAnswer:
         """Return what became of the request's key; blocks until then or the deadline."""
@@ -68,9 +72,11 @@
             if tried.is_ok():
                 return tried.ok
             settled = tried.error
-            excluded |= {claim.sidecar}
+            if settled.evidence != _SEALED:
+                excluded |= {claim.sidecar}
             if request.deadline.is_past:
-                break
+                # Paused meanwhile, perhaps, while another entry made the next attempt.
+                return self._inquiry.check(request, settled.answer)
         return settled.answer if settled else callers.refuse("too-late", 0)
 
     def _find_or_claim(
@@ -115,10 +121,23 @@
         )
         decided = self._claims.propose(claim, request.deadline)
         if decided.is_error():
-            return expression.Error(_refuse_claim(decided.error))
+            return expression.Error(self._refuse_claim(request, decided.error))
         is_own = decided.ok.claim.nonce == claim.nonce
         return expression.Ok(_Attempt(decided.ok, is_own))
 
+    def _refuse_claim(
+        self, request: callers.CallerRequest, error: shard.ClaimError
+    ) -> callers.CallerAnswer:
+        """
+        Answer a caller whose claim was not decided.
+
+        A key that is too old may have run before it was forgotten, so that is "unknown"; in every
+        other case nothing was sent, and this entry never acts on the claim later.
+        """
+        if error.reason == shard.REASON_TOO_OLD:
+            return callers.tell_unknown(error.reason)
+        return self._inquiry.check(request, callers.refuse(error.reason, error.retry_after_ms))
+
     def _choose(
         self, request: callers.CallerRequest, excluded: frozenset[str]
     ) -> expression.Result[peers.PeerLink, callers.CallerAnswer]:
@@ -146,6 +165,7 @@
         """Send the request if the claim is this entry's own, and follow it to its end."""
         claim = attempt.logged.claim
         if not attempt.is_own:
+            self._let_claimant_send(request, attempt.logged)
             return self._ask(request, attempt.logged)
         link = self._links.find_or_dial(claim.sidecar, claim.address)
         is_open = link.await_open(request.deadline.earlier(_SLICE_SECONDS))
@@ -172,15 +192,36 @@
         )
         call = link.open_call(peers.create_request_id())
         try:
-            if link.send(_write_run(call.request_id, request, logged)).is_error():
+            if link.send(once_messages.write_run(call.request_id, request, logged)).is_error():
                 return _tell_not_run(logged.claim, _NOT_SENT, "link-lost")
-            answer = _await_answer(call, request.deadline)
+            answer = peers.await_answer(call, request.deadline)
         finally:
             link.close_call(call)
         if answer is None and not request.deadline.is_past:
             return self._ask(request, logged)
         return _judge_answer(answer, logged.claim, _REFUSED)
 
+    def _let_claimant_send(
+        self, request: callers.CallerRequest, logged: records.LoggedClaim
+    ) -> None:
+        """
+        Leave a fresh claim's request a moment to arrive before asking seals the key.
+
+        Without it two entries that are asked at the same time seal each other's attempts, one
+        after the other, until both refuse. A claimant that takes longer is sealed, which costs
+        another attempt and breaks no promise.
+        """
+        claim = logged.claim
+        fresh = clock.Deadline(logged.folded_at + _FRESH_SECONDS)
+        while not fresh.is_past and not request.deadline.is_past:
+            link = self._links.find_or_dial(claim.sidecar, claim.address)
+            call = key_inquiry.ask(link, request)
+            answer = peers.await_answer(call, fresh)
+            link.close_call(call)
+            if answer is None or answer.reason != messages.REASON_UNSEEN:
+                return
+            time.sleep(_POLL_SECONDS)
+
     def _ask(self, request: callers.CallerRequest, logged: records.LoggedClaim) -> _Tried:
         """
         Ask the claimed sidecar what became of the key, until it says or time is up.
@@ -195,8 +236,8 @@
                 return expression.Ok(callers.tell_unknown("sidecar-gone"))
             call = link.open_call(peers.create_request_id())
             try:
-                sent = link.send(_write_join(call.request_id, request, logged))
-                answer = _await_answer(call, request.deadline) if sent.is_ok() else None
+                sent = link.send(once_messages.write_join(call.request_id, request, logged))
+                answer = peers.await_answer(call, request.deadline) if sent.is_ok() else None
             finally:
                 link.close_call(call)
             if answer is not None:
@@ -206,23 +247,12 @@
         return expression.Ok(callers.tell_unknown("sidecar-unreachable"))
 
 
-def _await_answer(call: peers.Call, deadline: clock.Deadline) -> messages.Answer | None:
-    """Return the answer, or nothing when the link broke or time is up."""
-    while not deadline.is_past:
-        event = call.wait(deadline.earlier(_SLICE_SECONDS))
-        if isinstance(event, messages.Answer):
-            return event
-        if isinstance(event, peers.LinkLost):
-            return None
-    return None
-
-
 def _judge_answer(answer: messages.Answer | None, claim: records.Claim, evidence: str) -> _Tried:
     if answer is None:
         return expression.Ok(callers.tell_unknown("too-late"))
     if answer.outcome is messages.Outcome.NOT_RUN:
         return expression.Error(_NotRun(claim.attempt, evidence, callers.pass_on(answer)))
-    if answer.reason == "key-used-for-another-body":
+    if answer.reason == messages.REASON_OTHER_BODY:
         return expression.Ok(callers.tell_conflict())
     return expression.Ok(callers.pass_on(answer))
 
@@ -241,54 +271,3 @@
             return router.RouteOutcome.TIMED_OUT
         case _:
             return router.RouteOutcome.FAILED
-
-
-def _refuse_claim(error: shard.ClaimError) -> callers.CallerAnswer:
-    """
-    Answer a caller whose claim was not decided.
-
-    A key that is too old may have run before it was forgotten, so that is "unknown"; in every
-    other case nothing was sent, and this entry never acts on the claim later.
-    """
-    if error.reason == shard.REASON_TOO_OLD:
-        return callers.tell_unknown(error.reason)
-    return callers.refuse(error.reason, error.retry_after_ms)
-
-
-def _write_run(
-    request_id: str, request: callers.CallerRequest, logged: records.LoggedClaim
-) -> messages.Run:
-    return messages.Run(
-        request_id=request_id,
-        trace_id=request.trace_id,
-        incarnation=logged.claim.incarnation,
-        customer=request.customer,
-        operation=request.operation.name,
-        key=request.key,
-        digest=request.digest,
-        attempt=logged.claim.attempt,
-        shard=logged.shard,
-        claim_offset=logged.offset,
-        repeatable=False,
-        priority=int(request.operation.priority),
-        share_percent=request.terms.share_percent,
-        budget_ms=request.deadline.remaining_ms,
-        body=request.body,
-        generation=None,
-    )
-
-
-def _write_join(
-    request_id: str, request: callers.CallerRequest, logged: records.LoggedClaim
-) -> messages.Join:
-    return messages.Join(
-        request_id=request_id,
-        incarnation=logged.claim.incarnation,
-        customer=request.customer,
-        key=request.key,
-        digest=request.digest,
-        attempt=logged.claim.attempt,
-        shard=logged.shard,
-        claim_offset=logged.offset,
-        budget_ms=request.deadline.remaining_ms,
-    )
--- a/programs/oleanderdeal/oleanderdeal/peers.py
+++ b/programs/oleanderdeal/oleanderdeal/peers.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import dataclasses
+import math
 import queue
 import random
 import threading
@@ -21,6 +22,7 @@
 _REDIAL_SECONDS = 0.1
 _MOST_REDIAL_SECONDS = 3.0
 _EVENTS_PER_CALL = 4096
+_SLICE_SECONDS = 0.1
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -97,6 +99,8 @@
         self._stopped = threading.Event()
         self._failures = 0
         self._is_refused = False
+        self._backend = ""
+        self._restarted_at = -math.inf
 
     @property
     def name(self) -> str:
@@ -118,6 +122,16 @@
         """Whether requests can be sent."""
         return self._link is not None
 
+    @property
+    def backend(self) -> str:
+        """The backend that the sidecar last said it belongs to; empty before it said so."""
+        return self._backend
+
+    @property
+    def restarted_at(self) -> float:
+        """When it was last noticed that the sidecar had been started anew."""
+        return self._restarted_at
+
     @property
     def is_refused(self) -> bool:
         """Whether nobody listened at the address at the last try: that run of it has ended."""
@@ -201,6 +215,8 @@
         if received.is_error() or not isinstance(received.ok, messages.Hello):
             return False
         with self._lock:
+            if self._incarnation not in {"", received.ok.incarnation}:
+                self._restarted_at = clock.read_now()
             self._incarnation = received.ok.incarnation
             self._link = opened
             self._opened.notify_all()
@@ -242,6 +258,7 @@
                 log.warn_bounded("odd-message", f"ignored a {type(message).__name__}")
 
     def _report(self, beat: messages.Heartbeat) -> None:
+        self._backend = beat.backend
         if self._routes is None:
             return
         report = routing_peers.PeerReport(
@@ -295,6 +312,14 @@
         self._lock = threading.Lock()
         self._links: dict[str, PeerLink] = {}
         self._extra: dict[str, PeerLink] = {}
+        self._dropped_at = -math.inf
+
+    @property
+    def lost_at(self) -> float:
+        """When a sidecar, with all it remembered, was last found to be gone."""
+        with self._lock:
+            restarts = [item.restarted_at for item in self._links.values()]
+        return max([self._dropped_at, *restarts])
 
     def find(self, name: str) -> PeerLink | None:
         """Return the routed link to a sidecar."""
@@ -309,6 +334,11 @@
                 found = self._extra.get(address) or self._add_extra(name, address)
         return found
 
+    def list_routed(self, backend: str) -> list[PeerLink]:
+        """Return the links to a backend's sidecars, and to those whose backend is not known."""
+        with self._lock:
+            return [item for item in self._links.values() if item.backend in {"", backend}]
+
     def list_links(self) -> list[PeerLink]:
         """Return every link."""
         with self._lock:
@@ -338,6 +368,7 @@
         ]
         for item in ended:
             del self._links[item.name]
+            self._dropped_at = clock.read_now()
         return ended
 
     def _add_extra(self, name: str, address: str) -> PeerLink:
@@ -353,6 +384,17 @@
         return created
 
 
+def await_answer(call: Call, deadline: clock.Deadline) -> messages.Answer | None:
+    """Return the answer, or nothing when the link broke or time is up."""
+    while not deadline.is_past:
+        event = call.wait(deadline.earlier(_SLICE_SECONDS))
+        if isinstance(event, messages.Answer):
+            return event
+        if isinstance(event, LinkLost):
+            return None
+    return None
+
+
 def create_request_id() -> str:
     """Return the name of one message exchange."""
     return identifiers.create_nonce()
--- a/programs/oleanderdeal/oleanderdeal/sidecar_links.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar_links.py
@@ -101,6 +101,8 @@
                 served.run(message)
             case messages.Join():
                 served.join(message)
+            case messages.Find():
+                served.find(message)
             case messages.Cancel():
                 served.cancel(message.request_id)
             case messages.RecordsOffer() | messages.Records():
@@ -134,6 +136,10 @@
         """Answer what became of a key, now or when it ends."""
         self._keys.join(join, lambda answer: self._answer(join.request_id, answer))
 
+    def find(self, find: messages.Find) -> None:
+        """Answer at once what is known of a key."""
+        self._answer(find.request_id, self._keys.find(find))
+
     def cancel(self, request_id: str) -> None:
         """Stop a request that nobody waits for."""
         with self._lock:
