Prove at-most-once and not-run by a matrix of faults at every step

Each cell brings a request of one key to a step by what the stand-ins and relays hold, lets faults happen, asks again, mends everything and asks once more. Checked in every cell: one run at most over all services, the ended ones too; whole answers that are the key's own and always the same; no refusal as not run while the key has run; none at all runs later where all were refused; no answer later than its deadline, and refusals in an outage within half of a long deadline. Deployments that a scenario left whole are used again, and the next one is started ahead.

--- a/features/deployments.py
+++ b/features/deployments.py
@@ -1,8 +1,10 @@
 """A small deployment whose scenario can stop, pause and cut off each part of it."""
 
 import concurrent.futures
+import http.client
 import json
 import pathlib
+import threading
 
 import support
 from oleander_contracts import contract, in_force, readers, records
@@ -31,6 +33,7 @@
 _NOWHERE = "127.0.0.1:1"
 _CALL_SECONDS = 40.0
 _MOST_TASKS = 16
+_READY_SECONDS = 20
 
 
 class SmallDeployment:
@@ -49,7 +52,9 @@
         self._entry_flags = entry_flags
         self._pool = concurrent.futures.ThreadPoolExecutor(_MOST_TASKS)
         self._calls = {}
+        self._counting = threading.Lock()
         self._runs_of_ended = {}
+        self.is_whole = True
         self.relays = {name: cluster.start_relay(name, _NOWHERE) for name in relays}
         assert all(name.split("-")[0] in _RELAY_KINDS for name in relays), relays
 
@@ -63,6 +68,8 @@
         platform = (("log", "logservice"), ("hosts", "hostlist"), ("weights", "weightstore"))
         self._run_all((self.cluster.start_stand_in, *item) for item in platform)
         self._run_all((self.deployed.start_backend_server, name) for name in self.hosts)
+        for name in self.hosts:
+            self._list_relay(name)
         self._run_all(
             [(self._put_contracts, terms)]
             + [(self.start_sidecar, name) for name in self.hosts]
@@ -71,14 +78,18 @@
         self.await_entries(len(terms) - 1)
 
     def await_entries(self, offset=0):
-        """Wait until each entry has links to all sidecars and the configuration."""
-        self.deployed.await_ready(len(self.hosts))
-        for name in self.deployed.entries:
+        """Wait until each running entry has links to all sidecars and the configuration."""
+        for name in self.list_running_entries():
             support.wait_until(
-                lambda name=name: self.read_configuration(name)["applied_offset"] >= offset,
-                f"{name} has the configuration up to {offset}",
+                lambda name=name: self._is_ready(name, offset),
+                f"{name} has {len(self.hosts)} peers and the configuration up to {offset}",
+                _READY_SECONDS,
             )
 
+    def list_running_entries(self):
+        """Return the entries that have not been ended."""
+        return [name for name in ENTRIES if self.cluster.find(name).code is None]
+
     def read_configuration(self, entry):
         """Return what an entry says of its configuration and peers."""
         url = f"{self.cluster.url(entry)}/v1/configuration"
@@ -93,7 +104,6 @@
         )
         if link is not None:
             link.target = self.cluster.address(name)
-            self.deployed.list_host(name, link.address)
 
     def start_entry(self, name):
         """Start an entry, or start it anew."""
@@ -104,7 +114,8 @@
         """Start a backend server anew where it listened before."""
         host = self.find_host(name)
         port = self.cluster.address(name).rpartition(":")[2]
-        self.deployed.start_backend_server(host.name, int(port))
+        with self._counting:
+            self.deployed.start_backend_server(host.name, int(port))
 
     def restart(self, name):
         """Start a process that has ended."""
@@ -121,10 +132,17 @@
 
     def kill(self, name):
         """End a process as a crash would; what a service counted until then is kept."""
-        if name not in self.hosts and name not in ENTRIES:
-            for key, runs in self._read_runs(name).items():
-                self._runs_of_ended[key] = self._runs_of_ended.get(key, 0) + runs
-        self.cluster.kill(name)
+        self.is_whole = False
+        with self._counting:
+            if name not in self.hosts and name not in ENTRIES:
+                for key, runs in self._read_runs(name).items():
+                    self._runs_of_ended[key] = self._runs_of_ended.get(key, 0) + runs
+            self.cluster.kill(name)
+
+    def terminate(self, name):
+        """Ask a process to stop; return its exit code."""
+        self.is_whole = False
+        return self.cluster.terminate(name)
 
     def freeze(self, name):
         """Pause a process, and wait until it stands still."""
@@ -137,31 +155,40 @@
     def count_runs(self, key):
         """Return how often all services together, the ended ones too, ran a key."""
         services = [host.server_name for host in self.hosts.values() if host.kind == "service"]
-        alive = [name for name in services if self.cluster.find(name).code is None]
-        now = sum(self._read_runs(name).get(key, 0) for name in alive)
-        return now + self._runs_of_ended.get(key, 0)
+        with self._counting:
+            alive = [name for name in services if self.cluster.find(name).code is None]
+            now = sum(self._read_runs(name).get(key, 0) for name in alive)
+            return now + self._runs_of_ended.get(key, 0)
 
     def read_stream(self, stream):
         """Return the records of a log stream."""
         url = f"{self.cluster.url('log')}/streams/{stream}/records?offset=0&limit=500"
         return support.call("GET", url).read_json()["records"]
 
-    def start_call(self, name, entry, customer, operation, body, key="", timeout_ms=0):
-        """Send a caller's request on a thread of its own; the answer is kept under the name."""
+    def submit(self, task, *arguments):
+        """Run a task on a thread of its own."""
+        return self._pool.submit(task, *arguments)
+
+    def call(self, entry, customer, operation, body, key="", timeout_ms=0):
+        """Send a caller's request; return nothing where the connection was cut."""
         arguments = (entry, customer, operation, body, key, timeout_ms, _CALL_SECONDS)
-        self._calls[name] = self._pool.submit(self.deployed.call, *arguments)
+        try:
+            return self.deployed.call(*arguments)
+        except (ConnectionError, http.client.HTTPException):
+            return None
 
-    def is_answered(self, name):
-        """Return whether a caller's request has ended."""
-        return self._calls[name].done()
+    def start_call(self, name, entry, customer, operation, body, key="", timeout_ms=0):
+        """Send a caller's request on a thread of its own; the answer is kept under the name."""
+        arguments = (entry, customer, operation, body, key, timeout_ms)
+        self._calls[name] = self.submit(self.call, *arguments)
 
     def read_answer(self, name):
         """Return a caller's answer once it has come, or nothing where the connection was cut."""
-        try:
-            return self._calls[name].result(_CALL_SECONDS)
-        except Exception as error:
-            assert not isinstance(error, (AssertionError, TimeoutError)), error
-            return None
+        return self._calls[name].result()
+
+    def _is_ready(self, entry, offset):
+        known = self.read_configuration(entry)
+        return known["applied_offset"] >= offset and known["peers"] >= len(self.hosts)
 
     def _read_runs(self, service):
         return self.cluster.read_control(service)["runs_by_key"]
@@ -175,6 +202,12 @@
         found.target = self.cluster.address(target)
         return found.url
 
+    def _list_relay(self, host):
+        """List a host whose sidecar is reached through a relay."""
+        link = self.relays.get(f"link-{host}")
+        if link is not None:
+            self.deployed.list_host(host, link.address)
+
     def _put_contracts(self, terms):
         values = [
             records.ContractRecord(item, in_force.NO_OFFSET, "a scenario").to_value()
@@ -188,6 +221,54 @@
             future.result()
 
 
+class DeploymentPool:
+    """
+    Keeps deployments that scenarios left whole, and starts one ahead when none is left.
+
+    Starting takes a second, most of it spent on importing in each process, which is as long as
+    many a scenario. A scenario that ended a process, or failed, gives nothing back.
+    """
+
+    def __init__(self):
+        self._starter = concurrent.futures.ThreadPoolExecutor(1)
+        self._relays = ()
+        self._kept = []
+
+    def take(self, relays):
+        """Return a deployment with these relays whose faults are all over."""
+        if self._relays != relays:
+            self.stop()
+        self._relays = relays
+        taken = self._kept.pop().result() if self._kept else _start_fresh(relays)
+        if not self._kept:
+            self._kept.append(self._starter.submit(_start_fresh, relays))
+        return taken
+
+    def give_back(self, deployment):
+        """Keep a deployment for the next scenario, which must use other keys."""
+        kept = concurrent.futures.Future()
+        kept.set_result(deployment)
+        self._kept.append(kept)
+
+    def stop(self):
+        """End all that are kept."""
+        while self._kept:
+            self._kept.pop().result().cluster.stop()
+
+
+POOL = DeploymentPool()
+
+
+def _start_fresh(relays):
+    started = SmallDeployment(support.Cluster(), relays)
+    try:
+        started.start()
+    except BaseException:
+        started.cluster.stop()
+        raise
+    return started
+
+
 def read_contracts() -> list[contract.Contract]:
     """Return the example contracts and one with long timeouts."""
     texts = [path.read_text() for path in sorted(EXAMPLES.glob("*.yaml"))]
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,4 +1,6 @@
-"""Behave hooks: nothing that a scenario starts outlives it."""
+"""Behave hooks: nothing that a scenario starts outlives it, or its feature."""
+
+import deployments
 
 
 def after_scenario(context, scenario):
@@ -8,3 +10,7 @@
             print(cleanup.read_logs())
         cleanup.stop()
         context.cluster = None
+
+
+def after_feature(context, feature):
+    deployments.POOL.stop()
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -29,7 +29,7 @@
 
 
 def _terminate(deployment, name):
-    code = deployment.cluster.terminate(name)
+    code = deployment.terminate(name)
     assert code == 0, f"{name} ended with exit code {code}"
 
 
--- /dev/null
+++ b/features/steps/once_steps.py
@@ -0,0 +1,151 @@
+"""Steps that bring a non-repeatable request to a step, let faults happen, and check the story."""
+
+import time
+
+import behave
+
+import deployments
+import once_trial
+import support
+from oleander_standins import relay
+
+_DIRECTIONS = {"to-server": relay.TO_SERVER, "to-client": relay.TO_CLIENT}
+
+
+def _change_log(trial, kind, value=""):
+    settings = {
+        "refuse": {"outage": "refuse"},
+        "hang": {"outage": "hang"},
+        "over": {"outage": "", "slow_ms": 0},
+        "slow": {"slow_ms": int(value or 0)},
+        "loses": {"lose_before": int(value or 0)},
+        "silent": {"lose_after": int(value or 0)},
+        "late": {"late": 1, "late_ms": int(value or 0)},
+    }
+    trial.cluster.control("log", **settings[kind])
+
+
+def _pass_deadline(trial):
+    """Wait until the first submission's deadline has passed."""
+    first = trial.submissions[0]
+    support.wait_until(
+        lambda: time.monotonic() > first.started_at + first.timeout_ms / 1000 + 0.1, "the deadline"
+    )
+
+
+def _come_back(trial):
+    """Wait as long as the last answer, where it is a refusal, told the caller to."""
+    last = trial.submissions[-1]
+    wait_ms = 0
+    if last.outcome.startswith("not-run"):
+        wait_ms = last.response.read_json()["retry_after_ms"]
+    support.wait_until(lambda: time.monotonic() > last.ended_at + wait_ms / 1000, "the caller")
+
+
+def _append_other_claims(trial, count):
+    """Fill the stream with claims of other keys, as other callers' requests would."""
+    other = dict(trial.find_claims()[0])
+    values = [other | {"key": f"other-{n}", "nonce": f"other-{n}"} for n in range(int(count))]
+    url = f"{trial.cluster.url('log')}/streams/claims-{trial.shard}/records"
+    support.call("POST", url, {"records": values})
+    trial.let_late_work_arrive()
+
+
+_EVENTS = {
+    "ask": lambda trial, entry, timeout_ms="0": trial.ask(entry, int(timeout_ms)),
+    "await": lambda trial, number: trial.await_answer(int(number)),
+    "claims": lambda trial, count: trial.await_claims(int(count)),
+    "kill": lambda trial, role: trial.deployment.kill(trial.name(role)),
+    "restart": lambda trial, role: trial.deployment.restart(trial.name(role)),
+    "linked": lambda trial: trial.deployment.await_entries(),
+    "freeze": lambda trial, role: trial.freeze(trial.name(role)),
+    "thaw": lambda trial, role: trial.thaw(trial.name(role)),
+    "cut": lambda trial, role: trial.relays[trial.name(role)].cut(),
+    "drop": lambda trial, role: trial.relays[trial.name(role)].drop_connections(),
+    "block": lambda trial, role, way: trial.relays[trial.name(role)].block(_DIRECTIONS[way]),
+    "release": lambda trial, role, way: trial.relays[trial.name(role)].release(_DIRECTIONS[way]),
+    "heal": lambda trial, role: trial.relays[trial.name(role)].heal(),
+    "log": _change_log,
+    "hold": lambda trial: trial.hold_runs(),
+    "runs": lambda trial: trial.await_run(),
+    "deadline": _pass_deadline,
+    "others": _append_other_claims,
+    "back": _come_back,
+}
+
+
+def _fits(found, expected):
+    """Tell whether an outcome is one of those expected, with its reason where one is given."""
+    return found in expected.split("/") or found.split()[0] in expected.split("/")
+
+
+def _begin(context, deployment, key=""):
+    context.deployment = deployment
+    context.cluster = deployment.cluster
+    context.once = once_trial.OnceTrial(deployment, key)
+    context.once.warm_up()
+
+
+@behave.given("a deployment in which every connection of a once request can fail")
+def start(context):
+    _begin(context, deployments.POOL.take(once_trial.RELAYS))
+
+
+@behave.given(
+    "a deployment in which every connection of a once request can fail but those to the services"
+)
+def start_with_direct_services(context):
+    _begin(context, deployments.POOL.take(once_trial.LINK_AND_LOG_RELAYS))
+
+
+@behave.given("a deployment whose entries keep {count:d} claims for a once request")
+def start_with_window(context, count):
+    flags = ("--claim_window", str(count))
+    started = deployments.SmallDeployment(support.get_cluster(context), entry_flags=flags)
+    started.start()
+    url = f"{started.cluster.url('entry-a')}/v1/customers/{once_trial.CUSTOMER}/keys"
+    headers = started.deployed.write_headers(once_trial.CUSTOMER)
+    issued = support.wait_until(
+        lambda: support.call("POST", url, {}, headers).read_json().get("key"), "an issued key"
+    )
+    _begin(context, started, issued)
+
+
+@behave.when("the once request is {step}, and then {events}")
+def play(context, step, events):
+    step, _, timeout_ms = step.partition(" within ")
+    context.once.first_timeout_ms = int(timeout_ms or context.once.first_timeout_ms)
+    once_trial.STEPS[step](context.once)
+    for event in events.split(", "):
+        name, *arguments = event.split()
+        _EVENTS[name](context.once, *arguments)
+
+
+@behave.when("the once faults are over")
+def end_faults(context):
+    context.once.end_faults()
+
+
+@behave.then("the once answers are {expected}")
+def check_answers(context, expected):
+    found = [item.outcome for item in context.once.submissions]
+    wanted = expected.split(", ")
+    assert len(found) == len(wanted), context.once.describe()
+    for one, other in zip(found, wanted, strict=True):
+        assert _fits(one, other), context.once.describe()
+
+
+@behave.then("a last once retry is answered {outcome}, after {runs:d} runs in all")
+def check_end(context, outcome, runs):
+    trial = context.once
+    if outcome != "nothing":
+        _come_back(trial)
+        trial.ask("entry-b")
+        trial.await_answer(len(trial.submissions))
+        assert _fits(trial.submissions[-1].outcome, outcome), trial.describe()
+    trial.let_late_work_arrive()
+    found = trial.check_answers()
+    assert found == runs, trial.describe()
+    if context.deployment.is_whole:
+        deployments.POOL.give_back(context.deployment)
+        context.cluster = None
