Prove that streams and late answers come whole, and to the caller they belong to

Two callers' generations interleaved over one held link; links, sidecars, engines and entries that fail midway. The text of the engine stand-in follows from prompt and position, so a gap, a repeat or another caller's piece shows; labels are checked against the versions of the lines and must name each engine that made a part.

--- /dev/null
+++ b/features/steps/stream_steps.py
@@ -0,0 +1,152 @@
+"""Steps for answers that come in pieces, over links and from engines that fail midway."""
+
+import behave
+
+import deployments
+import stream_reader
+import support
+from oleander_standins import deployment, relay
+
+_CUSTOMER = deployments.LONG_CUSTOMER
+_TOKENS = 300
+_MIDWAY_LINES = 8
+_ENGINES = {
+    name: deployment.BackendHost(
+        f"designs-{name}",
+        "designs",
+        "engine",
+        name,
+        "designs",
+        engine_flags=("--initial-version", str(version), "--token-ms", "4"),
+    )
+    for name, version in (("a", 1), ("b", 2), ("c", 3))
+}
+
+
+class StreamTrial:
+    """Callers' generations at two engines, each on its own weight version."""
+
+    def __init__(self, started):
+        self.deployment = started
+        self.cluster = started.cluster
+        self.readers = []
+
+    def ask(self, prompt, is_streamed=True):
+        """Start a caller's generation through the first entry."""
+        url = f"{self.cluster.url('entry-a')}/v1/customers/{_CUSTOMER}/operations/draft"
+        headers = self.deployment.deployed.write_headers(_CUSTOMER)
+        self.readers.append(stream_reader.StreamReader(url, headers, prompt, _TOKENS, is_streamed))
+
+    def find_busy(self):
+        """Return the host whose engine is generating, once it has made some tokens."""
+        return support.wait_until(
+            lambda: next((name for name in self.list_living() if self._is_midway(name)), None),
+            "an engine is midway",
+        )
+
+    def list_living(self):
+        """Return the hosts whose engine and sidecar run."""
+        find = self.cluster.find
+        hosts = self.deployment.hosts
+        return [n for n in hosts if find(n).code is None and find(f"{n}-engine").code is None]
+
+    def _is_midway(self, host):
+        counts = self.cluster.read_control(f"{host}-engine", "generations=no")
+        return counts["running"] and counts["tokens"] >= 4 * _MIDWAY_LINES
+
+    def lose_two(self, host):
+        """End the engine, and then the sidecar where its generation goes on."""
+        self.cluster.kill(f"{host}-engine")
+        self.deployment.kill(self.find_busy())
+
+    def hold_link(self, host):
+        """Hold the link's answers until both callers wait for what is held, then pass them."""
+        link = self.deployment.relays[f"link-{host}"]
+        link.block(relay.TO_CLIENT)
+        support.wait_until(lambda: link.count_held(relay.TO_CLIENT), "the link holds answers")
+        link.heal()
+
+    def silence_link(self, host):
+        """Hold the link until the entry has gone elsewhere, then pass what is late by now."""
+        link = self.deployment.relays[f"link-{host}"]
+        before = [len(reader.lines) for reader in self.readers]
+        link.block_open_connections()
+        other = next(name for name in self.deployment.hosts if name != host)
+        support.wait_until(
+            lambda: (
+                self.cluster.read_control(f"{other}-engine", "generations=no")["running"]
+                or any(len(r.lines) > n + 20 for r, n in zip(self.readers, before, strict=True))
+            ),
+            "the generation goes on elsewhere",
+        )
+        link.heal()
+
+
+_FAULTS = {
+    "nothing happens": lambda trial, host: None,
+    "its link holds answers for a moment": lambda trial, host: trial.hold_link(host),
+    "its link falls silent and its answers come late": lambda trial, host: trial.silence_link(
+        host
+    ),
+    "its link breaks": lambda trial, host: trial.deployment.relays[
+        f"link-{host}"
+    ].drop_connections(),
+    "its sidecar dies": lambda trial, host: trial.deployment.kill(host),
+    "its sidecar is paused": lambda trial, host: trial.deployment.freeze(host),
+    "its engine dies": lambda trial, host: trial.cluster.kill(f"{host}-engine"),
+    "its engine dies, and so does the next sidecar": lambda trial, host: trial.lose_two(host),
+    "the entry dies": lambda trial, host: trial.deployment.kill("entry-a"),
+}
+
+
+@behave.given("a deployment for streams with the engines {names}")
+def start(context, names):
+    hosts = [_ENGINES[name] for name in names.split()]
+    relays = [f"link-{host.name}" for host in hosts]
+    started = deployments.SmallDeployment(support.get_cluster(context), relays, hosts)
+    started.start()
+    context.stream = StreamTrial(started)
+
+
+@behave.when("the streams of {callers} are midway and {fault}")
+def play(context, callers, fault):
+    trial = context.stream
+    for caller in callers.split(" and "):
+        trial.ask(caller)
+    for reader in trial.readers:
+        reader.await_lines(_MIDWAY_LINES)
+    _FAULTS[fault](trial, trial.find_busy())
+
+
+@behave.when("an answer in one piece to {caller} is midway and {fault}")
+def play_in_one_piece(context, caller, fault):
+    context.stream.ask(caller, is_streamed=False)
+    _FAULTS[fault](context.stream, context.stream.find_busy())
+
+
+@behave.when("a stream of {caller} has ended, and the same engine cuts the next one short")
+def cut_short(context, caller):
+    trial = context.stream
+    trial.ask(caller)
+    trial.readers[0].check_whole()
+    versions = {"designs-a": 1, "designs-b": 2}
+    host = next(name for name in versions if [versions[name]] == trial.readers[0].read_versions())
+    trial.cluster.control(f"{host}-engine", cut=1)
+    trial.readers.clear()
+    trial.ask(caller)
+
+
+@behave.then("each stream is its caller's own whole text, made by {count:d} engines")
+def check_whole(context, count):
+    for reader in context.stream.readers:
+        reader.check_whole()
+        assert len(reader.read_versions()) == count, reader.last
+
+
+@behave.then("the stream has no last line, and what came is the beginning of its text")
+def check_cut(context):
+    reader = context.stream.readers[0]
+    reader.await_end()
+    assert reader.last is None, reader.last
+    whole = stream_reader.tokens.make_text(reader.prompt, 0, _TOKENS)
+    assert reader.text and whole.startswith(reader.text) and reader.text != whole, reader.text
