--- a/features/ledger.feature
+++ b/features/ledger.feature
@@ -39,6 +39,13 @@
       | ticket, end not-run, run 1               | not-run                           | 2      |
       | ticket, end not-run, run 1, ticket       | not-run                           | 2      |
       | ticket for another incarnation           | unknown incarnation-gone          | 0      |
+      | find                                     | not-run key-unseen                | 0      |
+      | find, run 1                              | not-run key-unseen                | 1      |
+      | run 1, find                              | unknown still-running             | 1      |
+      | run 1, end done, find                    | done                              | 1      |
+      | run 1, end unknown, find                 | unknown                           | 1      |
+      | join 1, find                             | not-run sealed                    | 0      |
+      | run 1, find with another body            | unknown key-used-for-another-body | 1      |
 
   Scenario Outline: At its bounds the ledger says unknown rather than start or seal
     # The key ran, its entry was forgotten to make room, and its caller comes back. Sealing it
--- a/libs/claims/oleander_claims/book.py
+++ b/libs/claims/oleander_claims/book.py
@@ -29,6 +29,10 @@
         """Return the claim in force for a key, as far as its stream was read."""
         return self._find_shard(customer, key).find(customer, key)
 
+    def find_read_time(self, customer: str, key: str) -> float:
+        """Return when the newest whole read of a key's stream began, in monotonic seconds."""
+        return self._find_shard(customer, key).read_at
+
     def propose(self, claim: records.Claim, deadline: clock.Deadline) -> shard.ClaimResult:
         """Append a claim and return the one in force for its key, which may be another's."""
         return self._find_shard(claim.customer, claim.key).propose(claim, deadline)
--- a/programs/oleanderdeal/oleanderdeal/ticket_dispatch.py
+++ b/programs/oleanderdeal/oleanderdeal/ticket_dispatch.py
@@ -7,7 +7,7 @@
 from oleander_contracts import contract
 from oleander_routing import router
 from oleander_wire import messages
-from oleanderdeal import callers, once, peers, tickets
+from oleanderdeal import callers, once, once_messages, peers, tickets
 
 _SLICE_SECONDS = 0.1
 _TICKET_ATTEMPT = 0
@@ -85,7 +85,7 @@
             run = _write_run(call.request_id, request, ticket)
             if link.send(run).is_error():
                 return None
-            return once.await_answer(call, request.deadline)
+            return peers.await_answer(call, request.deadline)
         finally:
             link.close_call(call)
 
@@ -96,7 +96,7 @@
     passed = callers.pass_on(answer)
     if answer.outcome is messages.Outcome.NOT_RUN:
         return expression.Error(once.NotRun(_TICKET_ATTEMPT, _EVIDENCE, passed))
-    if answer.reason == callers.REASON_OTHER_BODY:
+    if answer.reason == messages.REASON_OTHER_BODY:
         return expression.Ok(callers.tell_conflict())
     return expression.Ok(passed)
 
@@ -104,8 +104,10 @@
 def _write_run(
     request_id: str, request: callers.CallerRequest, ticket: tickets.Ticket
 ) -> messages.Run:
-    return once.write_run(
+    return once_messages.write_run(
         request_id,
         request,
-        once.Place(ticket.incarnation, _TICKET_ATTEMPT, messages.TICKET_SHARD, ticket.epoch),
+        once_messages.Place(
+            ticket.incarnation, _TICKET_ATTEMPT, messages.TICKET_SHARD, ticket.epoch
+        ),
     )
