Refuse claims at once after an append hung, until the log answers a read

After one append hung, claims are refused at once until a read succeeds, which the follower tries all the time; claims that came to wait behind the failed append are refused with it. Ruled out: a shorter append timeout, which would refuse claims that a slow log still takes.

--- a/features/once_matrix.feature
+++ b/features/once_matrix.feature
@@ -152,25 +152,26 @@
     And a last once retry is answered <last>, after <runs> runs in all
 
     Examples:
-      | step     | events                                                              | answers          | last    | runs |
-      | unsent   | log refuse, ask entry-a 30000, await 1, ask entry-b 30000, await 2  | not-run, not-run | done    | 1    |
-      | unsent   | log refuse, ask entry-a 30000, await 1                              | not-run          | nothing | 0    |
-      | unsent   | log hang, ask entry-a 30000, ask entry-b 30000, await 1, await 2    | not-run, not-run | done    | 1    |
-      | unsent   | log slow 300, ask entry-a, await 1                                  | done             | done    | 1    |
-      | unsent   | log loses 1, ask entry-a, await 1                                   | not-run          | done    | 1    |
-      | unsent   | log loses 2, ask entry-a, await 1, ask entry-a, await 2             | not-run, not-run | done    | 1    |
-      | unsent   | log silent 1, ask entry-a, await 1                                  | done             | done    | 1    |
-      | unsent   | log silent 2, ask entry-a, ask entry-b, await 1                     | done, done       | done    | 1    |
-      | unsent   | log late 100, ask entry-a, await 1                                  | done             | done    | 1    |
-      | unsent   | log late 1000, ask entry-a, await 1, claims 1                       | not-run          | nothing | 0    |
-      | unsent   | log late 1000, ask entry-a, await 1, claims 1                       | not-run          | done    | 1    |
-      | unsent   | log late 1500, ask entry-a, await 1, ask entry-b, await 2, claims 2 | not-run, done    | done    | 1    |
-      | received | cut log-entry-a, await 1                                            | not-run          | done    | 1    |
-      | received | cut log-entry-a, ask entry-b, await 2, await 1                      | done, done       | done    | 1    |
-      | appended | cut log-entry-a, await 1                                            | not-run          | nothing | 0    |
-      | appended | log refuse, ask entry-b, await 2, await 1                           | not-run, not-run | done    | 1    |
-      | running  | log hang, ask entry-b                                               | done, done       | done    | 1    |
-      | answered | log refuse, ask entry-b, await 2                                    | done, done       | done    | 1    |
+      | step     | events                                                              | answers                                                            | last    | runs |
+      | unsent   | log refuse, ask entry-a 30000, await 1, ask entry-b 30000, await 2  | not-run, not-run                                                   | done    | 1    |
+      | unsent   | log refuse, ask entry-a 30000, await 1                              | not-run                                                            | nothing | 0    |
+      | unsent   | log hang, ask entry-a 30000, ask entry-b 30000, await 1, await 2    | not-run, not-run                                                   | done    | 1    |
+      | unsent   | log hang, ask entry-a 30000, await 1, ask entry-a 30000, await 2    | not-run the log did not take the claim, not-run the log is failing | done    | 1    |
+      | unsent   | log slow 300, ask entry-a, await 1                                  | done                                                               | done    | 1    |
+      | unsent   | log loses 1, ask entry-a, await 1                                   | not-run                                                            | done    | 1    |
+      | unsent   | log loses 2, ask entry-a, await 1, ask entry-a, await 2             | not-run, not-run                                                   | done    | 1    |
+      | unsent   | log silent 1, ask entry-a, await 1                                  | done                                                               | done    | 1    |
+      | unsent   | log silent 2, ask entry-a, ask entry-b, await 1                     | done, done                                                         | done    | 1    |
+      | unsent   | log late 100, ask entry-a, await 1                                  | done                                                               | done    | 1    |
+      | unsent   | log late 1000, ask entry-a, await 1, claims 1                       | not-run                                                            | nothing | 0    |
+      | unsent   | log late 1000, ask entry-a, await 1, claims 1                       | not-run                                                            | done    | 1    |
+      | unsent   | log late 1500, ask entry-a, await 1, ask entry-b, await 2, claims 2 | not-run, done                                                      | done    | 1    |
+      | received | cut log-entry-a, await 1                                            | not-run                                                            | done    | 1    |
+      | received | cut log-entry-a, ask entry-b, await 2, await 1                      | done, done                                                         | done    | 1    |
+      | appended | cut log-entry-a, await 1                                            | not-run                                                            | nothing | 0    |
+      | appended | log refuse, ask entry-b, await 2, await 1                           | not-run, not-run                                                   | done    | 1    |
+      | running  | log hang, ask entry-b                                               | done, done                                                         | done    | 1    |
+      | answered | log refuse, ask entry-b, await 2                                    | done, done                                                         | done    | 1    |
 
   Scenario Outline: Both entries are asked at once
     # Both claim the key before either reads the other's claim. The log's order decides; the entry that
--- a/libs/claims/oleander_claims/shard.py
+++ b/libs/claims/oleander_claims/shard.py
@@ -10,13 +10,12 @@
 import expression
 
 from oleander_base import clock, invariants, log, metrics, tasks
-from oleander_claims import records, table
+from oleander_claims import log_health, records, table
 from oleander_platform import logservice
 
 _MOST_IN_APPEND = 200
 _MOST_WAITING = 2000
 _APPEND_SECONDS = 2.0
-_STUCK_SECONDS = 1.0
 _READ_BACK_SECONDS = 0.5
 _CATCH_UP_SECONDS = 0.5
 _DECISION_SECONDS = 5.0
@@ -72,8 +71,7 @@
         self._next_offset = 0
         self._caught_up = threading.Event()
         self._read_at = -math.inf
-        self._failing_until: clock.Deadline | None = None
-        self._append_stuck_at: clock.Deadline | None = None
+        self._health = log_health.LogHealth()
         self._waiting: queue.Queue[_Proposal] = queue.Queue(_MOST_WAITING)
         self._proposals: dict[str, _Proposal] = {}
 
@@ -112,7 +110,7 @@
         """
         if not self._caught_up.wait(deadline.earlier(_CATCH_UP_SECONDS).remaining):
             return expression.Error(ClaimError("claims are still being read", 1000))
-        if self._is_log_failing():
+        if self._health.is_failing:
             return expression.Error(ClaimError("the log is failing", 1000))
         proposal = _Proposal(claim, deadline, concurrent.futures.Future())
         with self._lock:
@@ -123,13 +121,6 @@
             with self._lock:
                 self._proposals.pop(claim.nonce, None)
 
-    def _is_log_failing(self) -> bool:
-        """Tell whether a claim would only wait; refusing now lets the caller come back sooner."""
-        stuck, failing = self._append_stuck_at, self._failing_until
-        if stuck is not None and stuck.is_past:
-            return True
-        return failing is not None and not failing.is_past
-
     def _await_decision(self, proposal: _Proposal, issued_offset: int | None) -> ClaimResult:
         try:
             self._waiting.put_nowait(proposal)
@@ -169,39 +160,46 @@
             group = [self._waiting.get(timeout=0.5)]
         except queue.Empty:
             return []
-        while len(group) < _MOST_IN_APPEND:
+        group += self._take_waiting(_MOST_IN_APPEND - 1)
+        return [item for item in group if not item.decided.done()]
+
+    def _take_waiting(self, most: int) -> list[_Proposal]:
+        taken: list[_Proposal] = []
+        while len(taken) < most:
             try:
-                group.append(self._waiting.get_nowait())
+                taken.append(self._waiting.get_nowait())
             except queue.Empty:
                 break
-        return [item for item in group if not item.decided.done()]
+        return taken
 
     def _append_group(self, group: list[_Proposal]) -> None:
         deadline = clock.start_deadline(_APPEND_SECONDS)
         values = [item.claim.to_value() for item in group]
-        self._append_stuck_at = clock.start_deadline(_STUCK_SECONDS)
+        self._health.start_append()
         appended = self._service.append(self._stream, values, deadline)
-        self._append_stuck_at = None
-        if appended.is_error():
+        if appended.is_error() and not self._are_read_back(group, appended.error):
             self._refuse_group(group, appended.error)
+        self._health.end_append()
+
+    def _are_read_back(self, group: list[_Proposal], error: logservice.LogError) -> bool:
+        """Wait a moment for claims whose append may have taken effect without an answer."""
+        futures = [item.decided for item in group]
+        if error.may_have_effect:
+            concurrent.futures.wait(futures, timeout=_READ_BACK_SECONDS)
+        return all(future.done() for future in futures)
 
     def _refuse_group(self, group: list[_Proposal], error: logservice.LogError) -> None:
         """
-        Refuse claims whose append failed, unless they are read back at once.
+        Refuse claims whose append failed, and those that have come to wait behind them.
 
         The records may stand in the log all the same. That does no harm: these claimants give
         up for good here, and nobody else acts on another's record without asking its sidecar.
         """
         metrics.count(metrics.LOG_OUTAGES)
         log.warn_bounded("log-append-failed", f"{self._stream}: {error.detail}")
-        if error.may_have_effect:
-            futures = [item.decided for item in group]
-            concurrent.futures.wait(futures, timeout=_READ_BACK_SECONDS)
-            if all(future.done() for future in futures):
-                return
-        self._failing_until = clock.start_deadline(_RETRY_SECONDS)
+        self._health.fail_append()
         refusal = ClaimError("the log did not take the claim", max(200, error.retry_after_ms))
-        for item in group:
+        for item in [*group, *self._take_waiting(_MOST_WAITING)]:
             item.settle(expression.Error(refusal))
 
     def _follow(self) -> None:
@@ -240,6 +238,7 @@
         return True
 
     def _note_read(self, page: logservice.Page, started_at: float) -> None:
+        self._health.note_read()
         if self._next_offset >= page.next_offset:
             self._read_at = started_at
             self._caught_up.set()
