Share between streams that the log hangs, and test claims that can't be read back

New cells: the log answers the append but can't be read; two claims of which the second's entry reads both late. In both the claims name different sidecars for certain, so that acting on the wrong one shows as a second run.

--- a/features/deployments.py
+++ b/features/deployments.py
@@ -86,6 +86,14 @@
                 _READY_SECONDS,
             )
 
+    def await_peers(self, count):
+        """Wait until each running entry has links to exactly so many sidecars."""
+        for name in self.list_running_entries():
+            support.wait_until(
+                lambda name=name: self.read_configuration(name)["peers"] == count,
+                f"{name} has {count} peers",
+            )
+
     def list_running_entries(self):
         """Return the entries that have not been ended."""
         return [name for name in ENTRIES if self.cluster.find(name).code is None]
--- a/features/once_matrix.feature
+++ b/features/once_matrix.feature
@@ -183,11 +183,28 @@
     And a last once retry is answered <last>, after <runs> runs in all
 
     Examples:
-      | step     | events                                                                                                                                              | answers    | last | runs |
-      | unsent   | ask entry-a, ask entry-b                                                                                                                            | done, done | done | 1    |
-      | received | ask entry-b, await 2, heal log-entry-a, await 1                                                                                                     | done, done | done | 1    |
-      | appended | ask entry-b, await 2, heal log-entry-a, await 1                                                                                                     | done, done | done | 1    |
-      | unsent   | block log-entry-a to-client, block log-entry-b to-client, ask entry-a, claims 1, ask entry-b, claims 2, heal log-entry-a, heal log-entry-b, await 1 | done, done | done | 1    |
+      | step     | events                                                                                                                                              | answers       | last | runs |
+      | unsent   | ask entry-a, ask entry-b                                                                                                                            | done, done    | done | 1    |
+      | received | ask entry-b, await 2, heal log-entry-a, await 1                                                                                                     | done, done    | done | 1    |
+      | appended | ask entry-b, await 2, heal log-entry-a, await 1                                                                                                     | done, done    | done | 1    |
+      | unsent   | block log-entry-a to-client, block log-entry-b to-client, ask entry-a, claims 1, ask entry-b, claims 2, heal log-entry-a, heal log-entry-b, await 1 | done, done    | done | 1    |
+      | unsent   | hold-open log-entry-b, ask entry-a, await 1, cut link, peers 1, ask entry-b 1500, claims 2, heal log-entry-b, await 2                               | done, unknown | done | 1    |
+
+  Scenario Outline: A claim is appended and not read back
+    # The log answers the append, and the entry can't read the stream. Another entry's claim stood first
+    # and its request has run. To act on the append's success alone would run the key a second time.
+    Given a deployment in which every connection of a once request can fail
+    When the once request is <step>, and then <events>
+    And the once faults are over
+    Then the once answers are <answers>
+    And a last once retry is answered <last>, after <runs> runs in all
+
+    Examples:
+      | step   | events                                                                                    | answers       | last    | runs |
+      | unsent | hold-open log-entry-a, ask entry-b, await 1, cut link, peers 1, ask entry-a 1000, await 2 | done, unknown | done    | 1    |
+      | unsent | hold-open log-entry-a, ask entry-b, await 1, ask entry-a 1000, await 2                    | done, done    | done    | 1    |
+      | unsent | hold-open log-entry-a, ask entry-a 1000, await 1                                          | not-run       | nothing | 0    |
+      | unsent | hold-open log-entry-a, ask entry-a 1000, await 1, ask entry-b, await 2                    | not-run, done | done    | 1    |
 
   Scenario Outline: An entry that can't read the log is asked about a key that ran
     # The caller lost the answer and asks another entry, which does not know of the claim: its link to
--- a/libs/claims/oleander_claims/book.py
+++ b/libs/claims/oleander_claims/book.py
@@ -1,7 +1,9 @@
 """All claims streams together: finds the stream of a key."""
 
+import threading
+
 from oleander_base import clock, identifiers, tasks
-from oleander_claims import keys, records, shard
+from oleander_claims import keys, log_health, records, shard
 from oleander_platform import logservice
 
 TASKS_PER_SHARD = 2
@@ -13,7 +15,11 @@
     def __init__(
         self, service: logservice.LogService, group: tasks.TaskGroup, shards: int, window: int
     ) -> None:
-        self._shards = [shard.ClaimShard(n, service, group, window) for n in range(shards)]
+        hung = threading.Event()
+        self._shards = [
+            shard.ClaimShard(n, service, group, window, log_health.LogHealth(hung))
+            for n in range(shards)
+        ]
 
     @property
     def is_caught_up(self) -> bool:
--- a/libs/claims/oleander_claims/shard.py
+++ b/libs/claims/oleander_claims/shard.py
@@ -59,7 +59,12 @@
     """
 
     def __init__(
-        self, shard: int, service: logservice.LogService, group: tasks.TaskGroup, window: int
+        self,
+        shard: int,
+        service: logservice.LogService,
+        group: tasks.TaskGroup,
+        window: int,
+        health: log_health.LogHealth,
     ) -> None:
         self._shard = shard
         self._stream = f"claims-{shard}"
@@ -71,7 +76,7 @@
         self._next_offset = 0
         self._caught_up = threading.Event()
         self._read_at = -math.inf
-        self._health = log_health.LogHealth()
+        self._health = health
         self._waiting: queue.Queue[_Proposal] = queue.Queue(_MOST_WAITING)
         self._proposals: dict[str, _Proposal] = {}
 
@@ -186,7 +191,7 @@
         futures = [item.decided for item in group]
         if error.may_have_effect:
             concurrent.futures.wait(futures, timeout=_READ_BACK_SECONDS)
-        return all(future.done() for future in futures)
+        return all(future.done() and not future.cancelled() for future in futures)
 
     def _refuse_group(self, group: list[_Proposal], error: logservice.LogError) -> None:
         """
