--- a/libs/claims/oleander_claims/shard.py
+++ b/libs/claims/oleander_claims/shard.py
@@ -10,13 +10,12 @@
 import expression
 
 from oleander_base import clock, invariants, log, metrics, tasks
-from oleander_claims import records, table
+from oleander_claims import log_health, records, table
 from oleander_platform import logservice
 
 _MOST_IN_APPEND = 200
 _MOST_WAITING = 2000
 _APPEND_SECONDS = 2.0
-_STUCK_SECONDS = 1.0
 _READ_BACK_SECONDS = 0.5
 _CATCH_UP_SECONDS = 0.5
 _DECISION_SECONDS = 5.0
@@ -59,7 +58,12 @@
     """
 
     def __init__(
-        self, shard: int, service: logservice.LogService, group: tasks.TaskGroup, window: int
+        self,
+        shard: int,
+        service: logservice.LogService,
+        group: tasks.TaskGroup,
+        window: int,
+        health: log_health.LogHealth,
     ) -> None:
         self._shard = shard
         self._stream = f"claims-{shard}"
@@ -72,8 +76,7 @@
         self._caught_up = threading.Event()
         self._read_at = -math.inf
         self._read_failed = False
-        self._failing_until: clock.Deadline | None = None
-        self._append_stuck_at: clock.Deadline | None = None
+        self._health = health
         self._waiting: queue.Queue[_Proposal] = queue.Queue(_MOST_WAITING)
         self._proposals: dict[str, _Proposal] = {}
 
@@ -110,7 +113,7 @@
         """
         if not self._caught_up.wait(deadline.earlier(_CATCH_UP_SECONDS).remaining):
             return expression.Error(ClaimError("claims-unread", 1000))
-        if self._is_log_failing():
+        if self._health.is_failing:
             return expression.Error(ClaimError("log-failing", 1000))
         proposal = _Proposal(claim, deadline, concurrent.futures.Future())
         with self._lock:
@@ -121,13 +124,6 @@
             with self._lock:
                 self._proposals.pop(claim.nonce, None)
 
-    def _is_log_failing(self) -> bool:
-        """Tell whether a claim would only wait; refusing now lets the caller come back sooner."""
-        stuck, failing = self._append_stuck_at, self._failing_until
-        if stuck is not None and stuck.is_past:
-            return True
-        return failing is not None and not failing.is_past
-
     def _await_decision(self, proposal: _Proposal) -> ClaimResult:
         try:
             self._waiting.put_nowait(proposal)
@@ -153,39 +149,46 @@
             group = [self._waiting.get(timeout=0.5)]
         except queue.Empty:
             return []
-        while len(group) < _MOST_IN_APPEND:
+        group += self._take_waiting(_MOST_IN_APPEND - 1)
+        return [item for item in group if not item.decided.done()]
+
+    def _take_waiting(self, most: int) -> list[_Proposal]:
+        taken: list[_Proposal] = []
+        while len(taken) < most:
             try:
-                group.append(self._waiting.get_nowait())
+                taken.append(self._waiting.get_nowait())
             except queue.Empty:
                 break
-        return [item for item in group if not item.decided.done()]
+        return taken
 
     def _append_group(self, group: list[_Proposal]) -> None:
         deadline = clock.start_deadline(_APPEND_SECONDS)
         values = [item.claim.to_value() for item in group]
-        self._append_stuck_at = clock.start_deadline(_STUCK_SECONDS)
+        self._health.start_append()
         appended = self._service.append(self._stream, values, deadline)
-        self._append_stuck_at = None
-        if appended.is_error():
+        if appended.is_error() and not self._are_read_back(group, appended.error):
             self._refuse_group(group, appended.error)
+        self._health.end_append()
+
+    def _are_read_back(self, group: list[_Proposal], error: logservice.LogError) -> bool:
+        """Wait a moment for claims whose append may have taken effect without an answer."""
+        futures = [item.decided for item in group]
+        if error.may_have_effect:
+            concurrent.futures.wait(futures, timeout=_READ_BACK_SECONDS)
+        return all(future.done() and not future.cancelled() for future in futures)
 
     def _refuse_group(self, group: list[_Proposal], error: logservice.LogError) -> None:
         """
-        Refuse claims whose append failed, unless they are read back at once.
+        Refuse claims whose append failed, and those that have come to wait behind them.
 
         The records may stand in the log all the same. That does no harm: these claimants give
         up for good here, and nobody else acts on another's record without asking its sidecar.
         """
         metrics.count(metrics.LOG_OUTAGES)
         log.warn_bounded("log-append-failed", f"{self._stream}: {error.detail}")
-        if error.may_have_effect:
-            futures = [item.decided for item in group]
-            concurrent.futures.wait(futures, timeout=_READ_BACK_SECONDS)
-            if all(future.done() for future in futures):
-                return
-        self._failing_until = clock.start_deadline(_RETRY_SECONDS)
+        self._health.fail_append()
         refusal = ClaimError("log-failing", max(200, error.retry_after_ms))
-        for item in group:
+        for item in [*group, *self._take_waiting(_MOST_WAITING)]:
             item.settle(expression.Error(refusal))
 
     def _follow(self) -> None:
@@ -226,6 +229,7 @@
         return True
 
     def _note_read(self, page: logservice.Page, started_at: float) -> None:
+        self._health.note_read()
         if self._next_offset >= page.next_offset:
             self._read_at = started_at
             self._caught_up.set()
