Don't send a sidecar the same records again at each quick change

Cause: offer_records compared with the sidecar's last heartbeat only, so each of several changes within one heartbeat sent all since then once more. Lost records are found by the next heartbeat, which resets what was noted.

--- a/programs/oleanderdeal/oleanderdeal/peers.py
+++ b/programs/oleanderdeal/oleanderdeal/peers.py
@@ -163,10 +163,15 @@
             self._calls.pop(call.request_id, None)
 
     def offer_records(self) -> None:
-        """Send the sidecar what changed, as far as its last heartbeat shows that it lacks it."""
+        """
+        Send the sidecar what changed since its last heartbeat or the last records sent to it.
+
+        Without noting what was sent, each of several quick changes would send all those since the
+        last heartbeat again. Should the records be lost, the next heartbeat shows it.
+        """
         current = self._link
         if current is not None:
-            self._records.compare(self._peer_offset, current)
+            self._peer_offset = self._records.compare(self._peer_offset, current)
 
     def send(self, message: messages.Message) -> expression.Result[None, NotSent]:
         """Send a message; an error means it never left, success that it may have arrived."""
