--- a/features/deployments.py
+++ b/features/deployments.py
@@ -89,7 +89,10 @@
         """Start a sidecar, or start it anew; a relay before it keeps its address."""
         link = self.relays.get(f"link-{name}")
         self.deployed.start_sidecar(
-            name, backend_url=self._lead_to("service", name), is_listed=link is None
+            name,
+            backend_url=self._lead_to("service", name),
+            log_url=self._lead_to("log", name),
+            is_listed=link is None,
         )
         if link is not None:
             link.target = self.cluster.address(name)
