--- a/standins/oleander_standins/relay.py
+++ b/standins/oleander_standins/relay.py
@@ -26,6 +26,7 @@
         """Listen on a free port for a target given as IP:port, which may be changed later."""
         self.target = target
         self._changed = threading.Condition()
+        self._passed = dict.fromkeys(_DIRECTIONS, 0)
         self._blocked: set[str] = set()
         self._is_cut = False
         self._is_closed = False
@@ -51,6 +52,12 @@
         with self._changed:
             return len(self._pairs)
 
+    @property
+    def bytes_passed(self) -> int:
+        """How many bytes were passed on, both ways together."""
+        with self._changed:
+            return sum(self._passed.values())
+
     def cut(self) -> None:
         """Close every connection, and each new one at once, until healed."""
         with self._changed:
@@ -153,6 +160,8 @@
                 pair.held.add(direction)
                 self._wait_open(pair, direction)
                 sink.sendall(data)
+                with self._changed:
+                    self._passed[direction] += len(data)
                 pair.held.discard(direction)
             self._wait_open(pair, direction)
             sink.shutdown(socket.SHUT_WR)
