Tell when publishing the same again would replace another's contract

'Publishing the same again does no harm' was untrue where another operator had published since: the second run starts from that contract and replaces it. The features operator and configuration_matrix pass with the new words.

--- a/programs/oleanderdeal/oleanderdeal/commands/publisher.py
+++ b/programs/oleanderdeal/oleanderdeal/commands/publisher.py
@@ -78,5 +78,6 @@
         return f"not published: {error.detail}"
     return (
         f"not known whether it was published: {error.detail}. It may still take effect;"
-        " see audit. Publishing the same again does no harm"
+        " see audit. Publishing the same again is safe unless another has published since:"
+        " that would be replaced"
     )
