--- a/features/configuration_matrix.feature
+++ b/features/configuration_matrix.feature
@@ -231,6 +231,20 @@
     Then in the configuration matrix everyone have the newest change
     And show in the configuration matrix tells the newest change
 
+  Scenario: A process replaced in an outage is filled by peers that began with a snapshot
+    # The peers never had the records before it, so they hand over all that is in force at once.
+    Given a deployment of the configuration matrix with entries that have --snapshot_interval_ms 100
+    When 2 changes are accepted in the configuration matrix
+    Then the log of the configuration matrix has a snapshot of the newest change
+    When the log of the configuration matrix deletes the record of the newest change
+    And in the configuration matrix everyone are killed
+    And in the configuration matrix everyone are replaced
+    Then in the configuration matrix everyone have the newest change
+    When in the configuration matrix the log refuses
+    And in the configuration matrix entry-a, desk-a are killed
+    And in the configuration matrix entry-a, desk-a are replaced
+    Then in the configuration matrix everyone have the newest change
+
   Scenario: Where retention came before a snapshot a process starts from peers, or serves nothing
     # No snapshot is due for long. The log deletes the record of the newest change. With links a
     # replaced entry is filled by a sidecar; with everything replaced nobody knows.
--- a/features/wire.feature
+++ b/features/wire.feature
@@ -21,3 +21,7 @@
   Scenario: A field that a later release added is ignored
     When the frame {"type": "Cancel", "request_id": "a", "added": 1} is decoded
     Then the message is a Cancel
+
+  Scenario: A snapshot is taken where it may be missing
+    When the frame {"type": "Records", "offsets": [], "times_ms": [], "values": [], "snapshot": {"through": 1}} is decoded
+    Then the message is a Records
--- a/libs/wire/oleander_wire/codec.py
+++ b/libs/wire/oleander_wire/codec.py
@@ -33,7 +33,7 @@
 def _describe_field(name: str, hint: typing.Any) -> _Field:
     if isinstance(hint, types.UnionType):
         inner = next(item for item in typing.get_args(hint) if item is not type(None))
-        return _Field(name, inner, True)
+        return _Field(name, typing.get_origin(inner) or inner, True)
     return _Field(name, typing.get_origin(hint) or hint, False)
 
 
