--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -32,7 +32,7 @@
     version_publisher,
 )
 
-_MOST_CUSTOMERS = 1000
+_MOST_SAVED_RETRIES = 20
 _MOST_EXTRA_LINKS = 32
 _OTHER_TASKS = 8
 _STOP_SECONDS = 5.0
@@ -67,7 +67,7 @@
         )
         self._steps = registry.StepRegistry()
         dispatcher = dispatch.Dispatcher(
-            self._routes, self._links, retries.RetryBudgets(_MOST_CUSTOMERS)
+            self._routes, self._links, retries.RetryBudgets(_MOST_SAVED_RETRIES)
         )
         self._sampling = sampling.SamplingPool(
             self._steps, dispatcher, self._in_force, self._group, chosen.sample_tasks
@@ -106,7 +106,7 @@
                 threads,
             ),
             follower=self._follower,
-            count_peers=lambda: len(self._routes.list_peers()),
+            list_peers=self._routes.list_peers,
             is_ready=self._is_ready,
         )
         self._server = http_server.HttpServer(
@@ -117,12 +117,12 @@
         """Serve until told to stop, then finish what is in progress."""
         self._follower.on_change(self._spread_change)
         self._follower.on_change(self._runs.note_change)
-        self._group.start(self._follower.follow)
-        self._group.start(self._hosts.follow)
-        self._group.start(self._runs.write)
-        self._group.start(self._snapshots.write)
+        self._group.keep(self._follower.follow)
+        self._group.keep(self._hosts.follow)
+        self._group.keep(self._runs.write)
+        self._group.keep(self._snapshots.write)
         self._claims.start()
-        self._group.start(self._sampling.feed)
+        self._group.keep(self._sampling.feed)
         self._group.start(self._server.serve)
         lifecycle.announce_address(self._chosen.listen_host, self._server.port)
         while not stop.wait(1.0):
--- a/programs/oleanderdeal/oleanderdeal/hosts.py
+++ b/programs/oleanderdeal/oleanderdeal/hosts.py
@@ -1,7 +1,5 @@
 """Follows the platform's host list: which sidecars an entry links to."""
 
-import collections.abc
-
 from oleander_base import clock, log, tasks
 from oleander_platform import hostlist
 from oleander_routing import router, subset
@@ -45,14 +43,13 @@
         if read.is_error():
             log.warn_bounded("hosts-unread", f"going on with the last list: {read.error.detail}")
             return
-        self._links.set_hosts(self._choose(read.ok))
+        chosen = self._choose(read.ok)
+        self._links.set_hosts(chosen, covers_all=len(chosen) == len(read.ok))
         for host in read.ok:
             if host.state is hostlist.HostState.LEAVING:
                 self._routes.mark_leaving(host.name)
 
-    def _choose(
-        self, listed: tuple[hostlist.Host, ...]
-    ) -> collections.abc.Iterable[hostlist.Host]:
+    def _choose(self, listed: tuple[hostlist.Host, ...]) -> list[hostlist.Host]:
         by_name = {host.name: host for host in listed}
         described = [
             subset.SubsetHost(host.name, host.failure_domain, host.backend) for host in listed
--- a/programs/oleanderdeal/oleanderdeal/sidecar.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar.py
@@ -1,5 +1,6 @@
 """The sidecar: the one process that sends work to the backend server beside it."""
 
+import random
 import threading
 
 from oleander_admission import admission
@@ -49,7 +50,9 @@
         )
         self._trail = order_trail.OrderTrail(chosen.name, log_service, self._group)
         self._keeper: weights.WeightKeeper | None = None
-        self._queue = admission.AdmissionQueue(chosen.slots, chosen.queue_length)
+        self._queue = admission.AdmissionQueue(
+            chosen.slots, chosen.queue_length, jitter=random.Random()
+        )
         self._executor = executor.Executor(
             self._queue, self._create_runner(), self._group, chosen.slots
         )
@@ -77,11 +80,11 @@
 
     def run(self, stop: lifecycle.StopSignal) -> None:
         """Serve until told to stop, then finish what runs and what waits."""
-        self._group.start(self._follower.follow)
-        self._group.start(self._trail.write)
+        self._group.keep(self._follower.follow)
+        self._group.keep(self._trail.write)
         if self._keeper is not None:
             self._follower.on_change(self._keeper.wake)
-            self._group.start(self._keeper.keep)
+            self._group.keep(self._keeper.keep)
         self._executor.start()
         self._group.start(self._server.serve)
         lifecycle.announce_address(self._chosen.listen_host, self._server.port)
--- a/standins/oleander_standins/relay.py
+++ b/standins/oleander_standins/relay.py
@@ -28,6 +28,8 @@
         self._changed = threading.Condition()
         self._passed = dict.fromkeys(_DIRECTIONS, 0)
         self._blocked: set[str] = set()
+        self._held_text = b""
+        self._held_direction = TO_SERVER
         self._is_cut = False
         self._is_closed = False
         self._pairs: set[_Pair] = set()
@@ -81,6 +83,18 @@
             for pair in self._pairs:
                 pair.blocked.update(_DIRECTIONS)
 
+    def hold_requests(self, text: str, direction: str) -> None:
+        """Hold one way, until healed, each connection that sends a text from now on."""
+        assert direction in _DIRECTIONS, direction
+        with self._changed:
+            self._held_text = text.encode()
+            self._held_direction = direction
+
+    def pass_requests(self) -> None:
+        """Let new connections pass whatever they send; what is held stays held."""
+        with self._changed:
+            self._held_text = b""
+
     def release(self, direction: str) -> None:
         """Pass again what is sent one way, what was held first."""
         assert direction in _DIRECTIONS, direction
@@ -99,6 +113,7 @@
         """Pass everything again, what was held first."""
         with self._changed:
             self._is_cut = False
+            self._held_text = b""
         for direction in _DIRECTIONS:
             self.release(direction)
 
@@ -157,6 +172,8 @@
     ) -> None:
         try:
             while data := source.recv(_MOST_BYTES):
+                if direction == TO_SERVER:
+                    self._hold_matching(pair, data)
                 pair.held.add(direction)
                 self._wait_open(pair, direction)
                 sink.sendall(data)
@@ -169,6 +186,11 @@
             pair.shut()
         self._finish(pair)
 
+    def _hold_matching(self, pair: "_Pair", data: bytes) -> None:
+        with self._changed:
+            if self._held_text and self._held_text in data:
+                pair.blocked.add(self._held_direction)
+
     def _wait_open(self, pair: "_Pair", direction: str) -> None:
         with self._changed:
             self._changed.wait_for(
