Prove over processes that samples arrive once and fresh: a fault matrix

Steps are reached by the stand-ins' pauses and by relays; cells assert the trainer's own lines and exit code, and the tokens that engines counted.

--- a/features/deployments.py
+++ b/features/deployments.py
@@ -27,7 +27,7 @@
     deployment.BackendHost("desk-b", "desk", "service", "b"),
 )
 ENTRIES = ("entry-a", "entry-b")
-_RELAY_KINDS = ("link", "service", "log")
+_RELAY_KINDS = ("link", "service", "log", "trainer")
 _NOWHERE = "127.0.0.1:1"
 _CALL_SECONDS = 40.0
 _MOST_TASKS = 16
@@ -39,14 +39,16 @@
 
     A relay is named after what it leads to and who uses it: `link-desk-a` stands between the
     entries and a sidecar, `service-desk-a` between a sidecar and its backend server, and
-    `log-entry-a` between an entry and the log. Only those that were asked for are started.
+    `log-entry-a` between an entry and the log, `trainer-entry-a` between trainers and an entry.
+    Only those that were asked for are started.
     """
 
-    def __init__(self, cluster, relays=(), hosts=DESKS, entry_flags=()):
+    def __init__(self, cluster, relays=(), hosts=DESKS, entry_flags=(), contracts=()):
         self.cluster = cluster
         self.deployed = deployment.Deployment(cluster)
         self.hosts = {host.name: host for host in hosts}
         self._entry_flags = entry_flags
+        self._contracts = contracts
         self._pool = concurrent.futures.ThreadPoolExecutor(_MOST_TASKS)
         self._calls = {}
         self._runs_of_ended = {}
@@ -55,7 +57,7 @@
 
     def start(self):
         """Start everything and put the contracts in force at every entry."""
-        terms = read_contracts()
+        terms = read_contracts(self._contracts)
         for item in terms:
             self.deployed.add_customer(item.customer)
         for host in self.hosts.values():
@@ -99,6 +101,8 @@
         """Start an entry, or start it anew."""
         log_url = self._lead_to("log", name)
         self.deployed.start_entry(name, name[6], *self._entry_flags, log_url=log_url)
+        if f"trainer-{name}" in self.relays:
+            self.relays[f"trainer-{name}"].target = self.cluster.address(name)
 
     def start_server(self, name):
         """Start a backend server anew where it listened before."""
@@ -129,10 +133,8 @@
     def freeze(self, name):
         """Pause a process, and wait until it stands still."""
         self.cluster.freeze(name)
-        status = pathlib.Path(f"/proc/{self.cluster.find(name).pid}/stat")
-        support.wait_until(
-            lambda: status.read_text().rpartition(")")[2].split()[0] == "T", f"{name} is paused"
-        )
+        pid = self.cluster.find(name).pid
+        support.wait_until(lambda: is_frozen(pid), f"{name} is paused")
 
     def count_runs(self, key):
         """Return how often all services together, the ended ones too, ran a key."""
@@ -164,7 +166,7 @@
             return None
 
     def _read_runs(self, service):
-        return self.cluster.read_control(service)["runs_by_key"]
+        return self.cluster.read_control(service).get("runs_by_key", {})
 
     def _lead_to(self, kind, user):
         """Return the URL of the relay to what a process uses; empty where there is none."""
@@ -188,10 +190,16 @@
             future.result()
 
 
-def read_contracts() -> list[contract.Contract]:
-    """Return the example contracts and one with long timeouts."""
+def read_contracts(more=()) -> list[contract.Contract]:
+    """Return the example contracts, one with long timeouts, and more given as texts."""
     texts = [path.read_text() for path in sorted(EXAMPLES.glob("*.yaml"))]
-    return [readers.read_contract(text, "scenario").ok for text in [*texts, _LONG_CONTRACT]]
+    return [readers.read_contract(text, "scenario").ok for text in [*texts, _LONG_CONTRACT, *more]]
+
+
+def is_frozen(pid):
+    """Return whether a process is paused by a signal."""
+    status = pathlib.Path(f"/proc/{pid}/stat").read_text()
+    return status.rpartition(")")[2].split()[0] == "T"
 
 
 def read_outcome(response):
--- /dev/null
+++ b/features/steps/samples_matrix_steps.py
@@ -0,0 +1,168 @@
+"""Steps of the fault matrix of samples: a step of their way, faults there, what arrived."""
+
+import signal
+
+import behave
+import deployment_steps
+
+import deployments
+import sample_trials
+import support
+from oleander_standins import relay
+
+_SUPERSEDED = 3
+_PROCESS_ACTIONS = ("killed", "frozen", "thawed", "terminated", "restarted")
+_RELAY_ACTIONS = {
+    "cut": lambda found: found.cut(),
+    "dropped": lambda found: found.drop_connections(),
+    "holds-requests": lambda found: found.block(relay.TO_SERVER),
+    "holds-answers": lambda found: found.block(relay.TO_CLIENT),
+    "holds-open-ones": lambda found: found.block_open_connections(),
+    "cuts-an-answer": lambda found: found.spoil(relay.CUT),
+    "damages-an-answer": lambda found: found.spoil(relay.DAMAGED),
+    "healed": lambda found: found.heal(),
+}
+_CONTROLS = {
+    "refuses": {"outage": "refuse"},
+    "hangs": {"outage": "hang"},
+    "slow": {"slow_ms": 300},
+    "back": {"outage": "", "slow_ms": 0},
+    "cuts-streams": {"cut": 4},
+}
+
+
+def _await_spoiled(context, name):
+    found = context.deployment.relays[name]
+    support.wait_until(lambda: not found.spoils_left, f"{name} has spoiled its answers")
+
+
+def _tell_to_stop(context, name):
+    context.deployment.cluster.find(name).send(signal.SIGTERM)
+
+
+def _await_ended(context, name):
+    code = context.deployment.cluster.find(name).wait_exit()
+    assert code == 0, f"{name} ended with exit code {code}"
+
+
+_WAITS = {
+    "released": lambda context, _: context.sample_trials.release(),
+    "linked": lambda context, _: context.deployment.await_entries(),
+    "trainer-at": lambda context, entry: context.sample_trials.await_put("trainer", entry),
+    "second-put": lambda context, entry: context.sample_trials.await_first_put("second"),
+    "exited": lambda context, process: context.sample_trials.await_exit(process),
+    "held": lambda context, count: context.sample_trials.await_held("trainer", int(count)),
+    "published": lambda context, version: context.sample_trials.publish(int(version)),
+    "announced": lambda context, version: context.sample_trials.announce(int(version)),
+    "loaded": lambda context, version: context.sample_trials.await_loaded(int(version)),
+    "peers": lambda context, count: context.sample_trials.await_peers(int(count)),
+    "spoiled": _await_spoiled,
+    "told-to-stop": _tell_to_stop,
+    "ended": _await_ended,
+}
+
+
+def _act(context, text):
+    """Carry out one fault or wait, such as `entry-a killed` or `peers 1`."""
+    first, _, second = text.partition(" ")
+    if first in _WAITS or second in _WAITS:
+        name, argument = (first, second) if first in _WAITS else (second, first)
+        _WAITS[name](context, argument)
+    elif second in _PROCESS_ACTIONS:
+        deployment_steps.act_on_process(context, first, second)
+    elif second in _CONTROLS:
+        context.deployment.cluster.control(first, **_CONTROLS[second])
+    else:
+        _RELAY_ACTIONS[second](context.deployment.relays[first])
+
+
+@behave.given("a samples deployment")
+def start_samples(context):
+    context.sample_trials = sample_trials.start(context)
+
+
+@behave.given("a samples deployment where {faults}")
+def start_samples_with(context, faults):
+    start_samples(context)
+    meet_faults(context, faults)
+
+
+@behave.when("the samples of trainer {trainer} have come to {stage}")
+def bring_samples(context, trainer, stage):
+    context.sample_trials.bring_to(stage, trainer, ())
+
+
+@behave.when("trainer {trainer}, started with {flags}, has its samples come to {stage}")
+def bring_samples_with(context, trainer, stage, flags):
+    context.sample_trials.bring_to(stage, trainer, flags.split())
+
+
+@behave.step("the samples meet {faults}")
+def meet_faults(context, faults):
+    for fault in faults.split(","):
+        _act(context, fault.strip())
+
+
+@behave.step("the trainer of the samples is killed and started anew with {flags}")
+def restart_trainer(context, flags):
+    context.deployment.cluster.kill("trainer")
+    more = flags.format(held=context.sample_trials.read_held("trainer")).split()
+    context.sample_trials.start_trainer("trainer", "near", deployments.ENTRIES, *more)
+
+
+@behave.step("a second trainer {name} of the samples starts at {entry}")
+def start_second(context, name, entry):
+    flags = ("--incarnation", "2")
+    context.sample_trials.start_trainer("second", name, (entry,), *flags)
+
+
+@behave.then("trainer process {name} has every sample of {steps:d} steps once, fresh and true")
+def check_whole(context, name, steps, of_checkpoint=0):
+    code, summary = context.sample_trials.await_end(name)
+    assert code == 0 and not summary["problems"], summary
+    assert summary["steps"] == steps, summary
+    assert summary["samples"] == steps * sample_trials.SAMPLES - of_checkpoint, summary
+    assert summary["duplicates"] == 0 and summary["stale"] == 0, summary
+
+
+@behave.then("the samples arrive once, fresh and true, with {vain} tokens made in vain at most")
+def check_arrived(context, vain):
+    check_whole(context, "trainer", 1)
+    check_made(context, vain)
+
+
+@behave.then("of the samples {vain} tokens were made in vain at most")
+def check_made(context, vain):
+    trials = context.sample_trials
+    unheld = (sample_trials.SAMPLES - trials.held_then) * sample_trials.SAMPLE_TOKENS
+    named = {"unheld": unheld, "unheld-twice": 2 * unheld}
+    most = named[vain] if vain in named else int(vain)
+    made = trials.count_tokens() - sample_trials.SAMPLES * sample_trials.SAMPLE_TOKENS
+    assert made <= most, f"{made} tokens beyond a step's, {trials.held_then} samples were held"
+
+
+@behave.then("the restarted trainer has the rest of its samples once, fresh and true")
+def check_rest(context):
+    held = context.sample_trials.held_then
+    assert held > 0
+    check_whole(context, "trainer", 1, held)
+
+
+@behave.then("the trainer process {name} of the samples ends as superseded, with nothing twice")
+def check_superseded(context, name):
+    code, summary = context.sample_trials.await_end(name)
+    assert code == _SUPERSEDED and summary["superseded"], (code, summary)
+    assert summary["duplicates"] == 0 and not summary["problems"], summary
+
+
+@behave.then("{made:d} whole samples were made in all")
+def check_made_in_all(context, made):
+    tokens = context.sample_trials.count_tokens()
+    assert tokens == made * sample_trials.SAMPLE_TOKENS, tokens
+
+
+@behave.then("a registration of the samples' step with other groups at {entry} is a {reason}")
+def check_conflict(context, entry, reason):
+    groups = [{"prompt": "other", "prefix": "", "samples": 16, "max_tokens": 8}]
+    answer = context.sample_trials.put_step(entry, "near", 1, groups)
+    assert answer.status == 409 and answer.read_json()["reason"] == reason, answer.body
--- a/standins/oleander_standins/engine.py
+++ b/standins/oleander_standins/engine.py
@@ -45,6 +45,8 @@
     """So many next generations break off after their first line."""
     pause_after: int = 0
     """Generations pause after so many tokens until this is changed; 0 for not at all."""
+    pause_start: bool = False
+    """Generations that got a slot make no token until this is changed."""
     slow_factor: float = 1.0
     refuse: bool = False
     """New generations are answered 503."""
@@ -158,6 +160,7 @@
             generation.outcome = generations.RUNNING
             cuts = self.take("cut")
             self._prefill(generation)
+            self.wait_while(lambda: self._is_held_back(generation))
             while not generation.cancelled.wait(self._read_pace(generation)):
                 exchange.send_line(self._make_piece(generation))
                 if generation.outcome == generations.FINISHED or cuts:
@@ -181,6 +184,9 @@
         after = self.settings.pause_after
         return 0 < after <= generation.position and not generation.cancelled.is_set()
 
+    def _is_held_back(self, generation: generations.Generation) -> bool:
+        return self.settings.pause_start and not generation.cancelled.is_set()
+
     def _read_pace(self, generation: generations.Generation) -> float:
         count = min(self.settings.piece_tokens, generation.left)
         crowding = 1.0 + _CROWDING * (self._batch.running - 1)
--- a/standins/oleander_standins/relay.py
+++ b/standins/oleander_standins/relay.py
@@ -8,6 +8,9 @@
 TO_SERVER = "to_server"
 TO_CLIENT = "to_client"
 _DIRECTIONS = (TO_SERVER, TO_CLIENT)
+CUT = "cut"
+DAMAGED = "damaged"
+_SAMPLE_TEXT = b'"text":"'
 _MOST_BYTES = 64 * 1024
 _MOST_CONNECTIONS = 1000
 _CONNECT_SECONDS = 5.0
@@ -29,6 +32,7 @@
         self._blocked: set[str] = set()
         self._is_cut = False
         self._is_closed = False
+        self._spoils: list[str] = []
         self._pairs: set[_Pair] = set()
         self._threads: set[threading.Thread] = set()
         self._listener = socket.create_server(("127.0.0.1", 0), backlog=128)
@@ -51,6 +55,12 @@
         with self._changed:
             return len(self._pairs)
 
+    @property
+    def spoils_left(self) -> int:
+        """How many answers are still to be spoiled."""
+        with self._changed:
+            return len(self._spoils)
+
     def cut(self) -> None:
         """Close every connection, and each new one at once, until healed."""
         with self._changed:
@@ -83,6 +93,12 @@
                 pair.blocked.discard(direction)
             self._changed.notify_all()
 
+    def spoil(self, how: str) -> None:
+        """Cut the next answer with samples in the middle, or change a digit of its first text."""
+        assert how in {CUT, DAMAGED}, how
+        with self._changed:
+            self._spoils.append(how)
+
     def count_held(self, direction: str) -> int:
         """Return how many connections have bytes that are held on their way."""
         with self._changed:
@@ -152,7 +168,7 @@
             while data := source.recv(_MOST_BYTES):
                 pair.held.add(direction)
                 self._wait_open(pair, direction)
-                sink.sendall(data)
+                self._send(pair, sink, data, direction)
                 pair.held.discard(direction)
             self._wait_open(pair, direction)
             sink.shutdown(socket.SHUT_WR)
@@ -160,6 +176,19 @@
             pair.shut()
         self._finish(pair)
 
+    def _send(self, pair: "_Pair", sink: socket.socket, data: bytes, direction: str) -> None:
+        how = ""
+        if direction == TO_CLIENT and _SAMPLE_TEXT in data:
+            with self._changed:
+                how = self._spoils.pop(0) if self._spoils else ""
+        place = data.find(_SAMPLE_TEXT) + len(_SAMPLE_TEXT)
+        if how == DAMAGED:
+            other = b"1" if data[place : place + 1] == b"0" else b"0"
+            data = data[:place] + other + data[place + 1 :]
+        sink.sendall(data[:place] if how == CUT else data)
+        if how == CUT:
+            pair.shut()
+
     def _wait_open(self, pair: "_Pair", direction: str) -> None:
         with self._changed:
             self._changed.wait_for(
--- a/standins/oleander_standins/trainer.py
+++ b/standins/oleander_standins/trainer.py
@@ -27,11 +27,14 @@
             options.customer, options.trainer, options.model, options.token
         )
         self._options = options
-        self._client = trainer_client.TrainerClient(options.entry, names)
+        self._client = trainer_client.TrainerClient(
+            options.entry, names, options.call_ms / 1000, options.pulls_where_put
+        )
         self._total = trainer_checks.Tally()
         self._idle_ms = 0
         self._steps = 0
         self._version = options.version_start
+        self._raises_left = options.raises
 
     def run(self) -> int:
         """Take every step; return the exit code."""
@@ -60,8 +63,9 @@
     def _take_step(self, step: int) -> None:
         groups = [self._create_group(step, index) for index in range(self._options.groups)]
         bound = self._options.staleness_bound
+        held = self._options.held if step == self._options.first_step else ""
         check = trainer_checks.StepCheck(
-            step, groups, self._version, bound, self._options.checks_marks
+            step, groups, self._version, bound, self._options.checks_marks, held
         )
         started = time.monotonic()
         try:
@@ -88,20 +92,49 @@
         self, step: int, groups: list[trainer_checks.Group], check: trainer_checks.StepCheck
     ) -> None:
         give_up_at = self._start_limit()
-        registration = {
-            "incarnation": self._options.incarnation,
-            "version": self._version,
-            "groups": [dataclasses.asdict(group) for group in groups],
-        }
-        collector = self._client.put_step(step, registration, give_up_at)
+        collector = self._put_step(step, groups, check, give_up_at)
         while not check.is_complete:
             if time.monotonic() >= give_up_at:
                 raise trainer_client.LateError(f"step {step} is not complete")
             pulled = self._client.pull(collector, step, self._create_pull(check))
             if pulled.answer is not None:
                 check.take_answer(pulled.answer)
+                self._print_progress({"held": check.format_held()})
+                self._raise_version(check)
             if pulled.put_again:
-                collector = self._client.put_step(step, registration, give_up_at)
+                collector = self._put_step(step, groups, check, give_up_at)
+
+    def _put_step(
+        self,
+        step: int,
+        groups: list[trainer_checks.Group],
+        check: trainer_checks.StepCheck,
+        give_up_at: float,
+    ) -> str:
+        body: dict[str, typing.Any] = {
+            "incarnation": self._options.incarnation,
+            "version": self._version,
+            "groups": [dataclasses.asdict(group) for group in groups],
+        }
+        if self._options.states_held:
+            body["held"] = check.format_held()
+        collector = self._client.put_step(step, body, give_up_at)
+        self._print_progress({"put": step, "entry": self._client.entry})
+        return collector
+
+    def _raise_version(self, check: trainer_checks.StepCheck) -> None:
+        """Raise the version in the middle of a step, once something is held."""
+        if not check.format_held():
+            return
+        while self._raises_left > 0:
+            self._raises_left -= 1
+            self._version += 1
+            self._publish()
+            check.raise_version(self._version)
+
+    def _print_progress(self, content: dict[str, typing.Any]) -> None:
+        if self._options.print_pulls:
+            _print_line(content)
 
     def _create_pull(self, check: trainer_checks.StepCheck) -> dict[str, typing.Any]:
         return {
@@ -153,11 +186,21 @@
         "wait-ms": 1000,
         "most": 64,
         "step-seconds": 60,
+        "call-ms": 3000,
+        "raises": 0,
     }
     for name, default in numbers.items():
         parser.add_argument(f"--{name}", type=int, default=default)
     parser.add_argument("--publish-weights", action="store_true", help="a version for each step")
     parser.add_argument("--checks-marks", action="store_true", help="engines mark each token")
+    parser.add_argument("--print-pulls", action="store_true", help="a line for each put and pull")
+    parser.add_argument(
+        "--pulls-where-put", action="store_true", help="ignore the collector named"
+    )
+    parser.add_argument(
+        "--states-held", action="store_true", help="registrations say what is held"
+    )
+    parser.add_argument("--held", default="", help="what a checkpoint of the first step has")
     parser.add_argument("--weights-url", default="", help="store the weights there first")
     return parser
 
--- a/standins/oleander_standins/trainer_checks.py
+++ b/standins/oleander_standins/trainer_checks.py
@@ -74,13 +74,15 @@
         version: int,
         bound: int,
         checks_marks: bool = False,
+        held: str = "",
     ) -> None:
+        """Start with the samples of a checkpoint, numbers and ranges like 0-5,9."""
         self.tally = Tally()
         self._step = step
         self._version = version
         self._bound = bound
         self._checks_marks = checks_marks
-        self._held: set[int] = set()
+        self._held = _read_held(held)
         self._groups = [index for index, group in enumerate(groups) for _ in range(group.samples)]
         self._prompts = [group.prompt for group in groups]
         self._lengths = [tokens.read_length(group.prompt, group.max_tokens) for group in groups]
@@ -90,6 +92,10 @@
         """Whether every sample is held."""
         return len(self._held) == len(self._groups)
 
+    def raise_version(self, version: int) -> None:
+        """Expect what comes from now on to be fresh for a later version."""
+        self._version = version
+
     def format_held(self) -> str:
         """Return the numbers held as ranges, like 0-5,9."""
         ranges: list[list[int]] = []
@@ -175,6 +181,15 @@
         self.tally.reject(f"step {self._step}: {problem}")
 
 
+def _read_held(text: str) -> set[int]:
+    """Return the numbers of a text like 0-5,9."""
+    held: set[int] = set()
+    for part in filter(None, text.split(",")):
+        first, _, last = part.partition("-")
+        held.update(range(int(first), int(last or first) + 1))
+    return held
+
+
 def _describe_difference(text: str, expected: str) -> str:
     """Return where a text leaves the expected one, and what stands there instead."""
     found, wanted = text.split(), expected.split()
--- a/standins/oleander_standins/trainer_client.py
+++ b/standins/oleander_standins/trainer_client.py
@@ -12,7 +12,6 @@
 
 from oleander_standins import client
 
-_CALL_SECONDS = 3.0
 _PAUSE_SECONDS = 0.05
 _LONGEST_PAUSE_SECONDS = 2.0
 _STATUS_OK = 200
@@ -53,13 +52,27 @@
 class TrainerClient:
     """Puts versions and steps through the entries in turn, and pulls from a collector."""
 
-    def __init__(self, entries: collections.abc.Sequence[str], names: Names) -> None:
+    def __init__(
+        self,
+        entries: collections.abc.Sequence[str],
+        names: Names,
+        call_seconds: float,
+        pulls_where_put: bool = False,
+    ) -> None:
+        """Pull from the URL that took the step, if told so: a relay may stand before an entry."""
         self.lost_answers = 0
         self.unknown_steps = 0
         self._entries = entries
         self._names = names
+        self._call_seconds = call_seconds
+        self._pulls_where_put = pulls_where_put
         self._turn = 0
 
+    @property
+    def entry(self) -> int:
+        """The place of the entry that is asked now."""
+        return self._turn % len(self._entries)
+
     def put_version(self, version: int, uri: str, give_up_at: float) -> None:
         """Announce weights."""
         path = f"/v1/customers/{self._names.customer}/models/{self._names.model}"
@@ -68,13 +81,15 @@
     def put_step(self, step: int, body: dict[str, typing.Any], give_up_at: float) -> str:
         """Register a step; return the URL of its collector."""
         answer = self._put(self._name_step(step), body, give_up_at)
+        if self._pulls_where_put:
+            return self._entries[self.entry]
         return str(answer.get("collector"))
 
     def store_weights(self, url: str, body: bytes, give_up_at: float) -> None:
         """Put weights into the weight store."""
         while time.monotonic() < give_up_at:
             with contextlib.suppress(OSError, http.client.HTTPException):
-                if client.call("PUT", url, body, {}, _CALL_SECONDS).status == _STATUS_OK:
+                if client.call("PUT", url, body, {}, self._call_seconds).status == _STATUS_OK:
                     return
             time.sleep(_PAUSE_SECONDS)
         raise LateError(url)
@@ -83,7 +98,7 @@
         """Ask the collector for samples."""
         url = f"{collector}{self._name_step(step)}/pull"
         try:
-            response = self._call("POST", url, body, body["wait_ms"] / 1000 + _CALL_SECONDS)
+            response = self._call("POST", url, body, body["wait_ms"] / 1000 + self._call_seconds)
         except http.client.IncompleteRead:
             self.lost_answers += 1
             return Pulled()
@@ -109,9 +124,9 @@
         self, path: str, body: dict[str, typing.Any], give_up_at: float
     ) -> dict[str, typing.Any]:
         while time.monotonic() < give_up_at:
-            entry = self._entries[self._turn % len(self._entries)]
+            entry = self._entries[self.entry]
             try:
-                response = self._call("PUT", entry + path, body, _CALL_SECONDS)
+                response = self._call("PUT", entry + path, body, self._call_seconds)
             except (OSError, http.client.HTTPException):
                 self._turn_to_next()
                 continue
