Let a staleness objective give up short starts by older weights

The contract's objective had no effect. With `staleness`, a stream whose weights change when at most a quarter of its expected length is there is now cancelled and made anew; with `idle-time` it goes on with a mixed label, as before.

Over processes: a cell of the fault matrix for each objective. The matrix's trainer `near` has `idle-time`, so that labels stay mixed.

--- a/bench/samples_bench.py
+++ b/bench/samples_bench.py
@@ -1,7 +1,8 @@
 """
 Measure how samples reach a trainer: log outages, stragglers, staleness and replaced entries.
 
-Run with `make bench` or `python bench/samples_bench.py [outage|stragglers|staleness|replaced]`.
+Run with `make bench`, or `python bench/samples_bench.py` and any of outage, stragglers, staleness,
+replaced and objective.
 All times are simulated and all seeds fixed, so a second run prints the same figures.
 """
 
@@ -10,6 +11,7 @@
 import statistics
 import sys
 
+import samples_objective
 import samples_outage
 import samples_simulation as simulation
 from oleander_samples import hedging
@@ -207,6 +209,7 @@
     "stragglers": measure_stragglers,
     "staleness": measure_staleness,
     "replaced": measure_replaced,
+    "objective": samples_objective.measure_objective,
 }
 
 
--- a/bench/samples_simulation.py
+++ b/bench/samples_simulation.py
@@ -36,6 +36,7 @@
     prompt_tokens: int = 200
     prefill_per_second: float = 4000.0
     staleness_bound: int = 100
+    objective: contract.Objective = contract.Objective.IDLE_TIME
     policy: hedging.StragglerPolicy = hedging.StragglerPolicy(5)
 
     @property
@@ -158,7 +159,7 @@
             "bench",
             "m",
             workload.staleness_bound,
-            contract.Objective.IDLE_TIME,
+            workload.objective,
             workload.policy.hedge_percent,
         )
         for generation in self.generations:
--- a/features/sample_trials.py
+++ b/features/sample_trials.py
@@ -12,6 +12,7 @@
 ENGINES = ("designs-a", "designs-b")
 BOUNDS = {"fresh": 0, "near": 1, "far": 2}
 """The trainers of the contract and their staleness bounds."""
+OBJECTIVES = {"fresh": "staleness", "near": "idle-time", "far": "staleness"}
 _CONTRACT = """
 customer: lab
 share_percent: 50
@@ -20,7 +21,7 @@
 trainers:
 """ + "\n".join(
     f"  - {{name: {name}, backend: designs, model: designs, staleness_bound: {bound},"
-    " objective: staleness, hedge_percent: 0}"
+    f" objective: {OBJECTIVES[name]}, hedge_percent: 0}}"
     for name, bound in BOUNDS.items()
 )
 RELAYS = (
--- a/features/samples_matrix.feature
+++ b/features/samples_matrix.feature
@@ -147,6 +147,20 @@
       | fresh   | 2      | finished | designs-a-engine killed, designs-a-engine restarted, released       |
       | near    | 2      | finished | trainer-entry-a cuts-an-answer, released, designs-b killed, designs-b restarted |
 
+  Scenario Outline: Weights change in mid-stream, with either objective
+    # Each stream has a quarter of its tokens when its engine changes weights. For a trainer that weighs
+    # staleness more, these are given up and the sample is made anew; else the sample has both versions.
+    Given a samples deployment
+    When the samples of trainer <trainer> have come to swapped
+    And the samples meet released
+    Then the samples arrive once, fresh and true, with <vain> tokens made in vain at most
+    And the oldest of the samples was <staleness> versions old
+
+    Examples:
+      | trainer | staleness | vain |
+      | far     | 0         | 256  |
+      | near    | 1         | 0    |
+
   Scenario Outline: The trainer starts anew
     # Its new run has a higher incarnation and what its checkpoint holds. The step is made for it but
     # for what it has; or it takes an older step again, which its earlier run had left behind.
--- a/features/steps/samples_matrix_steps.py
+++ b/features/steps/samples_matrix_steps.py
@@ -123,6 +123,7 @@
     assert summary["steps"] == steps, summary
     assert summary["samples"] == steps * sample_trials.SAMPLES - of_checkpoint, summary
     assert summary["duplicates"] == 0 and summary["stale"] == 0, summary
+    context.samples_summary = summary
 
 
 @behave.then("the samples arrive once, fresh and true, with {vain} tokens made in vain at most")
@@ -161,6 +162,11 @@
     assert tokens == made * sample_trials.SAMPLE_TOKENS, tokens
 
 
+@behave.then("the oldest of the samples was {staleness:d} versions old")
+def check_oldest(context, staleness):
+    assert context.samples_summary["staleness_max"] == staleness, context.samples_summary
+
+
 @behave.then("a registration of the samples' step with other groups at {entry} is a {reason}")
 def check_conflict(context, entry, reason):
     groups = [{"prompt": "other", "prefix": "", "samples": 16, "max_tokens": 8}]
--- a/libs/samples/oleander_samples/collector.py
+++ b/libs/samples/oleander_samples/collector.py
@@ -47,7 +47,10 @@
         self._read_now = read_now
         self._changed = threading.Condition()
         policy = policy or hedging.StragglerPolicy(terms.hedge_percent)
-        self._scheduler = scheduler.WorkScheduler(step, policy, random_seed)
+        restart_percent = (
+            scheduler.RESTART_PERCENT if terms.objective is contract.Objective.STALENESS else 0
+        )
+        self._scheduler = scheduler.WorkScheduler(step, policy, random_seed, restart_percent)
         self._inventory = inventory.Inventory(step.total)
         self._version = 0
         self._heard_at = read_now()
--- a/libs/samples/oleander_samples/labels.py
+++ b/libs/samples/oleander_samples/labels.py
@@ -63,6 +63,14 @@
         known += [version for version, _ in self._pieces if version is not None]
         return min(known, default=None)
 
+    @property
+    def outdated_tokens(self) -> int:
+        """How many tokens older weights made than the newest stated so far; 0 for one version."""
+        known = [(part.version, part.tokens) for part in self._resumed]
+        known += [(version, made) for version, made in self._pieces if version is not None]
+        newest = max((version for version, _ in known), default=0)
+        return sum(made for version, made in known if version < newest)
+
     def add(self, version: int | None, tokens: int) -> None:
         """Add tokens; neighbours of one version become one piece."""
         if tokens < 0 or (version is not None and version < 0):
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -16,6 +16,8 @@
 _FIRST_DELAY_SECONDS = 0.1
 _MOST_DELAY_SECONDS = 5.0
 _MOST_DOUBLINGS = 10
+RESTART_PERCENT = 25
+"""The part of a sample's expected length that is given up for newer weights, for staleness."""
 
 
 class WorkScheduler:
@@ -28,8 +30,13 @@
     """
 
     def __init__(
-        self, step: steps.Step, policy: hedging.StragglerPolicy, random_seed: int
+        self,
+        step: steps.Step,
+        policy: hedging.StragglerPolicy,
+        random_seed: int,
+        restart_percent: int = 0,
     ) -> None:
+        """Make anew what had at most so much of its expected length when its weights changed."""
         self._step = step
         self._random = random.Random(random_seed)
         self._work_name = identifiers.create_nonce()
@@ -42,6 +49,7 @@
         self._rates = predictions.RateModel()
         self._backlog = backlog.Backlog(self._group_of, self._lengths)
         self._policy = policy
+        self._restart_percent = restart_percent
         self._attempts = attempts.AttemptTable()
         self._hedges = hedging.HedgePlanner(policy, step.total, self._lengths, self._rates)
         self._stragglers: collections.deque[int] = collections.deque()
@@ -89,6 +97,9 @@
         self._hedges.note_made(work_id, tokens)
         if self._is_stale(attempt.oldest_version):
             self._cancel_stale(attempt, now)
+        elif self._is_worth_restarting(attempt):
+            self._cancel(attempt)
+            self._make_anew(attempt, now)
         elif attempt.characters > MOST_TEXT_CHARACTERS:
             self._cancel(attempt)
             self._make_anew(attempt, now + self._choose_delay(attempt.work.number))
@@ -255,6 +266,12 @@
         self._rates.note_work(attempt.made_tokens, attempt.measure_seconds(now))
         self._backlog.rank_group(attempt.work.group)
 
+    def _is_worth_restarting(self, attempt: work.Attempt) -> bool:
+        """Tell whether a few tokens make a sample older than most of it will be."""
+        outdated = attempt.outdated_tokens if self._restart_percent else 0
+        expected = self._lengths.predict_fresh(attempt.work.group)
+        return 0 < outdated * 100 <= expected * self._restart_percent
+
     def _is_stale(self, oldest_version: int | None) -> bool:
         return oldest_version is not None and oldest_version < self._oldest_version
 
--- a/libs/samples/oleander_samples/work.py
+++ b/libs/samples/oleander_samples/work.py
@@ -116,6 +116,11 @@
         """The oldest version that is known to have made any of it."""
         return self._label.oldest_version
 
+    @property
+    def outdated_tokens(self) -> int:
+        """The tokens that older weights made than the newest ones that made any."""
+        return self._label.outdated_tokens
+
     def add_piece(self, text: str, tokens: int, version: int | None) -> None:
         """Take in a piece of the stream."""
         self._text.write(text)
