Label unstated tokens by what was known before the engine was asked

Cause: the runner read the state of the weights once the engine's answer had begun. With the answer under way for longer than a load, the first tokens were older than both readings, and a trainer got samples labelled 2 that version 1 had made (weight_doubts: 'Tokens whose start is told late'). Cause: after a lost order an engine that ignores numbers was trusted as soon as it was read, though the order, and another, may yet change its weights there and back between two readings that agree (runners: 'An order whose answer was lost'). Now nothing is assumed until such orders have ended; engines that state versions go on working, as before and also right after a start, where they used to stand idle for the load timeout. Also: an engine is read every half second whatever its orders came to, and orders alone back off; the newest version is ordered once a slot has come, not the one that was newest before it; an engine that states no version is left without work while an order is open, as all of it was thrown away.

--- a/features/steps/runners_steps.py
+++ b/features/steps/runners_steps.py
@@ -7,10 +7,12 @@
 
 from oleander_backends import engine
 from oleander_base import clock, tasks
-from oleander_contracts import fold
+from oleander_contracts import fold, records
 from oleander_wire import messages
 from oleanderdeal import runners, weights, work
 
+_LOAD_TIMEOUT_MS = 60_000
+
 
 class FakeStream(engine.GenerationStream):
     def __init__(self, versions):
@@ -43,7 +45,7 @@
         return expression.Ok(engine.EngineVersion(self.said, False))
 
     def load_version(self, order, deadline):
-        raise AssertionError("not asked for")
+        return expression.Error(engine.EngineError("lost", False, 0))
 
 
 def read_version(text):
@@ -57,15 +59,35 @@
 
 @behave.given("the runner's engine says version {before} before and {after} after")
 def create_keeper(context, before, after):
-    group = tasks.TaskGroup("keeper", 1)
-    context.keeper = weights.WeightKeeper(
-        context.engine, "m", fold.ConfigurationFold(), group, True, 1000, 0, lambda report: None
-    )
+    context.keeper = _create_keeper(context.engine, fold.ConfigurationFold(), True)
     context.engine.said = read_version(before)
     context.keeper.look()
     context.engine.said = read_version(after)
 
 
+@behave.given("the runner's engine {checks} numbers and loses the answer to an order")
+def lose_answer(context, checks):
+    context.engine.said = 7
+    in_force = fold.ConfigurationFold()
+    in_force.apply(0, 0, records.VersionRecord("m", 8, "", "").to_value())
+    context.keeper = _create_keeper(context.engine, in_force, checks == "checks")
+    context.keeper.look()
+    assert context.keeper.version is None
+    context.keeper.look()
+
+
+def _create_keeper(backend, in_force, checks_fencing):
+    group = tasks.TaskGroup("keeper", 1)
+    return weights.WeightKeeper(
+        backend, "m", in_force, group, checks_fencing, _LOAD_TIMEOUT_MS, 0, lambda report: None
+    )
+
+
+@behave.then("the runner's engine is then {usable} for new work")
+def check_usable(context, usable):
+    assert (context.keeper.version is not None) == (usable == "used")
+
+
 @behave.when("the runner runs a generation")
 def run_generation(context):
     context.passed = []
--- /dev/null
+++ b/features/steps/weight_changes_steps.py
@@ -0,0 +1,141 @@
+"""Steps for changes of weights that fail on their way."""
+
+import behave
+import deployment_steps
+
+import support
+import trainings
+import weight_changes
+
+_SERVER = weight_changes.SERVER
+_MOST_VERSIONS = 10
+
+
+@behave.given("designs on an engine that {kind} and on a sound one")
+def start_engines(context, kind):
+    deployment_steps.start_deployment(
+        context,
+        f"{weight_changes.LINK}, {weight_changes.LOG_LINK}",
+        hosts=weight_changes.describe_hosts(kind),
+        entries=("entry-a",),
+    )
+    context.deployment.await_usable(len(context.deployment.hosts))
+    if "ignores numbers and states no" in kind:
+        support.wait_until(lambda: _has_served(context), "that engine serves")
+    context.trainings = trainings.Trainings(context.deployment)
+    for version in range(2, _MOST_VERSIONS):
+        context.trainings.store_weights(version)
+
+
+def _has_served(context):
+    """Ask for a draft; such an engine first waits out the orders that came before its sidecar."""
+    body = {"prompt": "warm up", "prefix": "", "max_tokens": 40, "stream": False}
+    context.deployment.deployed.call("entry-a", "long", "draft", body)
+    return any(
+        item["outcome"] == "finished"
+        for item in weight_changes.read_generations(context.deployment)
+    )
+
+
+@behave.given("that engine's next order to load will be stopped when {step}")
+def stop_order(context, step):
+    context.weight_change = weight_changes.WeightChange(context.deployment, step)
+
+
+@behave.when("trainer {name} starts a step with designs version {version:d}")
+def start_training(context, name, version):
+    context.trainings.start(name, version)
+
+
+@behave.when("that engine's order for version {version:d} has come so far")
+def await_step(context, version):
+    context.weight_change.await_step(version)
+
+
+@behave.then("trainer {name} has every sample of its step, truly labelled")
+def finish_training(context, name):
+    context.summary = context.trainings.finish(name)
+
+
+@behave.when("that engine's later orders pass")
+def pass_later(context):
+    context.weight_change.pass_later()
+
+
+@behave.when("that engine's order goes on")
+def release_order(context):
+    context.weight_change.release()
+
+
+def _kill(name):
+    def act(deployed):
+        deployed.kill(name)
+        return lambda: deployed.restart(name)
+
+    return act
+
+
+def _freeze(name):
+    def act(deployed):
+        deployed.freeze(name)
+        return lambda: deployed.cluster.thaw(name)
+
+    return act
+
+
+def _cut(deployed):
+    relay = deployed.relays[weight_changes.LINK]
+    relay.cut()
+    return relay.heal
+
+
+def _hang_log(deployed):
+    deployed.cluster.control("log", outage="hang")
+    return lambda: deployed.cluster.control("log", outage="")
+
+
+_FAULTS = {
+    "its sidecar is killed": _kill(weight_changes.UNDER_TEST),
+    "its sidecar is frozen": _freeze(weight_changes.UNDER_TEST),
+    "the engine is killed": _kill(_SERVER),
+    "the engine is cut off": _cut,
+    "the log hangs": _hang_log,
+}
+
+
+@behave.when("{fault} as that engine's weights change")
+def strike(context, fault):
+    context.mend = _FAULTS[fault](context.deployment)
+
+
+@behave.when("the fault of that engine's weight change is mended")
+def mend(context):
+    context.mend()
+
+
+@behave.then("both engines run designs version {version:d} and take work")
+def check_newest(context, version):
+    for name in context.deployment.server_names:
+        support.wait_until(
+            lambda name=name: (
+                context.deployment.cluster.read_control(name, "generations=no")["version"]
+                == version
+            ),
+            f"{name} runs version {version}",
+        )
+    context.deployment.await_usable(len(context.deployment.hosts))
+
+
+@behave.then("no engine accepted an order older than one before it")
+def check_fencing(context):
+    weight_changes.check_fencing(context.deployment)
+
+
+@behave.when("trainer {name} starts a long step with designs version {version:d}")
+def start_long(context, name, version):
+    context.trainings.start(name, version, **{"max-tokens": 160})
+
+
+@behave.when("trainer {name} takes {count:d} short steps from designs version {version:d}")
+def take_steps(context, name, count, version):
+    context.trainings.start(name, version, steps=count, samples=2)
--- a/features/trainings.py
+++ b/features/trainings.py
@@ -1,12 +1,14 @@
-"""Trainer processes beside a small deployment, and what they found."""
+"""Trainers beside a small deployment, and what they found."""
 
-import json
+import concurrent.futures
 
+import support
 from oleander_standins import trainer
 
 CUSTOMER = "catania"
 NAME = "designs"
 _STEP_SECONDS = 60
+_MOST_AT_ONCE = 4
 _DEFAULTS = {
     "groups": 2,
     "samples": 4,
@@ -17,11 +19,18 @@
 
 
 class Trainings:
-    """One trainer, a process for each step, which names the version of the step as its policy."""
+    """One trainer, a run for each step, which names the version of the step as its policy."""
 
     def __init__(self, deployment):
         self._deployment = deployment
         self._steps = 0
+        self._pool = concurrent.futures.ThreadPoolExecutor(_MOST_AT_ONCE)
+        self._running = {}
+
+    def store_weights(self, version):
+        """Put weights into the store, as a trainer does before it announces them."""
+        url = f"{self._deployment.cluster.url('weights')}/weights/{NAME}/{version}"
+        assert support.call("PUT", url, b"weights").status == 200
 
     def start(self, name, version, **flags):
         """Announce a version and take the next step with it."""
@@ -31,16 +40,24 @@
         words = ["--customer", CUSTOMER, "--trainer", NAME, "--model", NAME, "--token", token]
         for entry in self._deployment.entries:
             words += ["--entry", cluster.url(entry)]
-        words += ["--publish-weights", "--weights-url", cluster.url("weights"), "--checks-marks"]
+        words += ["--publish-weights", "--checks-marks"]
         words += ["--version-start", version, "--first-step", self._steps]
         for flag, value in (_DEFAULTS | flags).items():
             words += [f"--{flag}", value]
-        cluster.start(f"trainer-{name}", trainer.__name__, *words, ready=False)
+        options = trainer.create_parser().parse_args([str(word) for word in words])
+        self._running[name] = self._pool.submit(self._run, options)
 
     def finish(self, name):
         """Wait for a trainer's end; return its summary, which names no broken promise."""
-        process = self._deployment.cluster.find(f"trainer-{name}")
-        code = process.wait_exit(_STEP_SECONDS)
-        lines = process.wait_lines()
-        assert code == 0, f"trainer {name} ended with {code}: {lines} {process.read_log()}"
-        return json.loads(lines[-1])
+        code, lines = self._running[name].result(_STEP_SECONDS)
+        assert code == 0, f"trainer {name} ended with {code}: {lines}"
+        return lines[-1]
+
+    def is_finished(self, name):
+        """Return whether a trainer has ended."""
+        return self._running[name].done()
+
+    def _run(self, options):
+        lines = []
+        code = trainer.Trainer(options, lines.append).run()
+        return code, lines
--- a/programs/oleanderdeal/oleanderdeal/runners.py
+++ b/programs/oleanderdeal/oleanderdeal/runners.py
@@ -61,7 +61,8 @@
         terms = pending.run.generation
         if terms is None:
             return _answer(messages.Outcome.NOT_RUN, "not-a-generation")
-        version = self._keeper.version
+        before = self._keeper.read_state()
+        version = before.usable_version
         if version is None or version < terms.oldest_version:
             return _answer(messages.Outcome.NOT_RUN, REASON_OUT_OF_ROTATION, 500)
         started = self._backend.generate(_read_generation(pending.run, terms), pending.deadline)
@@ -70,21 +71,26 @@
         stream = started.ok
         pending.stop_backend = stream.cancel
         try:
-            return self._forward(pending, stream)
+            return self._forward(pending, stream, before)
         finally:
             pending.stop_backend = None
 
     def _forward(
-        self, pending: work.PendingRun, stream: engine.GenerationStream
+        self,
+        pending: work.PendingRun,
+        stream: engine.GenerationStream,
+        before: weights.WeightState,
     ) -> messages.Answer:
         """
         Pass tokens on while they are made.
 
+        `before` was read before the engine was asked. Read once its answer began, it could be
+        the state after a load that the first tokens came before.
+
         An engine that states versions and stops, or starts, in mid-stream has no whole weights
         for a part of it. Going on past the part would leave a hole in the text; what was passed
         on before it is whole, and the rest is made elsewhere.
         """
-        before = self._keeper.read_state()
         sent = 0
         unlabelled: list[engine.Chunk] = []
         for result in stream:
@@ -94,12 +100,14 @@
             if result.is_error():
                 return _judge_error(result.error)
             chunk = result.ok
+            self._keeper.note_stating(chunk.version is not None)
             if chunk.version is None:
                 unlabelled.append(chunk)
             elif not unlabelled:
                 sent += 1
                 pending.send(_write_tokens(pending.run, chunk, chunk.version))
-            if unlabelled and (sent or chunk.version is not None):
+            is_hopeless = sent or chunk.version is not None or before.order_open
+            if unlabelled and is_hopeless:
                 stream.cancel()
                 return _answer(messages.Outcome.FAILED, REASON_LABEL_UNKNOWN)
             if chunk.is_last:
--- a/programs/oleanderdeal/oleanderdeal/weights.py
+++ b/programs/oleanderdeal/oleanderdeal/weights.py
@@ -29,6 +29,19 @@
     orders_given: int
     """How many orders went out so far; two equal states have no order between them."""
     order_open: bool
+    """Whether an order is being carried out, or may be without our knowing."""
+    states_version: bool = dataclasses.field(default=True, compare=False)
+    """Whether the engine says of each token which version made it, as far as was seen."""
+
+    @property
+    def usable_version(self) -> int | None:
+        """
+        The version that a new generation can be labelled with.
+
+        An engine that does not say which version made a token would work for nothing while an
+        order is open: its tokens may come from either version, and would be thrown away.
+        """
+        return self.version if self.states_version or not self.order_open else None
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -67,11 +80,16 @@
         self._state = WeightState(None, 0, False)
         self._changed = threading.Event()
         self._failures = 0
+        self._order_after = clock.start_deadline(0.0)
+        self._slot: clock.Deadline | None = None
+        self._uncertain_until = clock.start_deadline(0.0)
+        if not checks_fencing:
+            self._uncertain_until = self._start_uncertainty()
 
     @property
     def version(self) -> int | None:
-        """The version that the engine is known to run, or nothing while it is in doubt."""
-        return self._state.version
+        """The version that new work runs on, or nothing while the engine is in doubt."""
+        return self._state.usable_version
 
     def read_state(self) -> WeightState:
         """Return what is known now."""
@@ -81,6 +99,12 @@
         """Look at the configuration now; a new version may be in force."""
         self._changed.set()
 
+    def note_stating(self, states_version: bool) -> None:
+        """Take in whether a token came with its version."""
+        if self._state.states_version is not states_version:
+            with self._lock:
+                self._state = dataclasses.replace(self._state, states_version=states_version)
+
     def confirm_unchanged(self, before: WeightState) -> int | None:
         """Return the version that ran ever since, or nothing if it can't be known."""
         read = self._backend.read_version(clock.start_deadline(_CALL_SECONDS))
@@ -94,82 +118,98 @@
 
     def keep(self) -> None:
         """Follow the version in force until the group stops."""
-        self._wait_out_earlier_orders()
         while not self._group.is_stopping:
             pause = self.look()
             self._changed.wait(pause)
             self._changed.clear()
 
-    def _wait_out_earlier_orders(self) -> None:
-        """
-        Trust nothing that the engine says until orders of an earlier incarnation have ended.
-
-        An engine that ignores fencing numbers may still carry out an order that a killed sidecar
-        gave; its load would change the weights after we read them. Orders end by their timeout.
-        Labels do not rest on this wait where the engine states each token's version.
-        """
-        if not self._checks_fencing:
-            self._group.pause(self._load_timeout_ms / 1000)
-
     def look(self) -> float:
         """Do the next thing that is due; return how many seconds to wait before looking again."""
         wanted = self._configuration.find_version(self._model)
         if not self._confirm_by_reading():
-            return self._back_off()
+            return _RETRY_SECONDS
         confirmed = self._state.version
         if wanted is None or (confirmed is not None and confirmed >= wanted.version):
             self._failures = 0
+            self._slot = None
             return _IDLE_SECONDS
-        self._spread_loads()
+        due = self._find_due(confirmed)
+        if not due.is_past:
+            return min(_IDLE_SECONDS, due.remaining)
         return self._load(engine.LoadOrder(self._model, wanted.version, wanted.offset))
 
     def _confirm_by_reading(self) -> bool:
         """
         Read the version; return whether an order may be given.
 
-        It is read again and again, since a load whose answer was lost can end at any time.
+        It is read again and again, since a load whose answer was lost can end at any time. While
+        one is carried out the engine goes on with the version it says: were it left without work
+        then, a weight store that hangs would stop all engines.
         """
         read = self._backend.read_version(clock.start_deadline(_CALL_SECONDS))
-        if read.is_error() or read.ok.is_loading:
+        if read.is_error():
             self._set_state(None, self._state.order_open)
             return False
-        self._set_state(read.ok.version, False)
-        if read.ok.version is not None:
-            return True
-        return self._configuration.find_version(self._model) is not None
+        is_uncertain = not self._uncertain_until.is_past
+        self._set_state(read.ok.version, read.ok.is_loading or is_uncertain)
+        return not read.ok.is_loading
 
-    def _spread_loads(self) -> None:
-        """Keep all engines from reading the weight store, and from swapping, at once."""
-        if self._spread_ms > 0:
-            self._group.pause(random.uniform(0, self._spread_ms / 1000))
+    def _start_uncertainty(self) -> clock.Deadline:
+        """
+        Return until when an order whose end was not seen may still take effect.
+
+        An engine that ignores fencing numbers may yet carry out an order whose answer was lost, or
+        one of a killed sidecar, and so change its weights between two readings that agree. Only
+        an engine that also states no versions is held back for it: labels rest on what is stated
+        wherever there is that.
+        """
+        return clock.start_deadline_ms(self._load_timeout_ms)
+
+    def _find_due(self, confirmed: int | None) -> clock.Deadline:
+        """
+        Return when to order; an engine without weights has nothing to lose by going first.
+
+        The slot is kept until the engine has caught up: were it drawn anew for each version, an
+        engine whose versions come faster than its slots would never load any.
+        """
+        if confirmed is None:
+            return self._order_after
+        if self._slot is None:
+            self._slot = clock.start_deadline(random.uniform(0, self._spread_ms / 1000))
+        return max(self._slot, self._order_after, key=lambda item: item.expires_at)
 
     def _load(self, order: engine.LoadOrder) -> float:
         earlier = self._state.version
         with self._lock:
-            self._state = WeightState(earlier, self._state.orders_given + 1, True)
+            given = self._state.orders_given + 1
+            self._state = dataclasses.replace(self._state, orders_given=given, order_open=True)
         deadline = clock.start_deadline_ms(self._load_timeout_ms)
         loaded = self._backend.load_version(order, deadline)
         if loaded.is_ok():
-            self._set_state(loaded.ok.version, False)
+            self._set_state(loaded.ok.version, not self._uncertain_until.is_past)
             self._failures = 0
             self._tell(order, "loaded")
             return 0.0
+        self._back_off(loaded.error.retry_after_ms)
         if loaded.error.not_run:
-            self._set_state(earlier, False)
+            self._set_state(earlier, not self._uncertain_until.is_past)
             self._tell(order, "refused")
-            return max(self._back_off(), loaded.error.retry_after_ms / 1000)
+            return _RETRY_SECONDS
+        if not self._checks_fencing:
+            self._uncertain_until = self._start_uncertainty()
         self._set_state(None, True)
         self._tell(order, "in doubt")
-        return self._back_off()
+        return 0.0
 
     def _set_state(self, version: int | None, order_open: bool) -> None:
         with self._lock:
-            self._state = WeightState(version, self._state.orders_given, order_open)
+            self._state = dataclasses.replace(self._state, version=version, order_open=order_open)
 
-    def _back_off(self) -> float:
+    def _back_off(self, least_ms: int) -> None:
         self._failures = min(self._failures + 1, 10)
         ceiling = min(_MOST_RETRY_SECONDS, _RETRY_SECONDS * 2**self._failures)
-        return random.uniform(_RETRY_SECONDS, ceiling)
+        seconds = random.uniform(_RETRY_SECONDS, ceiling)
+        self._order_after = clock.start_deadline(max(seconds, least_ms / 1000))
 
     def _tell(self, order: engine.LoadOrder, outcome: str) -> None:
         log.logger.bind(
--- a/standins/oleander_standins/trainer.py
+++ b/standins/oleander_standins/trainer.py
@@ -6,6 +6,7 @@
 """
 
 import argparse
+import collections.abc
 import dataclasses
 import json
 import sys
@@ -20,13 +21,18 @@
 
 
 class Trainer:
-    """Takes steps one after the other."""
+    """Takes steps one after the other; hands what it found to a writer of lines."""
 
-    def __init__(self, options: argparse.Namespace) -> None:
+    def __init__(
+        self,
+        options: argparse.Namespace,
+        write: collections.abc.Callable[[dict[str, typing.Any]], None],
+    ) -> None:
         names = trainer_client.Names(
             options.customer, options.trainer, options.model, options.token
         )
         self._options = options
+        self._write = write
         self._client = trainer_client.TrainerClient(options.entry, names)
         self._total = trainer_checks.Tally()
         self._idle_ms = 0
@@ -43,11 +49,11 @@
                 self._take_step(self._options.first_step + index)
                 time.sleep(self._options.train_ms / 1000)
         except trainer_client.SupersededError:
-            self._print_summary(superseded=True)
+            self._write_summary(superseded=True)
             return EXIT_SUPERSEDED
         except (trainer_client.RefusedError, trainer_client.LateError) as error:
             self._total.reject(f"{type(error).__name__}: {error}")
-        self._print_summary(superseded=False)
+        self._write_summary(superseded=False)
         return EXIT_BROKEN_PROMISE if self._total.problems else 0
 
     def _publish(self) -> None:
@@ -70,7 +76,7 @@
             idle_ms = int((time.monotonic() - started) * 1000)
             self._idle_ms += idle_ms
             self._total.add(check.tally)
-            _print_line({"step": step, "idle_ms": idle_ms} | check.tally.describe())
+            self._write({"step": step, "idle_ms": idle_ms} | check.tally.describe())
         self._steps += 1
 
     def _create_group(self, step: int, index: int) -> trainer_checks.Group:
@@ -115,8 +121,8 @@
     def _start_limit(self) -> float:
         return time.monotonic() + float(self._options.step_seconds)
 
-    def _print_summary(self, superseded: bool) -> None:
-        _print_line(
+    def _write_summary(self, superseded: bool) -> None:
+        self._write(
             {"summary": True, "steps": self._steps, "idle_ms": self._idle_ms}
             | self._total.describe()
             | {
@@ -164,7 +170,7 @@
 
 def main() -> None:
     """Take the steps that the flags tell."""
-    sys.exit(Trainer(create_parser().parse_args()).run())
+    sys.exit(Trainer(create_parser().parse_args(), _print_line).run())
 
 
 if __name__ == "__main__":
