--- a/bench/samples_bench.py
+++ b/bench/samples_bench.py
@@ -5,24 +5,18 @@
 All times are simulated and all seeds fixed, so a second run prints the same figures.
 """
 
-import collections.abc
 import dataclasses
+import functools
 import statistics
 import sys
 
+import samples_outage
 import samples_simulation as simulation
+from oleander_samples import hedging
 
-SEEDS = (1, 2, 3, 4, 5)
-_PULL_SECONDS = 0.5
-
-
-def print_table(title: str, header: str, rows: collections.abc.Iterable[str]) -> None:
-    """Print a table in Markdown."""
-    print(f"\n### {title}\n")
-    print(f"| {header} |")
-    print("|" + "---|" * (header.count("|") + 1))
-    for row in rows:
-        print(f"| {row} |", flush=True)
+VERSION_SECONDS = 15.0
+LOAD_SECONDS = 5.0
+REPLACED_AFTER = 40.0
 
 
 # Stragglers
@@ -41,45 +35,179 @@
     """Collect one step."""
     timeline = simulation.Timeline()
     entry = simulation.Entry(timeline, workload, seed)
-    trainer = simulation.Trainer(timeline, _PULL_SECONDS)
+    trainer = simulation.Trainer(timeline, simulation.PULL_SECONDS)
     entry.open_step(1, trainer.version)
     trainer.pull_until_complete(entry)
-    timeline.run_until(lambda: trainer.is_complete)
+    trainer.run(timeline)
+    return describe_step(timeline.now, entry, trainer)
+
+
+def describe_step(
+    seconds: float, entry: simulation.Entry, trainer: simulation.Trainer
+) -> StepFigures:
+    """Return the figures of a step that is complete."""
     delivered = trainer.delivered_tokens
-    return StepFigures(
-        timeline.now,
-        100 * (entry.made_tokens - delivered) / delivered,
-        delivered / workload.total,
-    )
+    extra = 100 * (entry.made_tokens - delivered) / delivered
+    return StepFigures(seconds, extra, delivered / len(trainer.held))
 
 
 def measure_stragglers() -> None:
-    """Compare what is done about stragglers, with and without slow engines."""
-    for slow in (0, 2):
+    """Compare what is done about stragglers."""
+    policies = {
+        "none": hedging.StragglerPolicy(0, moves=False),
+        "resume elsewhere (move)": hedging.StragglerPolicy(0, moves=True),
+    }
+    for percent in (2, 5, 10):
+        policies[f"hedge {percent}%"] = hedging.StragglerPolicy(percent, moves=False)
+    for percent in (2, 5, 10):
+        policies[f"hedge {percent}%, then move"] = hedging.StragglerPolicy(percent, moves=True)
+    for title, factor, since in (
+        ("2 of 8 engines at a fifth of the speed", 0.2, 0.0),
+        ("2 of 8 engines all but hang from 60 s on", 0.02, 60.0),
+    ):
+        slow = dataclasses.replace(
+            simulation.SMALL, slow_engines=2, slow_factor=factor, slow_from=since
+        )
         rows = []
-        for name, percent, moves in (
-            ("none", 0, False),
-            ("resume elsewhere", 0, True),
-            ("hedge 2%", 2, False),
-            ("hedge 5%", 5, False),
-            ("hedge 10%", 10, False),
-        ):
-            workload = simulation.Workload(slow_engines=slow, hedge_percent=percent)
-            runs = [run_step(workload, seed, moves) for seed in SEEDS]
+        for name, policy in policies.items():
+            workload = dataclasses.replace(slow, policy=policy)
+            runs = [run_step(workload, seed) for seed in simulation.SEEDS]
             seconds = [run.seconds for run in runs]
             rows.append(
                 f"{name} | {statistics.mean(seconds):.1f} | {max(seconds):.1f}"
                 f" | {statistics.mean(run.extra_percent for run in runs):.2f}"
                 f" | {statistics.mean(run.mean_tokens for run in runs):.1f}"
             )
-        print_table(
-            f"Stragglers: {slow} of 16 engines at a fifth of the speed",
+        simulation.print_table(
+            f"Stragglers: {title}",
             "handling | step s, mean | step s, worst | extra tokens % | mean sample tokens",
             rows,
         )
 
 
-MEASURES = {"stragglers": measure_stragglers}
+# Staleness
+
+
+class VersionClock:
+    """Raises the trainer's version regularly; the engines follow, one after the other."""
+
+    def __init__(
+        self, entry: simulation.Entry, trainer: simulation.Trainer, restarts: bool
+    ) -> None:
+        self._entry = entry
+        self._trainer = trainer
+        self._restarts = restarts
+        entry.timeline.call_in(VERSION_SECONDS, self._raise_version)
+
+    def _raise_version(self) -> None:
+        self._trainer.version += 1
+        version = self._trainer.version
+        for index, engine in enumerate(self._entry.engines):
+            delay = LOAD_SECONDS * (index + 1) / len(self._entry.engines)
+            self._entry.timeline.call_in(delay, functools.partial(self._load, engine, version))
+        self._entry.timeline.call_in(VERSION_SECONDS, self._raise_version)
+
+    def _load(self, engine: simulation.Engine, version: int) -> None:
+        """Change an engine's weights; one of them breaks its streams at that."""
+        engine.version = version
+        source = self._entry.collector
+        breaks = engine.index == version % len(self._entry.engines)
+        if source is None or not (self._restarts or breaks):
+            return
+        for generation in list(engine.running.values()):
+            work_id = generation.work.work_id
+            self._entry.stop(generation)
+            if self._restarts:
+                source.note_progress(work_id, "", 1, None)
+            source.fail_work(work_id)
+        self._entry.dispatch()
+
+
+def measure_staleness() -> None:
+    """Compare going on with new weights and starting anew, while versions change."""
+    rows = []
+    short = dataclasses.replace(simulation.SMALL, max_tokens=1024)
+    for bound in (1, 2, 4):
+        for name, restarts in (("resume, mixed label", False), ("drop and restart", True)):
+            workload = dataclasses.replace(short, staleness_bound=bound)
+            rows.append(f"{bound} | {name} | {_run_versions(workload, restarts)}")
+    simulation.print_table(
+        f"Staleness: a version each {VERSION_SECONDS:.0f} s",
+        "bound | handling | step s, mean | step s, worst | extra tokens %"
+        " | staleness mean | staleness max | mean sample tokens",
+        rows,
+    )
+
+
+def _run_versions(workload: simulation.Workload, restarts: bool) -> str:
+    figures, staleness = [], []
+    for seed in simulation.SEEDS:
+        timeline = simulation.Timeline()
+        entry = simulation.Entry(timeline, workload, seed)
+        trainer = simulation.Trainer(timeline, simulation.PULL_SECONDS)
+        entry.open_step(1, trainer.version)
+        VersionClock(entry, trainer, restarts)
+        trainer.pull_until_complete(entry)
+        trainer.run(timeline)
+        figures.append(describe_step(timeline.now, entry, trainer))
+        staleness.extend(trainer.staleness)
+    seconds = [item.seconds for item in figures]
+    return (
+        f"{statistics.mean(seconds):.1f} | {max(seconds):.1f}"
+        f" | {statistics.mean(item.extra_percent for item in figures):.1f}"
+        f" | {statistics.mean(staleness):.2f} | {max(staleness)}"
+        f" | {statistics.mean(item.mean_tokens for item in figures):.1f}"
+    )
+
+
+# Replaced entry
+
+
+def measure_replaced() -> None:
+    """Compare when a replaced entry starts work: at the registration or when it knows more."""
+    rows = []
+    for gap in (0.01, 5.0):
+        for name in ("at once", "at the first pull", "at once, `held` in the body"):
+            runs = [_run_replaced(name, gap, seed) for seed in simulation.SEEDS]
+            rows.append(
+                f"{gap:g} | {name} | {statistics.mean(run.seconds for run in runs):.1f}"
+                f" | {statistics.mean(run.extra_percent for run in runs):.2f}"
+            )
+    simulation.print_table(
+        f"An entry replaced after {REPLACED_AFTER:.0f} s",
+        "s from registration to first pull | work starts | step s | extra tokens %",
+        rows,
+    )
+
+
+def _run_replaced(name: str, gap: float, seed: int) -> StepFigures:
+    timeline = simulation.Timeline()
+    entry = simulation.Entry(timeline, simulation.SMALL, seed)
+    trainer = simulation.Trainer(timeline, simulation.PULL_SECONDS)
+
+    def register() -> None:
+        known = {
+            "at once": frozenset(),
+            "at the first pull": None,
+            "at once, `held` in the body": frozenset(trainer.held),
+        }
+        entry.open_step(1, trainer.version, known[name])
+        trainer.pause(gap)
+        entry.dispatch()
+
+    register()
+    timeline.call_in(REPLACED_AFTER, register)
+    trainer.pull_until_complete(entry)
+    trainer.run(timeline)
+    return describe_step(timeline.now, entry, trainer)
+
+
+MEASURES = {
+    "outage": samples_outage.measure_outage,
+    "stragglers": measure_stragglers,
+    "staleness": measure_staleness,
+    "replaced": measure_replaced,
+}
 
 
 def main() -> None:
--- a/libs/claims/oleander_claims/shard.py
+++ b/libs/claims/oleander_claims/shard.py
@@ -22,7 +22,6 @@
 _READ_SECONDS = 5.0
 _RETRY_SECONDS = 0.2
 _BEYOND_END = 2**53
-REASON_TOO_OLD = "key-too-old"
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -112,6 +111,7 @@
         self._table = ClaimTable(shard, window)
         self._next_offset = 0
         self._caught_up = False
+        self._read_failed = False
         self._failing_until: clock.Deadline | None = None
         self._append_stuck_at: clock.Deadline | None = None
         self._waiting: queue.Queue[_Proposal] = queue.Queue(_MOST_WAITING)
@@ -123,37 +123,35 @@
         return self._caught_up
 
     @property
-    def next_offset(self) -> int:
-        """The first offset that was not read yet."""
-        return self._next_offset
+    def is_settled(self) -> bool:
+        """Whether the stream was read to its end, or can't be read now."""
+        return self._caught_up or self._read_failed
 
     def start(self) -> None:
         """Start the two tasks that follow the stream and append to it."""
-        self._group.start(self._follow)
-        self._group.start(self._append_groups)
+        self._group.keep(self._follow)
+        self._group.keep(self._append_groups)
 
     def find(self, customer: str, key: str) -> records.LoggedClaim | None:
         """Return the claim in force for a key, as far as the stream was read."""
         with self._lock:
             return self._table.find(customer, key)
 
-    def propose(
-        self, claim: records.Claim, issued_offset: int | None, deadline: clock.Deadline
-    ) -> ClaimResult:
+    def propose(self, claim: records.Claim, deadline: clock.Deadline) -> ClaimResult:
         """
         Append a claim and return the one in force, which may be another's.
 
         After an error the claimant must not act: its record may still come to stand in the log.
         """
         if not self._caught_up:
-            return expression.Error(ClaimError("claims are still being read", 1000))
+            return expression.Error(ClaimError("claims-unread", 1000))
         if self._is_log_failing():
-            return expression.Error(ClaimError("the log is failing", 1000))
+            return expression.Error(ClaimError("log-failing", 1000))
         proposal = _Proposal(claim, deadline, concurrent.futures.Future())
         with self._lock:
             self._proposals[claim.nonce] = proposal
         try:
-            return self._await_decision(proposal, issued_offset)
+            return self._await_decision(proposal)
         finally:
             with self._lock:
                 self._proposals.pop(claim.nonce, None)
@@ -165,31 +163,17 @@
             return True
         return failing is not None and not failing.is_past
 
-    def _await_decision(self, proposal: _Proposal, issued_offset: int | None) -> ClaimResult:
+    def _await_decision(self, proposal: _Proposal) -> ClaimResult:
         try:
             self._waiting.put_nowait(proposal)
         except queue.Full:
-            return expression.Error(ClaimError("too many claims are waiting", 500))
+            return expression.Error(ClaimError("claims-waiting", 500))
         try:
-            result = proposal.decided.result(timeout=proposal.deadline.remaining)
+            return proposal.decided.result(timeout=proposal.deadline.remaining)
         except concurrent.futures.TimeoutError:
             if proposal.decided.cancel():
-                return expression.Error(ClaimError("the log did not answer in time", 1000))
-            result = proposal.decided.result()
-        return self._check_age(result, issued_offset)
-
-    def _check_age(self, result: ClaimResult, issued_offset: int | None) -> ClaimResult:
-        """
-        Refuse a key that was issued longer ago than the window reaches.
-
-        An earlier claim for such a key may have been forgotten, so that this one looks like the
-        first; any earlier claim stands after the offset of issue, so the check is enough.
-        """
-        if result.is_error() or issued_offset is None:
-            return result
-        if result.ok.offset - issued_offset > self._window:
-            return expression.Error(ClaimError(REASON_TOO_OLD, 0))
-        return result
+                return expression.Error(ClaimError("log-slow", 1000))
+            return proposal.decided.result()
 
     def _append_groups(self) -> None:
         while not self._group.is_stopping:
@@ -232,7 +216,7 @@
             futures = [item.decided for item in group]
             concurrent.futures.wait(futures, timeout=_READ_BACK_SECONDS)
         self._failing_until = clock.start_deadline(_RETRY_SECONDS)
-        refusal = ClaimError("the log did not take the claim", max(200, error.retry_after_ms))
+        refusal = ClaimError("log-failing", max(200, error.retry_after_ms))
         for item in group:
             item.settle(expression.Error(refusal))
 
@@ -248,6 +232,7 @@
         page = self._service.read(
             self._stream, _BEYOND_END, 0, clock.start_deadline(_READ_SECONDS)
         )
+        self._read_failed = page.is_error()
         if page.is_error():
             self._report_read_failure(page.error)
             return False
@@ -259,6 +244,7 @@
     def _read_page(self) -> bool:
         deadline = clock.start_deadline(_READ_WAIT_MS / 1000 + _READ_SECONDS)
         page = self._service.read(self._stream, self._next_offset, _READ_WAIT_MS, deadline)
+        self._read_failed = page.is_error()
         if page.is_error():
             self._report_read_failure(page.error)
             return False
@@ -284,7 +270,7 @@
             lost = list(self._proposals.values())
             self._next_offset = first_offset
         for proposal in lost:
-            proposal.settle(expression.Error(ClaimError("the claim can't be read back", 1000)))
+            proposal.settle(expression.Error(ClaimError("claim-lost", 1000)))
 
     def _fold_record(self, record: logservice.Record) -> None:
         invariants.require(
--- a/libs/contracts/oleander_contracts/fold.py
+++ b/libs/contracts/oleander_contracts/fold.py
@@ -113,7 +113,7 @@
     def skip_to(self, first_offset: int) -> None:
         """Take note that the log has deleted the records below an offset."""
         with self._lock:
-            if True:
+            if first_offset > self._read_next_offset():
                 self._held = self._create_window(first_offset)
 
     def install_snapshot(self, value: dict[str, typing.Any]) -> in_force.Verdict:
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -11,6 +11,8 @@
 
 MOST_TEXT_CHARACTERS = 4 * 1024 * 1024
 """A sample that grows beyond this is thrown away and made anew."""
+MOST_CANCELLATIONS = 64 * 1024
+"""Beyond this the oldest are forgotten: their engines make what nobody takes."""
 _FIRST_DELAY_SECONDS = 0.1
 _MOST_DELAY_SECONDS = 5.0
 _MOST_DOUBLINGS = 10
@@ -45,7 +47,7 @@
         self._stragglers: collections.deque[int] = collections.deque()
         self._partials: dict[int, work.Partial] = {}
         self._failures: dict[int, int] = {}
-        self._cancellations: list[str] = []
+        self._cancellations: collections.deque[str] = collections.deque(maxlen=MOST_CANCELLATIONS)
 
     @property
     def waiting(self) -> int:
@@ -105,7 +107,7 @@
             self._make_anew(attempt, now + self._choose_delay(attempt.work.number))
             return expression.Error(work.Outcome.UNKNOWN_LABEL)
         if self._is_stale(built.ok.oldest_version):
-            metrics.count(metrics.SAMPLES_STALE)
+            steps.count_samples(self._step, metrics.SAMPLES_STALE)
             self._make_anew(attempt, now)
             return expression.Error(work.Outcome.STALE)
         self._learn(attempt, now)
@@ -158,8 +160,8 @@
         for number, partial in list(self._partials.items()):
             if self._is_stale(partial.oldest_version):
                 del self._partials[number]
-                metrics.count(metrics.SAMPLES_STALE)
-                metrics.count(metrics.SAMPLES_REMADE)
+                steps.count_samples(self._step, metrics.SAMPLES_STALE)
+                steps.count_samples(self._step, metrics.SAMPLES_REMADE)
 
     def cancel(self, work_ids: tuple[str, ...]) -> None:
         """Remember work to be cancelled at its engines."""
@@ -173,8 +175,8 @@
 
     def take_cancellations(self) -> list[str]:
         """Return the work to be cancelled, each once."""
-        taken = self._cancellations
-        self._cancellations = []
+        taken = list(self._cancellations)
+        self._cancellations.clear()
         return taken
 
     def _start(
@@ -257,7 +259,7 @@
         return oldest_version is not None and oldest_version < self._oldest_version
 
     def _cancel_stale(self, attempt: work.Attempt, now: float) -> None:
-        metrics.count(metrics.SAMPLES_STALE)
+        steps.count_samples(self._step, metrics.SAMPLES_STALE)
         self._cancel(attempt)
         self._make_anew(attempt, now)
 
@@ -279,7 +281,7 @@
         if self._attempts.find_all(number):
             return
         if attempt.tokens:
-            metrics.count(metrics.SAMPLES_REMADE)
+            steps.count_samples(self._step, metrics.SAMPLES_REMADE)
         self._backlog.add_retry(number, ready_at)
 
     def _choose_delay(self, number: int) -> float:
--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -15,6 +15,7 @@
     configuration,
     dispatch,
     entry_handler,
+    gates,
     hosts,
     http_server,
     lifecycle,
@@ -24,12 +25,14 @@
     sampling,
     settings,
     snapshots,
+    ticket_dispatch,
+    tickets,
     trainer_api,
     trainer_runs,
     version_publisher,
 )
 
-_MOST_CUSTOMERS = 1000
+_MOST_SAVED_RETRIES = 20
 _MOST_EXTRA_LINKS = 32
 _OTHER_TASKS = 8
 _STOP_SECONDS = 5.0
@@ -64,7 +67,7 @@
         )
         self._steps = registry.StepRegistry()
         dispatcher = dispatch.Dispatcher(
-            self._routes, self._links, retries.RetryBudgets(_MOST_CUSTOMERS)
+            self._routes, self._links, retries.RetryBudgets(_MOST_SAVED_RETRIES)
         )
         self._sampling = sampling.SamplingPool(
             self._steps, dispatcher, self._in_force, self._group, chosen.sample_tasks
@@ -84,14 +87,14 @@
         self._snapshots = snapshots.SnapshotWriter(
             log_service, self._in_force, self._group, chosen.snapshot_interval_ms
         )
+        threads = gates.ThreadGates(chosen.http_threads)
         handler = entry_handler.EntryHandler(
-            tokens=access.AccessTable(
-                {item.customer: item.token for item in chosen.customer_tokens}
-            ),
+            tokens=access.AccessTable(chosen.customer_tokens),
             callers=caller_api.CallerApi(
                 self._in_force,
                 dispatcher,
-                once.OnceDispatcher(self._claims, self._routes, self._links),
+                self._create_once_dispatcher(),
+                threads,
             ),
             trainers=trainer_api.TrainerApi(
                 self._in_force,
@@ -100,10 +103,10 @@
                 self._runs,
                 self._find_own_url,
                 self._leaving.is_set,
+                threads,
             ),
             follower=self._follower,
             list_peers=self._routes.list_peers,
-            issue_key=self._claims.issue_key,
             is_ready=self._is_ready,
         )
         self._server = http_server.HttpServer(
@@ -114,12 +117,12 @@
         """Serve until told to stop, then finish what is in progress."""
         self._follower.on_change(self._spread_change)
         self._follower.on_change(self._runs.note_change)
-        self._group.start(self._follower.follow)
-        self._group.start(self._hosts.follow)
-        self._group.start(self._runs.write)
-        self._group.start(self._snapshots.write)
+        self._group.keep(self._follower.follow)
+        self._group.keep(self._hosts.follow)
+        self._group.keep(self._runs.write)
+        self._group.keep(self._snapshots.write)
         self._claims.start()
-        self._sampling.start()
+        self._group.keep(self._sampling.feed)
         self._group.start(self._server.serve)
         lifecycle.announce_address(self._chosen.listen_host, self._server.port)
         while not stop.wait(1.0):
@@ -127,6 +130,15 @@
         self._drain()
         self._close()
 
+    def _create_once_dispatcher(self) -> ticket_dispatch.TicketDispatcher:
+        return ticket_dispatch.TicketDispatcher(
+            tickets.TicketOffice(self._chosen.process_token),
+            self._claims,
+            self._routes,
+            self._links,
+            once.OnceDispatcher(self._claims, self._routes, self._links),
+        )
+
     def _create_link(self, host: hostlist.Host, is_routed: bool) -> peers.PeerLink:
         hello = messages.Hello(
             protocol=messages.PROTOCOL,
@@ -146,7 +158,7 @@
     def _is_ready(self) -> bool:
         if self._leaving.is_set() or not self._follower.is_caught_up:
             return False
-        return bool(self._routes.list_peers())
+        return self._claims.is_settled and bool(self._routes.list_peers())
 
     def _spread_change(self) -> None:
         for item in self._links.list_links():
--- a/programs/oleanderdeal/oleanderdeal/entry_handler.py
+++ b/programs/oleanderdeal/oleanderdeal/entry_handler.py
@@ -33,7 +33,6 @@
         trainers: trainer_api.TrainerApi,
         follower: configuration.ConfigurationFollower,
         list_peers: collections.abc.Callable[[], list[peers.Peer]],
-        issue_key: collections.abc.Callable[[str], str],
         is_ready: collections.abc.Callable[[], bool],
     ) -> None:
         self._tokens = tokens
@@ -41,7 +40,6 @@
         self._trainers = trainers
         self._follower = follower
         self._list_peers = list_peers
-        self._issue_key = issue_key
         self._is_ready = is_ready
 
     def handle(self, request: http_messages.HttpRequest) -> http_messages.HttpAnswer:
@@ -92,8 +90,8 @@
         match (request.method, *rest):
             case ("POST", "operations", operation):
                 return self._callers.handle(request, customer, operation)
-            case ("POST", "keys"):
-                return http_messages.answer_json({"key": self._issue_key(customer)})
+            case ("POST", "operations", operation, "keys"):
+                return self._callers.issue_key(customer, operation)
             case ("PUT", "models", model, "versions", version):
                 return self._trainers.put_version(request, customer, model, version)
             case (_, "trainers", trainer, "steps", step, *end):
--- a/programs/oleanderdeal/oleanderdeal/executor.py
+++ b/programs/oleanderdeal/oleanderdeal/executor.py
@@ -10,7 +10,9 @@
 
 _TAKE_SECONDS = 0.2
 _SERVICE_COST_MS = 20.0
-_TOKEN_COST_MS = 5.0
+_TOKEN_COST_MS = 1.0
+"""A first guess, low on purpose: work predicted to take longer than its budget is refused even
+when nothing else waits; what the backend server really takes is learned from what it did."""
 
 
 class Executor:
@@ -43,7 +45,7 @@
     def start(self) -> None:
         """Start one task a slot."""
         for _ in range(self._slots):
-            self._group.start(self._serve_slot)
+            self._group.keep(self._serve_slot)
 
     def submit(self, pending: work.PendingRun) -> None:
         """Queue a request or refuse it at once."""
@@ -92,7 +94,10 @@
             pending = self._pending[work_id]
         started_at = clock.read_now()
         answer = self._run_wanted(pending)
-        self._queue.finish(work_id, (clock.read_now() - started_at) * 1000)
+        service_ms = (clock.read_now() - started_at) * 1000
+        is_whole = answer.outcome is messages.Outcome.DONE
+        self._queue.finish(work_id, service_ms, completed=is_whole)
+        _log_run(pending, answer, service_ms)
         self._answer(work_id, answer)
 
     def _run_wanted(self, pending: work.PendingRun) -> messages.Answer:
@@ -109,6 +114,7 @@
         for dropped in self._queue.take_dropped():
             self._refuse(dropped.work.work_id, dropped.refusal)
         metrics.record_gauge(metrics.QUEUE_DEPTH, self._queue.queued)
+        metrics.record_gauge(metrics.RUNNING, self._queue.running)
 
     def _refuse(self, work_id: str, refusal: admission_work.Refusal) -> None:
         answer = messages.Answer(
@@ -123,6 +129,13 @@
             pending.answer(answer)
 
 
+def _log_run(pending: work.PendingRun, answer: messages.Answer, service_ms: float) -> None:
+    run = pending.run
+    log.logger.bind(
+        event="run", trace=run.trace_id, customer=run.customer, operation=run.operation
+    ).debug(f"{answer.outcome.value} {answer.reason} in {service_ms:.0f} ms")
+
+
 def _describe_work(pending: work.PendingRun) -> admission_work.Work:
     run = pending.run
     cost = _SERVICE_COST_MS
--- a/programs/oleanderdeal/oleanderdeal/peers.py
+++ b/programs/oleanderdeal/oleanderdeal/peers.py
@@ -93,9 +93,12 @@
         self._link: link.Link | None = None
         self._incarnation = ""
         self._peer_offset = 0
+        self._ticket_epoch = 0
         self._calls: dict[str, Call] = {}
         self._stopped = threading.Event()
         self._failures = 0
+        self._is_refused = False
+        self._is_retired = False
 
     @property
     def name(self) -> str:
@@ -112,11 +115,21 @@
         """The run of the sidecar that answered the last hello; empty before the first."""
         return self._incarnation
 
+    @property
+    def ticket_epoch(self) -> int:
+        """The sidecar's epoch of tickets, as its last heartbeat told it."""
+        return self._ticket_epoch
+
     @property
     def is_open(self) -> bool:
         """Whether requests can be sent."""
         return self._link is not None
 
+    @property
+    def is_refused(self) -> bool:
+        """Whether nobody listened at the address at the last try: that run of it has ended."""
+        return self._is_refused
+
     def keep_open(self) -> None:
         """Dial, receive until the link breaks, and dial again."""
         while not self._is_ending:
@@ -138,6 +151,14 @@
         with self._opened:
             return self._opened.wait_for(lambda: self.is_open, deadline.remaining)
 
+    def retire(self, is_unwanted: bool) -> bool:
+        """Take the link out of routing or back into it; return whether it can be closed."""
+        if self._routes is not None and is_unwanted:
+            self._routes.remove(self.name)
+        self._is_retired = is_unwanted
+        with self._lock:
+            return is_unwanted and not self._calls
+
     def open_call(self, request_id: str) -> Call:
         """Register a call before its request is sent, so that no event is missed."""
         call = Call(request_id, self.name)
@@ -175,6 +196,7 @@
     def _dial(self) -> link.Link | None:
         self._failures += 1
         dialled = link.dial_link(self._host.address, clock.start_deadline(_DIAL_SECONDS))
+        self._is_refused = dialled.is_error() and dialled.error.is_refused
         if dialled.is_error():
             log.warn_bounded(
                 f"dial-{self.name}", f"can't reach {self.name}: {dialled.error.detail}"
@@ -227,6 +249,7 @@
                     call.put(message)
             case messages.Heartbeat():
                 self._peer_offset = message.configuration_offset
+                self._ticket_epoch = message.ticket_epoch
                 self._report(message)
                 self._records.compare(message.configuration_offset, opened)
             case messages.RecordsOffer() | messages.Records():
@@ -235,7 +258,7 @@
                 log.warn_bounded("odd-message", f"ignored a {type(message).__name__}")
 
     def _report(self, beat: messages.Heartbeat) -> None:
-        if self._routes is None:
+        if self._routes is None or self._is_retired:
             return
         report = routing_peers.PeerReport(
             failure_domain=self._host.failure_domain,
@@ -252,14 +275,20 @@
         self._routes.update(self.name, report)
 
     def _lose(self, opened: link.Link) -> None:
+        """
+        Take the link out of use and tell its calls.
+
+        An orderly close would wait for the peer's own, which never comes from one that is paused;
+        its calls, and the next dial, would wait for that second too.
+        """
         if self._routes is not None:
             self._routes.remove(self.name)
         with self._lock:
             self._link = None
             calls = list(self._calls.values())
-        opened.close()
         for call in calls:
             call.put(LinkLost())
+        opened.abort()
 
 
 class PeerLinks:
@@ -288,13 +317,13 @@
         with self._lock:
             return self._links.get(name)
 
-    def find_or_dial(self, name: str, address: str, deadline: clock.Deadline) -> PeerLink | None:
-        """Return an open link to the sidecar at an address, or nothing if it can't be reached."""
+    def find_or_dial(self, name: str, address: str) -> PeerLink:
+        """Return the link to the sidecar at an address, which need not be open yet."""
         with self._lock:
             found = self._links.get(name)
             if found is None or found.host.address != address:
                 found = self._extra.get(address) or self._add_extra(name, address)
-        return found if found.await_open(deadline) else None
+        return found
 
     def list_links(self) -> list[PeerLink]:
         """Return every link."""
@@ -302,7 +331,12 @@
             return [*self._links.values(), *self._extra.values()]
 
     def set_hosts(self, hosts: collections.abc.Iterable[hostlist.Host]) -> None:
-        """Route to exactly these hosts; a host whose address changed is linked to anew."""
+        """
+        Route to these hosts; a host whose address changed is linked to anew.
+
+        The list lags and may be wrong, so a host that is not in it gets no new work, but its link
+        stays open until the calls on it have ended.
+        """
         wanted = {host.name: host for host in hosts}
         with self._lock:
             ended = self._drop_unwanted(wanted)
@@ -321,7 +355,7 @@
         ended = [
             item
             for name, item in self._links.items()
-            if name not in wanted or wanted[name].address != item.host.address
+            if item.retire(name not in wanted or wanted[name].address != item.host.address)
         ]
         for item in ended:
             del self._links[item.name]
@@ -336,7 +370,7 @@
 
     def _start(self, host: hostlist.Host, is_routed: bool) -> PeerLink:
         created = self._create_link(host, is_routed)
-        self._group.start(created.keep_open)
+        self._group.keep(created.keep_open)
         return created
 
 
--- a/programs/oleanderdeal/oleanderdeal/sampling.py
+++ b/programs/oleanderdeal/oleanderdeal/sampling.py
@@ -1,10 +1,12 @@
-"""Makes the samples of registered steps: each task runs one sample at a time."""
+"""Makes the samples of registered steps: one task finds work, each sample has its own."""
 
+import dataclasses
 import threading
 
-from oleander_base import clock, log, tasks
+from oleander_base import clock, log, metrics, tasks
 from oleander_contracts import contract, fold
 from oleander_samples import collector, registry
+from oleander_samples import steps as sample_steps
 from oleander_samples import work as sample_work
 from oleander_wire import messages
 from oleanderdeal import dispatch
@@ -13,16 +15,55 @@
 _SAMPLE_SECONDS = 600.0
 _LEAST_PAUSE_SECONDS = 0.02
 _MOST_PAUSE_SECONDS = 1.0
+_MOST_LAST_PEERS = 32768
+
+
+class LastPeers:
+    """
+    Who made each sample last; bounded, the sample noted longest ago is forgotten.
+
+    A sample that is moved away from a slow engine, or raced against it, gains nothing by going
+    there again, and an engine that was emptied for its slowness draws work by its low load.
+    """
+
+    def __init__(self) -> None:
+        self._lock = threading.Lock()
+        self._names: dict[tuple[str, str, int, int], str] = {}
+
+    def note(self, step: sample_steps.Step, number: int, name: str) -> None:
+        """Remember the sidecar that a sample is given to."""
+        key = (step.customer, step.trainer, step.step, number)
+        with self._lock:
+            self._names.pop(key, None)
+            self._names[key] = name
+            while len(self._names) > _MOST_LAST_PEERS:
+                self._names.pop(next(iter(self._names)))
+
+    def find(self, step: sample_steps.Step, number: int) -> frozenset[str]:
+        """Return the sidecar to avoid, if any."""
+        with self._lock:
+            name = self._names.get((step.customer, step.trainer, step.step, number))
+        return frozenset() if name is None else frozenset((name,))
 
 
 class SampleObserver(dispatch.Observer):
     """Hands a sample's tokens to its step as they come."""
 
-    def __init__(self, made_for: collector.StepCollector, work: sample_work.SampleWork) -> None:
+    def __init__(
+        self,
+        made_for: collector.StepCollector,
+        work: sample_work.SampleWork,
+        last_peers: "LastPeers",
+    ) -> None:
         self._made_for = made_for
+        self._last_peers = last_peers
         self._work = work
         self._cancelled = threading.Event()
 
+    def see_peer(self, name: str) -> None:
+        """Remember who makes the sample, so that its next attempt goes elsewhere."""
+        self._last_peers.note(self._made_for.step, self._work.number, name)
+
     def see_tokens(self, tokens: messages.Tokens) -> None:
         """Add the next tokens."""
         self._made_for.note_progress(
@@ -38,8 +79,20 @@
         return self._cancelled.is_set()
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Taken:
+    """Work and the step that it belongs to."""
+
+    made_for: collector.StepCollector
+    work: sample_work.SampleWork
+
+
 class SamplingPool:
-    """Bounded tasks that take work from every open step in turn."""
+    """
+    Takes work from every open step in turn and runs a bounded number of samples at once.
+
+    At the bound no more work is taken from the steps, where it waits.
+    """
 
     def __init__(
         self,
@@ -53,10 +106,11 @@
         self._dispatcher = dispatcher
         self._configuration = configuration
         self._group = group
-        self._most_samples = most_samples
+        self._slots = threading.BoundedSemaphore(most_samples)
         self._lock = threading.Lock()
         self._observers: dict[str, SampleObserver] = {}
         self._draining = threading.Event()
+        self._last_peers = LastPeers()
         self._turn = 0
 
     @property
@@ -64,35 +118,54 @@
         """Whether no sample is being made."""
         return not self._observers
 
-    def start(self) -> None:
-        """Start the tasks."""
-        for _ in range(self._most_samples):
-            self._group.start(self._serve)
-
     def drain(self) -> None:
         """Start no more samples; those under way are finished."""
         self._draining.set()
 
-    def _serve(self) -> None:
+    def feed(self) -> None:
+        """Start samples as long as there is work and room, until the group stops."""
         while not self._group.is_stopping:
+            self._cancel_all(self._steps.take_cancellations())
+            metrics.record_gauge(metrics.SAMPLES_RUNNING, len(self._observers))
+            if not self._slots.acquire(timeout=_IDLE_SECONDS):
+                continue
             taken = None if self._draining.is_set() else self._take_work()
             if taken is None:
+                self._slots.release()
                 self._group.pause(_IDLE_SECONDS)
             else:
-                self._make(*taken)
+                self._start(taken)
 
-    def _take_work(self) -> tuple[collector.StepCollector, sample_work.SampleWork] | None:
-        self._cancel_all(self._steps.take_cancellations())
+    def _start(self, taken: _Taken) -> None:
+        observer = SampleObserver(taken.made_for, taken.work, self._last_peers)
+        with self._lock:
+            self._observers[taken.work.work_id] = observer
+        self._group.start(lambda: self._run_slot(taken, observer))
+
+    def _run_slot(self, taken: _Taken, observer: SampleObserver) -> None:
+        try:
+            self._make(taken.made_for, taken.work, observer)
+        finally:
+            with self._lock:
+                self._observers.pop(taken.work.work_id, None)
+            self._slots.release()
+
+    def _take_work(self) -> _Taken | None:
         open_steps = self._steps.collectors
         self._turn += 1
         for position in range(len(open_steps)):
             made_for = open_steps[(position + self._turn) % len(open_steps)]
             work = made_for.next_work()
             if work is not None:
-                return made_for, work
+                return _Taken(made_for, work)
         return None
 
-    def _make(self, made_for: collector.StepCollector, work: sample_work.SampleWork) -> None:
+    def _make(
+        self,
+        made_for: collector.StepCollector,
+        work: sample_work.SampleWork,
+        observer: SampleObserver,
+    ) -> None:
         terms = self._configuration.find_contract(made_for.step.customer)
         trainer = terms.find_trainer(made_for.step.trainer) if terms else None
         if terms is None or trainer is None:
@@ -100,14 +173,7 @@
             log.warn_bounded("sample-without-contract", "a step's contract is no longer in force")
             self._group.pause(_MOST_PAUSE_SECONDS)
             return
-        observer = SampleObserver(made_for, work)
-        with self._lock:
-            self._observers[work.work_id] = observer
-        try:
-            self._run(made_for, work, _write_job(work, terms, trainer), observer)
-        finally:
-            with self._lock:
-                self._observers.pop(work.work_id, None)
+        self._run(made_for, work, _write_job(work, terms, trainer), observer)
 
     def _run(
         self,
@@ -117,7 +183,8 @@
         observer: SampleObserver,
     ) -> None:
         deadline = clock.start_deadline(_SAMPLE_SECONDS)
-        ended = self._dispatcher.run_once(job, deadline, observer)
+        avoided = self._last_peers.find(made_for.step, work.number)
+        ended = self._dispatcher.run_once(job, deadline, observer, avoided)
         if ended.answer.outcome is messages.Outcome.DONE:
             self._cancel_all(made_for.finish_work(work.work_id).losers)
             return
--- a/programs/oleanderdeal/oleanderdeal/sidecar.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar.py
@@ -1,5 +1,6 @@
 """The sidecar: the one process that sends work to the backend server beside it."""
 
+import random
 import threading
 
 from oleander_admission import admission
@@ -41,15 +42,21 @@
         log_service = http_logservice.HttpLogService(chosen.log_url)
         self._in_force = fold.ConfigurationFold()
         self._follower = configuration.ConfigurationFollower(
-            log_service, self._in_force, self._group, chosen.configuration_poll_ms
+            log_service,
+            self._in_force,
+            self._group,
+            chosen.configuration_poll_ms,
+            is_fed=lambda: self._links.is_linked,
         )
         self._trail = order_trail.OrderTrail(chosen.name, log_service, self._group)
         self._keeper: weights.WeightKeeper | None = None
-        self._queue = admission.AdmissionQueue(chosen.slots, chosen.queue_length)
+        self._queue = admission.AdmissionQueue(
+            chosen.slots, chosen.queue_length, jitter=random.Random()
+        )
         self._executor = executor.Executor(
             self._queue, self._create_runner(), self._group, chosen.slots
         )
-        keys = ledger.Ledger(
+        self._keys = ledger.Ledger(
             self._incarnation, chosen.kept_answers * _KEYS_PER_ANSWER, chosen.kept_answer_bytes
         )
         hello = messages.Hello(
@@ -64,7 +71,7 @@
             chosen.heartbeat_ms,
             self._read_heartbeat,
             self._executor,
-            keys,
+            self._keys,
             peer_records.PeerRecords(self._follower),
         )
         self._server = link.LinkServer(
@@ -73,11 +80,11 @@
 
     def run(self, stop: lifecycle.StopSignal) -> None:
         """Serve until told to stop, then finish what runs and what waits."""
-        self._group.start(self._follower.follow)
-        self._group.start(self._trail.write)
+        self._group.keep(self._follower.follow)
+        self._group.keep(self._trail.write)
         if self._keeper is not None:
             self._follower.on_change(self._keeper.wake)
-            self._group.start(self._keeper.keep)
+            self._group.keep(self._keeper.keep)
         self._executor.start()
         self._group.start(self._server.serve)
         lifecycle.announce_address(self._chosen.listen_host, self._server.port)
@@ -115,6 +122,7 @@
             in_rotation=self._keeper is None or version is not None,
             leaving=self._leaving.is_set(),
             configuration_offset=self._in_force.applied_offset,
+            ticket_epoch=self._keys.ticket_epoch,
         )
 
     def _drain(self) -> None:
--- a/programs/oleanderdeal/oleanderdeal/trainer_api.py
+++ b/programs/oleanderdeal/oleanderdeal/trainer_api.py
@@ -4,10 +4,12 @@
 import json
 import re
 
+import expression
+
 from oleander_base import clock, findings
 from oleander_contracts import contract, fold
-from oleander_samples import pulls, readers, registry
-from oleanderdeal import accounts, http_messages, trainer_runs, version_publisher
+from oleander_samples import collector, pulls, readers, registry
+from oleanderdeal import accounts, gates, http_messages, trainer_runs, version_publisher
 
 _CALL_SECONDS = 5.0
 _MOST_BODY_BYTES = 4096
@@ -26,6 +28,7 @@
         runs: trainer_runs.TrainerRuns,
         own_url: collections.abc.Callable[[], str],
         is_draining: collections.abc.Callable[[], bool],
+        threads: gates.ThreadGates,
     ) -> None:
         self._configuration = configuration
         self._steps = steps
@@ -33,6 +36,7 @@
         self._runs = runs
         self._own_url = own_url
         self._is_draining = is_draining
+        self._threads = threads
 
     def put_version(
         self, request: http_messages.HttpRequest, customer: str, model: str, text: str
@@ -96,12 +100,11 @@
         if found is None:
             return _answer_missing("step-unknown")
         started_at = clock.read_now()
-        pulled = found.pull(read.ok, read.ok.wait_ms / 1000)
+        pulled = self._pull(found, read.ok)
         waited_ms = int((clock.read_now() - started_at) * 1000)
         accounts.count_samples(customer, trainer, "idle_ms", waited_ms)
         if pulled.is_error():
             return _refuse_pull(pulled.error)
-        accounts.count_samples(customer, trainer, "delivered", len(pulled.ok.samples))
         encoded = pulls.write_answer(pulled.ok)
         return http_messages.HttpAnswer(
             200,
@@ -110,6 +113,17 @@
             (("Content-Digest", encoded.digest),),
         )
 
+    def _pull(
+        self, found: collector.StepCollector, pull: pulls.Pull
+    ) -> expression.Result[pulls.PullAnswer, pulls.PullRefusal]:
+        """Pull, waiting only while that leaves threads for others."""
+        if not self._threads.take(gates.Gate.PULL):
+            return found.pull(pull, 0.0)
+        try:
+            return found.pull(pull, pull.wait_ms / 1000)
+        finally:
+            self._threads.give_back(gates.Gate.PULL)
+
     def delete_step(self, customer: str, trainer: str, step_text: str) -> http_messages.HttpAnswer:
         """End a step early; one that is not known here has ended already."""
         if _NUMBER.fullmatch(step_text):
@@ -122,6 +136,12 @@
 
 
 def _refuse_step(reason: registry.RefusalReason) -> http_messages.HttpAnswer:
+    if reason is registry.RefusalReason.TOO_MANY:
+        return http_messages.answer_problem(
+            http_messages.Problem(
+                503, "Too many steps are open here.", "not-run", reason.value, _RETRY_MS
+            )
+        )
     return http_messages.answer_problem(
         http_messages.Problem(409, "The step was not registered.", "not-run", reason.value)
     )
--- a/programs/oleanderdeal/oleanderdeal/weights.py
+++ b/programs/oleanderdeal/oleanderdeal/weights.py
@@ -11,7 +11,7 @@
 import threading
 
 from oleander_backends import engine
-from oleander_base import clock, log, tasks
+from oleander_base import clock, log, metrics, tasks
 from oleander_contracts import fold
 
 _CALL_SECONDS = 2.0
@@ -204,6 +204,7 @@
     def _set_state(self, version: int | None, order_open: bool) -> None:
         with self._lock:
             self._state = dataclasses.replace(self._state, version=version, order_open=order_open)
+        metrics.record_gauge(metrics.WEIGHT_VERSION, -1 if version is None else version)
 
     def _back_off(self, least_ms: int) -> None:
         self._failures = min(self._failures + 1, 10)
