Follow the host list's word that a host leaves as long as it says so

The word was kept with the peer: when its link broke while the list was down, the leaving host got work again, for good; and a list that was wrong and put right had no effect until a restart. An emptied list took every host out of use. A host whose address changed was not linked to anew before the calls on its old link had ended, up to ten minutes; links that are no longer wanted now stand apart until then. The scenario that the word 'holds until it runs anew' is replaced: a new incarnation of a host that is still listed as leaving was given work for half a second at a time, until the next reading. Its successor asks the same and more: the word holds over a lost link and a new incarnation, and no longer than it is said. Ruled out: believing a sidecar that says it is not leaving against the list; it may not know yet.

--- a/features/deployments.py
+++ b/features/deployments.py
@@ -1,6 +1,7 @@
 """A small deployment whose scenario can stop, pause and cut off each part of it."""
 
 import concurrent.futures
+import http.client
 import json
 import pathlib
 
@@ -154,6 +155,18 @@
         now = sum(self._read_runs(name).get(key, 0) for name in alive)
         return now + self._runs_of_ended.get(key, 0)
 
+    def is_ready(self, entry):
+        """Return whether an entry's readiness check says that a balancer may send to it."""
+        try:
+            return support.call("GET", f"{self.cluster.url(entry)}/readyz").status == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def await_ready(self):
+        """Wait until each entry passes its readiness check."""
+        for name in self.entries:
+            support.wait_until(lambda name=name: self.is_ready(name), f"{name} is ready")
+
     def await_usable(self, count):
         """Wait until each entry gives new work to so many sidecars."""
         for name in self.entries:
--- /dev/null
+++ b/features/leaving.py
@@ -0,0 +1,149 @@
+"""Desks that leave while calls are held at them, and callers who go on asking."""
+
+import concurrent.futures
+import itertools
+
+import deployments
+import support
+from oleander_base import clock
+from oleander_standins import deployment
+from oleander_wire import link, messages
+
+_CUSTOMER = "long"
+_MOST_TASKS = 8
+_LINK_SECONDS = 5.0
+
+
+def describe_desks(count):
+    """Return so many hosts with a desk, named desk-a and so on."""
+    return tuple(
+        deployment.BackendHost(f"desk-{letter}", "desk", "service", letter)
+        for letter in "abcdef"[:count]
+    )
+
+
+class Desks:
+    """The desks of a deployment, the calls held at them, and more calls by the way."""
+
+    def __init__(self, deployed):
+        self._deployed = deployed
+        self._cluster = deployed.cluster
+        self._numbers = itertools.count(1)
+        self.held = []
+
+    def hold(self, names, operation):
+        """Start calls until each of the desks holds one; other desks answer at once."""
+        for name in names:
+            self._cluster.control(self._server(name), hold=True)
+        for name in names:
+            while not self.read(name)["holding"]:
+                self._start_held(operation)
+
+    def fill(self, count):
+        """Hold all desks and start so many calls, some of which have to wait for a slot."""
+        for name in self._deployed.hosts:
+            self._cluster.control(self._server(name), hold=True)
+        for number in range(count):
+            self._start_call(("charge", "look-up")[number % 2])
+        slots = sum(host.slots for host in self._deployed.hosts.values())
+        support.wait_until(
+            lambda: sum(self.read(name)["holding"] for name in self._deployed.hosts) == slots,
+            "every slot is taken",
+        )
+
+    def release(self, name):
+        """Let a desk answer."""
+        self._cluster.control(self._server(name), release=True)
+
+    def count_answered(self):
+        """Return how many of the calls have ended."""
+        return sum(self._deployed.is_answered(key) for key in self.held)
+
+    def check_held(self):
+        """Check that every call was answered as done, and ran once if it may not be repeated."""
+        for key in self.held:
+            outcome = deployments.read_outcome(self._deployed.read_answer(key))
+            assert outcome == "done", f"{key}: {outcome}"
+            if key.startswith("charge"):
+                assert self._deployed.count_runs(key) == 1, key
+
+    def read(self, name):
+        """Return what the desk of a host counted."""
+        return self._cluster.read_control(self._server(name))
+
+    def ask(self, count):
+        """Make so many calls through all entries, which must all be answered as done."""
+        entries = itertools.cycle(self._deployed.entries)
+        with concurrent.futures.ThreadPoolExecutor(_MOST_TASKS) as pool:
+            asked = [pool.submit(self._ask_once, next(entries)) for _ in range(count)]
+            outcomes = [item.result() for item in asked]
+        assert set(outcomes) == {"done"}, outcomes
+
+    def ask_late(self, name):
+        """Send a request straight to a sidecar as an entry would; return outcome and reason."""
+        address = self._cluster.address(name)
+        opened = link.dial_link(address, clock.start_deadline(_LINK_SECONDS)).ok
+        try:
+            hello = messages.Hello(
+                messages.PROTOCOL, "late", "late", "a", deployment.PROCESS_TOKEN
+            )
+            opened.send(hello)
+            incarnation = _receive(opened, messages.Hello).incarnation
+            opened.send(_write_run(incarnation))
+            answer = _receive(opened, messages.Answer)
+            return f"{answer.outcome.value} {answer.reason}"
+        finally:
+            opened.close()
+
+    def _ask_once(self, entry):
+        operation = "charge" if (number := next(self._numbers)) % 2 else "look-up"
+        response = self._deployed.deployed.call(
+            entry, _CUSTOMER, operation, {"number": number}, f"by-the-way-{number}"
+        )
+        return deployments.read_outcome(response)
+
+    def _start_held(self, operation):
+        before = self._count_all("runs")
+        self._start_call(operation)
+        support.wait_until(lambda: self._count_all("runs") > before, "the call runs")
+
+    def _start_call(self, operation):
+        key = f"{operation}-{next(self._numbers)}"
+        self._deployed.start_call(key, "entry-a", _CUSTOMER, operation, {"key": key}, key)
+        self.held.append(key)
+
+    def _count_all(self, name):
+        return sum(self.read(host)[name] for host in self._deployed.hosts)
+
+    def _server(self, name):
+        return self._deployed.hosts[name].server_name
+
+
+def _receive(opened, kind):
+    deadline = clock.start_deadline(_LINK_SECONDS)
+    while not deadline.is_past:
+        received = opened.receive(deadline).ok
+        if isinstance(received, kind):
+            return received
+    raise AssertionError(f"no {kind.__name__} came")
+
+
+def _write_run(incarnation):
+    return messages.Run(
+        request_id="late",
+        trace_id="late",
+        incarnation=incarnation,
+        customer=_CUSTOMER,
+        operation="charge",
+        key="late",
+        digest="late",
+        attempt=1,
+        shard=0,
+        claim_offset=1_000_000,
+        repeatable=False,
+        priority=1,
+        share_percent=50,
+        budget_ms=10_000,
+        body=b"{}",
+        generation=None,
+    )
--- a/features/routing.feature
+++ b/features/routing.feature
@@ -170,15 +170,24 @@
       | nobody | p3,leaving=1 p4,leaving=1       | p2       |
       | p3     | nobody                          | p2 p4    |
 
-  Scenario: The host list's word that a peer leaves holds until it runs anew
+  Scenario Outline: The host list's word that a peer leaves holds as long as it says so
     Given a router with the peers p1 p2
-    When routing marks p1 as leaving
-    And routing hears again from p1
+    When routing is told that the host list has p1 as leaving
+    And routing loses <lost>
+    And routing hears again from <reported>
     And routing 50 requests for any
     Then routing chose only p2
-    When routing hears again from p1,incarnation=2
+    When routing is told that the host list has <later> as leaving
     And routing 50 requests for any
-    Then routing chose only p1 p2
+    Then routing chose only <chosen>
+
+    Examples:
+      | lost   | reported         | later  | chosen |
+      | nobody | p1               | nobody | p1 p2  |
+      | nobody | p1,incarnation=2 | nobody | p1 p2  |
+      | p1     | p1               | nobody | p1 p2  |
+      | nobody | p1               | p2     | p1     |
+      | nobody | p1,leaving=1     | nobody | p2     |
 
   Scenario Outline: Retries are a bounded part of fresh work
     # A backend that begins to fail would get each request several times over from its callers, and
--- /dev/null
+++ b/features/steps/leaving_steps.py
@@ -0,0 +1,151 @@
+"""Steps for backend servers that leave."""
+
+import signal
+
+import behave
+import deployment_steps
+
+import leaving
+import support
+
+
+@behave.given("{count:d} desks, whose leaving is watched")
+def start_desks(context, count):
+    hosts = leaving.describe_desks(count)
+    links = [f"link-{host.name}" for host in hosts]
+    deployment_steps.start_deployment(context, ", ".join([*links, "log-entry-a"]), hosts=hosts)
+    context.deployment.await_ready()
+    context.desks = leaving.Desks(context.deployment)
+
+
+@behave.given("a {operation} is held at each of the leaving desks {names}")
+def hold_calls(context, operation, names):
+    context.leaving = names.split()
+    context.desks.hold(context.leaving, operation)
+
+
+def _tell(context, name):
+    context.deployment.cluster.find(name).send(signal.SIGTERM)
+
+
+def _list_leaving(context, name):
+    context.deployment.cluster.control("hosts", leaving=name)
+
+
+def _await_list_read(context):
+    """Wait until each entry has read the list as it is now, and acted on it."""
+    count = 2 * len(context.deployment.entries) + 1
+    before = _count_list_reads(context)
+    support.wait_until(
+        lambda: _count_list_reads(context) > before + count, "the entries have read the list"
+    )
+
+
+def _count_list_reads(context):
+    return context.deployment.cluster.read_control("hosts")["reads"]
+
+
+def _leave_unheard(context, name, relay):
+    _tell(context, name)
+    support.wait_until(
+        lambda: "draining" in context.deployment.cluster.find(name).read_log(), "it was told"
+    )
+    relay.heal()
+
+
+def _leave_cut_off(context, name):
+    relay = context.deployment.relays[f"link-{name}"]
+    relay.cut()
+    _leave_unheard(context, name, relay)
+
+
+def _leave_muted(context, name):
+    relay = context.deployment.relays[f"link-{name}"]
+    relay.block("to_client")
+    _leave_unheard(context, name, relay)
+
+
+def _leave_by_lost_list(context, name):
+    _list_leaving(context, name)
+    context.deployment.await_usable(len(context.deployment.hosts) - 1)
+    context.deployment.cluster.control("hosts", outage="refuse")
+    context.deployment.relays[f"link-{name}"].drop_connections()
+    context.deployment.await_entries()
+
+
+def _forget(context, name):
+    context.deployment.cluster.control("hosts", remove=name)
+
+
+def _tell_and_forget(context, name):
+    _tell(context, name)
+    _forget(context, name)
+
+
+_WAYS = {
+    "are told": _tell,
+    "are listed as leaving": _list_leaving,
+    "are told as their links are cut": _leave_cut_off,
+    "are told while nothing from them arrives": _leave_muted,
+    "are listed, and then the list is down and their links drop": _leave_by_lost_list,
+    "are forgotten by the list": _forget,
+    "are told and forgotten by the list": _tell_and_forget,
+}
+
+
+@behave.when("the leaving desks {way}, the host list being {state}")
+def leave(context, way, state):
+    settings = {"emptied": {"set": []}, "up": {}}.get(state, {"outage": state})
+    context.deployment.cluster.control("hosts", **settings)
+    context.runs = {name: context.desks.read(name)["runs"] for name in context.leaving}
+    for name in context.leaving:
+        _WAYS[way](context, name)
+
+
+@behave.then("{count:d} calls more are done, and none of them by a leaving desk")
+def check_no_new_work(context, count):
+    left = len(context.deployment.hosts) - len(context.runs)
+    context.deployment.await_usable(left)
+    context.desks.ask(count)
+    now = {name: context.desks.read(name)["runs"] for name in context.runs}
+    assert now == context.runs, f"{context.runs} became {now}"
+
+
+@behave.when("the held calls of the leaving desks are let go")
+def release_calls(context):
+    for name in context.leaving:
+        context.desks.release(name)
+
+
+@behave.then("the held calls of the desks are done, each charge once")
+def check_held(context):
+    context.desks.check_held()
+
+
+@behave.then("the sidecars of the leaving desks have ended with exit code 0")
+def check_ended(context):
+    for name in context.leaving:
+        code = context.deployment.cluster.find(name).wait_exit(30)
+        assert code == 0, f"{name} ended with {code}"
+
+
+@behave.when("the host list says that {names} leave")
+def list_all(context, names):
+    context.listed = context.deployment.cluster.read_control("hosts")["hosts"]
+    for name in names.split():
+        _list_leaving(context, name)
+
+
+@behave.when("the host list is put right")
+def correct_list(context):
+    context.deployment.cluster.control("hosts", set=context.listed)
+
+
+@behave.then("the entries use {count:d} desks")
+def check_usable(context, count):
+    context.deployment.await_usable(count)
+
+
+@behave.then("{count:d} calls more are done")
+def check_calls(context, count):
+    context.desks.ask(count)
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -80,9 +80,9 @@
     context.router.remove(name)
 
 
-@behave.when("routing marks {name} as leaving")
-def mark_leaving(context, name):
-    context.router.mark_leaving(name)
+@behave.when("routing is told that the host list has {names} as leaving")
+def list_leaving(context, names):
+    context.router.set_listed_leaving(frozenset(names.replace("nobody", "").split()))
 
 
 @behave.when("routing time passes by {seconds:d} seconds")
--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -46,6 +46,8 @@
     """How long this entry's requests take there, as a moving average; 0 while unknown."""
     outstanding: float = 0.0
     """How many requests are estimated to wait or run there now."""
+    is_listed_leaving: bool = False
+    """Whether the host list says that it is leaving, whatever it says itself."""
     weight: float = 1.0
     """The part of its usual work that it is given; 0 while it is ejected."""
 
@@ -57,7 +59,7 @@
     @property
     def is_usable(self) -> bool:
         """Whether it takes new work."""
-        return self.in_rotation and not self.leaving
+        return self.in_rotation and not self.leaving and not self.is_listed_leaving
 
     def apply(self, report: PeerReport, now: float) -> None:
         """Take in a report; it counts all that this entry started before it."""
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -79,6 +79,7 @@
         self._lock = threading.Lock()
         self._peers: dict[str, peers.Peer] = {}
         self._health = health.HealthTable()
+        self._listed_leaving: frozenset[str] = frozenset()
 
     def update(self, name: str, report: peers.PeerReport) -> None:
         """Take in a report; one of a new incarnation starts the peer anew."""
@@ -93,6 +94,7 @@
                 if peer is not None:
                     self._health.reset(name)
                 self._peers[name] = peers.create_peer(name, report, now)
+            self._note_listed(name)
             self._health.release_excess(self._list_usable(report.backend), now)
 
     def remove(self, name: str) -> None:
@@ -102,13 +104,20 @@
             if peer is not None:
                 self._health.release_excess(self._list_usable(peer.backend), self._read_now())
 
-    def mark_leaving(self, name: str) -> None:
-        """Give a peer no more work, as the host list says; holds for this incarnation."""
+    def set_listed_leaving(self, names: frozenset[str]) -> None:
+        """
+        Give no more work to the peers that the host list says are leaving, and to no others.
+
+        The names are kept apart from what is known of each peer. Kept with the peer they were
+        lost with its link, and a leaving host whose link broke while the list was down got work
+        again; and a list that was wrong and put right would have no effect until a restart.
+        """
         with self._lock:
-            peer = self._peers.get(name)
-            if peer is not None:
-                peer.leaving = True
-                self._health.release_excess(self._list_usable(peer.backend), self._read_now())
+            self._listed_leaving = names
+            for name in self._peers:
+                self._note_listed(name)
+            for backend in {peer.backend for peer in self._peers.values()}:
+                self._health.release_excess(self._list_usable(backend), self._read_now())
 
     def choose(self, request: RouteRequest) -> expression.Result[str, NoPeer]:
         """Return the peer that is to run a request, or why there is none."""
@@ -151,6 +160,11 @@
                 self._refresh([peer for peer in self._peers.values() if peer.backend == backend])
             return [dataclasses.replace(peer) for peer in self._peers.values()]
 
+    def _note_listed(self, name: str) -> None:
+        peer = self._peers.get(name)
+        if peer is not None:
+            peer.is_listed_leaving = name in self._listed_leaving
+
     def _list_usable(self, backend: str) -> list[str]:
         return [
             peer.name
--- a/programs/oleanderdeal/oleanderdeal/hosts.py
+++ b/programs/oleanderdeal/oleanderdeal/hosts.py
@@ -16,6 +16,8 @@
     Links to a bounded subset of the live hosts; the list lags, so it is only a hint.
 
     A host that vanished from the list stays linked to as long as the list can't be read at all.
+    A list that was emptied is taken for one that can't be read: with no host at all there is
+    nothing to gain from believing it, and a fault of the list would refuse all work.
     """
 
     def __init__(
@@ -45,10 +47,12 @@
         if read.is_error():
             log.warn_bounded("hosts-unread", f"going on with the last list: {read.error.detail}")
             return
+        if not read.ok and self._links.list_links():
+            log.warn_bounded("hosts-empty", "going on with the last list: this one is empty")
+            return
         self._links.set_hosts(self._choose(read.ok))
-        for host in read.ok:
-            if host.state is hostlist.HostState.LEAVING:
-                self._routes.mark_leaving(host.name)
+        leaving = (host for host in read.ok if host.state is hostlist.HostState.LEAVING)
+        self._routes.set_listed_leaving(frozenset(host.name for host in leaving))
 
     def _choose(
         self, listed: tuple[hostlist.Host, ...]
--- a/programs/oleanderdeal/oleanderdeal/peers.py
+++ b/programs/oleanderdeal/oleanderdeal/peers.py
@@ -151,13 +151,21 @@
         with self._opened:
             return self._opened.wait_for(lambda: self.is_open, deadline.remaining)
 
-    def retire(self, is_unwanted: bool) -> bool:
-        """Take the link out of routing or back into it; return whether it can be closed."""
-        if self._routes is not None and is_unwanted:
-            self._routes.remove(self.name)
-        self._is_retired = is_unwanted
+    @property
+    def has_calls(self) -> bool:
+        """Whether any request on the link has not ended."""
+        return bool(self._calls)
+
+    def retire(self) -> None:
+        """Take the link out of routing; the calls on it go on."""
         with self._lock:
-            return is_unwanted and not self._calls
+            self._is_retired = True
+            if self._routes is not None:
+                self._routes.remove(self.name)
+
+    def restore(self) -> None:
+        """Take the link back into routing."""
+        self._is_retired = False
 
     def open_call(self, request_id: str) -> Call:
         """Register a call before its request is sent, so that no event is missed."""
@@ -258,7 +266,7 @@
                 log.warn_bounded("odd-message", f"ignored a {type(message).__name__}")
 
     def _report(self, beat: messages.Heartbeat) -> None:
-        if self._routes is None or self._is_retired:
+        if self._routes is None:
             return
         report = routing_peers.PeerReport(
             failure_domain=self._host.failure_domain,
@@ -272,7 +280,9 @@
             in_rotation=beat.in_rotation,
             leaving=beat.leaving,
         )
-        self._routes.update(self.name, report)
+        with self._lock:
+            if not self._is_retired:
+                self._routes.update(self.name, report)
 
     def _lose(self, opened: link.Link) -> None:
         """
@@ -281,9 +291,9 @@
         An orderly close would wait for the peer's own, which never comes from one that is paused;
         its calls, and the next dial, would wait for that second too.
         """
-        if self._routes is not None:
-            self._routes.remove(self.name)
         with self._lock:
+            if self._routes is not None and not self._is_retired:
+                self._routes.remove(self.name)
             self._link = None
             calls = list(self._calls.values())
         for call in calls:
@@ -311,6 +321,7 @@
         self._lock = threading.Lock()
         self._links: dict[str, PeerLink] = {}
         self._extra: dict[str, PeerLink] = {}
+        self._retired: dict[str, PeerLink] = {}
 
     def find(self, name: str) -> PeerLink | None:
         """Return the routed link to a sidecar."""
@@ -322,27 +333,29 @@
         with self._lock:
             found = self._links.get(name)
             if found is None or found.host.address != address:
-                found = self._extra.get(address) or self._add_extra(name, address)
-        return found
+                found = self._retired.get(address) or self._extra.get(address)
+            return found or self._add_extra(name, address)
 
     def list_links(self) -> list[PeerLink]:
         """Return every link."""
         with self._lock:
-            return [*self._links.values(), *self._extra.values()]
+            return [*self._links.values(), *self._retired.values(), *self._extra.values()]
 
     def set_hosts(self, hosts: collections.abc.Iterable[hostlist.Host]) -> None:
         """
         Route to these hosts; a host whose address changed is linked to anew.
 
-        The list lags and may be wrong, so a host that is not in it gets no new work, but its link
-        stays open until the calls on it have ended.
+        The list lags and may be wrong, and the subset changes as hosts come and go, so a host that
+        is not wanted any more gets no new work, but its link stays open until the calls on it have
+        ended. There are no more of these links than calls.
         """
         wanted = {host.name: host for host in hosts}
         with self._lock:
-            ended = self._drop_unwanted(wanted)
+            self._retire_unwanted(wanted)
             added = [host for name, host in wanted.items() if name not in self._links]
             for host in added:
-                self._links[host.name] = self._start(host, is_routed=True)
+                self._links[host.name] = self._restore(host) or self._start(host, is_routed=True)
+            ended = self._pop_ended()
         for item in ended:
             item.stop()
 
@@ -351,14 +364,28 @@
         for item in self.list_links():
             item.stop()
 
-    def _drop_unwanted(self, wanted: dict[str, hostlist.Host]) -> list[PeerLink]:
-        ended = [
+    def _retire_unwanted(self, wanted: dict[str, hostlist.Host]) -> None:
+        unwanted = [
             item
             for name, item in self._links.items()
-            if item.retire(name not in wanted or wanted[name].address != item.host.address)
+            if name not in wanted or wanted[name].address != item.host.address
         ]
+        for item in unwanted:
+            item.retire()
+            self._retired[item.host.address] = self._links.pop(item.name)
+
+    def _restore(self, host: hostlist.Host) -> PeerLink | None:
+        """Return the retired link to a host that is wanted again, if there is one."""
+        found = self._retired.get(host.address)
+        if found is None or found.host != host:
+            return None
+        found.restore()
+        return self._retired.pop(host.address)
+
+    def _pop_ended(self) -> list[PeerLink]:
+        ended = [item for item in self._retired.values() if not item.has_calls]
         for item in ended:
-            del self._links[item.name]
+            del self._retired[item.host.address]
         return ended
 
     def _add_extra(self, name: str, address: str) -> PeerLink:
