--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 export PYTHONPATH = $(subst $(space),:,$(abspath $(SOURCE_PATHS)))
 export PYTHONDONTWRITEBYTECODE = 1
 
-.PHONY: install format check test demo bench soak binary
+.PHONY: install format check test demo bench costs soak binary
 
 install: $(VENV)/.installed
 
@@ -35,6 +35,9 @@
 bench: install
 	$(PYTHON) bench/run.py --seed $(or $(SEED),1) --scale $(or $(SCALE),1) --only '$(ONLY)' --json '$(JSON)'
 
+costs: install
+	$(PYTHON) bench/costs.py --only '$(ONLY)' --json '$(JSON)'
+
 soak: install
 	$(PYTHON) features/soak.py --seed $(or $(SEED),1) --minutes $(or $(MINUTES),1)
 
--- a/bench/loads.py
+++ b/bench/loads.py
@@ -25,6 +25,8 @@
     site: str = "catania"
     times: float = 1.0
     """How many times the usual rate."""
+    operation: str = ""
+    """Only this operation is asked for; empty for all."""
     seconds: float = 6.0
     behaviour: traffic.Behaviour = traffic.Behaviour()
     faults: tuple[Fault, ...] = ()
@@ -74,6 +76,8 @@
     Load("catania"),
     Load("overload-2x", times=2.0),
     Load("overload-3x", times=3.0),
+    Load("engines-busy", times=12.0, operation="suggestion"),
+    Load("engines-overload", times=24.0, operation="suggestion"),
     Load("crash", faults=(Fault(1.5, _crash_engine), Fault(4.0, _restart_engine))),
     Load("swaps", faults=(Fault(0.0, _slow_swaps), Fault(6.0, _end_slow_swaps))),
     Load("log-outage-own-keys", faults=_OUTAGE),
--- a/bench/run.py
+++ b/bench/run.py
@@ -96,6 +96,7 @@
         flows = tuple(
             dataclasses.replace(flow, per_second=flow.per_second * times)
             for flow in self._site.plan.flows
+            if load.operation in {"", flow.operation}
         )
         callers = traffic.Callers(name, load.behaviour)
         arrivals = traffic.plan_arrivals(flows, urls, load.seconds, self._options.seed)
