Learn how long work takes only from work that took its whole time

Cause: the executor told the queue of every end as if the work was complete, against what the queue asks: generations that gave way to interactive ones and refusals counted as fast work, so waits were underestimated. Ruled out: the predicted cost, which only the ratio matters of.

--- a/programs/oleanderdeal/oleanderdeal/executor.py
+++ b/programs/oleanderdeal/oleanderdeal/executor.py
@@ -92,7 +92,8 @@
             pending = self._pending[work_id]
         started_at = clock.read_now()
         answer = self._run_wanted(pending)
-        self._queue.finish(work_id, (clock.read_now() - started_at) * 1000)
+        service_ms = (clock.read_now() - started_at) * 1000
+        self._queue.finish(work_id, service_ms, _took_whole_time(answer))
         self._answer(work_id, answer)
 
     def _run_wanted(self, pending: work.PendingRun) -> messages.Answer:
@@ -123,6 +124,17 @@
             pending.answer(answer)
 
 
+def _took_whole_time(answer: messages.Answer) -> bool:
+    """
+    Return whether an answer tells how long such work takes.
+
+    Work that was preempted, refused or cut off ended early. Taken for whole, it made the next
+    waits look shorter than they were, and work was let in that could not end in time. A call
+    that got no answer counts: it took at least as long, and a hanging backend server must show.
+    """
+    return answer.status != 0 or answer.outcome is messages.Outcome.UNKNOWN
+
+
 def _describe_work(pending: work.PendingRun) -> admission_work.Work:
     run = pending.run
     cost = _SERVICE_COST_MS
