See from what runs that a backend server has turned slow

Cause: a server that turns slow completes nothing for a while, so the ratio of measured to predicted time stayed as it was; its sidecar let in bookings that then ran past their deadline. Refused in time they are not run, with evidence, and go to another desk. Ruled out: ejection by the entries, which needs some slow ends first and did come; the wait ahead, whose estimate already counts overdue work.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -46,6 +46,12 @@
       | slots | before                                  | running | passed | work                   | answer   | least | most |
       | 1     | a1:interactive:10                       | 1       | 5010   | a2:interactive:10:4000 | too-late | 1000  | 2100 |
 
+    Examples: when all that runs is late, new work is expected to take as long
+      | slots | before                                  | running | passed | work                   | answer   | least | most |
+      | 2     | a1:interactive:10 a2:interactive:10     | 2       | 1000   | a3:interactive:10:1500 | too-late | 490   | 980  |
+      | 2     | a1:interactive:10 a2:interactive:10     | 2       | 1000   | a3:interactive:10:2000 | ok       | 0     | 0    |
+      | 3     | a1:interactive:10                       | 1       | 1000   | a3:interactive:10:100  | ok       | 0     | 0    |
+
   Scenario Outline: A slow spell does not shut the queue for ever
     # Each completed work took ten times its prediction, so all that follows is refused, nothing
     # completes and nothing corrects the estimate. It fades by itself, so work is let in again.
--- a/libs/admission/oleander_admission/admission.py
+++ b/libs/admission/oleander_admission/admission.py
@@ -3,6 +3,7 @@
 import collections.abc
 import dataclasses
 import random
+import statistics
 import threading
 
 import expression
@@ -12,6 +13,8 @@
 from oleander_contracts import contract
 
 _PREEMPTIBLE = frozenset({contract.Priority.SAMPLING, contract.Priority.BACKGROUND})
+_LEAST_RUNNING = 2
+"""What runs tells of the backend server only from so many on."""
 _LEAST_RETRY_MS = 50
 _MOST_RETRY_MS = 60_000
 
@@ -169,7 +172,24 @@
     def _measure_lateness_ms(self, item: work.Work, wait_ms: float, now: float) -> float:
         """Return by how much work would end after its deadline; negative if it would not."""
         budget_ms = (item.deadline.expires_at - now) * 1000
-        return wait_ms + item.cost_ms * self._estimator.read_ratio(now) - budget_ms
+        return wait_ms + item.cost_ms * self._read_ratio(now) - budget_ms
+
+    def _read_ratio(self, now: float) -> float:
+        """
+        Return by how much to multiply a predicted service time, as seen by what runs now too.
+
+        A backend server that turns slow completes nothing for a while, and the estimate stays as
+        it was; meanwhile work was let in that could not end in time. Half of what runs being late
+        shows it sooner; a single straggler does not count, nor the only work that runs.
+        """
+        ratio = self._estimator.read_ratio(now)
+        if len(self._running) < _LEAST_RUNNING:
+            return ratio
+        elapsed = [
+            (now - running.started_at) * 1000 / max(1.0, running.turn.work.cost_ms)
+            for running in self._running.values()
+        ]
+        return max(ratio, statistics.median_low(elapsed))
 
     def _estimate_start_ms(self, ahead_ms: float, now: float) -> float:
         """Return when work gets a slot that has so much predicted service before it."""
