--- a/Makefile
+++ b/Makefile
@@ -2,11 +2,12 @@
 VENV ?= .venv
 PYTHON = $(VENV)/bin/python
 SOURCE_PATHS = $(wildcard libs/*) programs/oleanderdeal standins
+PRODUCT_FILES = $(shell find libs programs -name '*.py')
 space := $(subst ,, )
 export PYTHONPATH = $(subst $(space),:,$(abspath $(SOURCE_PATHS)))
 export PYTHONDONTWRITEBYTECODE = 1
 
-.PHONY: install format check test demo bench costs soak binary
+.PHONY: install format check pages test demo site bench costs soak binary
 
 install: $(VENV)/.installed
 
@@ -25,13 +26,20 @@
 	$(VENV)/bin/ruff check .
 	$(VENV)/bin/mypy $(SOURCE_PATHS)
 	$(VENV)/bin/lint-imports --no-cache
+	$(PYTHON) programs/generate_pages.py --check
 
-test: install
+pages: install
+	$(PYTHON) programs/generate_pages.py
+
+test: install binary
 	$(PYTHON) features/run.py $(FEATURES)
 
 demo: install
 	$(PYTHON) -m oleander_standins.demo
 
+site: install binary
+	$(PYTHON) -m oleander_standins.site
+
 bench: install
 	$(PYTHON) bench/run.py --seed $(or $(SEED),1) --scale $(or $(SCALE),1) --only '$(ONLY)' --json '$(JSON)'
 
@@ -41,5 +49,7 @@
 soak: install
 	$(PYTHON) features/soak.py --seed $(or $(SEED),1) --minutes $(or $(MINUTES),1)
 
-binary: install
+binary: dist/oleanderdeal
+
+dist/oleanderdeal: requirements.txt $(PRODUCT_FILES) | install
 	$(PYTHON) programs/build_binary.py
