Wait for entries' readiness in the scenarios, and only for entries that were started

Cause: scenarios waited for links and configuration, not for the claims to be read, so the first booking after a restart was now and then refused with claims-unread (deployment.feature:20).

--- a/features/deployments.py
+++ b/features/deployments.py
@@ -112,7 +112,7 @@
 
     def list_running_entries(self):
         """Return the entries that have not been ended."""
-        return [name for name in ENTRIES if self.cluster.find(name).code is None]
+        return [name for name in self.entries if self.cluster.find(name).code is None]
 
     def read_configuration(self, entry):
         """Return what an entry says of its configuration and peers."""
@@ -239,7 +239,9 @@
 
     def _is_ready(self, entry, offset):
         known = self.read_configuration(entry)
-        return known["applied_offset"] >= offset and known["peers"] >= len(self.hosts)
+        if known["applied_offset"] < offset or known["peers"] < len(self.hosts):
+            return False
+        return support.call("GET", f"{self.cluster.url(entry)}/readyz").status == 200
 
     def _read_runs(self, service):
         return self.cluster.read_control(service).get("runs_by_key", {})
