Let a cell wait until the entries have noticed that the sidecar died

Cause: the cell killed a sidecar and let the claim be read back at once. On a busy machine the entry had not noticed the death, sent over the dead link and told unknown, which is right: the request had left. A trace of the red run shows it asking the dead sidecar until its deadline. The cell is about a death that is known before the claim is read; the unnoticed one has its own rows (dispatched, overtaken).

--- a/features/once_matrix.feature
+++ b/features/once_matrix.feature
@@ -73,7 +73,7 @@
 
     Examples:
       | step                   | events                                                                                     | answers            | last         | runs |
-      | appended               | kill sidecar, heal log-entry-a, await 1                                                    | done               | done         | 1    |
+      | appended               | kill sidecar, noticed, heal log-entry-a, await 1                                           | done               | done         | 1    |
       | appended               | ask entry-b, await 2, kill sidecar, restart sidecar, linked, heal log-entry-a, await 1     | done/unknown, done | done/unknown | 1    |
       | dispatched within 1000 | kill sidecar, await 1                                                                      | unknown            | unknown      | 0    |
       | dispatched within 1000 | kill sidecar, restart sidecar, heal link, ask entry-b, await 2                             | unknown, unknown   | unknown      | 0    |
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -68,6 +68,7 @@
     "claims": lambda trial, count: trial.await_claims(int(count)),
     "kill": lambda trial, role: trial.deployment.kill(trial.name(role)),
     "restart": lambda trial, role: trial.deployment.restart(trial.name(role)),
+    "noticed": lambda trial: trial.deployment.await_peers(1),
     "linked": lambda trial: trial.deployment.await_entries(),
     "peers": lambda trial, count: trial.deployment.await_peers(int(count)),
     "freeze": lambda trial, role: trial.freeze(trial.name(role)),
