Hand over what waits at a sidecar that leaves, and prove its last refusals

The refusals are free of the retry budget: they come once from each sidecar and may be many. A request of an entry that was paused met a sidecar that had ended, and nobody could say whether it ran. The sidecar now says goodbye, once nothing runs and nothing can start: what it left unanswered on the link never ran there. It counts for requests that one entry alone sends, so not for tickets. An entry that was paused took all of its links for silent; it reads what has come before it judges. Ruled out: closing with a status in place of the message, which a paused entry reads only after its send has failed; lingering after every stop, which would make a rolling restart slow for nothing.

--- a/features/admission.feature
+++ b/features/admission.feature
@@ -182,6 +182,18 @@
     When admission work a1 ends after 10 ms
     Then admission runs in order a2
 
+  Scenario: A queue that is closed for a leave hands over what waits
+    # The callers of what waits hear at once that it did not run; what runs is finished.
+    Given an admission queue with 1 slots and 100 places
+    When admission is asked for a1:interactive:10 a2:interactive:10 a3:critical:10
+    And admission hands out 1 works
+    And admission closes
+    And admission drops what waits
+    Then admission dropped a1:leaving a2:leaving
+    And admission has 0 waiting and 1 running
+    When admission work a3 ends after 10 ms
+    Then admission has 0 waiting and 0 running
+
   Scenario: Dropped work that nobody collects ends admission instead of memory
     # A stuck collector: the queue would otherwise grow by one refusal for each displaced work.
     Given an admission queue with 1 slots and 3 places
--- a/features/leaving.py
+++ b/features/leaving.py
@@ -29,6 +29,7 @@
         self._deployed = deployed
         self._cluster = deployed.cluster
         self._numbers = itertools.count(1)
+        self._names = [host.name for host in deployed.hosts.values() if host.kind == "service"]
         self.held = []
 
     def hold(self, names, operation):
@@ -41,15 +42,12 @@
 
     def fill(self, count):
         """Hold all desks and start so many calls, some of which have to wait for a slot."""
-        for name in self._deployed.hosts:
+        for name in self._names:
             self._cluster.control(self._server(name), hold=True)
         for number in range(count):
             self._start_call(("charge", "look-up")[number % 2])
-        slots = sum(host.slots for host in self._deployed.hosts.values())
-        support.wait_until(
-            lambda: sum(self.read(name)["holding"] for name in self._deployed.hosts) == slots,
-            "every slot is taken",
-        )
+        slots = sum(self._deployed.hosts[name].slots for name in self._names)
+        support.wait_until(lambda: self._count_all("holding") == slots, "every slot is taken")
 
     def release(self, name):
         """Let a desk answer."""
@@ -71,11 +69,14 @@
         """Return what the desk of a host counted."""
         return self._cluster.read_control(self._server(name))
 
-    def ask(self, count):
+    def ask(self, count, operations=("charge", "look-up")):
         """Make so many calls through all entries, which must all be answered as done."""
         entries = itertools.cycle(self._deployed.entries)
+        chosen = itertools.cycle(operations)
         with concurrent.futures.ThreadPoolExecutor(_MOST_TASKS) as pool:
-            asked = [pool.submit(self._ask_once, next(entries)) for _ in range(count)]
+            asked = [
+                pool.submit(self._ask_once, next(entries), next(chosen)) for _ in range(count)
+            ]
             outcomes = [item.result() for item in asked]
         assert set(outcomes) == {"done"}, outcomes
 
@@ -95,11 +96,10 @@
         finally:
             opened.close()
 
-    def _ask_once(self, entry):
-        operation = "charge" if (number := next(self._numbers)) % 2 else "look-up"
-        response = self._deployed.deployed.call(
-            entry, _CUSTOMER, operation, {"number": number}, f"by-the-way-{number}"
-        )
+    def _ask_once(self, entry, operation):
+        key = f"by-the-way-{next(self._numbers)}"
+        body = {"prompt": key, "max_tokens": 8} if operation == "draft" else {"key": key}
+        response = self._deployed.deployed.call(entry, _CUSTOMER, operation, body, key)
         return deployments.read_outcome(response)
 
     def _start_held(self, operation):
@@ -113,7 +113,7 @@
         self.held.append(key)
 
     def _count_all(self, name):
-        return sum(self.read(host)[name] for host in self._deployed.hosts)
+        return sum(self.read(host)[name] for host in self._names)
 
     def _server(self, name):
         return self._deployed.hosts[name].server_name
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -104,6 +104,11 @@
     context.server.queue.close()
 
 
+@behave.when("admission drops what waits")
+def drop_waiting(context):
+    context.server.queue.drop_waiting()
+
+
 @behave.when("admission runs {count:d} works that take {factor:d} times the predicted {cost:d} ms")
 def run_slowly(context, count, factor, cost):
     for number in range(count):
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -6,6 +6,7 @@
 import deployment_steps
 
 import leaving
+import stops
 import support
 
 
@@ -20,7 +21,7 @@
 
 @behave.given("a {operation} is held at each of the leaving desks {names}")
 def hold_calls(context, operation, names):
-    context.leaving = names.split()
+    context.leaving = names.replace("nothing", "").split()
     context.desks.hold(context.leaving, operation)
 
 
@@ -149,3 +150,66 @@
 @behave.then("{count:d} calls more are done")
 def check_calls(context, count):
     context.desks.ask(count)
+
+
+@behave.given(
+    "{count:d} calls are held at the desks or wait for them, {name} being the one to leave"
+)
+def fill_desks(context, count, name):
+    context.leaving = [name]
+    context.desks.fill(count)
+
+
+@behave.when("the held calls of the other desks are let go")
+def release_others(context):
+    for name in set(context.deployment.hosts) - set(context.leaving):
+        context.desks.release(name)
+
+
+@behave.then("{count:d} of the held calls are done before the leaving desks let go")
+def await_answered(context, count):
+    support.wait_until(
+        lambda: context.desks.count_answered() == count, f"{count} calls are answered"
+    )
+
+
+@behave.then("the leaving desks began none since they were told")
+def check_none_begun(context):
+    now = {name: context.desks.read(name)["runs"] for name in context.runs}
+    assert now == context.runs, f"{context.runs} became {now}"
+
+
+@behave.then("a late request to the desk {name} is answered {answer}")
+def check_late(context, name, answer):
+    found = context.desks.ask_late(name)
+    assert found == answer, found
+
+
+@behave.given("the charge late is claimed at entry-a, which is then frozen")
+def freeze_claimant(context):
+    context.claim = stops.AppendedClaim(context.deployment)
+    context.claim.start()
+    context.deployment.freeze("entry-a")
+
+
+@behave.when("the claimed desk is told to leave and {state}")
+def leave_claimed(context, state):
+    context.claimed = context.claim.sidecar
+    stops.tell(context.deployment, context.claimed)
+    if state == "has ended":
+        context.deployment.cluster.find(context.claimed).wait_exit()
+    context.runs = {context.claimed: context.desks.read(context.claimed)["runs"]}
+
+
+@behave.when("entry-a goes on, and the desks let their calls go")
+def thaw_claimant(context):
+    context.deployment.cluster.thaw("entry-a")
+    context.claim.let_go()
+    for name in context.leaving:
+        context.desks.release(name)
+
+
+@behave.then("the charge late is done, by the other desk")
+def check_claimed(context):
+    context.claim.check()
+    check_none_begun(context)
--- /dev/null
+++ b/features/steps/stopping_steps.py
@@ -0,0 +1,50 @@
+"""Steps for planned stops."""
+
+import behave
+import deployment_steps
+
+import leaving
+import stops
+
+_EXIT_SECONDS = 40
+
+
+@behave.given("a deployment to stop parts of")
+def start(context):
+    deployment_steps.start_deployment(context, f"log-{stops.ENTRY}", hosts=stops.HOSTS)
+    context.deployment.await_ready()
+    context.deployment.await_usable(len(stops.HOSTS))
+    context.desks = leaving.Desks(context.deployment)
+
+
+@behave.given("at the time of the stop {work}")
+def start_work(context, work):
+    context.work = stops.WORKS[work](context.deployment)
+    context.work.start()
+
+
+@behave.when("the {kind} with a part in it is told to stop")
+def tell(context, kind):
+    context.stopped = stops.ENTRY if kind == "entry" else context.work.sidecar
+    stops.tell(context.deployment, context.stopped)
+
+
+@behave.then("{count:d} calls made during the stop are done")
+def check_arrivals(context, count):
+    context.desks.ask(count, context.work.arrivals)
+
+
+@behave.when("what was in progress at the stop goes on")
+def let_go(context):
+    context.work.let_go()
+
+
+@behave.then("all answers in progress at the stop come whole")
+def check_work(context):
+    context.work.check()
+
+
+@behave.then("the stopped process has ended with exit code {code:d}")
+def check_exit(context, code):
+    found = context.deployment.cluster.find(context.stopped).wait_exit(_EXIT_SECONDS)
+    assert found == code, found
--- /dev/null
+++ b/features/stops.py
@@ -0,0 +1,258 @@
+"""Work that is in progress when a process is told to stop."""
+
+import abc
+import functools
+import json
+import signal
+
+import deployments
+import leaving
+import support
+import trainings
+from oleander_standins import deployment, relay, tokens
+
+ENTRY = "entry-a"
+"""Callers and the trainer ask this one first."""
+_ENGINE_FLAGS = ("--token-ms", "3", "--prefill-ms", "0", "--load-ms", "0")
+HOSTS = (
+    *deployments.DESKS,
+    *(
+        deployment.BackendHost(
+            f"designs-{domain}",
+            "designs",
+            "engine",
+            domain,
+            "designs",
+            slots=8,
+            engine_flags=_ENGINE_FLAGS,
+        )
+        for domain in "ab"
+    ),
+)
+_DRAFT_TOKENS = 40
+_VERSION = 1
+
+
+class Work(abc.ABC):
+    """Work that is held in progress, and let go on after the stop."""
+
+    arrivals = ("charge", "look-up")
+    """What callers can go on asking for."""
+
+    def __init__(self, deployed):
+        self._deployed = deployed
+        self._cluster = deployed.cluster
+
+    @property
+    @abc.abstractmethod
+    def sidecar(self):
+        """The name of a sidecar that has a part in it."""
+
+    @abc.abstractmethod
+    def start(self):
+        """Start it, and wait until it is held."""
+
+    @abc.abstractmethod
+    def let_go(self):
+        """Let it go on."""
+
+    @abc.abstractmethod
+    def check(self):
+        """Check that all answers came whole."""
+
+    def _set_engines(self, **settings):
+        for host in HOSTS:
+            if host.kind == "engine":
+                self._cluster.control(host.server_name, **settings)
+
+    def _find_engine(self):
+        for host in HOSTS:
+            if host.kind == "engine":
+                counted = self._cluster.read_control(host.server_name)
+                for item in counted["generations"].values():
+                    if item["outcome"] == "running" and item["tokens"]:
+                        return host.name
+        return ""
+
+
+class HeldCall(Work):
+    """A call that its desk has begun to run and does not answer."""
+
+    arrivals = ("draft",)
+
+    def __init__(self, deployed, operation):
+        super().__init__(deployed)
+        self._operation = operation
+        self._desks = leaving.Desks(deployed)
+
+    @property
+    def sidecar(self):
+        return "desk-a"
+
+    def start(self):
+        self._desks.hold([self.sidecar], self._operation)
+
+    def let_go(self):
+        self._desks.release(self.sidecar)
+
+    def check(self):
+        self._desks.check_held()
+
+
+class WaitingCalls(HeldCall):
+    """More calls than the desks have slots, so that some wait in the sidecars' queues."""
+
+    def start(self):
+        self._desks.fill(16)
+
+    def let_go(self):
+        for host in deployments.DESKS:
+            self._desks.release(host.name)
+
+
+class StreamedDraft(Work):
+    """A draft that its caller reads as it is made."""
+
+    @property
+    def sidecar(self):
+        return self._find_engine()
+
+    def start(self):
+        self._set_engines(pause_after=8)
+        body = {"prompt": "a draft", "prefix": "", "max_tokens": _DRAFT_TOKENS, "stream": True}
+        self._deployed.start_call("draft", ENTRY, "long", "draft", body)
+        support.wait_until(self._find_engine, "the draft is being made")
+
+    def let_go(self):
+        self._set_engines(pause_after=0)
+
+    def check(self):
+        response = self._deployed.read_answer("draft")
+        assert response is not None, "the stream was cut"
+        lines = [json.loads(line) for line in response.body.splitlines()]
+        assert lines[-1].get("outcome") == "done", lines[-1]
+        text = "".join(line["text"] for line in lines[:-1])
+        assert tokens.remove_marks(text) == tokens.make_text("a draft", 0, _DRAFT_TOKENS)
+
+
+class Step(Work):
+    """A trainer that collects a step; half of its samples are stragglers, which are held."""
+
+    def __init__(self, deployed, **flags):
+        super().__init__(deployed)
+        self._trainings = trainings.Trainings(deployed)
+        self._flags = flags
+
+    @property
+    def sidecar(self):
+        return self._find_engine() or "designs-a"
+
+    def start(self):
+        self._set_engines(pause_after=20)
+        stragglers = {"straggler-every": 2, "straggler-tokens": 60}
+        self._trainings.start("stop", _VERSION, **(stragglers | self._flags))
+        support.wait_until(self._is_half_collected, "half of the step is delivered")
+
+    def let_go(self):
+        self._set_engines(pause_after=0)
+
+    def check(self):
+        summary = self._trainings.finish("stop")
+        assert summary["samples"] == 8, summary
+
+    def _is_half_collected(self):
+        headers = self._deployed.deployed.write_headers("operator")
+        report = support.call("GET", f"{self._cluster.url(ENTRY)}/v1/report", None, headers)
+        counts = report.read_json()["counts"]
+        return sum(counts[name] for name in counts if name.startswith("samples.delivered")) >= 4
+
+
+class WaitingPull(Step):
+    """A trainer's pull that waits, as no engine takes work."""
+
+    def start(self):
+        self._set_engines(refuse=True)
+        self._trainings.start("stop", _VERSION, **{"wait-ms": 20_000})
+        support.wait_until(self._has_refused, "samples are refused")
+
+    def let_go(self):
+        self._set_engines(refuse=False)
+
+    def _has_refused(self):
+        return any(
+            self._cluster.read_control(host.server_name, "generations=no")["refused"]
+            for host in HOSTS
+            if host.kind == "engine"
+        )
+
+
+class AppendedClaim(Work):
+    """A claim that stands in the log, while its entry does not know so yet."""
+
+    def __init__(self, deployed):
+        super().__init__(deployed)
+        self._relay = deployed.relays[f"log-{ENTRY}"]
+
+    @property
+    def sidecar(self):
+        return self._find_claimed()
+
+    def start(self):
+        self._relay.block(relay.TO_CLIENT)
+        self._deployed.start_call("claimed", ENTRY, "long", "charge", {}, "claimed")
+        support.wait_until(self._find_claimed, "the claim is in the log")
+
+    def let_go(self):
+        self._relay.heal()
+
+    def check(self):
+        outcome = deployments.read_outcome(self._deployed.read_answer("claimed"))
+        assert outcome == "done", outcome
+        assert self._deployed.count_runs("claimed") == 1
+
+    def _find_claimed(self):
+        for stream in self._cluster.read_control("log")["records"]:
+            if stream.startswith("claims-"):
+                for record in self._deployed.read_stream(stream):
+                    if record["value"].get("key") == "claimed":
+                        return record["value"]["sidecar"]
+        return ""
+
+
+class HungLog(Work):
+    """Nothing, but that the log hangs."""
+
+    @property
+    def sidecar(self):
+        return "desk-a"
+
+    def start(self):
+        self._cluster.control("log", outage="hang")
+
+    def let_go(self):
+        pass
+
+    def check(self):
+        self._cluster.control("log", outage="")
+
+
+WORKS = {
+    "a charge runs": functools.partial(HeldCall, operation="charge"),
+    "a look-up runs": functools.partial(HeldCall, operation="look-up"),
+    "calls wait for a slot": functools.partial(WaitingCalls, operation="charge"),
+    "a draft is streamed": StreamedDraft,
+    "a pull waits": WaitingPull,
+    "a step is half collected": Step,
+    "a claim is being appended": AppendedClaim,
+    "the log hangs": HungLog,
+}
+
+
+def tell(deployed, name):
+    """Tell a process to stop, and wait until it has begun to."""
+    deployed.cluster.find(name).send(signal.SIGTERM)
+    process = deployed.cluster.find(name)
+    support.wait_until(
+        lambda: "event=draining" in process.read_log() or process.code is not None,
+        f"{name} has begun to stop",
+    )
--- a/libs/admission/oleander_admission/admission.py
+++ b/libs/admission/oleander_admission/admission.py
@@ -166,6 +166,13 @@
         with self._changed:
             self._is_leaving = True
 
+    def drop_waiting(self) -> None:
+        """Drop all that waits as `LEAVING`; what runs goes on."""
+        with self._changed:
+            now = self._read_now()
+            for item in self._waiting.pop_all():
+                self._drop(item, work.LEAVING, now)
+
     def _measure_lateness_ms(self, item: work.Work, wait_ms: float, now: float) -> float:
         """Return by how much work would end after its deadline; negative if it would not."""
         budget_ms = (item.deadline.expires_at - now) * 1000
--- a/libs/admission/oleander_admission/classes.py
+++ b/libs/admission/oleander_admission/classes.py
@@ -95,6 +95,13 @@
         self._next_expiry = min((expiry for expiry in later if expiry > now), default=float("inf"))
         return expired
 
+    def pop_all(self) -> list[work.Work]:
+        """Take out all work."""
+        waiting = [entry.work for queue in self._queues.values() for entry in queue.entries]
+        for item in waiting:
+            self.remove(item.work_id)
+        return waiting
+
     def pop_displaced(self, newcomer: work.Work, most_waiting: int) -> work.Work | None:
         """Take out the work that has to make room for a newcomer, if any has to."""
         victim = self._find_displaceable(newcomer, int(most_waiting * _RESERVED_PART))
--- a/libs/wire/oleander_wire/messages.py
+++ b/libs/wire/oleander_wire/messages.py
@@ -156,4 +156,11 @@
     service_ms: int
 
 
-Message = Hello | Heartbeat | RecordsOffer | Records | Run | Join | Cancel | Tokens | Answer
+@dataclasses.dataclass(slots=True, frozen=True)
+class Goodbye:
+    """The last message of a sidecar: what it left unanswered on this link it did not run."""
+
+
+Message = (
+    Hello | Heartbeat | RecordsOffer | Records | Run | Join | Cancel | Tokens | Answer | Goodbye
+)
--- a/programs/oleanderdeal/oleanderdeal/dispatch.py
+++ b/programs/oleanderdeal/oleanderdeal/dispatch.py
@@ -4,6 +4,7 @@
 import dataclasses
 import typing
 
+from oleander_admission import work as admission_work
 from oleander_base import clock, metrics
 from oleander_contracts import contract
 from oleander_routing import retries, router
@@ -83,16 +84,27 @@
     def follow(
         self, job: Job, deadline: clock.Deadline, observer: Observer
     ) -> collections.abc.Iterator[JobEvent]:
-        """Yield a job's tokens as they come, and last what became of it."""
+        """
+        Yield a job's tokens as they come, and last what became of it.
+
+        A refusal by a sidecar that is leaving costs neither an attempt nor any of the budget. It
+        is no sign of trouble, it comes once from each, and what waited there when it was told to
+        leave may be more than the budget.
+        """
         budget = self._budgets.find_budget(job.customer, job.retry_percent)
         budget.note_fresh()
         excluded: frozenset[str] = frozenset()
         may_have_run = False
-        for attempt in range(1, _MOST_ATTEMPTS + 1):
+        attempt = 1
+        while True:
             ended = yield from self._try_once(job, attempt, excluded, deadline, observer)
             may_have_run = may_have_run or ended.answer.outcome is not messages.Outcome.NOT_RUN
-            if not _is_worth_retrying(ended, deadline, observer) or not budget.try_take():
+            if not _is_worth_retrying(ended, deadline, observer):
                 break
+            if not _was_left(ended):
+                attempt += 1
+                if attempt > _MOST_ATTEMPTS or not budget.try_take():
+                    break
             metrics.count(metrics.RETRIES)
             excluded |= {ended.peer}
         yield _correct_outcome(ended, may_have_run)
@@ -154,7 +166,7 @@
         deadline: clock.Deadline,
         observer: Observer,
     ) -> _Events:
-        call = link.open_call(peers.create_request_id())
+        call = link.open_call(peers.create_request_id(), is_only_one=True)
         is_ended = False
         try:
             run = _write_run(call.request_id, link.incarnation, job, attempt, deadline, observer)
@@ -197,6 +209,12 @@
     return not deadline.is_past and not observer.is_gone()
 
 
+def _was_left(ended: Ended) -> bool:
+    answer = ended.answer
+    is_refusal = answer.outcome is messages.Outcome.NOT_RUN
+    return is_refusal and answer.reason == admission_work.LEAVING
+
+
 def _correct_outcome(ended: Ended, may_have_run: bool) -> Ended:
     """Say "unknown" when the last attempt did not run but an earlier one may have."""
     answer = ended.answer
--- a/programs/oleanderdeal/oleanderdeal/executor.py
+++ b/programs/oleanderdeal/oleanderdeal/executor.py
@@ -36,11 +36,13 @@
         self._slots = slots
         self._lock = threading.Lock()
         self._pending: dict[str, work.PendingRun] = {}
+        self._answering = 0
 
     @property
     def is_idle(self) -> bool:
-        """Whether nothing waits or runs."""
-        return not self._pending
+        """Whether nothing waits or runs, and every answer is on its way."""
+        with self._lock:
+            return not self._pending and not self._answering
 
     def start(self) -> None:
         """Start one task a slot."""
@@ -72,6 +74,16 @@
             return
         pending.cancel()
 
+    def hand_over(self) -> None:
+        """
+        Refuse all that waits as not run, so that the entries take it elsewhere.
+
+        It could be finished here, but to the backend server it would be new work, some of it long
+        after it was told to leave.
+        """
+        self._queue.drop_waiting()
+        self._answer_dropped()
+
     def _preempt_for(self, priority: int) -> None:
         """Give up sampling for interactive work; what was sampled is resumed elsewhere."""
         victim = self._queue.find_preemptible(priority)
@@ -123,10 +135,22 @@
         self._answer(work_id, answer)
 
     def _answer(self, work_id: str, answer: messages.Answer) -> None:
+        """
+        Answer a request that was not answered yet.
+
+        It counts until the answer was sent: a sidecar that stops as soon as nothing is pending
+        would cut off the last one.
+        """
         with self._lock:
             pending = self._pending.pop(work_id, None)
-        if pending is not None:
+            if pending is None:
+                return
+            self._answering += 1
+        try:
             pending.answer(answer)
+        finally:
+            with self._lock:
+                self._answering -= 1
 
 
 def _log_run(pending: work.PendingRun, answer: messages.Answer, service_ms: float) -> None:
--- a/programs/oleanderdeal/oleanderdeal/lifecycle.py
+++ b/programs/oleanderdeal/oleanderdeal/lifecycle.py
@@ -1,12 +1,20 @@
 """Waits for the signal that asks a process to stop."""
 
+import os
 import signal
+import sys
 import threading
 import types
+import typing
 
 
 class StopSignal:
-    """Set by SIGTERM or SIGINT; a planned stop then finishes what runs."""
+    """
+    Set by SIGTERM or SIGINT; a planned stop then finishes what runs.
+
+    A second signal changes nothing: whoever sends it twice would cut requests that the first one
+    promised to finish. SIGKILL, or the setting `drain_ms`, ends a stop that takes too long.
+    """
 
     def __init__(self) -> None:
         self._received = threading.Event()
@@ -24,3 +32,10 @@
 def announce_address(host: str, port: int) -> None:
     """Print where the process listens; with port 0 nobody else knows."""
     print(f"listening on {host}:{port}", flush=True)  # noqa: T201
+
+
+def end_process(code: int) -> typing.NoReturn:
+    """End at once, for a process with threads that are blocked in calls nobody waits for."""
+    sys.stdout.flush()
+    sys.stderr.flush()
+    os._exit(code)
--- a/programs/oleanderdeal/oleanderdeal/once.py
+++ b/programs/oleanderdeal/oleanderdeal/once.py
@@ -165,7 +165,7 @@
         invariants.require(
             not request.operation.repeatable, "once-only", "a repeatable request was claimed"
         )
-        call = link.open_call(peers.create_request_id())
+        call = link.open_call(peers.create_request_id(), is_only_one=True)
         try:
             if link.send(write_run(call.request_id, request, _find_place(logged))).is_error():
                 return _tell_not_run(logged.claim, _NOT_SENT, "link-lost")
--- a/programs/oleanderdeal/oleanderdeal/peers.py
+++ b/programs/oleanderdeal/oleanderdeal/peers.py
@@ -8,6 +8,7 @@
 
 import expression
 
+from oleander_admission import work as admission_work
 from oleander_base import clock, identifiers, log, tasks
 from oleander_platform import hostlist
 from oleander_routing import peers as routing_peers
@@ -18,6 +19,7 @@
 _DIAL_SECONDS = 1.0
 _HELLO_SECONDS = 2.0
 _MISSED_HEARTBEATS = 4
+_LAST_READ_SECONDS = 0.1
 _REDIAL_SECONDS = 0.1
 _MOST_REDIAL_SECONDS = 3.0
 _EVENTS_PER_CALL = 4096
@@ -28,6 +30,10 @@
     """The link broke while a call was open; the request may have run or still be running."""
 
 
+_REFUSED = messages.Answer("", messages.Outcome.NOT_RUN, 0, admission_work.LEAVING, 0, b"", 0)
+"""What a request comes to that a sidecar left unanswered when it said goodbye."""
+
+
 CallEvent = messages.Tokens | messages.Answer | LinkLost
 
 
@@ -39,9 +45,10 @@
     singly, which would cut a hole into an answer; the call ends as if its link was lost.
     """
 
-    def __init__(self, request_id: str, peer: str) -> None:
+    def __init__(self, request_id: str, peer: str, is_only_one: bool) -> None:
         self.request_id = request_id
         self.peer = peer
+        self.is_only_one = is_only_one
         self._events: queue.Queue[CallEvent] = queue.Queue(_EVENTS_PER_CALL)
         self._overflowed = threading.Event()
 
@@ -135,8 +142,8 @@
         while not self._is_ending:
             opened = self._dial()
             if opened is not None:
-                self._receive_all(opened)
-                self._lose(opened)
+                said_goodbye = self._receive_all(opened)
+                self._lose(opened, said_goodbye)
             self._group.pause(self._compute_pause())
 
     def stop(self) -> None:
@@ -167,9 +174,14 @@
         """Take the link back into routing."""
         self._is_retired = False
 
-    def open_call(self, request_id: str) -> Call:
-        """Register a call before its request is sent, so that no event is missed."""
-        call = Call(request_id, self.name)
+    def open_call(self, request_id: str, is_only_one: bool = False) -> Call:
+        """
+        Register a call before its request is sent, so that no event is missed.
+
+        `is_only_one` tells that nobody else sends this request. Only then does a sidecar's goodbye
+        prove that it did not run: a ticket may have run there at another entry's request before.
+        """
+        call = Call(request_id, self.name, is_only_one)
         with self._lock:
             self._calls[request_id] = call
         return call
@@ -229,24 +241,30 @@
             self._opened.notify_all()
         return True
 
-    def _receive_all(self, opened: link.Link) -> None:
+    def _receive_all(self, opened: link.Link) -> bool:
         """
-        Receive until the link breaks or falls silent.
+        Receive until the link breaks or falls silent; return whether the sidecar said goodbye.
 
         A paused sidecar keeps its connection open; without the bound on silence its calls would
-        wait for their whole deadline instead of being taken elsewhere.
+        wait for their whole deadline instead of being taken elsewhere. If this entry was the one
+        that was paused, the time is up although much has come; so what is there is read first.
         """
         silence_ms = self._heartbeat_ms * _MISSED_HEARTBEATS
         while not self._is_ending:
             received = opened.receive(clock.start_deadline_ms(silence_ms))
+            if received.is_ok() and received.ok is None:
+                received = opened.receive(clock.start_deadline(_LAST_READ_SECONDS))
             if received.is_error():
-                return
+                return False
             if received.ok is None:
                 log.warn_bounded(
                     f"silent-{self.name}", f"{self.name} sends nothing; dialling anew"
                 )
-                return
+                return False
+            if isinstance(received.ok, messages.Goodbye):
+                return True
             self._handle(opened, received.ok)
+        return False
 
     def _handle(self, opened: link.Link, message: messages.Message) -> None:
         match message:
@@ -284,7 +302,7 @@
             if not self._is_retired:
                 self._routes.update(self.name, report)
 
-    def _lose(self, opened: link.Link) -> None:
+    def _lose(self, opened: link.Link, said_goodbye: bool) -> None:
         """
         Take the link out of use and tell its calls.
 
@@ -297,7 +315,7 @@
             self._link = None
             calls = list(self._calls.values())
         for call in calls:
-            call.put(LinkLost())
+            call.put(_REFUSED if said_goodbye and call.is_only_one else LinkLost())
         opened.abort()
 
 
--- a/programs/oleanderdeal/oleanderdeal/sidecar.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar.py
@@ -12,6 +12,7 @@
 from oleanderdeal import (
     configuration,
     executor,
+    exit_codes,
     ledger,
     lifecycle,
     order_trail,
@@ -26,9 +27,8 @@
 _MOST_LINKS = 128
 _KEYS_PER_ANSWER = 10
 _OTHER_TASKS = 8
-_STOP_SECONDS = 5.0
-_DRAIN_POLL_SECONDS = 0.05
-_LEAVING_SECONDS = 0.5
+_STOP_SECONDS = 2.0
+_DRAIN_POLL_SECONDS = 0.02
 
 
 class Sidecar:
@@ -78,8 +78,13 @@
             chosen.listen_host, chosen.listen_port, self._links.serve, _MOST_LINKS
         )
 
-    def run(self, stop: lifecycle.StopSignal) -> None:
-        """Serve until told to stop, then finish what runs and what waits."""
+    @property
+    def _is_idle(self) -> bool:
+        is_ordering = self._keeper is not None and self._keeper.is_ordering
+        return self._executor.is_idle and not is_ordering and not self._links.is_awaited
+
+    def run(self, stop: lifecycle.StopSignal) -> exit_codes.ExitCode:
+        """Serve until told to stop, then finish what runs; return the exit status."""
         self._group.keep(self._follower.follow)
         self._group.keep(self._trail.write)
         if self._keeper is not None:
@@ -90,8 +95,19 @@
         lifecycle.announce_address(self._chosen.listen_host, self._server.port)
         while not stop.wait(1.0):
             pass
-        self._drain()
-        self._close()
+        is_whole = self._drain()
+        if is_whole:
+            self._links.say_goodbye()
+        else:
+            log.logger.bind(event="drain-cut").error("stopping with requests in progress")
+        return exit_codes.ExitCode.OK if is_whole else exit_codes.ExitCode.CUT
+
+    def close(self) -> bool:
+        """Close every link and end the tasks; return whether all have ended."""
+        self._group.stop()
+        self._links.stop()
+        self._server.stop()
+        return self._group.join(clock.start_deadline(_STOP_SECONDS))
 
     def _create_runner(self) -> runners.Runner:
         chosen = self._chosen
@@ -125,29 +141,32 @@
             ticket_epoch=self._keys.ticket_epoch,
         )
 
-    def _drain(self) -> None:
-        """Tell every entry, refuse new work, and let what runs and waits come to its end."""
-        log.logger.bind(event="draining").info("finishing what runs and waits")
+    def _drain(self) -> bool:
+        """
+        Tell every entry, refuse what is new and what waits, and let what runs come to its end.
+
+        Return whether it has. An order to load is let to end too, so that the next sidecar does
+        not find one that nobody waits for.
+        """
+        log.logger.bind(event="draining").info("finishing what runs")
         self._leaving.set()
         self._queue.close()
+        if self._keeper is not None:
+            self._keeper.leave()
         self._links.broadcast_heartbeat()
+        self._executor.hand_over()
         deadline = clock.start_deadline_ms(self._chosen.drain_ms)
         pause = threading.Event()
-        pause.wait(_LEAVING_SECONDS)
-        while not self._executor.is_idle and not deadline.is_past:
+        while not self._is_idle and not deadline.is_past:
             pause.wait(_DRAIN_POLL_SECONDS)
-        if not self._executor.is_idle:
-            log.logger.bind(event="drain-cut").error("stopping with requests in progress")
-
-    def _close(self) -> None:
-        self._group.stop()
-        self._links.stop()
-        self._server.stop()
-        self._group.join(clock.start_deadline(_STOP_SECONDS))
+        return self._is_idle
 
 
 def run_sidecar(chosen: settings.Settings) -> int:
     """Run a sidecar until it is told to stop."""
     stop = lifecycle.StopSignal()
-    Sidecar(chosen).run(stop)
-    return 0
+    sidecar = Sidecar(chosen)
+    code = sidecar.run(stop)
+    if not sidecar.close():
+        lifecycle.end_process(code)
+    return code
--- a/programs/oleanderdeal/oleanderdeal/sidecar_links.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar_links.py
@@ -7,7 +7,7 @@
 
 from oleander_base import clock, invariants, log
 from oleander_wire import link, messages
-from oleanderdeal import executor, ledger, peer_records, work
+from oleanderdeal import executor, ledger, lost_answers, peer_records, work
 
 _HELLO_SECONDS = 5.0
 _MOST_RUNS_PER_LINK = 1024
@@ -36,6 +36,7 @@
         self._records = records
         self._lock = threading.Lock()
         self._open: set[link.Link] = set()
+        self._lost = lost_answers.LostAnswers()
         self._stopping = threading.Event()
 
     @property
@@ -43,6 +44,11 @@
         """Whether any entry is connected, which then also sends what changed."""
         return bool(self._open)
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether an entry whose link broke may still come for an answer."""
+        return self._lost.is_any_awaited(clock.read_now())
+
     def serve(self, opened: link.Link) -> None:
         """Serve one link until it closes."""
         if not self._greet(opened):
@@ -50,7 +56,7 @@
             return
         with self._lock:
             self._open.add(opened)
-        served = _ServedLink(opened, self._runs, self._keys)
+        served = _ServedLink(opened, self._runs, self._keys, self._lost)
         try:
             self._receive_all(opened, served)
         finally:
@@ -65,13 +71,26 @@
         for item in links:
             item.send(self._read_heartbeat())
 
+    def say_goodbye(self) -> None:
+        """
+        Tell every entry that what is not answered by now never ran here.
+
+        To be called once nothing runs and nothing new can start. A request may still be on its way
+        here, from an entry that was paused, say; without this it could not be told from one that
+        ran, and one that may not be repeated would end as unknown.
+        """
+        with self._lock:
+            links = list(self._open)
+        for item in links:
+            item.send(messages.Goodbye())
+
     def stop(self) -> None:
-        """Close every link."""
+        """Close every link; what was sent still arrives."""
         self._stopping.set()
         with self._lock:
             links = list(self._open)
         for item in links:
-            item.close(1001, "going away")
+            item.abort()
 
     def _greet(self, opened: link.Link) -> bool:
         received = opened.receive(clock.start_deadline(_HELLO_SECONDS))
@@ -117,10 +136,17 @@
 class _ServedLink:
     """The requests that came over one link."""
 
-    def __init__(self, opened: link.Link, runs: executor.Executor, keys: ledger.Ledger) -> None:
+    def __init__(
+        self,
+        opened: link.Link,
+        runs: executor.Executor,
+        keys: ledger.Ledger,
+        lost: lost_answers.LostAnswers,
+    ) -> None:
         self._link = opened
         self._runs = runs
         self._keys = keys
+        self._lost = lost
         self._lock = threading.Lock()
         self._work_ids: dict[str, str] = {}
 
@@ -137,7 +163,8 @@
 
     def join(self, join: messages.Join) -> None:
         """Answer what became of a key, now or when it ends."""
-        self._keys.join(join, lambda answer: self._answer(join.request_id, answer))
+        self._lost.forget(join.customer, join.key)
+        self._keys.join(join, lambda answer: self._answer_once(join, answer))
 
     def cancel(self, request_id: str) -> None:
         """Stop a request that nobody waits for."""
@@ -163,11 +190,11 @@
         refusal = _refuse("too-many-requests-on-link")
         if run.repeatable:
             self._answer(run.request_id, refusal)
-        elif self._keys.start(run, lambda answer: self._answer(run.request_id, answer)):
+        elif self._keys.start(run, lambda answer: self._answer_once(run, answer)):
             self._keys.end(run, refusal)
 
     def _run_once(self, run: messages.Run) -> None:
-        if not self._keys.start(run, lambda answer: self._answer(run.request_id, answer)):
+        if not self._keys.start(run, lambda answer: self._answer_once(run, answer)):
             return
         self._submit(run, lambda answer: self._end_once(run, answer))
 
@@ -203,8 +230,12 @@
     def _send(self, message: messages.Message) -> None:
         self._link.send(message)
 
-    def _answer(self, request_id: str, answer: messages.Answer) -> None:
-        self._link.send(
+    def _answer_once(self, asked: messages.Run | messages.Join, answer: messages.Answer) -> None:
+        if not self._answer(asked.request_id, answer):
+            self._lost.note(asked.customer, asked.key, clock.read_now())
+
+    def _answer(self, request_id: str, answer: messages.Answer) -> bool:
+        sent = self._link.send(
             messages.Answer(
                 request_id,
                 answer.outcome,
@@ -215,6 +246,7 @@
                 answer.service_ms,
             )
         )
+        return bool(sent.is_ok())
 
 
 def _refuse(reason: str) -> messages.Answer:
--- a/programs/oleanderdeal/oleanderdeal/weights.py
+++ b/programs/oleanderdeal/oleanderdeal/weights.py
@@ -79,6 +79,8 @@
         self._lock = threading.Lock()
         self._state = WeightState(None, 0, False)
         self._changed = threading.Event()
+        self._is_leaving = False
+        self._is_ordering = False
         self._failures = 0
         self._order_after = clock.start_deadline(0.0)
         self._slot: clock.Deadline | None = None
@@ -91,6 +93,11 @@
         """The version that new work runs on, or nothing while the engine is in doubt."""
         return self._state.usable_version
 
+    @property
+    def is_ordering(self) -> bool:
+        """Whether an order was given and not answered."""
+        return self._is_ordering
+
     def read_state(self) -> WeightState:
         """Return what is known now."""
         return self._state
@@ -99,6 +106,10 @@
         """Look at the configuration now; a new version may be in force."""
         self._changed.set()
 
+    def leave(self) -> None:
+        """Give no more orders; the engine is leaving, and reads of the store are few."""
+        self._is_leaving = True
+
     def note_stating(self, states_version: bool) -> None:
         """Take in whether a token came with its version."""
         if self._state.states_version is not states_version:
@@ -129,7 +140,8 @@
         if not self._confirm_by_reading():
             return _RETRY_SECONDS
         confirmed = self._state.version
-        if wanted is None or (confirmed is not None and confirmed >= wanted.version):
+        is_current = confirmed is not None and wanted is not None and confirmed >= wanted.version
+        if wanted is None or is_current or self._is_leaving:
             self._failures = 0
             self._slot = None
             return _IDLE_SECONDS
@@ -184,7 +196,11 @@
             given = self._state.orders_given + 1
             self._state = dataclasses.replace(self._state, orders_given=given, order_open=True)
         deadline = clock.start_deadline_ms(self._load_timeout_ms)
-        loaded = self._backend.load_version(order, deadline)
+        self._is_ordering = True
+        try:
+            loaded = self._backend.load_version(order, deadline)
+        finally:
+            self._is_ordering = False
         if loaded.is_ok():
             self._set_state(loaded.ok.version, not self._uncertain_until.is_past)
             self._failures = 0
