Let the small deployment wait until its entries are ready

Cause: deployment.feature failed in 2 of 20 runs with 503 claims-unread: an entry that had read the configuration was asked before it had read the claims.

--- a/features/deployments.py
+++ b/features/deployments.py
@@ -78,8 +78,9 @@
         self.await_entries(len(terms) - 1)
 
     def await_entries(self, offset=0):
-        """Wait until each entry has links to all sidecars and the configuration."""
+        """Wait until each entry is ready, with links to all sidecars and the configuration."""
         self.deployed.await_ready(len(self.hosts))
+        self.await_ready()
         for name in self.deployed.entries:
             support.wait_until(
                 lambda name=name: self.read_configuration(name)["applied_offset"] >= offset,
--- a/features/steps/leaving_steps.py
+++ b/features/steps/leaving_steps.py
@@ -15,7 +15,6 @@
     hosts = leaving.describe_desks(count)
     links = [f"link-{host.name}" for host in hosts]
     deployment_steps.start_deployment(context, ", ".join([*links, "log-entry-a"]), hosts=hosts)
-    context.deployment.await_ready()
     context.desks = leaving.Desks(context.deployment)
 
 
--- a/features/steps/stopping_steps.py
+++ b/features/steps/stopping_steps.py
@@ -12,7 +12,6 @@
 @behave.given("a deployment to stop parts of")
 def start(context):
     deployment_steps.start_deployment(context, f"log-{stops.ENTRY}", hosts=stops.HOSTS)
-    context.deployment.await_ready()
     context.deployment.await_usable(len(stops.HOSTS))
     context.desks = leaving.Desks(context.deployment)
 
