--- a/features/deployments.py
+++ b/features/deployments.py
@@ -233,6 +233,10 @@
         arguments = (entry, customer, operation, body, key, timeout_ms)
         self._calls[name] = self.submit(self.call, *arguments)
 
+    def is_answered(self, name):
+        """Return whether a caller's request has ended."""
+        return self._calls[name].done()
+
     def read_answer(self, name):
         """Return a caller's answer once it has come, or nothing where the connection was cut."""
         return self._calls[name].result()
