Judge a restarted peer anew also after its link was lost

Cause: the health table forgot an old incarnation only while the peer was still known; after a crash the link is lost first, so the restarted sidecar stayed ejected. The new row of the table failed before and passes now. Ruled out: forgetting health when the link is lost, which a flapping link would use.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -167,6 +167,7 @@
       | nobody | nobody                          | p3 p4    |
       | p1     | p1                              | p3 p4    |
       | nobody | p1,incarnation=2                | p1 p3 p4 |
+      | p1     | p1,incarnation=2                | p1 p3 p4 |
       | nobody | p3,leaving=1 p4,leaving=1       | p2       |
       | p3     | nobody                          | p2 p4    |
 
--- a/libs/routing/oleander_routing/health.py
+++ b/libs/routing/oleander_routing/health.py
@@ -30,8 +30,9 @@
 
 @dataclasses.dataclass(slots=True)
 class _Health:
-    """The outcomes of one peer, as moving averages."""
+    """The outcomes of one incarnation of a peer, as moving averages."""
 
+    incarnation: str = ""
     failure_rate: float = 0.0
     latency_ms: float = 0.0
     samples: int = 0
@@ -75,9 +76,11 @@
     def __init__(self) -> None:
         self._table: collections.OrderedDict[str, _Health] = collections.OrderedDict()
 
-    def reset(self, name: str) -> None:
-        """Forget what an earlier incarnation did."""
-        self._table.pop(name, None)
+    def note_incarnation(self, name: str, incarnation: str) -> None:
+        """Start anew if what is known is of another incarnation."""
+        health = self._find_or_add(name)
+        if health.incarnation != incarnation:
+            self._table[name] = _Health(incarnation)
 
     def is_ejected(self, name: str) -> bool:
         """Whether a peer gets only probes."""
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -90,8 +90,7 @@
             elif peer is None and len(self._peers) >= _MOST_PEERS:
                 log.warn_bounded("too-many-peers", "a peer is not taken in", peer=name)
             else:
-                if peer is not None:
-                    self._health.reset(name)
+                self._health.note_incarnation(name, report.incarnation)
                 self._peers[name] = peers.create_peer(name, report, now)
             self._health.release_excess(self._list_usable(report.backend), now)
 
