--- a/features/gates.feature
+++ b/features/gates.feature
@@ -1,4 +1,4 @@
-Feature: Threads of an entry are kept free for urgent work
+Feature: Threads and time of an entry are kept free for urgent work and for answers
 
   # A caller whose request finds no thread waits unseen, past its deadline, and is refused by nobody.
   # That happened once every thread was held: each class kept to its bound, and their sum did not.
@@ -17,3 +17,15 @@
       | 6        | 12          | 0          | 0     | critical    | refuse |
       | 5        | 12          | 0          | 0     | critical    | admit  |
       | 0        | 0           | 0          | 6     | pull        | refuse |
+
+  # A sidecar that is given all the time left ends its work just in time and is answered just late.
+  Scenario Outline: A sidecar is given less than the <left> ms that its entry has left
+    Then an entry with <left> ms left gives a sidecar <budget> ms
+
+    Examples:
+      | left   | budget |
+      | 2000   | 1800   |
+      | 1000   | 900    |
+      | 600000 | 599800 |
+      | 5      | 5      |
+      | 0      | 0      |
--- a/features/steps/gates_steps.py
+++ b/features/steps/gates_steps.py
@@ -2,7 +2,7 @@
 
 import behave
 
-from oleanderdeal import gates
+from oleanderdeal import budgets, gates
 
 
 @behave.given(
@@ -20,3 +20,8 @@
 @behave.then("the entry's gates {answer} one more {asked}")
 def step_check_gates(context, answer, asked):
     assert context.gates.take(gates.Gate(asked)) == (answer == "admit")
+
+
+@behave.then("an entry with {left:d} ms left gives a sidecar {budget:d} ms")
+def step_check_budget(context, left, budget):
+    assert budgets.compute_budget_ms(left) == budget
--- a/programs/oleanderdeal/oleanderdeal/dispatch.py
+++ b/programs/oleanderdeal/oleanderdeal/dispatch.py
@@ -252,7 +252,7 @@
         repeatable=True,
         priority=int(job.priority),
         share_percent=job.share_percent,
-        budget_ms=budgets.compute_budget_ms(deadline),
+        budget_ms=budgets.compute_budget_ms(deadline.remaining_ms),
         body=job.body,
         generation=terms,
     )
--- a/programs/oleanderdeal/oleanderdeal/once.py
+++ b/programs/oleanderdeal/oleanderdeal/once.py
@@ -291,7 +291,7 @@
         repeatable=False,
         priority=int(request.operation.priority),
         share_percent=request.terms.share_percent,
-        budget_ms=budgets.compute_budget_ms(request.deadline),
+        budget_ms=budgets.compute_budget_ms(request.deadline.remaining_ms),
         body=request.body,
         generation=None,
     )
