--- a/features/gates.feature
+++ b/features/gates.feature
@@ -24,8 +24,8 @@
 
     Examples:
       | left   | budget |
-      | 2000   | 1800   |
-      | 1000   | 900    |
-      | 600000 | 599800 |
+      | 2000   | 1900   |
+      | 1000   | 950    |
+      | 600000 | 599900 |
       | 5      | 5      |
       | 0      | 0      |
--- a/programs/oleanderdeal/oleanderdeal/budgets.py
+++ b/programs/oleanderdeal/oleanderdeal/budgets.py
@@ -1,8 +1,8 @@
 """How much of a caller's time a sidecar is given."""
 
-_WAY_BACK_PART = 10
+_WAY_BACK_PART = 20
 """One part in so many of the time left is kept for the answer's way back."""
-_MOST_WAY_BACK_MS = 200
+_MOST_WAY_BACK_MS = 100
 
 
 def compute_budget_ms(remaining_ms: int) -> int:
