Split an entry's links: calls, one link, all links

Calls and what comes back for them, the link to one sidecar, and the table of links now have a module each; nothing else changed.

--- a/programs/oleanderdeal/oleanderdeal/dispatch.py
+++ b/programs/oleanderdeal/oleanderdeal/dispatch.py
@@ -9,7 +9,7 @@
 from oleander_contracts import contract
 from oleander_routing import retries, router
 from oleander_wire import messages
-from oleanderdeal import budgets, peers
+from oleanderdeal import budgets, calls, peer_link, peers
 
 NO_CLAIM = -1
 _SLICE_SECONDS = 0.1
@@ -160,13 +160,13 @@
 
     def _call(
         self,
-        link: peers.PeerLink,
+        link: peer_link.PeerLink,
         job: Job,
         attempt: int,
         deadline: clock.Deadline,
         observer: Observer,
     ) -> _Events:
-        call = link.open_call(peers.create_request_id(), is_only_one=True)
+        call = link.open_call(calls.create_request_id(), is_only_one=True)
         is_ended = False
         try:
             run = _write_run(call.request_id, link.incarnation, job, attempt, deadline, observer)
@@ -183,7 +183,7 @@
 
 
 def _follow_call(
-    call: peers.Call, deadline: clock.Deadline, observer: Observer
+    call: calls.Call, deadline: clock.Deadline, observer: Observer
 ) -> collections.abc.Generator[messages.Tokens, None, messages.Answer | None]:
     """Yield tokens until the answer; return nothing when nobody waits for it any more."""
     while not deadline.is_past and not observer.is_gone():
@@ -194,7 +194,7 @@
                 yield event
             case messages.Answer():
                 return event
-            case peers.LinkLost():
+            case calls.LinkLost():
                 return _tell_unknown("link-lost")
     return None
 
--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -20,6 +20,7 @@
     http_server,
     lifecycle,
     once,
+    peer_link,
     peer_records,
     peers,
     sampling,
@@ -139,7 +140,7 @@
             once.OnceDispatcher(self._claims, self._routes, self._links),
         )
 
-    def _create_link(self, host: hostlist.Host, is_routed: bool) -> peers.PeerLink:
+    def _create_link(self, host: hostlist.Host, is_routed: bool) -> peer_link.PeerLink:
         hello = messages.Hello(
             protocol=messages.PROTOCOL,
             name=self._chosen.name,
@@ -148,7 +149,7 @@
             token=self._chosen.process_token,
         )
         routes = self._routes if is_routed else None
-        return peers.PeerLink(
+        return peer_link.PeerLink(
             host, hello, self._chosen.heartbeat_ms, routes, self._records, self._group
         )
 
--- a/programs/oleanderdeal/oleanderdeal/key_inquiry.py
+++ b/programs/oleanderdeal/oleanderdeal/key_inquiry.py
@@ -8,7 +8,7 @@
 from oleander_base import clock
 from oleander_claims import book
 from oleander_wire import messages
-from oleanderdeal import callers, peers
+from oleanderdeal import callers, calls, peer_link, peers
 
 _ASK_SECONDS = 0.5
 _RETRY_MS = 500
@@ -52,17 +52,17 @@
         ]
         answers = []
         for link, call in asked:
-            answers.append(peers.await_answer(call, deadline))
+            answers.append(calls.await_answer(call, deadline))
             link.close_call(call)
         return answers
 
 
-def ask(link: peers.PeerLink, request: callers.CallerRequest) -> peers.Call:
+def ask(link: peer_link.PeerLink, request: callers.CallerRequest) -> calls.Call:
     """Ask one sidecar what it knows of a key; the call is to be closed."""
-    call = link.open_call(peers.create_request_id())
+    call = link.open_call(calls.create_request_id())
     find = messages.Find(call.request_id, request.customer, request.key, request.digest)
     if link.send(find).is_error():
-        call.put(peers.LinkLost())
+        call.put(calls.LinkLost())
     return call
 
 
--- a/programs/oleanderdeal/oleanderdeal/once.py
+++ b/programs/oleanderdeal/oleanderdeal/once.py
@@ -16,7 +16,7 @@
 from oleander_contracts import contract
 from oleander_routing import router
 from oleander_wire import messages
-from oleanderdeal import callers, key_inquiry, once_messages, peers
+from oleanderdeal import callers, calls, key_inquiry, once_messages, peer_link, peers
 
 _MOST_ATTEMPTS = 4
 _SLICE_SECONDS = 0.1
@@ -184,19 +184,19 @@
         self,
         request: callers.CallerRequest,
         logged: records.LoggedClaim,
-        link: peers.PeerLink,
+        link: peer_link.PeerLink,
     ) -> _Tried:
         """Send the request; this is the only place that does, and it runs once for a claim."""
         invariants.require(
             not request.operation.repeatable, "once-only", "a repeatable request was claimed"
         )
-        call = link.open_call(peers.create_request_id(), is_only_one=True)
+        call = link.open_call(calls.create_request_id(), is_only_one=True)
         try:
             if link.send(
                 once_messages.write_run(call.request_id, request, _find_place(logged))
             ).is_error():
                 return _tell_not_run(logged.claim, _NOT_SENT, "link-lost")
-            answer = peers.await_answer(call, request.deadline)
+            answer = calls.await_answer(call, request.deadline)
         finally:
             link.close_call(call)
         if answer is None and not request.deadline.is_past:
@@ -218,7 +218,7 @@
         while not fresh.is_past and not request.deadline.is_past:
             link = self._links.find_or_dial(claim.sidecar, claim.address)
             call = key_inquiry.ask(link, request)
-            answer = peers.await_answer(call, fresh)
+            answer = calls.await_answer(call, fresh)
             link.close_call(call)
             if answer is None or answer.reason != messages.REASON_UNSEEN:
                 return
@@ -236,10 +236,10 @@
             link = self._links.find_or_dial(claim.sidecar, claim.address)
             if link.is_refused and not link.is_open:
                 return expression.Ok(callers.tell_unknown("sidecar-gone"))
-            call = link.open_call(peers.create_request_id())
+            call = link.open_call(calls.create_request_id())
             try:
                 sent = link.send(once_messages.write_join(call.request_id, request, logged))
-                answer = peers.await_answer(call, request.deadline) if sent.is_ok() else None
+                answer = calls.await_answer(call, request.deadline) if sent.is_ok() else None
             finally:
                 link.close_call(call)
             if answer is not None:
@@ -255,7 +255,7 @@
     operation: contract.Operation,
     excluded: frozenset[str],
     deadline: clock.Deadline,
-) -> expression.Result[peers.PeerLink, callers.CallerAnswer]:
+) -> expression.Result[peer_link.PeerLink, callers.CallerAnswer]:
     """Return the link to a sidecar for an operation that may not be repeated."""
     chosen = routes.choose(
         router.RouteRequest(
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/peer_link.py
@@ -0,0 +1,296 @@
+"""An entry's link to one sidecar, dialled again whenever it breaks."""
+
+import dataclasses
+import math
+import random
+import threading
+
+import expression
+
+from oleander_admission import work as admission_work
+from oleander_base import clock, log, tasks
+from oleander_platform import hostlist
+from oleander_routing import peers as routing_peers
+from oleander_routing import router
+from oleander_wire import link, messages
+from oleanderdeal import calls, peer_records
+
+_DIAL_SECONDS = 1.0
+_HELLO_SECONDS = 2.0
+_MISSED_HEARTBEATS = 4
+_LAST_READ_SECONDS = 0.1
+_REDIAL_SECONDS = 0.1
+_MOST_REDIAL_SECONDS = 3.0
+
+_REFUSED = messages.Answer("", messages.Outcome.NOT_RUN, 0, admission_work.LEAVING, 0, b"", 0)
+"""What a request comes to that a sidecar left unanswered when it said goodbye."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class NotSent:
+    """Nothing was sent, so nothing ran."""
+
+    reason: str
+
+
+class PeerLink:
+    """The link to one sidecar; keeps calling until told to stop."""
+
+    def __init__(
+        self,
+        host: hostlist.Host,
+        hello: messages.Hello,
+        heartbeat_ms: int,
+        routes: router.Router | None,
+        records: peer_records.PeerRecords,
+        group: tasks.TaskGroup,
+    ) -> None:
+        """Create a link; without routes it serves only requests that name this sidecar."""
+        self._host = host
+        self._hello = hello
+        self._heartbeat_ms = heartbeat_ms
+        self._routes = routes
+        self._records = records
+        self._group = group
+        self._lock = threading.Lock()
+        self._opened = threading.Condition(self._lock)
+        self._link: link.Link | None = None
+        self._incarnation = ""
+        self._peer_offset = 0
+        self._ticket_epoch = 0
+        self._calls: dict[str, calls.Call] = {}
+        self._stopped = threading.Event()
+        self._failures = 0
+        self._is_refused = False
+        self._is_retired = False
+        self._backend = ""
+        self._restarted_at = -math.inf
+
+    @property
+    def name(self) -> str:
+        """The host's name."""
+        return self._host.name
+
+    @property
+    def host(self) -> hostlist.Host:
+        """The host that is linked to."""
+        return self._host
+
+    @property
+    def incarnation(self) -> str:
+        """The run of the sidecar that answered the last hello; empty before the first."""
+        return self._incarnation
+
+    @property
+    def ticket_epoch(self) -> int:
+        """The sidecar's epoch of tickets, as its last heartbeat told it."""
+        return self._ticket_epoch
+
+    @property
+    def is_open(self) -> bool:
+        """Whether requests can be sent."""
+        return self._link is not None
+
+    @property
+    def backend(self) -> str:
+        """The backend that the sidecar last said it belongs to; empty before it said so."""
+        return self._backend
+
+    @property
+    def restarted_at(self) -> float:
+        """When it was last noticed that the sidecar had been started anew."""
+        return self._restarted_at
+
+    @property
+    def is_refused(self) -> bool:
+        """Whether nobody listened at the address at the last try: that run of it has ended."""
+        return self._is_refused
+
+    def keep_open(self) -> None:
+        """Dial, receive until the link breaks, and dial again."""
+        while not self._is_ending:
+            opened = self._dial()
+            if opened is not None:
+                said_goodbye = self._receive_all(opened)
+                self._lose(opened, said_goodbye)
+            self._group.pause(self._compute_pause())
+
+    def stop(self) -> None:
+        """End the task and the link."""
+        self._stopped.set()
+        current = self._link
+        if current is not None:
+            current.close(1001, "no longer wanted")
+
+    def await_open(self, deadline: clock.Deadline) -> bool:
+        """Wait for the link to open; return whether it has."""
+        with self._opened:
+            return self._opened.wait_for(lambda: self.is_open, deadline.remaining)
+
+    @property
+    def has_calls(self) -> bool:
+        """Whether any request on the link has not ended."""
+        return bool(self._calls)
+
+    def retire(self) -> None:
+        """Take the link out of routing; the calls on it go on."""
+        with self._lock:
+            self._is_retired = True
+            if self._routes is not None:
+                self._routes.remove(self.name)
+
+    def restore(self) -> None:
+        """Take the link back into routing."""
+        self._is_retired = False
+
+    def open_call(self, request_id: str, is_only_one: bool = False) -> calls.Call:
+        """
+        Register a call before its request is sent, so that no event is missed.
+
+        `is_only_one` tells that nobody else sends this request. Only then does a sidecar's goodbye
+        prove that it did not run: a ticket may have run there at another entry's request before.
+        """
+        call = calls.Call(request_id, self.name, is_only_one)
+        with self._lock:
+            self._calls[request_id] = call
+        return call
+
+    def close_call(self, call: calls.Call) -> None:
+        """Forget a call; later events for it are ignored."""
+        with self._lock:
+            self._calls.pop(call.request_id, None)
+
+    def offer_records(self) -> None:
+        """
+        Send the sidecar what changed since its last heartbeat or the last records sent to it.
+
+        Without noting what was sent, each of several quick changes would send all those since the
+        last heartbeat again. Should the records be lost, the next heartbeat shows it.
+        """
+        current = self._link
+        if current is not None:
+            self._peer_offset = self._records.compare(self._peer_offset, current)
+
+    def send(self, message: messages.Message) -> expression.Result[None, NotSent]:
+        """Send a message; an error means it never left, success that it may have arrived."""
+        current = self._link
+        if current is None:
+            return expression.Error(NotSent("no link"))
+        current.send(message)
+        return expression.Ok(None)
+
+    @property
+    def _is_ending(self) -> bool:
+        return self._stopped.is_set() or self._group.is_stopping
+
+    def _compute_pause(self) -> float:
+        ceiling = min(_MOST_REDIAL_SECONDS, _REDIAL_SECONDS * 2 ** min(self._failures, 8))
+        return random.uniform(_REDIAL_SECONDS, max(_REDIAL_SECONDS, ceiling))
+
+    def _dial(self) -> link.Link | None:
+        self._failures += 1
+        dialled = link.dial_link(self._host.address, clock.start_deadline(_DIAL_SECONDS))
+        self._is_refused = dialled.is_error() and dialled.error.is_refused
+        if dialled.is_error():
+            log.warn_bounded(
+                f"dial-{self.name}", f"can't reach {self.name}: {dialled.error.detail}"
+            )
+            return None
+        opened = dialled.ok
+        if self._greet(opened):
+            self._failures = 0
+            return opened
+        opened.close(1002, "no hello")
+        return None
+
+    def _greet(self, opened: link.Link) -> bool:
+        if opened.send(self._hello).is_error():
+            return False
+        received = opened.receive(clock.start_deadline(_HELLO_SECONDS))
+        if received.is_error() or not isinstance(received.ok, messages.Hello):
+            return False
+        with self._lock:
+            if self._incarnation not in {"", received.ok.incarnation}:
+                self._restarted_at = clock.read_now()
+            self._incarnation = received.ok.incarnation
+            self._link = opened
+            self._opened.notify_all()
+        return True
+
+    def _receive_all(self, opened: link.Link) -> bool:
+        """
+        Receive until the link breaks or falls silent; return whether the sidecar said goodbye.
+
+        A paused sidecar keeps its connection open; without the bound on silence its calls would
+        wait for their whole deadline instead of being taken elsewhere. If this entry was the one
+        that was paused, the time is up although much has come; so what is there is read first.
+        """
+        silence_ms = self._heartbeat_ms * _MISSED_HEARTBEATS
+        while not self._is_ending:
+            received = opened.receive(clock.start_deadline_ms(silence_ms))
+            if received.is_ok() and received.ok is None:
+                received = opened.receive(clock.start_deadline(_LAST_READ_SECONDS))
+            if received.is_error():
+                return False
+            if received.ok is None:
+                log.warn_bounded(
+                    f"silent-{self.name}", f"{self.name} sends nothing; dialling anew"
+                )
+                return False
+            if isinstance(received.ok, messages.Goodbye):
+                return True
+            self._handle(opened, received.ok)
+        return False
+
+    def _handle(self, opened: link.Link, message: messages.Message) -> None:
+        match message:
+            case messages.Tokens() | messages.Answer():
+                with self._lock:
+                    call = self._calls.get(message.request_id)
+                if call is not None:
+                    call.put(message)
+            case messages.Heartbeat():
+                self._peer_offset = message.configuration_offset
+                self._ticket_epoch = message.ticket_epoch
+                self._report(message)
+                self._records.compare(message.configuration_offset, opened)
+            case messages.RecordsOffer() | messages.Records():
+                self._records.handle(message, opened)
+            case _:
+                log.warn_bounded("odd-message", f"ignored a {type(message).__name__}")
+
+    def _report(self, beat: messages.Heartbeat) -> None:
+        self._backend = beat.backend
+        if self._routes is None:
+            return
+        report = routing_peers.PeerReport(
+            failure_domain=self._host.failure_domain,
+            backend=beat.backend,
+            incarnation=self._incarnation,
+            queued=beat.queued,
+            running=beat.running,
+            slots=beat.slots,
+            wait_ms=beat.wait_ms,
+            version=beat.version,
+            in_rotation=beat.in_rotation,
+            leaving=beat.leaving,
+        )
+        with self._lock:
+            if not self._is_retired:
+                self._routes.update(self.name, report)
+
+    def _lose(self, opened: link.Link, said_goodbye: bool) -> None:
+        """
+        Take the link out of use and tell its calls.
+
+        An orderly close would wait for the peer's own, which never comes from one that is paused;
+        its calls, and the next dial, would wait for that second too.
+        """
+        with self._lock:
+            if self._routes is not None and not self._is_retired:
+                self._routes.remove(self.name)
+            self._link = None
+            open_calls = list(self._calls.values())
+        for call in open_calls:
+            call.put(_REFUSED if said_goodbye and call.is_only_one else calls.LinkLost())
+        opened.abort()
--- a/programs/oleanderdeal/oleanderdeal/ticket_dispatch.py
+++ b/programs/oleanderdeal/oleanderdeal/ticket_dispatch.py
@@ -7,7 +7,7 @@
 from oleander_contracts import contract
 from oleander_routing import router
 from oleander_wire import messages
-from oleanderdeal import callers, once, once_messages, peers, tickets
+from oleanderdeal import callers, calls, once, once_messages, peer_link, peers, tickets
 
 _SLICE_SECONDS = 0.1
 _TICKET_ATTEMPT = 0
@@ -83,15 +83,15 @@
         return expression.Ok(callers.tell_unknown("too-late"))
 
     def _send(
-        self, link: peers.PeerLink, request: callers.CallerRequest, ticket: tickets.Ticket
+        self, link: peer_link.PeerLink, request: callers.CallerRequest, ticket: tickets.Ticket
     ) -> messages.Answer | None:
         """Send the request once; return nothing when the link broke or time is up."""
-        call = link.open_call(peers.create_request_id())
+        call = link.open_call(calls.create_request_id())
         try:
             run = _write_run(call.request_id, request, ticket)
             if link.send(run).is_error():
                 return None
-            return peers.await_answer(call, request.deadline)
+            return calls.await_answer(call, request.deadline)
         finally:
             link.close_call(call)
 
