Leave spreading configuration to the heartbeats

The first entry that hears a heartbeat sends what is lacking; the others then see that it is there. Ruled out: sending to a random part of the links, which leaves some to the heartbeat anyway.

--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -116,7 +116,6 @@
 
     def run(self, stop: lifecycle.StopSignal) -> None:
         """Serve until told to stop, then finish what is in progress."""
-        self._follower.on_change(self._spread_change)
         self._follower.on_change(self._runs.note_change)
         self._group.keep(self._follower.follow)
         self._group.keep(self._hosts.follow)
@@ -161,10 +160,6 @@
             return False
         return self._claims.is_settled and bool(self._routes.list_peers())
 
-    def _spread_change(self) -> None:
-        for item in self._links.list_links():
-            item.offer_records()
-
     def _drain(self) -> None:
         """Fail the readiness check, start nothing new, and let what runs come to its end."""
         log.logger.bind(event="draining").info("finishing what is in progress")
--- a/programs/oleanderdeal/oleanderdeal/peer_link.py
+++ b/programs/oleanderdeal/oleanderdeal/peer_link.py
@@ -56,7 +56,6 @@
         self._opened = threading.Condition(self._lock)
         self._link: link.Link | None = None
         self._incarnation = ""
-        self._peer_offset = 0
         self._ticket_epoch = 0
         self._calls: dict[str, calls.Call] = {}
         self._stopped = threading.Event()
@@ -160,17 +159,6 @@
         with self._lock:
             self._calls.pop(call.request_id, None)
 
-    def offer_records(self) -> None:
-        """
-        Send the sidecar what changed since its last heartbeat or the last records sent to it.
-
-        Without noting what was sent, each of several quick changes would send all those since the
-        last heartbeat again. Should the records be lost, the next heartbeat shows it.
-        """
-        current = self._link
-        if current is not None:
-            self._peer_offset = self._records.compare(self._peer_offset, current)
-
     def send(self, message: messages.Message) -> expression.Result[None, NotSent]:
         """Send a message; an error means it never left, success that it may have arrived."""
         current = self._link
@@ -250,7 +238,6 @@
                 if call is not None:
                     call.put(message)
             case messages.Heartbeat():
-                self._peer_offset = message.configuration_offset
                 self._ticket_epoch = message.ticket_epoch
                 self._report(message)
                 self._records.compare(message.configuration_offset, opened)
--- a/programs/oleanderdeal/oleanderdeal/peer_records.py
+++ b/programs/oleanderdeal/oleanderdeal/peer_records.py
@@ -14,15 +14,19 @@
     def __init__(self, follower: configuration.ConfigurationFollower) -> None:
         self._follower = follower
 
-    def compare(self, peer_offset: int, opened: link.Link) -> int:
-        """Send the peer what it lacks, or ask it for more; return how far it is then."""
+    def compare(self, peer_offset: int, opened: link.Link) -> None:
+        """
+        Send the peer what its heartbeat shows that it lacks, or ask it for what is lacking here.
+
+        Nothing is sent before a heartbeat asks: a sidecar would get each change from every entry
+        at once, where the first that hears its heartbeat is enough.
+        """
         self._follower.note_peer_offset(peer_offset)
         own = self._follower.configuration.applied_offset
         if peer_offset < own:
-            return self._send_missing(peer_offset, opened)
-        if peer_offset > own:
+            self._send_missing(peer_offset, opened)
+        elif peer_offset > own:
             opened.send(messages.RecordsOffer(own))
-        return peer_offset
 
     def handle(self, message: messages.RecordsOffer | messages.Records, opened: link.Link) -> None:
         """Answer a peer's offer, or take in the records that it sent."""
@@ -32,8 +36,7 @@
         else:
             self._follower.take_peer_records(message)
 
-    def _send_missing(self, peer_offset: int, opened: link.Link) -> int:
+    def _send_missing(self, peer_offset: int, opened: link.Link) -> None:
         missing = self._follower.write_missing(peer_offset)
         if missing.offsets or missing.snapshot is not None:
             opened.send(missing)
-        return missing.offsets[-1] if missing.offsets else peer_offset
