Close a leaving entry's steps once their samples are finished

The steps are closed after the samples in the making were finished and could be pulled; the trainer registers the step elsewhere and what it holds is not made again. Ruled out: closing at once, which throws finished samples away.

--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -161,7 +161,13 @@
         return self._claims.is_settled and bool(self._routes.list_peers())
 
     def _drain(self) -> None:
-        """Fail the readiness check, start nothing new, and let what runs come to its end."""
+        """
+        Fail the readiness check, start nothing new, and let what runs come to its end.
+
+        Samples in the making are finished and can be pulled; then the steps are closed, so that
+        their trainers register them elsewhere. A trainer would else go on asking here for samples
+        that are no longer made, and the process would not end before the drain's bound.
+        """
         log.logger.bind(event="draining").info("finishing what is in progress")
         self._leaving.set()
         self._sampling.drain()
@@ -170,6 +176,7 @@
         while not self._sampling.is_idle and not deadline.is_past:
             pause.wait(_LISTEN_SECONDS)
         pause.wait(_LISTEN_SECONDS)
+        self._steps.close()
         if not self._server.await_idle(deadline):
             log.logger.bind(event="drain-cut").error("stopping with requests in progress")
 
