Add the matrix's rows for issued keys, busy entries and many keys at once

Issued keys go through the same steps and faults over processes; what their sidecar refused goes on by a claim. A ticket's caller whose deadline passed while the entry was paused is no longer told not-run without a look at later claims.

--- a/features/deployments.py
+++ b/features/deployments.py
@@ -69,6 +69,11 @@
         self.relays = {name: cluster.start_relay(name, _NOWHERE) for name in relays}
         assert all(name.split("-")[0] in _RELAY_KINDS for name in relays), relays
 
+    @property
+    def has_own_settings(self):
+        """Whether it was started with settings that other scenarios don't expect."""
+        return bool(self._entry_flags)
+
     @property
     def server_names(self):
         """The process names of the backend servers."""
@@ -233,6 +238,10 @@
         arguments = (entry, customer, operation, body, key, timeout_ms)
         self._calls[name] = self.submit(self.call, *arguments)
 
+    def is_answered(self, name):
+        """Return whether a caller's request has ended."""
+        return self._calls[name].done()
+
     def read_answer(self, name):
         """Return a caller's answer once it has come, or nothing where the connection was cut."""
         return self._calls[name].result()
--- a/features/once_trial.py
+++ b/features/once_trial.py
@@ -65,6 +65,11 @@
         self._ever_frozen = set()
         self._probes = 0
 
+    @property
+    def is_ticket(self):
+        """Whether the key was issued, and names the sidecar that may start it."""
+        return self.key.startswith("t1~")
+
     @property
     def shard(self):
         """The stream that the key's claims stand in."""
@@ -125,7 +130,7 @@
         """Return the name of what a role stands for."""
         if role.startswith(("entry-", "log", "desk-")):
             return role
-        host = self.find_claims()[0]["sidecar"]
+        host = self.key.split("~")[4] if self.is_ticket else self.find_claims()[0]["sidecar"]
         if role.startswith("other-"):
             host = next(name for name in self.deployment.hosts if name != host)
         role = role.removeprefix("other-")
@@ -232,21 +237,27 @@
     trial.relays["log-entry-a"].heal()
 
 
-def _reach_dispatched(trial):
-    """The request is on its way to the sidecar, which can't be reached."""
-    _reach_appended(trial)
+def _send_through(trial, change):
+    """Let the link that the request will take be changed before it is sent; return the link."""
+    if not trial.is_ticket:
+        _reach_appended(trial)
     link = trial.relays[trial.name("link")]
-    link.block(relay.TO_SERVER)
+    change(link)
+    if trial.is_ticket:
+        trial.ask("entry-a")
     trial.relays["log-entry-a"].heal()
+    return link
+
+
+def _reach_dispatched(trial):
+    """The request is on its way to the sidecar, which can't be reached."""
+    link = _send_through(trial, lambda link: link.block(relay.TO_SERVER))
     support.wait_until(lambda: link.count_held(relay.TO_SERVER), "the request was sent")
 
 
 def _reach_overtaken(trial):
     """The request is held on an old connection; new connections to the sidecar work."""
-    _reach_appended(trial)
-    link = trial.relays[trial.name("link")]
-    link.block_open_connections()
-    trial.relays["log-entry-a"].heal()
+    link = _send_through(trial, lambda link: link.block_open_connections())
     support.wait_until(lambda: link.count_held(relay.TO_SERVER), "the request was sent")
 
 
@@ -262,16 +273,15 @@
     for host in trial.deployment.hosts:
         trial.relays[f"service-{host}"].block(relay.TO_CLIENT)
     trial.ask("entry-a")
-    trial.await_claims(1)
+    if not trial.is_ticket:
+        trial.await_claims(1)
     call = trial.relays[trial.name("call")]
     support.wait_until(lambda: call.count_held(relay.TO_CLIENT), "the service has answered")
 
 
 def _reach_returned(trial):
     """The sidecar's answer is on its way to the entry."""
-    _reach_appended(trial)
-    trial.relays[trial.name("link")].block(relay.TO_CLIENT)
-    trial.relays["log-entry-a"].heal()
+    _send_through(trial, lambda link: link.block(relay.TO_CLIENT))
     trial.await_run()
 
 
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -7,9 +7,11 @@
 import deployments
 import once_trial
 import support
+from oleander_claims import records
 from oleander_standins import relay
 
 _MOST_RETRIES = 5
+_CROWD = 12
 _DIRECTIONS = {"to-server": relay.TO_SERVER, "to-client": relay.TO_CLIENT}
 
 
@@ -55,14 +57,29 @@
 
 def _append_other_claims(trial, count):
     """Fill the stream with claims of other keys, as other callers' requests would."""
-    other = dict(trial.deployment.read_stream(f"claims-{trial.shard}")[0]["value"])
-    values = [other | {"key": f"other-{n}", "nonce": f"other-{n}"} for n in range(int(count))]
+    keys = [f"other-{number}" for number in range(int(count))]
+    claims = [
+        records.Claim(once_trial.CUSTOMER, key, "", 1, "desk-a", "127.0.0.1:1", "gone", key, "")
+        for key in keys
+    ]
+    values = [claim.to_value() for claim in claims]
     url = f"{trial.cluster.url('log')}/streams/claims-{trial.shard}/records"
     support.call("POST", url, {"records": values})
     trial.let_late_work_arrive()
 
 
+def _crowd(trial, entry):
+    """Send an entry more requests that are held than it has threads for, until it refuses one."""
+    names = [f"crowd-{number}" for number in range(_CROWD)]
+    for name in names:
+        trial.deployment.start_call(name, entry, once_trial.CUSTOMER, "look-up", {})
+    support.wait_until(
+        lambda: any(trial.deployment.is_answered(name) for name in names), f"{entry} is busy"
+    )
+
+
 _EVENTS = {
+    "crowd": _crowd,
     "ask": lambda trial, entry, timeout_ms="0": trial.ask(entry, int(timeout_ms)),
     "await": lambda trial, number: trial.await_answer(int(number)),
     "claims": lambda trial, count: trial.await_claims(int(count)),
@@ -112,18 +129,41 @@
     _begin(context, deployments.POOL.take(once_trial.LINK_AND_LOG_RELAYS))
 
 
-@behave.given("a deployment whose entries keep {count:d} claims for a once request")
-def start_with_window(context, count):
-    flags = ("--claim_window", str(count))
+@behave.given("a deployment whose entries have {setting} set to {value} for a once request")
+def start_with_setting(context, setting, value):
+    flags = (f"--{setting}", value)
     started = deployments.SmallDeployment(support.get_cluster(context), entry_flags=flags)
     started.start()
-    url = f"{started.cluster.url('entry-a')}/v1/customers/{once_trial.CUSTOMER}"
+    _begin(context, started)
+
+
+@behave.given("the once request has an issued key")
+def issue_key(context):
+    deployment = context.deployment
+    url = f"{deployment.cluster.url('entry-a')}/v1/customers/{once_trial.CUSTOMER}"
     url += f"/operations/{once_trial.OPERATION}/keys"
-    headers = started.deployed.write_headers(once_trial.CUSTOMER)
+    headers = deployment.deployed.write_headers(once_trial.CUSTOMER)
     issued = support.wait_until(
         lambda: support.call("POST", url, {}, headers).read_json().get("key"), "an issued key"
     )
-    _begin(context, started, issued)
+    context.once = once_trial.OnceTrial(deployment, issued)
+
+
+@behave.when("{count:d} once requests are each sent to both entries at the same time")
+def ask_both(context, count):
+    context.once_trials = [once_trial.OnceTrial(context.deployment) for _ in range(count)]
+    for trial in context.once_trials:
+        for entry in deployments.ENTRIES:
+            trial.ask(entry)
+
+
+@behave.then("each of the once requests ran once, and both entries gave its answer")
+def check_both(context):
+    for trial in context.once_trials:
+        for number in (1, 2):
+            trial.await_answer(number)
+        assert [item.outcome for item in trial.submissions] == ["done", "done"], trial.describe()
+        assert trial.check_answers() == 1, trial.describe()
 
 
 @behave.when("the once request is {step}, and then {events}")
@@ -159,6 +199,6 @@
     trial.let_late_work_arrive()
     found = trial.check_answers()
     assert found == runs, trial.describe()
-    if context.deployment.is_whole:
+    if context.deployment.is_whole and not context.deployment.has_own_settings:
         deployments.POOL.give_back(context.deployment)
         context.cluster = None
--- a/programs/oleanderdeal/oleanderdeal/ticket_dispatch.py
+++ b/programs/oleanderdeal/oleanderdeal/ticket_dispatch.py
@@ -48,7 +48,8 @@
         if tried.is_ok():
             return tried.ok
         if request.deadline.is_past:
-            return tried.error.answer
+            # Paused meanwhile, perhaps, while another entry went on by a claim.
+            return self._claimed.refuse(request, tried.error.answer)
         return self._claimed.run(request, tried.error)
 
     def refuse(
