--- a/features/soak_faults.py
+++ b/features/soak_faults.py
@@ -199,12 +199,12 @@
     url = f"{deployed.cluster.url('log')}/streams/configuration/records?offset=0&limit=1000"
     for _ in range(50):
         try:
-            page = support.call("GET", url, timeout=5).read_json()
+            records = support.call("GET", url, timeout=5).read_json()["records"]
             break
-        except (OSError, ValueError):
+        except (OSError, ValueError, KeyError):
             time.sleep(0.2)
     newest, document = -1, {}
-    for record in page["records"]:
+    for record in records:
         value = record["value"]
         if value.get("kind") == "contract" and value["base"] == newest:
             newest, document = record["offset"], value["document"]
