Hand over all items of a step at once, longest guess first; move only to spare places

Change: windows of two batches, a scheduler group for each item with the trainer's guess, ejected servers only where all are, moves only to a server with a free slot, starts of texts kept each 0.8 s, runners keep their member name over a restart. Ruled out: capacity, one step needs 45 s of engine time of 40 places.

--- a/libs/batches/oleander_batches/submission.py
+++ b/libs/batches/oleander_batches/submission.py
@@ -32,6 +32,8 @@
     """The tokens of the prompt and the most that are generated."""
     group: str
     scoring: Scoring | None
+    expected_tokens: int = 0
+    """How many it will have as the trainer guesses, often far off; 0 for no guess."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -158,14 +160,30 @@
 def _flatten_item(item: Item) -> list[typing.Any]:
     scoring = item.scoring
     flat = scoring and [scoring.request_id, scoring.host, scoring.path, scoring.body]
-    return [item.item_id, item.path, item.headers, item.body, item.tokens, item.group, flat]
+    return [
+        item.item_id,
+        item.path,
+        item.headers,
+        item.body,
+        item.tokens,
+        item.group,
+        flat,
+        item.expected_tokens,
+    ]
 
 
 def _build_item(fields: typing.Any) -> Item:
-    item_id, path, headers, body, tokens, group, scoring = fields
+    item_id, path, headers, body, tokens, group, scoring, expected_tokens = fields
     pairs = tuple((str(name), str(value)) for name, value in headers)
     return Item(
-        item_id, path, pairs, body, int(tokens), group, Scoring(*scoring) if scoring else None
+        item_id,
+        path,
+        pairs,
+        body,
+        int(tokens),
+        group,
+        Scoring(*scoring) if scoring else None,
+        int(expected_tokens),
     )
 
 
--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -4,10 +4,13 @@
 import dataclasses
 
 _NEWEST_WEIGHT = 0.1
-FIRST_WINDOW = 4.0
-"""Requests in flight to a server of which nothing is known yet."""
-_MOST_WINDOW = 1.5
-"""Windows grow to so many times a server's slots: half a batch waits while one runs."""
+FIRST_WINDOW = 2.0
+"""Windowed requests in flight at first, in multiples of a server's slots: one batch runs, one
+waits. Long texts decide when a step is whole, so they have to be handed over at its start; with
+windows of half a batch the longest began seconds late and steps took 5 to 12 s."""
+_MOST_WINDOW = 3.0
+_LEAST_WINDOW = 1.0
+"""A refusal says that a server was full or is loading weights, not that it is slow."""
 _REFUSED_SECONDS = 0.15
 """After a refusal, about the time in which one of eight requests of a second ends."""
 
@@ -61,13 +64,13 @@
     """The part of its usual work that it is given; 0 while it is ejected."""
     models: collections.abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
     window: float = FIRST_WINDOW
-    """How many windowed requests this entry may have there at once."""
+    """How many windowed requests this entry may have there, in multiples of its slots."""
     closed_until: float = 0.0
     """A windowed request is sent again only after this time, since the last was refused."""
 
     def opens_window(self, now: float) -> bool:
         """Whether one more windowed request may be sent."""
-        return self.in_flight < int(self.window) and now >= self.closed_until
+        return self.in_flight < int(self.window * self.slots) and now >= self.closed_until
 
     def adapt_window(self, was_refused: bool, now: float) -> None:
         """
@@ -77,10 +80,11 @@
         each, they fill it together, and nine of ten requests are refused and sent again.
         """
         if was_refused:
-            self.window = max(1.0, self.window / 2)
+            self.window = max(_LEAST_WINDOW, self.window / 2)
             self.closed_until = now + _REFUSED_SECONDS
             return
-        self.window = min(self.slots * _MOST_WINDOW, self.window + 1.0 / self.window)
+        grown = self.window + 1.0 / (self.window * self.slots * self.slots)
+        self.window = min(_MOST_WINDOW, grown)
 
     @property
     def load(self) -> float:
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -161,6 +161,16 @@
                 peer.observe(latency_ms)
             self._health.note_outcome(name, group, failed, latency_ms, moment)
 
+    def has_spare(self, backend: str) -> bool:
+        """Tell whether a trusted peer has more slots than requests of this entry."""
+        with self._lock:
+            now = self._read_now()
+            return any(
+                peer.in_flight < peer.slots and self._health.read_weight(peer.name, now) > 0.0
+                for peer in self._peers.values()
+                if peer.backend == backend and peer.is_usable
+            )
+
     def list_peers(self) -> list[peers.Peer]:
         """Return copies of all peers as they are now."""
         with self._lock:
@@ -204,12 +214,22 @@
             wait_ms = min(peer.wait_ms for peer in fresh)
             return expression.Error(self._refuse(ALL_EXCLUDED, wait_ms))
         if request.is_windowed:
-            now = self._read_now()
-            candidates = [peer for peer in candidates if peer.opens_window(now)]
+            candidates = self._find_open(candidates)
             if not candidates:
                 return expression.Error(self._refuse(WINDOWS_FULL, _LEAST_RETRY_MS))
         return expression.Ok(candidates)
 
+    def _find_open(self, candidates: list[peers.Peer]) -> list[peers.Peer]:
+        """
+        Return the peers whose windows are open, but ejected ones only where all are.
+
+        A server that refuses connections has nothing in flight, so its window is open when all
+        others are full; work that only waits for a place would be sent there over and over.
+        """
+        now = self._read_now()
+        trusted = [peer for peer in candidates if self._health.read_weight(peer.name, now) > 0.0]
+        return [peer for peer in trusted or candidates if peer.opens_window(now)]
+
     def _pick(self, candidates: list[peers.Peer], request: RouteRequest) -> peers.Peer:
         self._refresh(candidates)
         probed = self._pick_probe(candidates, request)
--- a/libs/samples/oleander_samples/hedging.py
+++ b/libs/samples/oleander_samples/hedging.py
@@ -9,7 +9,6 @@
 """A straggler needs this times what another engine would."""
 _START_TOKENS = 32
 """What starting elsewhere costs, in tokens at the usual rate."""
-_SCAN_SECONDS = 1.0
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -22,6 +21,10 @@
     """Whether one that may not be hedged is cancelled and resumed on another engine."""
     nearly_whole_percent: int = 75
     """Nothing is a straggler before so much of the step is whole."""
+    start_seconds: float = 0.0
+    """How long an attempt may wait for its first token before it can be a straggler."""
+    scan_seconds: float = 1.0
+    """How long after one look for stragglers the next follows."""
 
     @property
     def is_active(self) -> bool:
@@ -76,7 +79,7 @@
             return False
         if now < self._next_scan_at:
             return False
-        self._next_scan_at = now + _SCAN_SECONDS
+        self._next_scan_at = now + self._policy.scan_seconds
         return True
 
     def find_stragglers(
@@ -139,7 +142,14 @@
         self._reserved.pop(work_id, None)
 
     def _measure_lateness(self, attempt: work.Attempt, typical: float, now: float) -> float | None:
-        """Return the seconds that an attempt still needs, if that is far over what others do."""
+        """
+        Return the seconds that an attempt still needs, if that is far over what others do.
+
+        One that has made nothing yet waits for a place, as it would elsewhere; only after a while
+        it counts as stuck.
+        """
+        if not attempt.made_tokens and attempt.measure_seconds(now) < self._policy.start_seconds:
+            return None
         rate = attempt.measure_rate(typical, now)
         if rate * _FAR_OVER >= typical:
             return None
--- a/libs/samples/oleander_samples/predictions.py
+++ b/libs/samples/oleander_samples/predictions.py
@@ -43,8 +43,10 @@
 class LengthModel:
     """Predicts the tokens of a sample from those of its group, or else of its step."""
 
-    def __init__(self, most_tokens: list[int]) -> None:
+    def __init__(self, most_tokens: list[int], expected_tokens: list[int] | None = None) -> None:
+        """Take the bound of each group and, where there are guesses, those (0 for none)."""
         self._most_tokens = most_tokens
+        self._expected_tokens = expected_tokens or [0] * len(most_tokens)
         self._step = RunningQuantile(_MOST_OF_STEP)
         self._groups: dict[int, RunningQuantile] = {}
         self._total = 0
@@ -63,7 +65,9 @@
         self._groups.setdefault(group, RunningQuantile(_MOST_OF_GROUP)).add(tokens)
 
     def predict_fresh(self, group: int) -> int:
-        """Return the tokens of a sample not yet begun; the most where its group is unknown."""
+        """Return the tokens of a sample not yet begun; the most where nothing is known."""
+        if group not in self._groups and self._expected_tokens[group]:
+            return min(self._most_tokens[group], self._expected_tokens[group])
         if group not in self._groups:
             return self._most_tokens[group]
         return self.predict_total(group, 0)
@@ -71,6 +75,8 @@
     def predict_total(self, group: int, made: int) -> int:
         """Return the tokens that a sample will have, given what is made of it."""
         most = self._most_tokens[group]
+        if group not in self._groups and made < self._expected_tokens[group]:
+            return min(most, self._expected_tokens[group])
         if self._step.count == 0:
             return max(most, made)
         expected = self._find_expected(group, made)
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -45,7 +45,10 @@
         self._group_of = [
             index for index, group in enumerate(step.groups) for _ in range(group.samples)
         ]
-        self._lengths = predictions.LengthModel([group.max_tokens for group in step.groups])
+        self._lengths = predictions.LengthModel(
+            [group.max_tokens for group in step.groups],
+            [group.expected_tokens for group in step.groups],
+        )
         self._rates = predictions.RateModel()
         self._backlog = backlog.Backlog(self._group_of, self._lengths)
         self._policy = policy
@@ -77,12 +80,16 @@
         """The tokens that hedges have made, counted against their budget."""
         return self._hedges.spent
 
-    def start_next(self, now: float) -> work.SampleWork | None:
-        """Return what to start: a waiting sample, or else a straggler's next attempt."""
+    def start_next(self, now: float, has_spare: bool = True) -> work.SampleWork | None:
+        """
+        Return what to start: a waiting sample, or else a straggler's next attempt.
+
+        Without a spare place a straggler stays where it is: it would only wait elsewhere.
+        """
         number = self._backlog.pop(now)
         if number is not None:
             return self._start(number, self._partials.pop(number, None), now, is_hedge=False)
-        if self._backlog:
+        if self._backlog or not has_spare:
             return None
         return self._start_straggler(now)
 
--- a/libs/samples/oleander_samples/steps.py
+++ b/libs/samples/oleander_samples/steps.py
@@ -16,6 +16,8 @@
     samples: int
     max_tokens: int
     """The most tokens of one sample."""
+    expected_tokens: int = 0
+    """How many it will have as its trainer guesses; 0 where it does not say."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -6,12 +6,21 @@
 
 from oleander_base import clock, identifiers
 from oleander_batches import fold, submission
-from oleander_direct import routes
 from oleander_samples import hedging, scheduler, steps, work
 
-_POLICY = hedging.StragglerPolicy(hedge_percent=0, moves=True, nearly_whole_percent=50)
+_POLICY = hedging.StragglerPolicy(
+    hedge_percent=0,
+    moves=True,
+    nearly_whole_percent=10,
+    start_seconds=1.0,
+    scan_seconds=0.4,
+)
 """A straggler is cancelled before it goes on elsewhere, never raced: two engines that go on with
 one request at once are forbidden where this runs."""
+_LEAST_URGENT = 5
+_MOST_URGENT = 1
+_URGENCIES = 4
+"""Steps between the two over the time in which a batch is due."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -24,6 +33,7 @@
     item_number: int
     """Its place in the submission."""
     resumed_events: int
+    urgency: int
 
 
 class BatchRun:
@@ -39,17 +49,16 @@
         self._submitted = submitted
         self._event_tokens = event_tokens
         self._lock = threading.Lock()
-        self._order = _order_items(submitted)
-        step = _build_step(submitted, self._order, event_tokens)
+        step = _build_step(submitted, event_tokens)
         seed = identifiers.hash_text(submitted.batch_id)
         self._scheduler = scheduler.WorkScheduler(step, _POLICY, seed)
         self._scheduler.raise_oldest(submitted.oldest_version, clock.read_now())
-        self._places = {number: place for place, number in enumerate(self._order)}
         self._errors: collections.Counter[int] = collections.Counter()
         self._cancelled: set[str] = set()
         self._last_servers: dict[int, str] = {}
         self._is_stopped = False
         self._seen_events: dict[str, int] = {}
+        self._taken_events: dict[int, int] = {}
         self._known_finished: set[int] = set()
 
     @property
@@ -64,11 +73,11 @@
 
     @property
     def is_wanted(self) -> bool:
-        """Whether its items are still to be run here."""
-        return not self._is_stopped and not self._batch.is_ended
+        """Whether results of it are still of use."""
+        return not self._batch.is_ended
 
     def stop(self) -> None:
-        """Cancel what runs: the batch ended, or another process runs it."""
+        """Generate no more; texts that are whole are still scored."""
         with self._lock:
             self._is_stopped = True
 
@@ -77,11 +86,11 @@
         with self._lock:
             for number in list(self._batch.finished - self._known_finished):
                 self._known_finished.add(number)
-                self._cancelled.update(self._scheduler.drop(self._places[number]))
+                self._cancelled.update(self._scheduler.drop(number))
 
     def resume_item(self, partial: submission.PartialText) -> None:
         """Take in the start of a text that another process made."""
-        if partial.item_number not in self._places:
+        if not 0 <= partial.item_number < len(self._submitted.items):
             return
         label = tuple(
             steps.LabelPart(version, made * self._event_tokens) for version, made in partial.label
@@ -89,30 +98,47 @@
         start = work.Partial(partial.text, label, partial.events * self._event_tokens)
         if label and start.oldest_version >= self._submitted.oldest_version:
             with self._lock:
-                self._scheduler.resume_from(self._places[partial.item_number], start)
+                self._scheduler.resume_from(partial.item_number, start)
 
-    def list_partials(self) -> list[submission.PartialText]:
-        """Return the starts of texts that are not whole."""
+    def read_urgency(self, due_seconds: float) -> int:
+        """
+        Return how urgent its items are, from 1 to 5, by how much of their time is over.
+
+        Engines admit the more urgent first. So where several entries fill one engine, the step
+        that is due first goes first, without the entries knowing of each other.
+        """
+        passed = (clock.read_now() - self._batch.seen_at) / due_seconds
+        return max(_MOST_URGENT, _LEAST_URGENT - int(_URGENCIES * passed))
+
+    def take_partials(self, least_events: int) -> list[submission.PartialText]:
+        """Return the starts of texts that grew by so many events since they were last taken."""
         with self._lock:
             found = self._scheduler.list_partials()
-        return [self._describe_partial(place, start) for place, start in found.items()]
-
-    def start_next(self, now: float) -> ItemWork | None:
-        """Return the next item to generate, if one is due."""
+        taken = []
+        for number, start in found.items():
+            partial = self._describe_partial(number, start)
+            if partial.events >= self._taken_events.get(number, 0) + least_events:
+                self._taken_events[number] = partial.events
+                taken.append(partial)
+        return taken
+
+    def start_next(self, now: float, due_seconds: float, has_spare: bool) -> ItemWork | None:
+        """Return the next item to generate, or a straggler to move to a spare place."""
         with self._lock:
             if self._is_stopped or self._batch.is_ended:
                 return None
-            started = self._scheduler.start_next(now)
+            started = self._scheduler.start_next(now, has_spare)
             self._cancelled.update(self._scheduler.take_cancellations())
         if started is None:
             return None
-        number = self._order[started.number]
         events = started.resumed_tokens // self._event_tokens
-        return ItemWork(self, started, self._submitted.items[number], number, events)
+        item = self._submitted.items[started.number]
+        urgency = self.read_urgency(due_seconds)
+        return ItemWork(self, started, item, started.number, events, urgency)
 
     def is_cancelled(self, item: ItemWork) -> bool:
         """Tell whether an attempt is of no more use."""
-        return not self.is_wanted or item.work.work_id in self._cancelled
+        return self._is_stopped or self._batch.is_ended or item.work.work_id in self._cancelled
 
     def find_last_server(self, item_number: int) -> frozenset[str]:
         """Return the server that had an item last; its next attempt goes elsewhere."""
@@ -159,10 +185,6 @@
             self._errors[item_number] += 1
             return self._errors[item_number]
 
-    def find_backend(self, route: routes.Route) -> str:
-        """Return the backend of a route's items; each batch has one for its whole life."""
-        return route.pick_backend_of(self._submitted.batch_id)
-
     def _is_first(self, item: ItemWork) -> bool:
         return not item.resumed_events and not self._seen_events.get(item.work.work_id)
 
@@ -170,29 +192,18 @@
         self._seen_events.pop(item.work.work_id, None)
         self._cancelled.discard(item.work.work_id)
 
-    def _describe_partial(self, place: int, start: work.Partial) -> submission.PartialText:
+    def _describe_partial(self, number: int, start: work.Partial) -> submission.PartialText:
         label = tuple((part.version, part.tokens // self._event_tokens) for part in start.label)
         events = start.tokens // self._event_tokens
-        return submission.PartialText(self._order[place], start.text, events, label)
-
-
-def _order_items(submitted: submission.Submission) -> list[int]:
-    """Return the items' numbers with the members of each group side by side."""
-    groups: dict[str, list[int]] = {}
-    for number, item in enumerate(submitted.items):
-        groups.setdefault(item.group, []).append(number)
-    return [number for members in groups.values() for number in members]
-
-
-def _build_step(
-    submitted: submission.Submission, order: list[int], event_tokens: int
-) -> steps.Step:
-    sizes: dict[str, int] = {}
-    most: dict[str, int] = {}
-    for number in order:
-        item = submitted.items[number]
-        sizes[item.group] = sizes.get(item.group, 0) + 1
-        most[item.group] = max(most.get(item.group, 0), item.tokens + event_tokens)
+        return submission.PartialText(number, start.text, events, label)
+
+
+def _build_step(submitted: submission.Submission, event_tokens: int) -> steps.Step:
+    """
+    Return the step with a group for each item, since each has a guess of its own length.
+
+    An event more than the bound is allowed for: the last one may be counted as a full one.
+    """
     return steps.Step(
         customer="",
         trainer=submitted.model,
@@ -200,6 +211,7 @@
         incarnation=0,
         version=submitted.oldest_version,
         groups=tuple(
-            steps.Group("", group, samples, most[group]) for group, samples in sizes.items()
+            steps.Group("", item.group, 1, item.tokens + event_tokens, item.expected_tokens)
+            for item in submitted.items
         ),
     )
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -19,6 +19,9 @@
 """How soon a free place at an engine is used; a tenth of a short text's time."""
 _LOAD_SECONDS = 1.0
 _MOST_RESULTS = 64
+_KEEP_SECONDS = 0.8
+_LEAST_KEPT_EVENTS = 12
+"""A start that is kept costs two small appends; below half of a usual text it isn't worth them."""
 _WRITE_AGAIN_SECONDS = 0.2
 _MOST_WAITING_RESULTS = 4096
 """Past this no item is begun: results can't be written, and more would only fill memory."""
@@ -209,16 +212,34 @@
         """
         self._is_draining = True
         for run in list(self._runs.values()):
-            partials = [item for item in run.list_partials() if item.events]
             run.stop()
-            if partials and run.batch.is_open:
-                kept = self._journal.keep_partials(run.batch.batch_id, partials)
-                log.logger.bind(
-                    event="handed-over",
-                    batch=run.batch.batch_id,
-                    texts=len(partials),
-                    ok=kept.is_ok(),
-                ).info("others go on")
+            self._keep_partials(run, 1, "handed-over")
+
+    def keep_partials(self) -> None:
+        """
+        Keep the starts of long texts now and then, until the group stops.
+
+        When processes are killed, their successors would make all texts from the start, and the
+        longest, which take most of a step's time anyway, would be late.
+        """
+        while not self._group.is_stopping:
+            for run in list(self._runs.values()):
+                self._keep_partials(run, _LEAST_KEPT_EVENTS, "kept")
+            self._group.pause(_KEEP_SECONDS)
+
+    def _keep_partials(self, run: batch_run.BatchRun, least_events: int, event: str) -> None:
+        if not run.batch.is_open:
+            return
+        partials = run.take_partials(least_events)
+        if not partials:
+            return
+        kept = self._journal.keep_partials(run.batch.batch_id, partials)
+        log.logger.bind(
+            event=f"partials-{event}",
+            batch=run.batch.batch_id,
+            texts=len(partials),
+            error=kept.error.detail if kept.is_error() else "",
+        ).info("others can go on")
 
     def _update_runs(self) -> None:
         open_batches = {batch.batch_id: batch for batch in self._journal.list_open()}
@@ -291,7 +312,8 @@
             return False
         if self._choose(run, route, frozenset()) is None:
             return False
-        item = run.start_next(clock.read_now())
+        has_spare = self._router.has_spare(route.pick_backend_of(run.batch.batch_id))
+        item = run.start_next(clock.read_now(), route.due_ms / 1000, has_spare)
         if item is None:
             return False
         server = self._choose(run, route, run.find_last_server(item.item_number))
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -106,12 +106,10 @@
         self._journal = journal.BatchJournal(
             log_service, self._group, chosen.partitions, chosen.batch_keep_seconds
         )
-        self._owned = batch_runner.Ownership(
-            log_service, f"{chosen.name}/{identifiers.create_incarnation()}", self._group
-        )
+        self._owned = batch_runner.Ownership(log_service, chosen.name, self._group)
         dispatcher = calls.CallDispatcher(self._known, self._router, caller)
         self._writer = batch_runner.ResultWriter(self._journal, self._group)
-        items = item_task.ItemRunner(self._known, self._router, caller, dispatcher, self._leaving)
+        items = item_task.ItemRunner(self._known, self._router, caller, dispatcher, self._group)
         self._runner = batch_runner.BatchRunner(
             self._known,
             self._journal,
@@ -145,6 +143,7 @@
         self._group.keep(self._owned.keep)
         self._group.keep(self._writer.write)
         self._group.keep(self._runner.feed)
+        self._group.keep(self._runner.keep_partials)
         self._group.keep(self._right.hold)
         self._group.keep(self._keeper.keep)
         self._group.start(self._callers.serve)
@@ -182,6 +181,9 @@
     def _is_silent(self) -> bool:
         return not self._known.is_listed or self._known.silent_seconds > _SILENT_SECONDS
 
+    def _is_idle(self) -> bool:
+        return self._callers.is_idle and self._writer.is_idle and not self._runner.running
+
     def _drain(self) -> None:
         """
         Fail the readiness check, hand over batches, answer whoever still comes, and end.
@@ -198,7 +200,7 @@
         self._owned.leave()
         pause = threading.Event()
         pause.wait(_LEAVE_SECONDS)
-        while not deadline.is_past and not (self._callers.is_idle and self._writer.is_idle):
+        while not deadline.is_past and not self._is_idle():
             pause.wait(_POLL_SECONDS)
         self._group.stop()
         self._callers.stop()
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -1,9 +1,8 @@
 """Generates one item, has it scored, and hands over its result."""
 
 import dataclasses
-import threading
 
-from oleander_base import clock, log
+from oleander_base import clock, log, tasks
 from oleander_batches import submission
 from oleander_direct import calls, directory, routes, servers
 from oleander_routing import router
@@ -37,13 +36,13 @@
         router_: router.Router,
         caller: servers.ServerCaller,
         dispatcher: calls.CallDispatcher,
-        stopping: threading.Event,
+        group: tasks.TaskGroup,
     ) -> None:
         self._directory = known
         self._router = router_
         self._caller = caller
         self._dispatcher = dispatcher
-        self._stopping = stopping
+        self._group = group
 
     def run_item(
         self, item: batch_run.ItemWork, server: servers.Server
@@ -84,7 +83,7 @@
         if scoring is None:
             return _complete(item.item, sample, "")
         errors = 0
-        while item.run.is_wanted and not self._stopping.is_set():
+        while item.run.is_wanted and not self._group.is_stopping:
             table = self._directory.table
             route = table.match(scoring.host, scoring.path) if table else None
             if route is not None:
@@ -95,7 +94,7 @@
                     errors += outcome.errors
                     if errors >= route.most_servers:
                         return _lose(item.item)
-            self._stopping.wait(_SCORING_AGAIN_SECONDS)
+            self._group.pause(_SCORING_AGAIN_SECONDS)
         return None
 
     def _ask_score(
@@ -139,8 +138,7 @@
             body=self._item.item.body,
             may_repeat=True,
         )
-        urgency = min(9, max(0, 5))
-        request = servers.GenerateRequest(call, self._item.resumed_events, urgency)
+        request = servers.GenerateRequest(call, self._item.resumed_events, self._item.urgency)
         deadline = clock.start_deadline(_STREAM_SECONDS)
         opened = self._caller.generate(self._server, request, deadline, self._is_unwanted)
         if opened.is_error():
