--- /dev/null
+++ b/features/http_pool.feature
@@ -0,0 +1,70 @@
+Feature: Answers of many servers over kept connections
+  The server is raw: it sends the bytes given. "~" stands for the end of a line in HTTP.
+
+  Scenario Outline: Only a whole answer is one
+    # A server breaks off, or its answer is cut on the way. Taken as whole, half a body would
+    # reach the caller as a success. Only the stated length, the last chunk, or an orderly end where
+    # neither is stated, says that nothing is missing.
+    Given a raw server that answers <bytes>
+    When its answer is read whole
+    Then the whole answer is <answer>
+
+    Examples:
+      | bytes                                                          | answer |
+      | HTTP/1.1 200 OK~Content-Length: 2~~ab                          | ab     |
+      | HTTP/1.1 200 OK~Content-Length: 3~~ab                          | cut    |
+      | HTTP/1.1 200 OK~Content-Length: 0~~                            | empty  |
+      | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2~ab~0~~           | ab     |
+      | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2~ab~              | cut    |
+      | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~2~ab~3~a           | cut    |
+      | HTTP/1.1 200 OK~Transfer-Encoding: chunked~~                   | cut    |
+      | HTTP/1.1 200 OK~Connection: close~~ab                          | ab     |
+      | HTTP/1.1 2                                                     | cut    |
+      | rubbish~~                                                      | cut    |
+
+  Scenario Outline: A stream has ended only where its last chunk was read
+    # The standard library's readline returns an empty line both for the end and for a cut, so a
+    # sample that lacks its second half would pass for whole.
+    Given a raw server that answers HTTP/1.1 200 OK~<bytes>
+    When its answer is read by lines
+    Then the lines are <lines>
+
+    Examples:
+      | bytes                                              | lines         |
+      | Transfer-Encoding: chunked~~4~a_b_~0~~             | a b end       |
+      | Transfer-Encoding: chunked~~1~a~3~_b_~0~~          | a b end       |
+      | Transfer-Encoding: chunked~~4~a_b_~                | a b cut       |
+      | Transfer-Encoding: chunked~~3~a_b~0~~              | a cut         |
+      | Content-Length: 4~~a_b_                            | a b end       |
+      | Content-Length: 6~~a_b_                            | a b cut       |
+
+  Scenario Outline: A connection is used again where the server keeps it
+    Given a raw server that keeps its connection and answers <bytes>
+    When two requests are made one after the other
+    Then the raw server saw <connections> connections
+
+    Examples:
+      | bytes                                                                                 | connections |
+      | HTTP/1.1 200 OK~Content-Length: 2~~ab                                                 | 1           |
+      | HTTP/1.1 200 OK~Content-Length: 2~Connection: close~~ab                               | 2           |
+      | HTTP/1.1 200 OK~Content-Length: 2~Keep-Alive: timeout=0~~ab                           | 2           |
+
+  Scenario Outline: Bytes that nobody asked for are no answer to the next request
+    # A server sends a second answer. Read as the answer to the next request it would reach another
+    # caller. It comes at once or later, whole or in parts.
+    Given a raw server that keeps its connection and answers <bytes>
+    When two requests are made one after the other
+    Then the second answer is ab or a failure
+
+    Examples:
+      | bytes                                                                             |
+      | HTTP/1.1 200 OK~Content-Length: 2~~abHTTP/1.1 200 OK~Content-Length: 2~~cd        |
+      | HTTP/1.1 200 OK~Content-Length: 2~~abHTTP/1.1 200 then OK~Content-Length: 2~~cd   |
+      | HTTP/1.1 200 OK~Content-Length: 2~~ab then HTTP/1.1 200 OK~Content-Length: 2~~cd  |
+      | HTTP/1.1 200 OK~Content-Length: 2~~ab then rubbish                                |
+
+  Scenario: A request that nobody wants any more ends soon
+    # The caller has gone, and the server would work on for nobody until the deadline.
+    Given a raw server that is silent
+    When a request to it is cancelled after 0.2 s
+    Then it ends within 1.0 s
--- /dev/null
+++ b/features/orders.feature
@@ -0,0 +1,65 @@
+Feature: One holder at a time orders backend servers
+  Time is simulated. Holders are named by letters; the gap between two of them is 3 s.
+  A script is read word by word: a+ lets a try, a? checks that a may order, a! that it may not, 2s waits,
+  a.down cuts a off from the log, a.up joins it again, a.release gives the right up, a.lost lets
+  a's next append take effect without an answer, a.late lets it take effect at `late`.
+
+  Scenario Outline: Orders of two holders never come within the gap
+    # A server would get orders from two holders in turn, or an older one after a newer, and load
+    # weights back and forth. It happens when a holder is suspended, cut off or replaced while it
+    # believes in its right, or when its append takes effect after it gave up on the answer.
+    # Here every order that anyone may give is noted; each must be far enough from the others'.
+    Given the order holders a b c
+    When the holders do <script>
+    Then no two holders could order within the gap
+    And fencing numbers only grew with the holders
+
+    Examples:
+      | script |
+      | a+ a? b+ b! 1s a+ a? b+ b! |
+      | a+ a? 3s a! b+ b! 4s b+ b! 3s b+ b? a! |
+      | a+ b+ 9s b+ b? a! a+ a! 1s b+ b? |
+      | a+ a? 2s a.down a+ 1s a! b+ b! 4s b+ b! 3s b+ b? a.up a+ a! |
+      | a+ a.release a! b+ b! 3s b+ b! 1s b+ b? |
+      | a.lost a+ a! 1s a+ a! b+ b! 7s b+ b? a+ a! |
+      | a+ a? b+ 1s a.late a+ a? 2s a! b+ 4s b+ b? late a+ a! b+ b? |
+      | a+ a? b+ 1s a.late a+ 2s late a! b+ b! 3s b+ b! 4s b+ b? |
+      | a+ b+ c+ 7s b+ b? c+ c! 1s b+ b? c+ 3s c! 4s c+ c? b! |
+      | a.late a+ a! b+ b? late b+ b? a+ a! |
+
+  Scenario: A new process does not order until it has read that nobody holds the right
+    # All processes restart at once. The log names a holder that may live; only its silence for
+    # a whole term and the gap, seen by the new process itself, says that it does not.
+    Given the order holders a b
+    When the holders do a+ a? b.down b+ b! 9s b+ b! b.up b+ b! 2s b+ b! 4s b+ b?
+    Then no two holders could order within the gap
+
+  Scenario Outline: Servers are ordered in turns, and once
+    # Weights load for a second, in which a server takes no new work for that model. Ordering all
+    # at once would leave nobody to serve it; ordering again what is on its way costs another load.
+    Given the engines <engines> and the named versions <named>
+    When orders are planned <times> times
+    Then the planned orders are <orders>
+
+    Examples:
+      | engines             | named   | times | orders          |
+      | s1=1 s2=1 s3=1 s4=1 | m=2     | 1     | s1:m2 s2:m2     |
+      | s1=1 s2=1 s3=1 s4=1 | m=2     | 3     | s1:m2 s2:m2     |
+      | s1=2 s2=2 s3=1 s4=1 | m=2     | 1     | s3:m2 s4:m2     |
+      | s1=2 s2=3           | m=2     | 1     | none            |
+      | s1=1 s2=3           | m=5     | 1     | s1:m5 s2:m5     |
+      | s1=1                | n=9     | 1     | none            |
+
+  Scenario Outline: An order states what the server has accepted
+    # An order without an answer may be carried out late, after newer ones. It names how many the
+    # server had accepted, so it fails then; the next one must count what was taken meanwhile.
+    Given an engine that reports 4 accepted orders
+    When an order to it ends as <outcome>
+    Then the next order to it states <accepted> accepted orders
+
+    Examples:
+      | outcome | accepted |
+      | taken   | 5        |
+      | done    | 4        |
+      | refused | 4        |
+      | unknown | 4        |
--- /dev/null
+++ b/features/steps/batches_steps.py
@@ -0,0 +1,188 @@
+"""Steps for batches that several entries share in one log."""
+
+import behave
+
+from oleander_base import clock, tasks
+from oleander_batches import journal, submission
+from oleander_standins import recordlog
+from oleanderdeal import batch_api
+
+_SECONDS = 0.5
+_FAULTS = {
+    "nothing": {},
+    "down": {"is_down": True},
+    "lose the content": {"lost_calls": 1},
+}
+
+
+class SharedLog:
+    """Two entries' journals on one log."""
+
+    def __init__(self):
+        self.log = recordlog.MemoryRecordLog()
+        self.clients = {name: self.log.create_client() for name in "ab"}
+        group = tasks.TaskGroup("batches", 1)
+        self.journals = {
+            name: journal.BatchJournal(client, group, 4, 100.0)
+            for name, client in self.clients.items()
+        }
+
+    def refresh(self):
+        for kept in self.journals.values():
+            assert kept.refresh(clock.read_now(), clock.start_deadline(_SECONDS))
+
+    def find(self, name, batch_id="batch"):
+        return self.journals[name].find(batch_id)
+
+    def write(self, word):
+        if word == "late":
+            for client in self.clients.values():
+                client.apply_late()
+        elif word == "garbage":
+            for content in (b"\xff", b"", b"\x83\x01\x02\x03"):
+                self.log.append(journal.INDEX_TOPIC, 0, [content], clock.start_deadline(_SECONDS))
+        else:
+            self._write_at(*word.split(":"))
+        self.refresh()
+
+    def _write_at(self, name, action):
+        faults = self.clients[name].faults
+        if action == "lost":
+            faults.lost_answers = 2
+        elif action == "late":
+            _fail_index(self.clients[name], "late_appends", 1)
+        elif action == "end":
+            assert self.journals[name].end("batch", clock.start_deadline(_SECONDS)).is_ok()
+        else:
+            number, text = action.split("=")
+            state = submission.ResultState.DONE
+            result = submission.ItemResult(f"item-{number}", state, text, (1,), "s")
+            while self.journals[name].finish("batch", [(int(number), result)]).is_error():
+                pass
+
+
+def build_submission(items=3, batch_id="batch"):
+    """Return a submission of some items in groups of two."""
+    return submission.Submission(
+        batch_id,
+        "host",
+        "/batches/1",
+        4,
+        "m",
+        1,
+        1,
+        tuple(
+            submission.Item(f"item-{number}", "/i", (), b"body", 9, f"g{number // 2}", None)
+            for number in range(items)
+        ),
+    )
+
+
+@behave.given("two entries on one log")
+def create_entries(context):
+    context.shared = SharedLog()
+
+
+@behave.given("two entries on one log and a batch of {items:d} items")
+def create_batch(context, items):
+    context.shared = SharedLog()
+    accepted = context.shared.journals["a"].accept(
+        build_submission(items), clock.start_deadline(_SECONDS)
+    )
+    assert accepted.is_ok()
+    context.shared.refresh()
+
+
+@behave.when("the entries write {writes}")
+def write_results(context, writes):
+    for word in writes.split():
+        context.shared.write(word)
+
+
+@behave.then("both entries list {listed}")
+def check_listed(context, listed):
+    for name, kept in context.shared.journals.items():
+        batch = context.shared.find(name)
+        texts = []
+        while len(texts) < len(batch.listed):
+            read = kept.read_results(batch, len(texts), clock.start_deadline(_SECONDS))
+            assert read.is_ok(), read.error
+            texts += [f"{r.item_id.removeprefix('item-')}={r.text}" for r in read.ok.results]
+        assert " ".join(texts) == listed, (name, texts)
+
+
+@behave.when("entry {name} accepts a batch while the log does {fault}")
+def accept_batch(context, name, fault):
+    client = context.shared.clients[name]
+    if fault in _FAULTS:
+        for field, value in _FAULTS[fault].items():
+            setattr(client.faults, field, value)
+    else:
+        kind = "late_appends" if fault.startswith("delay") else "lost_answers"
+        _fail_index(client, kind, 1000)
+    api = batch_api.BatchApi(context.shared.journals[name])
+    context.accepted = api.accept(build_submission(), clock.start_deadline(_SECONDS))
+
+
+def _fail_index(client, fault, times):
+    """Let so many next appends to the index go wrong."""
+    original = client.append
+    left = [times]
+
+    def append(topic, partition, records, deadline):
+        if topic == journal.INDEX_TOPIC and left[0]:
+            left[0] -= 1
+            setattr(client.faults, fault, 1)
+        return original(topic, partition, records, deadline)
+
+    client.append = append
+
+
+@behave.then("the acceptance of entry {name} is {outcome}")
+def check_outcome(context, name, outcome):
+    accepted = context.accepted
+    seen = "accepted" if accepted.is_ok() else accepted.error.fault.value
+    assert seen == outcome, accepted
+
+
+@behave.then("entry {name} finds the batch: {found}")
+def check_found(context, name, found):
+    for client in context.shared.clients.values():
+        client.faults.is_down = False
+    context.shared.refresh()
+    assert (context.shared.find(name) is not None) == (found == "yes")
+
+
+@behave.when("the log is {state} for entry {name}")
+def set_log(context, state, name):
+    context.shared.clients[name].faults.is_down = state == "down"
+
+
+@behave.then("asking entry {name} for the {which} batch gives {answer}")
+def check_answer(context, name, which, answer):
+    api = batch_api.BatchApi(context.shared.journals[name])
+    batch_id = "batch" if which == "accepted" else which
+    listed = api.list_results(batch_id, 0, clock.start_deadline(0.05))
+    seen = "listed" if listed.is_ok() else listed.error.fault.value
+    assert seen == answer, listed
+
+
+@behave.then("the batch is open for neither entry")
+def check_closed(context):
+    for kept in context.shared.journals.values():
+        assert not kept.list_open()
+
+
+@behave.when('entry {name} keeps the start "{text}" of item {number:d} with {events:d} events')
+def keep_start(context, name, text, number, events):
+    partial = submission.PartialText(number, text, events, ((1, events),))
+    assert context.shared.journals[name].keep_partials("batch", [partial]).is_ok()
+
+
+@behave.then('entry {name} goes on with item {number:d} from "{text}"')
+def check_start(context, name, number, text):
+    context.shared.refresh()
+    place = context.shared.find(name).partials[number]
+    deadline = clock.start_deadline(_SECONDS)
+    read = context.shared.journals[name].read_partial("batch", place, deadline)
+    assert read.ok.text == text, read
--- /dev/null
+++ b/features/steps/direct_calls_steps.py
@@ -0,0 +1,133 @@
+"""Steps for calls to backend servers without sidecars."""
+
+import threading
+import time
+
+import behave
+import expression
+
+from oleander_base import clock
+from oleander_direct import calls, directory, routes, servers
+from oleander_routing import router
+
+_OK_SECONDS = 0.01
+_SLOW_SECONDS = 0.3
+_DEADLINE_SECONDS = 0.8
+_KINDS = {"idempotent": routes.RouteKind.IDEMPOTENT, "once": routes.RouteKind.ONCE}
+
+
+class FakeCaller(servers.ServerCaller):
+    """Answers as each server was told to."""
+
+    def __init__(self, behaviours):
+        self._behaviours = behaviours
+        self.ran = []
+        self.cancelled = threading.Event()
+
+    def call(self, server, request, deadline, is_cancelled):
+        behaviour = self._behaviours[server.server_id]
+        if behaviour == "refuses":
+            return expression.Error(servers.CallFailure("refused", False))
+        if behaviour in {"full", "other"}:
+            return expression.Ok(_answer(503, behaviour == "full", behaviour == "other"))
+        self.ran.append(server.server_id)
+        if behaviour == "lost":
+            return expression.Error(servers.CallFailure("reset", True))
+        if behaviour == "fails":
+            return expression.Ok(_answer(500))
+        if behaviour == "silent":
+            return self._wait(deadline, is_cancelled)
+        time.sleep(_SLOW_SECONDS if behaviour == "slow" else _OK_SECONDS)
+        return expression.Ok(_answer(200))
+
+    def _wait(self, deadline, is_cancelled):
+        while not deadline.is_past and not is_cancelled():
+            time.sleep(_OK_SECONDS)
+        self.cancelled.set()
+        return expression.Error(servers.CallFailure("no answer", True, is_cancelled()))
+
+    def generate(self, server, request, deadline, is_cancelled):
+        raise AssertionError
+
+    def read_state(self, server, deadline):
+        raise AssertionError
+
+    def order(self, server, order, deadline):
+        raise AssertionError
+
+    def forget(self, address):
+        pass
+
+
+def _answer(status, did_not_run=False, is_other=False):
+    return servers.CallAnswer(status, (), b"", did_not_run, is_other, "stamp")
+
+
+def _route(kind, most_servers):
+    share = (routes.Share("desk", 1),)
+    return routes.Route("r", "h", "/", kind, 5000, 150, 0, share, most_servers, False, False, 0, 0)
+
+
+@behave.given("the servers {listed}")
+def create_servers(context, listed):
+    behaviours = dict(item.split("=") for item in listed.split())
+    context.caller = FakeCaller(behaviours)
+    chooser = router.Router(7)
+    known = directory.Directory(chooser, context.caller)
+    for name in behaviours:
+        known.put_server(servers.Server(name, 1, "desk", "127.0.0.1:1", "z", 6, False, ()))
+    context.dispatcher = calls.CallDispatcher(known, chooser, context.caller)
+
+
+def _call(context, kind, most, is_gone=lambda: False):
+    request = servers.CallRequest("id", "h", "POST", "/", (), b"", kind == "idempotent")
+    return context.dispatcher.call(
+        _route(_KINDS[kind], most), request, clock.start_deadline(_DEADLINE_SECONDS), is_gone
+    )
+
+
+@behave.when("a {kind} request that {most:d} servers may get is called")
+def call_one(context, kind, most):
+    context.outcome = _call(context, kind, most)
+
+
+@behave.then("the caller gets {outcome}")
+def check_caller(context, outcome):
+    seen = type(context.outcome).__name__.lower()
+    if isinstance(context.outcome, calls.Answered):
+        seen = f"status {context.outcome.answer.status}"
+    assert seen == outcome, context.outcome
+
+
+@behave.then("at most {runs:d} servers ran it")
+def check_runs(context, runs):
+    assert len(context.caller.ran) <= runs, context.caller.ran
+    assert len(set(context.caller.ran)) == len(context.caller.ran)
+
+
+@behave.when("{count:d} {kind} requests that {most:d} servers may get are called")
+def call_many(context, count, kind, most):
+    context.took = []
+    for _ in range(count):
+        started = time.monotonic()
+        assert isinstance(_call(context, kind, most), calls.Answered)
+        context.took.append((time.monotonic() - started) * 1000)
+
+
+@behave.then("each took less than {milliseconds:d} ms")
+def check_took(context, milliseconds):
+    assert max(context.took) < milliseconds, sorted(context.took)[-3:]
+
+
+@behave.when("a request is called whose caller leaves after {milliseconds:d} ms")
+def call_leaving(context, milliseconds):
+    leaves_at = time.monotonic() + milliseconds / 1000
+    started = time.monotonic()
+    context.outcome = _call(context, "idempotent", 1, lambda: time.monotonic() > leaves_at)
+    context.took = [(time.monotonic() - started) * 1000]
+
+
+@behave.then("the call ends within {milliseconds:d} ms and its server is told")
+def check_left(context, milliseconds):
+    assert context.took[0] < milliseconds, context.took
+    assert context.caller.cancelled.wait(1.0)
--- /dev/null
+++ b/features/steps/http_pool_steps.py
@@ -0,0 +1,105 @@
+"""Steps for answers over kept connections."""
+
+import threading
+import time
+
+import behave
+
+import raw_server
+from oleander_base import clock, http_pool
+
+_SECONDS = 5.0
+_EXTRA_PAUSE = 0.2
+
+
+def _encode(text):
+    return text.replace("~", "\r\n").replace("_", "\n").encode()
+
+
+def _create(context, pieces, **options):
+    context.raw = raw_server.RawServer(pieces, **options)
+    context.add_cleanup(context.raw.stop)
+    context.pool = http_pool.ConnectionPool()
+
+
+def _open(context, is_cancelled=lambda: False):
+    address = context.raw.url.removeprefix("http://")
+    request = http_pool.PoolRequest(address, "GET", "/", (("Host", "h"),))
+    return context.pool.open(request, clock.start_deadline(_SECONDS), is_cancelled)
+
+
+@behave.given("a raw server that answers {text}")
+def create_server(context, text):
+    _create(context, [_encode(text)])
+
+
+@behave.given("a raw server that keeps its connection and answers {text}")
+def create_keeping(context, text):
+    _create(context, [_encode(part) for part in text.split(" then ")], keeps_open=True)
+
+
+@behave.given("a raw server that is silent")
+def create_silent(context):
+    _create(context, [], keeps_open=True)
+
+
+@behave.when("its answer is read whole")
+def read_whole(context):
+    opened = _open(context)
+    whole = opened.ok.read_whole() if opened.is_ok() else opened
+    context.seen = "cut" if whole.is_error() else whole.ok.body.decode() or "empty"
+
+
+@behave.then("the whole answer is {answer}")
+def check_whole(context, answer):
+    assert context.seen == answer, context.seen
+
+
+@behave.when("its answer is read by lines")
+def read_lines(context):
+    opened = _open(context)
+    context.lines = []
+    while True:
+        line = opened.ok.read_line()
+        if line.is_error() or not line.ok:
+            context.lines.append("cut" if line.is_error() else "end")
+            return
+        context.lines.append(line.ok.decode().strip())
+
+
+@behave.then("the lines are {lines}")
+def check_lines(context, lines):
+    assert " ".join(context.lines) == lines, context.lines
+
+
+@behave.when("two requests are made one after the other")
+def make_two(context):
+    assert _open(context).ok.read_whole().is_ok()
+    time.sleep(_EXTRA_PAUSE)
+    opened = _open(context)
+    context.second = opened.ok.read_whole() if opened.is_ok() else opened
+
+
+@behave.then("the second answer is {body} or a failure")
+def check_second(context, body):
+    assert context.second.is_error() or context.second.ok.body == body.encode()
+
+
+@behave.then("the raw server saw {count:d} connections")
+def check_connections(context, count):
+    assert context.raw.connections == count, context.raw.connections
+
+
+@behave.when("a request to it is cancelled after {seconds:f} s")
+def cancel_request(context, seconds):
+    cancelled = threading.Event()
+    threading.Timer(seconds, cancelled.set).start()
+    started = time.monotonic()
+    opened = _open(context, cancelled.is_set)
+    assert opened.is_error()
+    context.took = time.monotonic() - started
+
+
+@behave.then("it ends within {seconds:f} s")
+def check_end(context, seconds):
+    assert context.took < seconds, context.took
--- /dev/null
+++ b/features/steps/orders_steps.py
@@ -0,0 +1,161 @@
+"""Steps for the right to order and for what is ordered; time is simulated."""
+
+import contextlib
+import unittest.mock
+
+import behave
+
+from oleander_base import clock, tasks
+from oleander_direct import servers
+from oleander_orders import plan, right
+from oleander_standins import recordlog
+
+_GAP_SECONDS = 3.0
+_LOOK_SECONDS = 0.05
+
+
+class Holders:
+    """Several processes that want the right, on one simulated clock."""
+
+    def __init__(self, names):
+        self.now = 1000.0
+        self._log = recordlog.MemoryRecordLog()
+        self._clients = {name: self._log.create_client() for name in names}
+        group = tasks.TaskGroup("orders", 1)
+        self._rights = {
+            name: right.OrderRight(client, name, _GAP_SECONDS, group)
+            for name, client in self._clients.items()
+        }
+        self.permissions = []
+        self._actions = {
+            "down": lambda name: setattr(self._clients[name].faults, "is_down", True),
+            "up": lambda name: setattr(self._clients[name].faults, "is_down", False),
+            "lost": lambda name: setattr(self._clients[name].faults, "lost_answers", 1),
+            "late": lambda name: setattr(self._clients[name].faults, "late_appends", 1),
+            "release": lambda name: self._rights[name].release(),
+        }
+
+    @contextlib.contextmanager
+    def simulate(self):
+        with unittest.mock.patch.object(clock, "read_now", lambda: self.now):
+            yield
+
+    def act(self, word):
+        if word == "late":
+            for client in self._clients.values():
+                client.apply_late()
+        elif word.endswith("s") and word[:-1].isdigit():
+            self._pass_time(int(word[:-1]))
+        elif "." in word:
+            name, action = word.split(".")
+            self._actions[action](name)
+        elif word.endswith("+"):
+            self._rights[word[0]].try_hold(0)
+            self._look()
+        else:
+            self._look()
+            may_order = self._rights[word[0]].find_tenure() is not None
+            assert may_order == word.endswith("?"), (word, self.now)
+
+    def _pass_time(self, seconds):
+        until = self.now + seconds
+        while self.now < until:
+            self.now += _LOOK_SECONDS
+            self._look()
+
+    def _look(self):
+        """Note who may order now: it could order at any of these moments."""
+        for name, held in self._rights.items():
+            tenure = held.find_tenure()
+            if tenure is not None:
+                self.permissions.append((self.now, name, tenure.fencing))
+
+
+@behave.given("the order holders {names}")
+def create_holders(context, names):
+    context.holders = Holders(names.split())
+
+
+@behave.when("the holders do {script}")
+def act_holders(context, script):
+    with context.holders.simulate():
+        for word in script.split():
+            context.holders.act(word)
+
+
+@behave.then("no two holders could order within the gap")
+def check_gap(context):
+    assert context.holders.permissions
+    for earlier, later in zip(
+        context.holders.permissions, context.holders.permissions[1:], strict=False
+    ):
+        if earlier[1] != later[1]:
+            assert later[0] - earlier[0] > _GAP_SECONDS, (earlier, later)
+
+
+@behave.then("fencing numbers only grew with the holders")
+def check_fencing(context):
+    for earlier, later in zip(
+        context.holders.permissions, context.holders.permissions[1:], strict=False
+    ):
+        if earlier[1] == later[1]:
+            assert earlier[2] == later[2], (earlier, later)
+        else:
+            assert earlier[2] < later[2], (earlier, later)
+
+
+def _engine(name, version):
+    models = (servers.ModelVersion("m", version),)
+    return servers.Server(name, 1, "engines", "127.0.0.1:1", "z", 8, False, models)
+
+
+@behave.given("the engines {engines} and the named versions {named}")
+def create_engines(context, engines, named):
+    pairs = (item.split("=") for item in engines.split())
+    context.engines = [_engine(name, int(version)) for name, version in pairs]
+    context.named = {
+        model: int(version) for model, version in (item.split("=") for item in named.split())
+    }
+
+
+@behave.when("orders are planned {times:d} times")
+def plan_orders(context, times):
+    planner = plan.OrderPlan()
+    context.planned = []
+    for _ in range(times):
+        for order in planner.choose(context.engines, context.named, ("m",)):
+            context.planned.append(order)
+            planner.note(order, 0, servers.OrderTaken(is_done=False))
+
+
+@behave.then("the planned orders are {orders}")
+def check_orders(context, orders):
+    seen = " ".join(
+        f"{order.server.server_id}:{order.model}{order.version}" for order in context.planned
+    )
+    assert (seen or "none") == orders, seen
+
+
+@behave.given("an engine that reports {count:d} accepted orders")
+def create_state(context, count):
+    context.state = servers.EngineState((), False, count)
+
+
+@behave.when("an order to it ends as {outcome}")
+def note_outcome(context, outcome):
+    outcomes = {
+        "taken": servers.OrderTaken(is_done=False),
+        "done": servers.OrderTaken(is_done=True),
+        "refused": servers.OrderRefused("409"),
+        "unknown": servers.OrderUnknown("no answer"),
+    }
+    context.server = _engine("s1", 1)
+    context.planner = plan.OrderPlan()
+    order = plan.PlannedOrder(context.server, "m", 2)
+    accepted = context.planner.count_accepted(context.server, context.state)
+    context.planner.note(order, accepted, outcomes[outcome])
+
+
+@behave.then("the next order to it states {count:d} accepted orders")
+def check_accepted(context, count):
+    assert context.planner.count_accepted(context.server, context.state) == count
--- a/libs/orders/oleander_orders/right.py
+++ b/libs/orders/oleander_orders/right.py
@@ -89,13 +89,18 @@
     def hold(self) -> None:
         """Claim the right whenever it is free, and renew it, until the group stops."""
         while not self._group.is_stopping and self._is_wanted:
-            if self.find_tenure() is not None:
-                self._renew()
-                self._group.pause(_RENEW_SECONDS)
-            elif not self._read_on():
-                self._group.pause(_AGAIN_SECONDS)
-            elif self._is_free():
-                self._claim()
+            self._group.pause(self.try_hold(_WAIT_MS))
+
+    def try_hold(self, wait_ms: int) -> float:
+        """Renew the right, or read on and claim it where it is free; return when to try again."""
+        if self.find_tenure() is not None:
+            self._renew()
+            return _RENEW_SECONDS
+        if not self._read_on(wait_ms):
+            return _AGAIN_SECONDS
+        if self._is_free():
+            self._claim()
+        return 0.0
 
     def release(self) -> None:
         """Give the right up, once no order is on its way; the gap still has to pass."""
@@ -147,10 +152,10 @@
             self._newest = _Entry(self._name, state, fencing, clock.read_now())
             return offset
         log.warn_bounded("orders-unconfirmed", str(appended.error), state=state)
-        self._read_on(wait_ms=0)
+        self._read_on(0)
         return None
 
-    def _read_on(self, wait_ms: int = _WAIT_MS) -> bool:
+    def _read_on(self, wait_ms: int) -> bool:
         deadline = clock.start_deadline(_READ_SECONDS)
         wait_ms = wait_ms if self._is_read else 0
         page = self._log.read(TOPIC, _PARTITION, self._next_offset, wait_ms, deadline)
