--- /dev/null
+++ b/features/platform_adapter.feature
@@ -0,0 +1,111 @@
+Feature: What the platform says, decoded once
+  Wire examples are written as the platform sends them; only the adapter and this test know its names.
+
+  Scenario Outline: A registration that is not whole names no server to use
+    # Any program may write into the list. Bytes that can't be read, a missing field or an unknown
+    # state must neither stop the list from being followed nor bring a server into rotation; the
+    # servers of whole registrations stay.
+    Given the registrations good and <key> with <change>
+    Then the servers in rotation are <servers>
+
+    Examples:
+      | key  | change                       | servers      |
+      | s2   | nothing                      | good s2      |
+      | s2   | state=draining               | good         |
+      | s2   | state=asleep                 | good         |
+      | s2   | state=                       | good         |
+      | s2   | state=7                      | good         |
+      | s2   | no service                   | good         |
+      | s2   | service=5                    | good         |
+      | s2   | service=unheard              | good         |
+      | s2   | no address                   | good         |
+      | s2   | address=nowhere              | good         |
+      | s2   | address=10.0.0.1:99999       | good         |
+      | s2   | address=[1]                  | good         |
+      | s2   | no zone                      | good         |
+      | s2   | slots="8"                    | good         |
+      | s2   | slots=-1                     | good         |
+      | s2   | sequence=1.5                 | good         |
+      | s2   | no sequence                  | good         |
+      | s2   | born="yesterday"             | good         |
+      | s2   | born=17                      | good s2      |
+      | s2   | models=5                     | good         |
+      | s2   | models=[{"name":"m"}]        | good         |
+      | s2   | extra="field"                | good s2      |
+      | s2   | bytes not-json               | good         |
+      | s2   | bytes []                     | good         |
+      | s2   | bytes null                   | good         |
+      | good | bytes not-json               | none         |
+
+  Scenario: A server that starts again under its id is a new one
+    # It knows nothing of before. What was counted against its earlier run would keep it out.
+    Given the registrations good and good with born=17
+    Then the incarnation of good is good/17
+
+  Scenario Outline: Removals are put off only right after an outage
+    # Registrations lapse while the platform is away; living servers are back within two seconds of its
+    # return. Dropped at once, their callers would be refused; kept for longer, work would go to
+    # servers that are gone.
+    Given a list that was silent for <silent> s and then removes a server
+    Then after <seconds> s more the server is <state>
+
+    Examples:
+      | silent | seconds | state        |
+      | 0.5    | 0.0     | out          |
+      | 6.0    | 0.0     | in rotation  |
+      | 6.0    | 1.9     | in rotation  |
+      | 6.0    | 2.1     | out          |
+
+  Scenario Outline: A configuration is taken whole or not at all
+    Given a configuration with <change>
+    Then it is <verdict>
+
+    Examples:
+      | change                           | verdict  |
+      | nothing                          | in force |
+      | routes.0.kind="sometimes"        | rejected |
+      | routes.0.timeout_ms="soon"       | rejected |
+      | routes.0.traffic_split=5         | rejected |
+      | version="seven"                  | rejected |
+      | limits=null                      | rejected |
+      | routes.0.retention_s=1.5         | in force |
+      | unheard=1                        | in force |
+
+  Scenario: An older configuration changes nothing
+    Given the configurations 7 and then 5
+    Then the version of the routes is 7
+
+  Scenario Outline: An event of a stream counts only where it follows the last
+    # An engine breaks off in an event, repeats one or leaves one out. Text with a gap or a copy
+    # would reach the trainer as a sample.
+    Given a stream after event <last> of <lines>
+    Then its events are <events>
+
+    Examples:
+      | last | lines                                                            | events             |
+      | 0    | id: 1,data: a,,id: 2,data: b,                                    | a@3 b@3 end        |
+      | 0    | id: 1,x-oleanderdeal-weight-versions: 4,data: a,                 | a@4 end            |
+      | 0    | id: 1,data: a,,x-oleanderdeal-weight-versions: 4,id: 2,data: b,  | a@3 b@4 end        |
+      | 5    | id: 6,data: f,                                                   | f@3 end            |
+      | 5    | id: 1,data: a,                                                   | broken             |
+      | 0    | id: 1,data: a,,id: 3,data: c,                                    | a@3 broken         |
+      | 0    | id: 1,data: a,,id: 1,data: a,                                    | a@3 broken         |
+      | 0    | data: a,                                                         | broken             |
+      | 0    | id: 1,data: a                                                    | broken             |
+      | 0    | id: 1,data: a,data: b,                                           | a_b@3 end          |
+
+  Scenario Outline: All faults of the settings file are told together, each with its place
+    Given a settings file with <change>
+    Then the settings are <verdict>
+
+    Examples:
+      | change                           | verdict                            |
+      | nothing                          | sound                              |
+      | unheard=1                        | sound                              |
+      | no node_name                     | faulty in node_name                |
+      | ip=5                             | faulty in ip                       |
+      | no listen                        | faulty in listen.front listen.ready |
+      | bounds.grace_s="8"               | faulty in bounds.grace_s           |
+
+  Scenario: Nothing outside the platform's folder and its test knows its names
+    Then no file of the product, its stand-ins or its bench has a name of the platform
--- /dev/null
+++ b/features/steps/platform_adapter_steps.py
@@ -0,0 +1,235 @@
+"""Steps for what the adapter makes of the platform's messages."""
+
+import copy
+import json
+import pathlib
+import re
+import tempfile
+import tomllib
+import unittest.mock
+
+import behave
+import expression
+
+from oleander_adapter import boot, operator, sampler_calls, samplers
+from oleander_base import clock
+from oleander_direct import directory
+from oleander_routing import router
+
+_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
+_NAMES = re.compile(
+    r"x-oleanderdeal-|/api/(log|lots|items|order|report|ready)|fencing_token|keyed\.(op|servers)"
+    r"|OLEANDERDEAL_BOOT|path_prefix.*traffic_split",
+    re.IGNORECASE,
+)
+_REGISTRATION = {
+    "service": "desk",
+    "address": "10.0.0.1:80",
+    "zone": "z",
+    "version": "v1",
+    "slots": 8,
+    "state": "ready",
+    "cold_remaining_ms": 0,
+    "models": [{"name": "m", "version": 1, "adapters": []}],
+    "sequence": 4,
+}
+_CONFIGURATION = {
+    "version": 7,
+    "routes": [
+        {
+            "name": "r",
+            "host": "h",
+            "path_prefix": "/a/",
+            "kind": "idempotent",
+            "timeout_ms": 3000,
+            "target_latency_ms": 800,
+            "priority": 2,
+            "traffic_split": [{"service": "desk", "weight": 90}],
+            "max_attempts": 2,
+        }
+    ],
+    "services": [{"name": "desk", "engine": {"stride": 49, "models": [{"name": "m"}]}}],
+    "limits": {"max_header_bytes": 1, "max_body_bytes": 2, "idle_timeout_ms": 3},
+}
+_SETTINGS = """
+node_name = "front-1"
+ip = "10.0.0.2"
+zone = "z"
+internal_ports = [7380, 7395]
+listen = { front = "10.0.0.2:80", ready = "10.0.0.2:81" }
+bounds = { grace_s = 8, lease_ms = 3000, status_s = 120 }
+platform = { address = "10.0.0.3:80", parts = 24, retention_s = 300 }
+"""
+
+
+class NoCaller:
+    """Reaches nobody."""
+
+    def forget(self, address):
+        pass
+
+
+class Lines:
+    """A pooled answer of given lines; the last one without its end, if it has none."""
+
+    def __init__(self, lines):
+        self._lines = lines
+
+    def find_header(self, name):
+        return "3"
+
+    def read_line(self):
+        if not self._lines:
+            return expression.Ok(b"")
+        return expression.Ok(self._lines.pop(0))
+
+    def close(self):
+        pass
+
+
+def _change(content, change):
+    """Return a copy with a change: `nothing`, `no NAME`, or PLACE=JSON with a dotted place."""
+    changed = copy.deepcopy(content)
+    if change == "nothing":
+        return changed
+    if change.startswith("no "):
+        del changed[change.removeprefix("no ")]
+        return changed
+    place, _, text = change.partition("=")
+    *parents, last = place.split(".")
+    target = changed
+    for parent in parents:
+        target = target[int(parent) if parent.isdigit() else parent]
+    try:
+        target[last] = json.loads(text)
+    except ValueError:
+        target[last] = text
+    return changed
+
+
+def _create_directory():
+    return directory.Directory(router.Router(1), NoCaller())
+
+
+@behave.given("the registrations good and {key} with {change}")
+def put_registrations(context, key, change):
+    context.known = _create_directory()
+    sink = samplers.ServerSink(context.known)
+    sink.put("good", json.dumps(_REGISTRATION).encode())
+    if change.startswith("bytes "):
+        sink.put(key, change.removeprefix("bytes ").encode())
+    else:
+        sink.put(key, json.dumps(_change(_REGISTRATION, change)).encode())
+
+
+@behave.then("the servers in rotation are {names}")
+def check_servers(context, names):
+    listed = " ".join(sorted(s.server_id for s in context.known.list_servers("desk")))
+    assert (listed or "none") == names, listed
+
+
+@behave.then("the incarnation of {name} is {incarnation}")
+def check_incarnation(context, name, incarnation):
+    assert context.known.find_server(name).incarnation == incarnation
+
+
+@behave.given("a list that was silent for {silent:f} s and then removes a server")
+def remove_after_silence(context, silent):
+    context.now = 1000.0
+    with unittest.mock.patch.object(clock, "read_now", lambda: context.now):
+        context.known = _create_directory()
+        sink = samplers.ServerSink(context.known)
+        sink.put("good", json.dumps(_REGISTRATION).encode())
+        sink.note_current()
+        context.now += silent
+        sink.drop("good")
+        sink.note_current()
+
+
+@behave.then("after {seconds:f} s more the server is {state}")
+def check_removed(context, seconds, state):
+    with unittest.mock.patch.object(clock, "read_now", lambda: context.now):
+        context.now += seconds
+        context.known.note_heard()
+    is_in = context.known.find_server("good") is not None
+    assert is_in == (state == "in rotation"), state
+
+
+@behave.given("a configuration with {change}")
+def put_configuration(context, change):
+    context.known = _create_directory()
+    value = json.dumps(_change(_CONFIGURATION, change)).encode()
+    operator.OperatorSink(context.known).put("config", value)
+
+
+@behave.then("it is {verdict}")
+def check_configuration(context, verdict):
+    assert (context.known.table is not None) == (verdict == "in force")
+
+
+@behave.given("the configurations {first:d} and then {second:d}")
+def put_two(context, first, second):
+    context.known = _create_directory()
+    sink = operator.OperatorSink(context.known)
+    for version in (first, second):
+        sink.put("config", json.dumps(_CONFIGURATION | {"version": version}).encode())
+
+
+@behave.then("the version of the routes is {version:d}")
+def check_version(context, version):
+    assert context.known.table.version == version
+
+
+@behave.given("a stream after event {last:d} of {lines}")
+def read_events(context, last, lines):
+    pieces = [f"{line}\n".encode() for line in lines.split(",")]
+    stream = sampler_calls.SamplerStream(Lines(pieces), last, lambda: False)
+    context.events = []
+    while True:
+        read = stream.read_event()
+        if read.is_error() or read.ok.is_end:
+            context.events.append("broken" if read.is_error() else "end")
+            return
+        context.events.append(read.ok.text.replace("\n", "_") + f"@{read.ok.version}")
+
+
+@behave.then("its events are {events}")
+def check_events(context, events):
+    assert " ".join(context.events) == events, context.events
+
+
+@behave.given("a settings file with {change}")
+def write_settings(context, change):
+    changed = _change(tomllib.loads(_SETTINGS), change)
+    lines = [f"{name} = {_format_toml(value)}" for name, value in changed.items()]
+    with tempfile.NamedTemporaryFile("w", suffix=".toml") as file:
+        file.write("\n".join(lines))
+        file.flush()
+        context.boot = boot.read_boot(file.name)
+
+
+def _format_toml(value):
+    if isinstance(value, dict):
+        inner = ", ".join(f"{key} = {_format_toml(item)}" for key, item in value.items())
+        return "{ " + inner + " }"
+    return json.dumps(value)
+
+
+@behave.then("the settings are {verdict}")
+def check_settings(context, verdict):
+    seen = "sound"
+    if context.boot.is_error():
+        seen = "faulty in " + " ".join(item.place for item in context.boot.error.items)
+    assert seen == verdict, seen
+
+
+@behave.then("no file of the product, its stand-ins or its bench has a name of the platform")
+def check_names(context):
+    found = [
+        f"{path.relative_to(_ROOT)}:{number}"
+        for folder in ("libs", "programs", "standins", "bench")
+        for path in (_ROOT / folder).rglob("*.py")
+        for number, line in enumerate(path.read_text().splitlines(), 1)
+        if _NAMES.search(line)
+    ]
+    assert not found, found
--- a/libs/batches/oleander_batches/fold.py
+++ b/libs/batches/oleander_batches/fold.py
@@ -32,6 +32,7 @@
     batch_id: str
     host: str
     path: str
+    model: str
     content_offset: int
     total: int
     seen_at: float
@@ -101,6 +102,7 @@
             record.batch_id,
             record.host,
             record.path,
+            record.model,
             record.content_offset,
             record.total,
             clock.read_now(),
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -78,8 +78,17 @@
         """Whether the index was read to its end at least once."""
         return self._is_caught_up
 
+    def find_runner_partition(self, batch: fold.Batch) -> int:
+        """
+        Return the partition whose owner runs a batch: the same for all batches of a model.
+
+        The runner knows what it has at each engine. With one for each batch, a trainer's steps in
+        a row filled the engines without knowing of each other, and each opened connections anew.
+        """
+        return identifiers.hash_text(f"{batch.host}\n{batch.model}") % self._partitions
+
     def find_partition(self, batch_id: str) -> int:
-        """Return the partition of a batch's content, by which its runner is chosen too."""
+        """Return the partition of a batch's content."""
         return identifiers.hash_text(batch_id) % self._partitions
 
     def follow(self) -> None:
@@ -144,6 +153,7 @@
             accepted.batch_id,
             accepted.host,
             accepted.path,
+            accepted.model,
             kept.ok.first_offset,
             len(accepted.items),
         )
--- a/libs/batches/oleander_batches/records.py
+++ b/libs/batches/oleander_batches/records.py
@@ -21,6 +21,7 @@
     batch_id: str
     host: str
     path: str
+    model: str
     content_offset: int
     total: int
     """How many items it has."""
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -7,6 +7,7 @@
 from oleander_base import clock, identifiers
 from oleander_batches import fold, submission
 from oleander_samples import hedging, scheduler, steps, work
+from oleanderdeal import item_texts
 
 _POLICY = hedging.StragglerPolicy(
     hedge_percent=0,
@@ -59,6 +60,7 @@
         self._is_stopped = False
         self._seen_events: dict[str, int] = {}
         self._taken_events: dict[int, int] = {}
+        self._results: dict[int, submission.ItemResult] = {}
         self._known_finished: set[int] = set()
 
     @property
@@ -100,6 +102,45 @@
             with self._lock:
                 self._scheduler.resume_from(partial.item_number, start)
 
+    def note_result(self, item_number: int, result: submission.ItemResult) -> None:
+        """Remember a result, for an item that comes again in a later batch."""
+        self._results[item_number] = result
+
+    def list_texts(self) -> list[item_texts.KnownText]:
+        """Return what was made of each item, for a later batch that names it again."""
+        with self._lock:
+            found = self._scheduler.list_partials()
+        starts = [self._describe_partial(number, start) for number, start in found.items()]
+        items = self._submitted.items
+        model = self._submitted.model
+        known = [
+            item_texts.KnownText(items[s.item_number].item_id, model, s, None) for s in starts
+        ]
+        return known + [
+            item_texts.KnownText(items[number].item_id, model, None, result)
+            for number, result in self._results.items()
+        ]
+
+    def reuse_texts(self, texts: item_texts.TextCache) -> list[tuple[int, submission.ItemResult]]:
+        """Take over what is known of this batch's items; return results that fit as they are."""
+        reused = []
+        for number, item in enumerate(self._submitted.items):
+            known = texts.find(item.item_id, self._submitted.model)
+            if known is None or number in self._batch.finished:
+                continue
+            if known.start is not None:
+                self.resume_item(dataclasses.replace(known.start, item_number=number))
+            elif known.result is not None and self._fits(known.result):
+                reused.append((number, known.result))
+                with self._lock:
+                    self._scheduler.drop(number)
+        return reused
+
+    def _fits(self, result: submission.ItemResult) -> bool:
+        """Tell whether a result is whole and new enough."""
+        is_done = result.state is submission.ResultState.DONE
+        return is_done and min(result.versions) >= self._submitted.oldest_version
+
     def read_urgency(self, due_seconds: float) -> int:
         """
         Return how urgent its items are, from 1 to 5, by how much of their time is over.
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -8,11 +8,14 @@
 from oleander_direct import directory, routes, servers
 from oleander_platform import recordlog
 from oleander_routing import router
-from oleanderdeal import batch_run, item_task
+from oleanderdeal import batch_run, item_task, item_texts
 
 _GROUP = "oleander.runners"
 _TTL_MS = 2000
 """A runner that is silent for so long loses its batches to the others."""
+_BELIEVED_SECONDS = 10.0
+"""For so long after the last answer a process goes on with its batches; outages last seconds,
+and a batch has little more time than this."""
 _JOIN_SECONDS = 0.6
 _JOIN_DEADLINE_SECONDS = 1.0
 _IDLE_SECONDS = 0.05
@@ -33,7 +36,9 @@
     Which batches this process runs, as the platform deals them out; a hint.
 
     Two processes may believe to have the same batch, and one that is cut off goes on believing
-    it. Both then run its items; the index takes the first result of each.
+    it for a while. Both then run its items; the index takes the first result of each. Stopping as
+    soon as the platform is silent would lose more: in an outage there is nobody to go on, and all
+    texts that ran would be made again after it.
     """
 
     def __init__(
@@ -43,7 +48,7 @@
         self._member = member
         self._group = group
         self._membership = recordlog.Membership(0, frozenset())
-        self._confirmed_until = 0.0
+        self._believed_until = 0.0
         self._is_wanted = True
 
     def keep(self) -> None:
@@ -54,13 +59,13 @@
 
     def owns(self, partition: int) -> bool:
         """Tell whether a partition's batches fall to this process."""
-        is_confirmed = clock.read_now() < self._confirmed_until
-        return is_confirmed and partition in self._membership.partitions
+        is_believed = clock.read_now() < self._believed_until
+        return is_believed and partition in self._membership.partitions
 
     def leave(self) -> None:
         """Leave the group, so that others go on at once."""
         self._is_wanted = False
-        self._confirmed_until = 0.0
+        self._believed_until = 0.0
         left = self._log.leave(self._request(), clock.start_deadline(_JOIN_DEADLINE_SECONDS))
         log.logger.bind(event="runner-left", ok=left.is_ok()).info("batches go to others")
 
@@ -85,7 +90,7 @@
                 partitions=sorted(joined.ok.partitions),
             ).info("dealt anew")
         self._membership = joined.ok
-        self._confirmed_until = started_at + _TTL_MS / 1000
+        self._believed_until = started_at + _BELIEVED_SECONDS
 
 
 class ResultWriter:
@@ -185,6 +190,7 @@
         self._group = group
         self._most_items = most_items
         self._runs: dict[str, batch_run.BatchRun] = {}
+        self._texts = item_texts.TextCache()
         self._running = 0
         self._lock = threading.Lock()
         self._is_draining = False
@@ -247,12 +253,13 @@
             if batch_id not in open_batches:
                 run.stop()
                 del self._runs[batch_id]
+                self._texts.keep(run.list_texts())
             else:
                 run.note_listed()
         if self._is_draining:
             return
         for batch_id, batch in open_batches.items():
-            is_owned = self._owned.owns(self._journal.find_partition(batch_id))
+            is_owned = self._owned.owns(self._journal.find_runner_partition(batch))
             if is_owned and batch_id not in self._runs:
                 self._load(batch)
             elif not is_owned and batch_id in self._runs:
@@ -273,6 +280,9 @@
         run = batch_run.BatchRun(batch, submitted.ok, backend.event_tokens if backend else 1)
         run.note_listed()
         resumed = self._load_partials(batch, run)
+        reused = run.reuse_texts(self._texts)
+        for number, result in reused:
+            self._writer.add(batch.batch_id, number, result)
         self._runs[batch.batch_id] = run
         log.logger.bind(
             event="batch-taken",
@@ -281,6 +291,7 @@
             items=batch.total,
             finished=len(batch.finished),
             resumed=resumed,
+            reused=len(reused),
         ).info("running its items")
 
     def _load_partials(self, batch: fold.Batch, run: batch_run.BatchRun) -> int:
@@ -349,6 +360,7 @@
         try:
             result = self._items.run_item(item, server)
             if result is not None:
+                item.run.note_result(item.item_number, result)
                 self._writer.add(item.run.batch.batch_id, item.item_number, result)
         finally:
             with self._lock:
