Let a page without records move no reader on

Cause: a read that waits in vain names the end of the partition, and a record appended just then was passed over for ever. Test fails before (batches.feature), passes after. A log line (index-hollow) now shows each such page, so that the finding can be confirmed or not.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -50,6 +50,15 @@
       | down  | accepted | unsure  |
       | down  | other    | unsure  |
 
+  Scenario: A page without records moves no reader on
+    # A read that waits in vain is answered with the end of the log just as a record is appended. An
+    # entry that goes on from that end misses the record for ever: all later results of the batch
+    # stand one position too early there, and its trainer reads one sample twice and another never.
+    Given two entries on one log and a batch of 3 items
+    When the entries write a:0=x
+    And the entries write b:hollow a:1=y b:2=z
+    Then both entries list 0=x 1=y 2=z
+
   Scenario: An ended batch stays readable and runs no more
     Given two entries on one log and a batch of 3 items
     When the entries write a:0=x a:end b:1=y
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -43,12 +43,15 @@
                 self.log.append(journal.INDEX_TOPIC, 0, [content], clock.start_deadline(_SECONDS))
         else:
             self._write_at(*word.split(":"))
-        self.refresh()
+        if not word.endswith("hollow"):
+            self.refresh()
 
     def _write_at(self, name, action):
         faults = self.clients[name].faults
         if action == "lost":
             faults.lost_answers = 2
+        elif action == "hollow":
+            faults.hollow_pages = 1
         elif action == "late":
             _fail_index(self.clients[name], "late_appends", 1)
         elif action == "end":
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -310,6 +310,8 @@
             else:
                 log.warn_bounded("index-record", str(decoded.error), offset=record.offset)
             self._next_offset = record.offset + 1
+        if not page.records and page.end_offset > self._next_offset:
+            log.warn_bounded("index-hollow", "a page without the records that its end names")
         self._next_offset = max(self._next_offset, page.next_offset)
         if self._next_offset >= page.end_offset:
             self._complete_at = max(self._complete_at, started_at)
--- a/libs/platform/oleander_platform/recordlog.py
+++ b/libs/platform/oleander_platform/recordlog.py
@@ -23,6 +23,7 @@
 class RawPage:
     """Consecutive records of a partition."""
 
+    asked_offset: int
     records: tuple[RawRecord, ...]
     first_offset: int
     """The oldest record still kept."""
@@ -31,8 +32,15 @@
 
     @property
     def next_offset(self) -> int:
-        """Where to go on reading."""
-        return self.records[-1].offset + 1 if self.records else self.end_offset
+        """
+        Where to go on reading.
+
+        A page without records moves nobody on, whatever end it names: a record that came just as
+        the page was written would be missed for ever.
+        """
+        if self.records:
+            return self.records[-1].offset + 1
+        return max(self.asked_offset, self.first_offset)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/standins/oleander_standins/recordlog.py
+++ b/standins/oleander_standins/recordlog.py
@@ -22,6 +22,9 @@
     """So many appends take effect without an answer."""
     lost_calls: int = 0
     """So many appends do nothing and have no answer."""
+    hollow_pages: int = 0
+    """So many reads name the end of the partition without the records before it, as a read that
+    waited in vain does when a record comes just as it is answered."""
     late_appends: int = 0
     """So many appends have no answer and take effect when `apply_late` is called."""
 
@@ -90,10 +93,13 @@
             end = held.first_offset + len(held.records)
             start = max(offset, held.first_offset)
             contents = held.records[start - held.first_offset :][:_PAGE_RECORDS]
+        if self.faults.hollow_pages:
+            self.faults.hollow_pages -= 1
+            contents = []
         records = tuple(
             recordlog.RawRecord(start + place, content) for place, content in enumerate(contents)
         )
-        return expression.Ok(recordlog.RawPage(records, held.first_offset, end))
+        return expression.Ok(recordlog.RawPage(offset, records, held.first_offset, end))
 
     def read_newest(
         self, topic: str, deadline: clock.Deadline
