--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -1,5 +1,6 @@
 """Counters, gauges and timers, named in one table, sent by statsd and kept for reports."""
 
+import bisect
 import collections
 import dataclasses
 import threading
@@ -121,7 +122,61 @@
     "An engine that stays at -1 or behind gets no work: see the orders in the audit trail.",
 )
 
+ITEMS_STARTED = _declare(
+    "items.started", "counter", "count", "Attempts at items of batches.", "Compare with results."
+)
+ITEMS_REFUSED = _declare(
+    "items.refused",
+    "counter",
+    "count",
+    "Attempts that an engine refused as not run.",
+    "A steady rise: engines are full or load weights all the time.",
+)
+ITEMS_BROKEN = _declare(
+    "items.broken",
+    "counter",
+    "count",
+    "Attempts that broke off or failed.",
+    "Look for the engine in the log lines of event item.",
+)
+ITEM_MS = _declare(
+    "items.ms", "timer", "ms", "How long an attempt at an item took.", "Compare with due times."
+)
+BATCHES_ACCEPTED = _declare(
+    "batches.accepted", "counter", "count", "Batches that were accepted.", "None."
+)
+RESULTS_WRITTEN = _declare(
+    "batches.results", "counter", "count", "Results that were written to the log.", "None."
+)
+ORDERS = _declare(
+    "orders.given", "counter", "count", "Orders to load weights that were given.", "None."
+)
+ORDERS_HELD = _declare(
+    "orders.held",
+    "gauge",
+    "flag",
+    "Whether this process may order.",
+    "One of all processes has 1.",
+)
+STORE_MS = _declare(
+    "log.ms", "timer", "ms", "How long a call to the platform's log took.", "As log.failed_calls."
+)
+
+BUCKETS_MS = (5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000)
+"""Upper bounds of the histograms' buckets; callers' objectives lie between 100 ms and 10 s."""
+
+
+@dataclasses.dataclass(slots=True)
+class Histogram:
+    """How often a time fell into each bucket; the last one has no bound."""
+
+    counts: list[int] = dataclasses.field(default_factory=lambda: [0] * (len(BUCKETS_MS) + 1))
+    total_ms: float = 0.0
+
+
 _lock = threading.Lock()
+_gauges: dict[str, float] = {}
+_histograms: dict[str, Histogram] = {}
 _counts: collections.Counter[str] = collections.Counter()
 _client: statsd.StatsClient | None = None
 
@@ -147,12 +202,18 @@
 
 def record_gauge(name: str, value: float) -> None:
     """Set a gauge."""
+    with _lock:
+        _gauges[name] = value
     if _client is not None:
         _client.gauge(name, value)
 
 
 def record_timing(name: str, milliseconds: float) -> None:
     """Record one duration."""
+    with _lock:
+        histogram = _histograms.setdefault(name, Histogram())
+        histogram.counts[bisect.bisect_left(BUCKETS_MS, milliseconds)] += 1
+        histogram.total_ms += milliseconds
     if _client is not None:
         _client.timing(name, milliseconds)
 
@@ -163,6 +224,20 @@
         return dict(_counts)
 
 
+def read_gauges() -> dict[str, float]:
+    """Return every gauge of this process by name."""
+    with _lock:
+        return dict(_gauges)
+
+
+def read_histograms() -> dict[str, Histogram]:
+    """Return copies of the histograms of this process by name."""
+    with _lock:
+        return {
+            name: Histogram(list(item.counts), item.total_ms) for name, item in _histograms.items()
+        }
+
+
 def list_metrics() -> list[Metric]:
     """Return the table of metrics, for the page that describes them."""
     return list(_METRICS)
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -54,6 +54,11 @@
 
 
 CallOutcome = Answered | Refused | Unresolved
+_COUNTERS = {
+    Answered: metrics.ANSWERED,
+    Refused: metrics.REFUSED,
+    Unresolved: metrics.UNKNOWN,
+}
 _Attempted = expression.Result[servers.CallAnswer, servers.CallFailure]
 
 
@@ -122,9 +127,33 @@
         progress = _Progress(request, route, backend, limited, is_windowed)
         self._hedges.note_fresh()
         outcome = self._run(progress, is_gone)
-        _log_outcome(progress, outcome, remaining - deadline.remaining)
+        self._note_outcome(progress, outcome, remaining - deadline.remaining)
         return outcome
 
+    def _note_outcome(self, progress: _Progress, outcome: CallOutcome, seconds: float) -> None:
+        metrics.count(metrics.REQUESTS)
+        metrics.count(_COUNTERS[type(outcome)])
+        metrics.record_timing(metrics.REQUEST_MS, seconds * 1000)
+        fields: dict[str, object] = {
+            "event": "call",
+            "id": progress.request.request_id,
+            "route": progress.route.name,
+            "backend": progress.backend,
+            "asked": ",".join(sorted(progress.excluded)),
+            "ms": int(seconds * 1000),
+        }
+        if isinstance(outcome, Answered) and outcome.answer.is_success:
+            log.logger.bind(**fields, server=outcome.server_id).info("answered")
+            return
+        table = self._directory.table
+        log.logger.bind(
+            **fields,
+            reason=progress.reason,
+            configuration=table.version if table else None,
+            servers=len(self._directory.list_servers(progress.backend)),
+            list_age_ms=int(self._directory.silent_seconds * 1000),
+        ).info(type(outcome).__name__.lower())
+
     def _run(
         self, progress: _Progress, is_gone: collections.abc.Callable[[], bool]
     ) -> CallOutcome:
@@ -247,18 +276,3 @@
     if progress.may_have_run:
         return Unresolved(progress.reason)
     return Refused(progress.reason, _RETRY_AFTER_MS)
-
-
-def _log_outcome(progress: _Progress, outcome: CallOutcome, seconds: float) -> None:
-    fields: dict[str, object] = {
-        "event": "call",
-        "id": progress.request.request_id,
-        "route": progress.route.name,
-        "backend": progress.backend,
-        "asked": ",".join(sorted(progress.excluded)),
-        "ms": int(seconds * 1000),
-    }
-    if isinstance(outcome, Answered) and outcome.answer.is_success:
-        log.logger.bind(**fields, server=outcome.server_id).info("answered")
-        return
-    log.logger.bind(**fields, reason=progress.reason).info(type(outcome).__name__.lower())
--- a/libs/samples/oleander_samples/hedging.py
+++ b/libs/samples/oleander_samples/hedging.py
@@ -23,6 +23,8 @@
     """Nothing is a straggler before so much of the step is whole."""
     start_seconds: float = 0.0
     """How long an attempt may wait for its first token before it can be a straggler."""
+    retry_seconds: float = 5.0
+    """The longest pause before a sample that fails at once is tried again."""
     scan_seconds: float = 1.0
     """How long after one look for stragglers the next follows."""
 
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -14,7 +14,6 @@
 MOST_CANCELLATIONS = 64 * 1024
 """Beyond this the oldest are forgotten: their engines make what nobody takes."""
 _FIRST_DELAY_SECONDS = 0.1
-_MOST_DELAY_SECONDS = 5.0
 _MOST_DOUBLINGS = 10
 RESTART_PERCENT = 25
 """The part of a sample's expected length that is given up for newer weights, for staleness."""
@@ -347,5 +346,5 @@
         failures = self._failures.get(number, 0)
         self._failures[number] = failures + 1
         longest = math.ldexp(_FIRST_DELAY_SECONDS, min(failures, _MOST_DOUBLINGS))
-        most = min(_MOST_DELAY_SECONDS, longest)
+        most = min(self._policy.retry_seconds, longest)
         return most * self._random.uniform(0.5, 1.0)
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -53,6 +53,8 @@
         if self._journal.find(submitted.batch_id) is not None:
             return expression.Ok(None)
         accepted = self._journal.accept(submitted, deadline.earlier(_ACCEPT_SECONDS))
+        if accepted.is_ok():
+            metrics.count(metrics.BATCHES_ACCEPTED)
         log.logger.bind(
             event="batch-submitted",
             batch=submitted.batch_id,
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -14,6 +14,7 @@
     moves=True,
     nearly_whole_percent=10,
     start_seconds=1.0,
+    retry_seconds=1.0,
     scan_seconds=0.4,
 )
 """A straggler is cancelled before it goes on elsewhere, never raced: two engines that go on with
@@ -73,6 +74,16 @@
         """What the trainer handed in."""
         return self._submitted
 
+    @property
+    def age_seconds(self) -> float:
+        """How long ago this process read of the batch."""
+        return clock.read_now() - self._batch.seen_at
+
+    @property
+    def is_given_up(self) -> bool:
+        """Whether no more items are generated."""
+        return self._is_stopped
+
     @property
     def is_wanted(self) -> bool:
         """Whether results of it are still of use."""
@@ -90,6 +101,16 @@
                 self._known_finished.add(number)
                 self._cancelled.update(self._scheduler.drop(number))
 
+    def give_up_all(self) -> list[tuple[int, submission.ItemResult]]:
+        """Give up what has no result, and return that it is lost."""
+        self.stop()
+        lost = submission.ResultState.LOST
+        return [
+            (number, submission.ItemResult(item.item_id, lost, "", (), ""))
+            for number, item in enumerate(self._submitted.items)
+            if number not in self._batch.finished and number not in self._results
+        ]
+
     def resume_item(self, partial: submission.PartialText) -> None:
         """Take in the start of a text that another process made."""
         if not 0 <= partial.item_number < len(self._submitted.items):
@@ -148,7 +169,7 @@
         Engines admit the more urgent first. So where several entries fill one engine, the step
         that is due first goes first, without the entries knowing of each other.
         """
-        passed = (clock.read_now() - self._batch.seen_at) / due_seconds
+        passed = self.age_seconds / due_seconds
         return max(_MOST_URGENT, _LEAST_URGENT - int(_URGENCIES * passed))
 
     def take_partials(self, least_events: int) -> list[submission.PartialText]:
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -3,7 +3,7 @@
 import collections
 import threading
 
-from oleander_base import clock, log, tasks
+from oleander_base import clock, log, metrics, tasks
 from oleander_batches import fold, journal, submission
 from oleander_direct import directory, routes, servers
 from oleander_platform import recordlog
@@ -159,6 +159,7 @@
         if written.is_error():
             log.warn_bounded("results-unwritten", written.error.detail, batch=batch_id)
             return False
+        metrics.count(metrics.RESULTS_WRITTEN, len(fresh))
         return True
 
 
@@ -204,6 +205,7 @@
         """Start items until the group stops."""
         while not self._group.is_stopping:
             self._update_runs()
+            self._give_up_overdue()
             if not self._is_draining:
                 while self._start_one():
                     pass
@@ -265,6 +267,28 @@
             elif not is_owned and batch_id in self._runs:
                 self._runs.pop(batch_id).stop()
 
+    def _give_up_overdue(self) -> None:
+        """
+        List as lost what has no result when the time is over in which a batch is kept.
+
+        Its trainer has stopped reading; its items would be tried for as long as the process runs.
+        """
+        for run in list(self._runs.values()):
+            route = self._find_route(run.batch)
+            is_overdue = route is not None and run.age_seconds > route.retention_ms / 1000
+            if not is_overdue or run.is_given_up:
+                continue
+            lost = run.give_up_all()
+            for number, result in lost:
+                self._writer.add(run.batch.batch_id, number, result)
+            log.logger.bind(
+                event="batch-given-up", batch=run.batch.batch_id, items=len(lost)
+            ).warning("its time is over")
+
+    def _find_route(self, batch: fold.Batch) -> routes.Route | None:
+        table = self._directory.table
+        return table.match(batch.host, batch.path) if table else None
+
     def _load(self, batch: fold.Batch) -> None:
         table = self._directory.table
         route = table.match(batch.host, batch.path) if table else None
@@ -317,9 +341,8 @@
         return False
 
     def _start_of(self, run: batch_run.BatchRun) -> bool:
-        table = self._directory.table
-        route = table.match(run.submitted.host, run.submitted.path) if table else None
-        if route is None:
+        route = self._find_route(run.batch)
+        if route is None or run.is_given_up:
             return False
         if self._choose(run, route, frozenset()) is None:
             return False
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -17,6 +17,7 @@
     http_server,
     item_task,
     lifecycle,
+    metrics_page,
     version_keeper,
 )
 
@@ -39,6 +40,7 @@
 _STOP_MARGIN_SECONDS = 1.5
 """A stop ends so long before the platform's limit."""
 _CLOSE_SECONDS = 0.5
+_RELOAD_SECONDS = 1.0
 _POLL_SECONDS = 0.1
 
 
@@ -49,6 +51,8 @@
     name: str
     callers_address: str
     ready_address: str
+    metrics_address: str
+    """Where metrics are served as text; empty where they are not."""
     partitions: int
     order_gap_seconds: float
     batch_keep_seconds: float
@@ -86,6 +90,10 @@
     ) -> tuple[tuple[str, keyed_follower.KeyedSink], tuple[str, keyed_follower.KeyedSink]]:
         """Return topic and sink of the operator's records, then of the servers' records."""
 
+    @abc.abstractmethod
+    def reload(self, was_asked: bool) -> None:
+        """Take in settings that changed; called each second, and told of a request to."""
+
     @abc.abstractmethod
     def create_surface(self, operations: Operations) -> http_server.Handler:
         """Return what answers callers and the readiness check."""
@@ -96,6 +104,7 @@
 
     def __init__(self, chosen: EntrySettings, deployment: Deployment) -> None:
         self._chosen = chosen
+        self._deployment = deployment
         self._leaving = threading.Event()
         self._group = tasks.TaskGroup("entry", MOST_ITEMS + _OTHER_TASKS)
         log_service = deployment.create_log()
@@ -134,6 +143,11 @@
         surface = deployment.create_surface(operations)
         self._callers = self._create_server(surface, chosen.callers_address, HTTP_THREADS)
         self._ready = self._create_server(surface, chosen.ready_address, READY_THREADS)
+        self._metrics = (
+            self._create_server(metrics_page.MetricsHandler(), chosen.metrics_address, 1)
+            if chosen.metrics_address
+            else None
+        )
 
     def run(self, stop: lifecycle.StopSignal) -> None:
         """Serve until told to stop, then finish what is in progress."""
@@ -148,9 +162,12 @@
         self._group.keep(self._keeper.keep)
         self._group.start(self._callers.serve)
         self._group.start(self._ready.serve)
+        if self._metrics is not None:
+            self._group.start(self._metrics.serve)
         log.logger.bind(event="started", callers=self._chosen.callers_address).info("serving")
-        while not stop.wait(1.0):
-            pass
+        reload = lifecycle.ReloadSignal()
+        while not stop.wait(_RELOAD_SECONDS):
+            self._deployment.reload(reload.take())
         self._drain()
         log.logger.bind(event="stopped").info("nothing is in progress")
 
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from oleander_base import clock, log, tasks
+from oleander_base import clock, log, metrics, tasks
 from oleander_batches import submission
 from oleander_direct import calls, directory, routes, servers
 from oleander_routing import router
@@ -53,7 +53,7 @@
         ended = outcome.run()
         rated, milliseconds = outcome.rate(clock.read_now() - started_at)
         self._router.note_finished(server.server_id, rated, milliseconds)
-        _log_attempt(item, server, outcome, clock.read_now() - started_at)
+        _note_attempt(item, server, outcome, clock.read_now() - started_at)
         if isinstance(ended, submission.ItemResult):
             return ended
         if ended is None:
@@ -122,7 +122,7 @@
         self._heard_at = clock.read_now()
         self._first_at = 0.0
         self._events = 0
-        self._was_refused = False
+        self.was_refused = False
         self._was_cancelled = False
         self.was_error = False
         self.reason = ""
@@ -151,7 +151,7 @@
     def rate(self, seconds: float) -> tuple[router.RouteOutcome, float]:
         """Return what the attempt says of its server, and its milliseconds for each event."""
         milliseconds = seconds * 1000
-        if self._was_refused:
+        if self.was_refused:
             return router.RouteOutcome.REFUSED, milliseconds
         if self._events:
             running = clock.read_now() - self._first_at
@@ -195,7 +195,7 @@
     def _judge_answer(self, answer: servers.CallAnswer) -> submission.ItemResult | None:
         self.reason = f"status-{answer.status}"
         if answer.did_not_run or answer.is_other_server:
-            self._was_refused = True
+            self.was_refused = True
             self._run.put_back(self._item)
             return None
         self._run.fail(self._item)
@@ -215,9 +215,13 @@
     return submission.ItemResult(item.item_id, submission.ResultState.LOST, "", (), "")
 
 
-def _log_attempt(
+def _note_attempt(
     item: batch_run.ItemWork, server: servers.Server, outcome: _ItemAttempt, seconds: float
 ) -> None:
+    metrics.count(metrics.ITEMS_STARTED)
+    metrics.record_timing(metrics.ITEM_MS, seconds * 1000)
+    if outcome.reason:
+        metrics.count(metrics.ITEMS_REFUSED if outcome.was_refused else metrics.ITEMS_BROKEN)
     log.logger.bind(
         event="item",
         id=item.item.item_id,
--- a/programs/oleanderdeal/oleanderdeal/lifecycle.py
+++ b/programs/oleanderdeal/oleanderdeal/lifecycle.py
@@ -8,6 +8,27 @@
 import typing
 
 
+class ReloadSignal:
+    """
+    Set by SIGHUP, which says that the settings file has changed.
+
+    Without a handler the signal ends the process, with all requests in progress.
+    """
+
+    def __init__(self) -> None:
+        self._received = threading.Event()
+        signal.signal(signal.SIGHUP, self._receive)
+
+    def take(self) -> bool:
+        """Return whether the signal came since the last call."""
+        was_received = self._received.is_set()
+        self._received.clear()
+        return was_received
+
+    def _receive(self, number: int, frame: types.FrameType | None) -> None:
+        self._received.set()
+
+
 class StopSignal:
     """
     Set by SIGTERM or SIGINT; a planned stop then finishes what runs.
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -1,6 +1,6 @@
 """Brings the weights of backend servers to the versions that trainers named."""
 
-from oleander_base import clock, log, tasks
+from oleander_base import clock, log, metrics, tasks
 from oleander_direct import directory, servers
 from oleander_orders import plan, right
 
@@ -42,7 +42,9 @@
 
     def _order_once(self) -> None:
         table = self._directory.table
-        if table is None or self._right.find_tenure() is None:
+        is_held = self._right.find_tenure() is not None
+        metrics.record_gauge(metrics.ORDERS_HELD, float(is_held))
+        if table is None or not is_held:
             return
         named = self._directory.list_named()
         for backend in table.backends:
@@ -81,6 +83,7 @@
             accepted_orders=accepted,
         )
         outcome = self._caller.order(order.server, sent, tenure.deadline.earlier(_ORDER_SECONDS))
+        metrics.count(metrics.ORDERS)
         self._plan.note(order, accepted, outcome)
         log.logger.bind(
             event="order",
