Spread the rights to order over the processes, and let a restarted holder go on at once

A load also counted as running until a heartbeat showed it. Change: a right for each partition of servers; a process that starts on the last holder's own host claims at once (a host is one holder); servers load in waves that all processes work out alike; engines are asked whether they have loaded. The file of the runner is split (ownership, result_writer). One row of orders.feature changed with the rule: a process whose claim had no answer may claim again at once, since the record it reads is its own host's; that no two may order within the gap is checked as before, on that row too.

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -1,7 +1,7 @@
 Feature: One holder at a time orders backend servers
   Time is simulated. Holders are named by letters; the gap between two of them is 3 s.
   A script is read word by word: a+ lets a try, a? checks that a may order, a! that it may not, 2s waits,
-  a.down cuts a off from the log, a.up joins it again, a.release gives the right up, a.lost lets
+  a.restart starts a's process anew on its host, a.down cuts a off from the log, a.up joins it again, a.release gives the right up, a.lost lets
   a's next append take effect without an answer, a.late lets it take effect at `late`.
 
   Scenario Outline: Orders of two holders never come within the gap
@@ -21,11 +21,14 @@
       | a+ b+ 9s b+ b? a! a+ a! 1s b+ b? |
       | a+ a? 2s a.down a+ 1s a! b+ b! 4s b+ b! 3s b+ b? a.up a+ a! |
       | a+ a.release a! b+ b! 3s b+ b! 1s b+ b? |
-      | a.lost a+ a! 1s a+ a! b+ b! 7s b+ b? a+ a! |
+      | a.lost a+ a! 1s a+ a? b+ b! 7s a! b+ b? a+ a! |
       | a+ a? b+ 1s a.late a+ a? 2s a! b+ 4s b+ b? late a+ a! b+ b? |
       | a+ a? b+ 1s a.late a+ 2s late a! b+ b! 3s b+ b! 4s b+ b? |
       | a+ b+ c+ 7s b+ b? c+ c! 1s b+ b? c+ 3s c! 4s c+ c? b! |
       | a.late a+ a! b+ b? late b+ b? a+ a! |
+      | a+ a? b+ a.restart a! a+ a? b+ b! 1s a+ a? |
+      | a+ a? a.restart b+ b! 9s b+ b? a+ a! |
+      | a+ a? b+ 7s b+ b? a.restart a+ a! b+ b? |
 
   Scenario: A new process does not order until it has read that nobody holds the right
     # All processes restart at once. The log names a holder that may live; only its silence for
@@ -37,18 +40,32 @@
   Scenario Outline: Servers are ordered in turns, and once
     # Weights load for a second, in which a server takes no new work for that model. Ordering all
     # at once would leave nobody to serve it; ordering again what is on its way costs another load.
+    # Several processes have rights to some servers each and must come to the same waves.
     Given the engines <engines> and the named versions <named>
-    When orders are planned <times> times
-    Then the planned orders are <orders>
+    When orders are planned <times> times, <seconds> s after they were named, for <rights>
+    Then the planned orders are <count> to <among>
 
     Examples:
-      | engines             | named   | times | orders          |
-      | s1=1 s2=1 s3=1 s4=1 | m=2     | 1     | s1:m2 s2:m2     |
-      | s1=1 s2=1 s3=1 s4=1 | m=2     | 3     | s1:m2 s2:m2     |
-      | s1=2 s2=2 s3=1 s4=1 | m=2     | 1     | s3:m2 s4:m2     |
-      | s1=2 s2=3           | m=2     | 1     | none            |
-      | s1=1 s2=3           | m=5     | 1     | s1:m5 s2:m5     |
-      | s1=1                | n=9     | 1     | none            |
+      | engines                       | named | times | seconds | rights | count | among       |
+      | s1=1 s2=1 s3=1 s4=1           | m=2   | 1     | 0       | all    | 2     | s1 s2 s3 s4 |
+      | s1=1 s2=1 s3=1 s4=1           | m=2   | 3     | 0       | all    | 2     | s1 s2 s3 s4 |
+      | s1=1 s2=1 s3=1 s4=1           | m=2   | 1     | 1.3     | all    | 4     | s1 s2 s3 s4 |
+      | s1=1 s2=1 s3=1 s4=1           | m=2   | 1     | 1.3     | s1     | 1     | s1          |
+      | s1=2 s2=2 s3=1 s4=1           | m=2   | 1     | 0       | all    | 2     | s3 s4       |
+      | s1=1 s2=1 s3=1 s4=1 s5=1 s6=1 s7=1 s8=1 s9=1 | m=2 | 1 | 0 | all | 3 | s1 s2 s3 s4 s5 s6 s7 s8 s9 |
+      | s1=2 s2=3                     | m=2   | 1     | 9       | all    | 0     | none        |
+      | s1=1 s2=3                     | m=5   | 1     | 0       | all    | 2     | s1 s2       |
+      | s1=1                          | n=9   | 1     | 9       | all    | 0     | none        |
+      | s1=1                          | m=2   | 1     | 9       | none   | 0     | none        |
+
+  Scenario: What a server says of itself goes before the list
+    # The list tells a heartbeat late. Until then the server would count as loading, and its next
+    # order would wait a second longer than it must.
+    Given the engines s1=1 and the named versions m=2
+    When orders are planned 1 times, 0 s after they were named, for all
+    And s1 says that it has version 2 of m
+    And the engines are named version 3
+    Then the planned orders are 2 to s1
 
   Scenario Outline: An order states what the server has accepted
     # An order without an answer may be carried out late, after newer ones. It names how many the
--- a/features/steps/batch_items_steps.py
+++ b/features/steps/batch_items_steps.py
@@ -12,7 +12,7 @@
 from oleander_direct import calls, directory, routes, servers
 from oleander_routing import router
 from oleander_standins import recordlog
-from oleanderdeal import batch_runner, item_task
+from oleanderdeal import batch_runner, item_task, ownership, result_writer
 
 _ITEMS = 4
 _EVENTS = 6
@@ -144,10 +144,10 @@
             self._put_server(name, "engines", (servers.ModelVersion(_MODEL, 2),))
         self._put_server("s1", "scorers", ())
         self.journal = journal.BatchJournal(log_service, self.group, 4, 100.0)
-        owned = batch_runner.Ownership(log_service, "runner", self.group)
+        owned = ownership.Ownership(log_service, "runner", self.group)
         dispatcher = calls.CallDispatcher(self._known, chooser, engines)
         items = item_task.ItemRunner(self._known, chooser, engines, dispatcher, self.group)
-        writer = batch_runner.ResultWriter(self.journal, self.group)
+        writer = result_writer.ResultWriter(self.journal, self.group)
         self.runner = batch_runner.BatchRunner(
             self._known, self.journal, owned, chooser, items, writer, self.group, 32
         )
--- a/libs/direct/oleander_direct/directory.py
+++ b/libs/direct/oleander_direct/directory.py
@@ -1,5 +1,6 @@
 """The backend servers known now, and the configuration in force; followed from the platform."""
 
+import dataclasses
 import threading
 
 from oleander_base import clock, log
@@ -12,6 +13,15 @@
 """A silence of the platform that can make registrations lapse."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class NamedVersion:
+    """The version that a trainer wants its model to have."""
+
+    version: int
+    seen_at: float
+    """When this process read of it."""
+
+
 class Directory:
     """
     What this process believes of servers and routes; safe to use from several threads.
@@ -31,7 +41,7 @@
         self._is_listed = False
         self._heard_at = clock.read_now()
         self._outage_ended_at = 0.0
-        self._named: dict[str, int] = {}
+        self._named: dict[str, NamedVersion] = {}
 
     @property
     def table(self) -> routes.RouteTable | None:
@@ -73,12 +83,13 @@
     def put_named(self, model: str, version: int) -> None:
         """Take in the newest version that a trainer named."""
         with self._lock:
-            if version <= self._named.get(model, 0):
+            known = self._named.get(model)
+            if known is not None and version <= known.version:
                 return
-            self._named[model] = version
+            self._named[model] = NamedVersion(version, clock.read_now())
         log.logger.bind(event="version-named", model=model, version=version).info("noted")
 
-    def list_named(self) -> dict[str, int]:
+    def list_named(self) -> dict[str, NamedVersion]:
         """Return the newest version of each model."""
         with self._lock:
             return dict(self._named)
--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -1,15 +1,20 @@
 """Which backend servers to order to load which weights, and when."""
 
+import collections.abc
 import dataclasses
 
-from oleander_base import clock
-from oleander_direct import servers
+from oleander_base import clock, identifiers
+from oleander_direct import directory, servers
 
-_LOADING_PART = 3
+_WAVE_PART = 3
 """One server in so many loads a model at once, so that the others serve it meanwhile."""
-_LEAST_LOADING = 2
+_LEAST_WAVE = 2
+_WAVE_SECONDS = 1.2
+"""The next wave follows after a load of 0.9 s and a margin, unless the last is seen to be done."""
+_CHECK_SECONDS = 0.4
+"""How often a server is asked whether it has loaded; the list tells a heartbeat later."""
 _TAKEN_SECONDS = 4.0
-"""An order that was taken shows in the list within this time: the load and two heartbeats."""
+"""An order that does not show for so long is given again: several loads, or a restart."""
 _BUSY_SECONDS = 0.3
 """A server that is loading is asked again after a third of a load."""
 _DOUBT_SECONDS = 2.0
@@ -29,7 +34,9 @@
 class _Pending:
     """An order that was given and does not show yet."""
 
-    version: int
+    order: PlannedOrder
+    is_taken: bool
+    check_at: float
     until: float
 
 
@@ -37,6 +44,10 @@
     """
     Remembers what was ordered; used by one thread.
 
+    Servers load in waves, in an order that all processes work out alike from the list, so that
+    those with rights to different servers leave enough of them to serve without a word between
+    them.
+
     An order names how many the server has accepted before. So of an order without an answer and
     the same one given again, at most one has effect, also when the first is carried out late.
     The number comes from the server itself; since its report lags, the orders that it has taken
@@ -46,28 +57,28 @@
     def __init__(self) -> None:
         self._pending: dict[tuple[str, str], _Pending] = {}
         self._accepted: dict[str, int] = {}
+        self._loaded: dict[tuple[str, str], int] = {}
 
     def choose(
-        self, listed: list[servers.Server], named: dict[str, int], models: tuple[str, ...]
+        self,
+        listed: list[servers.Server],
+        named: dict[str, directory.NamedVersion],
+        models: tuple[str, ...],
+        may_order: collections.abc.Callable[[servers.Server], bool],
     ) -> list[PlannedOrder]:
         """Return the orders to give now to the servers of one backend."""
         now = clock.read_now()
         self._forget(listed, now)
-        most = max(_LEAST_LOADING, len(listed) // _LOADING_PART)
         busy = {incarnation for incarnation, _ in self._pending}
         planned: list[PlannedOrder] = []
         for model in sorted(models):
-            version = named.get(model, 0)
-            loading = sum(1 for _, pending_model in self._pending if pending_model == model)
-            for server in sorted(listed, key=lambda item: item.find_version(model) or 0):
-                if loading >= most:
-                    break
-                current = server.find_version(model)
-                if current is None or current >= version or server.incarnation in busy:
-                    continue
-                busy.add(server.incarnation)
-                loading += 1
-                planned.append(PlannedOrder(server, model, version))
+            target = named.get(model)
+            if target is None:
+                continue
+            for server in self._list_due(listed, model, target, now):
+                if server.incarnation not in busy and may_order(server):
+                    busy.add(server.incarnation)
+                    planned.append(PlannedOrder(server, model, target.version))
         return planned
 
     def count_accepted(self, server: servers.Server, state: servers.EngineState) -> int:
@@ -76,31 +87,76 @@
 
     def put_off(self, order: PlannedOrder) -> None:
         """Leave an order for later: its server could not be asked, or is loading."""
-        until = clock.read_now() + _BUSY_SECONDS
-        self._pending[order.server.incarnation, order.model] = _Pending(order.version, until)
+        self._note(order, False, _BUSY_SECONDS)
 
     def note(
         self, order: PlannedOrder, accepted_orders: int, outcome: servers.OrderOutcome
     ) -> None:
         """Take in what became of an order."""
-        key = (order.server.incarnation, order.model)
-        seconds = _DOUBT_SECONDS
         if isinstance(outcome, servers.OrderTaken):
-            seconds = _TAKEN_SECONDS
             if not outcome.is_done:
                 self._accepted[order.server.incarnation] = accepted_orders + 1
-        elif isinstance(outcome, servers.OrderRefused):
+            self._note(order, True, _TAKEN_SECONDS)
+            return
+        if isinstance(outcome, servers.OrderRefused):
             self._accepted.pop(order.server.incarnation, None)
-        self._pending[key] = _Pending(order.version, clock.read_now() + seconds)
+        self._note(order, False, _DOUBT_SECONDS)
+
+    def list_unseen(self) -> list[PlannedOrder]:
+        """Return taken orders whose servers should be asked now whether they have loaded."""
+        now = clock.read_now()
+        due = [item for item in self._pending.values() if item.is_taken and item.check_at <= now]
+        for item in due:
+            item.check_at = now + _CHECK_SECONDS
+        return [item.order for item in due]
+
+    def note_state(self, order: PlannedOrder, state: servers.EngineState) -> None:
+        """Take in what a server says of itself after an order."""
+        version = state.find_version(order.model) or 0
+        if not state.is_loading and version >= order.version:
+            key = (order.server.incarnation, order.model)
+            self._loaded[key] = version
+            self._pending.pop(key, None)
+
+    def _list_due(
+        self,
+        listed: list[servers.Server],
+        model: str,
+        target: directory.NamedVersion,
+        now: float,
+    ) -> list[servers.Server]:
+        """Return the servers without the target whose wave has come, in the waves' order."""
+        size = max(_LEAST_WAVE, len(listed) // _WAVE_PART)
+        ranked = sorted(
+            (item for item in listed if item.find_version(model) is not None),
+            key=lambda item: identifiers.hash_text(f"{model}\n{item.server_id}"),
+        )
+        waves = int((now - target.seen_at) / _WAVE_SECONDS) + 1
+        missing = [item for item in ranked if self._find_version(item, model) < target.version]
+        done = len(ranked) - len(missing)
+        reached = max(waves, done // size + 1) * size
+        due = set(map(id, ranked[:reached]))
+        return [item for item in missing if id(item) in due]
+
+    def _find_version(self, server: servers.Server, model: str) -> int:
+        """Return the version that a server has, by the list or by its own word since."""
+        listed = server.find_version(model) or 0
+        return max(listed, self._loaded.get((server.incarnation, model), 0))
+
+    def _note(self, order: PlannedOrder, is_taken: bool, seconds: float) -> None:
+        now = clock.read_now()
+        key = (order.server.incarnation, order.model)
+        self._pending[key] = _Pending(order, is_taken, now + 2 * _CHECK_SECONDS, now + seconds)
 
     def _forget(self, listed: list[servers.Server], now: float) -> None:
         """Forget what shows in the list, what is overdue, and servers that are gone."""
         known = {server.incarnation: server for server in listed}
         for key, pending in list(self._pending.items()):
             server = known.get(key[0])
-            shown = server.find_version(key[1]) if server else None
-            if server is None or pending.until < now or (shown or 0) >= pending.version:
+            shown = self._find_version(server, key[1]) if server else 0
+            if server is None or pending.until < now or shown >= pending.order.version:
                 del self._pending[key]
-        for incarnation in list(self._accepted):
-            if incarnation not in known:
-                del self._accepted[incarnation]
+        for incarnation in [item for item in self._accepted if item not in known]:
+            del self._accepted[incarnation]
+        for key in [item for item in self._loaded if item[0] not in known]:
+            del self._loaded[key]
--- a/libs/orders/oleander_orders/right.py
+++ b/libs/orders/oleander_orders/right.py
@@ -5,11 +5,10 @@
 
 import cbor2
 
-from oleander_base import clock, identifiers, log, tasks
+from oleander_base import clock, identifiers, log
 from oleander_platform import recordlog
 
 TOPIC = "oleander.orders"
-_PARTITION = 0
 TERM_SECONDS = 2.5
 """How long a confirmed record lets its writer order. Renewed three times in it, so that one lost
 answer or a pause of half a second does not end it."""
@@ -17,7 +16,6 @@
 _GAP_MARGIN_SECONDS = 0.5
 """On top of the required gap, for orders on their way when the term ended."""
 _READ_SECONDS = 1.4
-_WAIT_MS = 1000
 _APPEND_SECONDS = 0.7
 _AGAIN_SECONDS = 0.2
 _RELEASED = "released"
@@ -38,6 +36,7 @@
     """The newest record of the partition."""
 
     holder: str
+    host: str
     state: str
     fencing: int
     seen_at: float
@@ -54,20 +53,25 @@
     term and the gap that must lie between two holders. The earlier holder's deadline, counted
     by its own clock from before its last confirmed append, has passed by then however late
     that append took effect: an append that was delayed fails its condition or restarts the wait.
+
+    A process that starts again on the holder's own host need not wait: a host runs one of them at
+    a time, and servers take one host's orders for one holder's. Else nobody could order for six
+    seconds after all processes were restarted.
     """
 
     def __init__(
         self,
         log_service: recordlog.RecordLog,
-        name: str,
+        host: str,
         gap_seconds: float,
-        group: tasks.TaskGroup,
+        partition: int = 0,
     ) -> None:
-        """Take the gap that must lie between the orders of two holders."""
+        """Take what names this host alone, and the gap between the orders of two holders."""
         self._log = log_service
-        self._name = f"{name}/{identifiers.create_incarnation()}"
+        self._host = host
+        self._partition = partition
+        self._name = f"{host}/{identifiers.create_incarnation()}"
         self._gap_seconds = gap_seconds + _GAP_MARGIN_SECONDS
-        self._group = group
         self._lock = threading.Lock()
         self._next_offset = 0
         self._newest: _Entry | None = None
@@ -80,17 +84,17 @@
         """The name of this holder; each run of a process has its own."""
         return self._name
 
+    @property
+    def is_wanted(self) -> bool:
+        """Whether it was not given up."""
+        return self._is_wanted
+
     def find_tenure(self) -> Tenure | None:
         """Return the permission to order now, if this process has it."""
         with self._lock:
             tenure = self._tenure
         return None if tenure is None or tenure.deadline.is_past else tenure
 
-    def hold(self) -> None:
-        """Claim the right whenever it is free, and renew it, until the group stops."""
-        while not self._group.is_stopping and self._is_wanted:
-            self._group.pause(self.try_hold(_WAIT_MS))
-
     def try_hold(self, wait_ms: int) -> float:
         """Renew the right, or read on and claim it where it is free; return when to try again."""
         if self.find_tenure() is not None:
@@ -114,7 +118,7 @@
         newest = self._newest
         if not self._is_read:
             return False
-        if newest is None:
+        if newest is None or newest.host == self._host:
             return True
         wait = self._gap_seconds + (TERM_SECONDS if newest.state == _HELD else 0.0)
         return clock.read_now() - newest.seen_at > wait
@@ -127,7 +131,9 @@
         deadline = clock.Deadline(started_at + TERM_SECONDS)
         with self._lock:
             self._tenure = Tenure(offset, deadline)
-        log.logger.bind(event="orders-held", holder=self._name, fencing=offset).info("claimed")
+        log.logger.bind(
+            event="orders-held", holder=self._name, partition=self._partition, fencing=offset
+        ).info("claimed")
 
     def _renew(self) -> None:
         tenure = self.find_tenure()
@@ -143,13 +149,13 @@
 
     def _append(self, state: str, fencing: int) -> int | None:
         """Append where the partition ends as read; return the offset once it is confirmed."""
-        content = cbor2.dumps([self._name, state, fencing])
+        content = cbor2.dumps([self._name, self._host, state, fencing])
         deadline = clock.start_deadline(_APPEND_SECONDS)
         offset = self._next_offset
-        appended = self._log.append_at(TOPIC, _PARTITION, [content], offset, deadline)
+        appended = self._log.append_at(TOPIC, self._partition, [content], offset, deadline)
         if appended.is_ok():
             self._next_offset = offset + 1
-            self._newest = _Entry(self._name, state, fencing, clock.read_now())
+            self._newest = _Entry(self._name, self._host, state, fencing, clock.read_now())
             return offset
         log.warn_bounded("orders-unconfirmed", str(appended.error), state=state)
         self._read_on(0)
@@ -158,7 +164,7 @@
     def _read_on(self, wait_ms: int) -> bool:
         deadline = clock.start_deadline(_READ_SECONDS)
         wait_ms = wait_ms if self._is_read else 0
-        page = self._log.read(TOPIC, _PARTITION, self._next_offset, wait_ms, deadline)
+        page = self._log.read(TOPIC, self._partition, self._next_offset, wait_ms, deadline)
         if page.is_error():
             log.warn_bounded("orders-unread", page.error.detail)
             return False
@@ -171,13 +177,15 @@
     def _take(self, record: recordlog.RawRecord) -> None:
         """Take in a record; one that can't be read counts as held, the careful way."""
         try:
-            holder, state, fencing = cbor2.loads(record.content)
+            holder, host, state, fencing = cbor2.loads(record.content)
         except (cbor2.CBORDecodeError, ValueError, TypeError):
-            holder, state, fencing = "", _HELD, record.offset
-        self._newest = _Entry(str(holder), str(state), record.offset, clock.read_now())
+            holder, host, state, fencing = "", "", _HELD, record.offset
+        self._newest = _Entry(str(holder), str(host), str(state), record.offset, clock.read_now())
         if holder == self._name:
             return
         with self._lock:
             lost, self._tenure = self._tenure, None
         if lost is not None:
-            log.logger.bind(event="orders-lost", holder=holder, fencing=fencing).warning("taken")
+            log.logger.bind(
+                event="orders-lost", holder=holder, partition=self._partition, fencing=fencing
+            ).warning("taken")
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -1,168 +1,22 @@
 """Runs the items of the batches that fall to this process."""
 
-import collections
 import threading
 
-from oleander_base import clock, log, metrics, tasks
-from oleander_batches import fold, journal, submission
+from oleander_base import clock, log, tasks
+from oleander_batches import fold, journal
 from oleander_direct import directory, routes, servers
-from oleander_platform import recordlog
 from oleander_routing import router
-from oleanderdeal import batch_run, item_task, item_texts
+from oleanderdeal import batch_run, item_task, item_texts, ownership, result_writer
 
-_GROUP = "oleander.runners"
-_TTL_MS = 2000
-"""A runner that is silent for so long loses its batches to the others."""
-_BELIEVED_SECONDS = 10.0
-"""For so long after the last answer a process goes on with its batches; outages last seconds,
-and a batch has little more time than this."""
-_JOIN_SECONDS = 0.6
-_JOIN_DEADLINE_SECONDS = 1.0
 _IDLE_SECONDS = 0.05
 """How soon a free place at an engine is used; a tenth of a short text's time."""
 _LOAD_SECONDS = 1.0
-_MOST_RESULTS = 64
 _KEEP_SECONDS = 0.8
 _LEAST_KEPT_EVENTS = 12
 """A start that is kept costs two small appends; below half of a usual text it isn't worth them."""
-_WRITE_AGAIN_SECONDS = 0.2
-_MOST_WAITING_RESULTS = 4096
-"""Past this no item is begun: results can't be written, and more would only fill memory."""
 _BATCH_PRIORITY = 0
 
 
-class Ownership:
-    """
-    Which batches this process runs, as the platform deals them out; a hint.
-
-    Two processes may believe to have the same batch, and one that is cut off goes on believing
-    it for a while. Both then run its items; the index takes the first result of each. Stopping as
-    soon as the platform is silent would lose more: in an outage there is nobody to go on, and all
-    texts that ran would be made again after it.
-    """
-
-    def __init__(
-        self, log_service: recordlog.RecordLog, member: str, group: tasks.TaskGroup
-    ) -> None:
-        self._log = log_service
-        self._member = member
-        self._group = group
-        self._membership = recordlog.Membership(0, frozenset())
-        self._believed_until = 0.0
-        self._is_wanted = True
-
-    def keep(self) -> None:
-        """Stay in the group of runners until the process leaves."""
-        while not self._group.is_stopping and self._is_wanted:
-            self._join()
-            self._group.pause(_JOIN_SECONDS)
-
-    def owns(self, partition: int) -> bool:
-        """Tell whether a partition's batches fall to this process."""
-        is_believed = clock.read_now() < self._believed_until
-        return is_believed and partition in self._membership.partitions
-
-    def leave(self) -> None:
-        """Leave the group, so that others go on at once."""
-        self._is_wanted = False
-        self._believed_until = 0.0
-        left = self._log.leave(self._request(), clock.start_deadline(_JOIN_DEADLINE_SECONDS))
-        log.logger.bind(event="runner-left", ok=left.is_ok()).info("batches go to others")
-
-    def _request(self) -> recordlog.MemberRequest:
-        generation = self._membership.generation
-        return recordlog.MemberRequest(
-            _GROUP, self._member, journal.CONTENT_TOPIC, _TTL_MS, generation
-        )
-
-    def _join(self) -> None:
-        started_at = clock.read_now()
-        joined = self._log.join(self._request(), clock.start_deadline(_JOIN_DEADLINE_SECONDS))
-        if joined.is_error():
-            log.warn_bounded("runner-unjoined", joined.error.detail)
-            return
-        if not self._is_wanted:
-            return
-        if joined.ok.partitions != self._membership.partitions:
-            log.logger.bind(
-                event="partitions",
-                generation=joined.ok.generation,
-                partitions=sorted(joined.ok.partitions),
-            ).info("dealt anew")
-        self._membership = joined.ok
-        self._believed_until = started_at + _BELIEVED_SECONDS
-
-
-class ResultWriter:
-    """Writes results to the journal, several at once, until each stands there."""
-
-    def __init__(self, kept: journal.BatchJournal, group: tasks.TaskGroup) -> None:
-        self._journal = kept
-        self._group = group
-        self._lock = threading.Condition()
-        self._waiting: collections.deque[tuple[str, int, submission.ItemResult]] = (
-            collections.deque()
-        )
-        self._writing = 0
-
-    @property
-    def is_full(self) -> bool:
-        """Whether so many results wait that no item should be begun."""
-        return len(self._waiting) >= _MOST_WAITING_RESULTS
-
-    @property
-    def is_idle(self) -> bool:
-        """Whether every result is written."""
-        return not self._waiting and not self._writing
-
-    def add(self, batch_id: str, number: int, result: submission.ItemResult) -> None:
-        """Take in a result."""
-        with self._lock:
-            self._waiting.append((batch_id, number, result))
-            self._lock.notify()
-
-    def write(self) -> None:
-        """Write results until the group stops."""
-        while not self._group.is_stopping:
-            taken = self._take()
-            if taken and not self._write_all(taken):
-                with self._lock:
-                    self._waiting.extendleft(reversed(taken))
-                self._group.pause(_WRITE_AGAIN_SECONDS)
-
-    def _take(self) -> list[tuple[str, int, submission.ItemResult]]:
-        """Return the first results of one batch."""
-        with self._lock:
-            if not self._waiting:
-                self._writing = 0
-                self._lock.wait(_WRITE_AGAIN_SECONDS)
-            if not self._waiting:
-                return []
-            batch_id = self._waiting[0][0]
-            taken = [item for item in self._waiting if item[0] == batch_id][:_MOST_RESULTS]
-            kept = [item for item in self._waiting if item not in taken]
-            self._waiting = collections.deque(kept)
-            self._writing = len(taken)
-            return taken
-
-    def _write_all(self, taken: list[tuple[str, int, submission.ItemResult]]) -> bool:
-        batch_id = taken[0][0]
-        batch = self._journal.find(batch_id)
-        if batch is None:
-            log.warn_bounded("results-dropped", "the batch is forgotten", batch=batch_id)
-            return True
-        numbered = [(number, result) for _, number, result in taken]
-        fresh = [item for item in numbered if item[0] not in batch.finished]
-        if not fresh:
-            return True
-        written = self._journal.finish(batch_id, fresh)
-        if written.is_error():
-            log.warn_bounded("results-unwritten", written.error.detail, batch=batch_id)
-            return False
-        metrics.count(metrics.RESULTS_WRITTEN, len(fresh))
-        return True
-
-
 class BatchRunner:
     """
     Starts items wherever an engine has a place, those of the oldest batch first.
@@ -175,10 +29,10 @@
         self,
         known: directory.Directory,
         kept: journal.BatchJournal,
-        owned: Ownership,
+        owned: ownership.Ownership,
         router_: router.Router,
         items: item_task.ItemRunner,
-        writer: ResultWriter,
+        writer: result_writer.ResultWriter,
         group: tasks.TaskGroup,
         most_items: int,
     ) -> None:
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -8,7 +8,7 @@
 from oleander_base import clock, identifiers, log, tasks
 from oleander_batches import journal
 from oleander_direct import calls, directory, servers
-from oleander_orders import right
+from oleander_orders import rights
 from oleander_platform import keyed_follower, recordlog
 from oleander_routing import router
 from oleanderdeal import (
@@ -18,6 +18,8 @@
     item_task,
     lifecycle,
     metrics_page,
+    ownership,
+    result_writer,
     version_keeper,
 )
 
@@ -41,7 +43,7 @@
 """A stop ends so long before the platform's limit."""
 _CLOSE_SECONDS = 0.5
 _RELOAD_SECONDS = 1.0
-_POLL_SECONDS = 0.1
+_POLL_SECONDS = 0.05
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -49,6 +51,8 @@
     """What the entry was told by whoever starts it."""
 
     name: str
+    host: str
+    """Names this host alone, also among those that were replaced."""
     callers_address: str
     ready_address: str
     metrics_address: str
@@ -106,7 +110,7 @@
         self._chosen = chosen
         self._deployment = deployment
         self._leaving = threading.Event()
-        self._group = tasks.TaskGroup("entry", MOST_ITEMS + _OTHER_TASKS)
+        self._group = tasks.TaskGroup("entry", MOST_ITEMS + chosen.partitions + _OTHER_TASKS)
         log_service = deployment.create_log()
         caller = deployment.create_caller()
         self._router = router.Router(identifiers.hash_text(chosen.name))
@@ -115,9 +119,9 @@
         self._journal = journal.BatchJournal(
             log_service, self._group, chosen.partitions, chosen.batch_keep_seconds
         )
-        self._owned = batch_runner.Ownership(log_service, chosen.name, self._group)
+        self._owned = ownership.Ownership(log_service, chosen.name, self._group)
         dispatcher = calls.CallDispatcher(self._known, self._router, caller)
-        self._writer = batch_runner.ResultWriter(self._journal, self._group)
+        self._writer = result_writer.ResultWriter(self._journal, self._group)
         items = item_task.ItemRunner(self._known, self._router, caller, dispatcher, self._group)
         self._runner = batch_runner.BatchRunner(
             self._known,
@@ -129,10 +133,16 @@
             self._group,
             MOST_ITEMS,
         )
-        self._right = right.OrderRight(
-            log_service, chosen.name, chosen.order_gap_seconds, self._group
+        held = rights.OrderRights(
+            log_service,
+            chosen.host,
+            chosen.order_gap_seconds,
+            chosen.partitions,
+            self._group,
+        )
+        self._keeper = version_keeper.VersionKeeper(
+            self._known, held, self._owned, caller, self._group
         )
-        self._keeper = version_keeper.VersionKeeper(self._known, self._right, caller, self._group)
         operations = Operations(
             self._known,
             dispatcher,
@@ -158,7 +168,6 @@
         self._group.keep(self._writer.write)
         self._group.keep(self._runner.feed)
         self._group.keep(self._runner.keep_partials)
-        self._group.keep(self._right.hold)
         self._group.keep(self._keeper.keep)
         self._group.start(self._callers.serve)
         self._group.start(self._ready.serve)
@@ -199,7 +208,8 @@
         return not self._known.is_listed or self._known.silent_seconds > _SILENT_SECONDS
 
     def _is_idle(self) -> bool:
-        return self._callers.is_idle and self._writer.is_idle and not self._runner.running
+        is_answered = self._callers.is_idle and not self._callers.connections
+        return is_answered and self._writer.is_idle and not self._runner.running
 
     def _drain(self) -> None:
         """
@@ -218,7 +228,12 @@
         pause = threading.Event()
         pause.wait(_LEAVE_SECONDS)
         while not deadline.is_past and not self._is_idle():
+            self._callers.close_idle()
             pause.wait(_POLL_SECONDS)
+        if self._callers.connections:
+            log.logger.bind(event="drain-cut", connections=self._callers.connections).error(
+                "stopping with requests in progress"
+            )
         self._group.stop()
         self._callers.stop()
         self._group.join(clock.start_deadline(_CLOSE_SECONDS))
--- a/programs/oleanderdeal/oleanderdeal/http_server.py
+++ b/programs/oleanderdeal/oleanderdeal/http_server.py
@@ -9,6 +9,7 @@
 import waitress.channel
 import waitress.server
 import waitress.task
+import waitress.wasyncore
 
 from oleander_base import clock, log
 from oleanderdeal import http_messages
@@ -112,6 +113,30 @@
         self._server.adj.max_request_body_size = body_bytes
         self._server.adj.channel_timeout = idle_seconds
 
+    @property
+    def connections(self) -> int:
+        """How many connections are open."""
+        return len(self._server.active_channels)
+
+    def close_idle(self) -> None:
+        """
+        Take no new connections, and close those on which nothing was received or is to be sent.
+
+        Clients go on using connections that they keep until they are closed. A process that ended
+        between two looks at what is in progress would cut a request that it had just read; here
+        the thread that reads decides, and what it has read keeps its connection open.
+        """
+        self._server.trigger.pull_trigger(self._close_idle_channels)
+
+    def _close_idle_channels(self) -> None:
+        if self._server.accepting:
+            self._server.accepting = False
+            waitress.wasyncore.dispatcher.close(self._server)
+        for channel in list(self._server.active_channels.values()):
+            is_busy = channel.requests or channel.request is not None
+            if not is_busy and not channel.total_outbufs_len:
+                channel.handle_close()
+
     def await_idle(self, deadline: clock.Deadline) -> bool:
         """Wait until no request is in progress; return whether that was reached."""
         pause = threading.Event()
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/ownership.py
@@ -0,0 +1,82 @@
+"""Which partitions the platform deals to this process."""
+
+from oleander_base import clock, log, tasks
+from oleander_batches import journal
+from oleander_platform import recordlog
+
+_GROUP = "oleander.runners"
+_TTL_MS = 2000
+"""A runner that is silent for so long loses its batches to the others."""
+_BELIEVED_SECONDS = 10.0
+"""For so long after the last answer a process goes on with its batches; outages last seconds,
+and a batch has little more time than this."""
+_JOIN_SECONDS = 0.6
+_JOIN_DEADLINE_SECONDS = 1.0
+
+
+class Ownership:
+    """
+    Which batches this process runs, as the platform deals them out; a hint.
+
+    Two processes may believe to have the same batch, and one that is cut off goes on believing
+    it for a while. Both then run its items; the index takes the first result of each. Stopping as
+    soon as the platform is silent would lose more: in an outage there is nobody to go on, and all
+    texts that ran would be made again after it.
+    """
+
+    def __init__(
+        self, log_service: recordlog.RecordLog, member: str, group: tasks.TaskGroup
+    ) -> None:
+        self._log = log_service
+        self._member = member
+        self._group = group
+        self._membership = recordlog.Membership(0, frozenset())
+        self._believed_until = 0.0
+        self._is_wanted = True
+
+    def keep(self) -> None:
+        """Stay in the group of runners until the process leaves."""
+        while not self._group.is_stopping and self._is_wanted:
+            self._join()
+            self._group.pause(_JOIN_SECONDS)
+
+    @property
+    def partitions(self) -> frozenset[int]:
+        """The partitions dealt to this process, as far as it knows."""
+        if clock.read_now() >= self._believed_until:
+            return frozenset()
+        return self._membership.partitions
+
+    def owns(self, partition: int) -> bool:
+        """Tell whether a partition's batches fall to this process."""
+        return partition in self.partitions
+
+    def leave(self) -> None:
+        """Leave the group, so that others go on at once."""
+        self._is_wanted = False
+        self._believed_until = 0.0
+        left = self._log.leave(self._request(), clock.start_deadline(_JOIN_DEADLINE_SECONDS))
+        log.logger.bind(event="runner-left", ok=left.is_ok()).info("batches go to others")
+
+    def _request(self) -> recordlog.MemberRequest:
+        generation = self._membership.generation
+        return recordlog.MemberRequest(
+            _GROUP, self._member, journal.CONTENT_TOPIC, _TTL_MS, generation
+        )
+
+    def _join(self) -> None:
+        started_at = clock.read_now()
+        joined = self._log.join(self._request(), clock.start_deadline(_JOIN_DEADLINE_SECONDS))
+        if joined.is_error():
+            log.warn_bounded("runner-unjoined", joined.error.detail)
+            return
+        if not self._is_wanted:
+            return
+        if joined.ok.partitions != self._membership.partitions:
+            log.logger.bind(
+                event="partitions",
+                generation=joined.ok.generation,
+                partitions=sorted(joined.ok.partitions),
+            ).info("dealt anew")
+        self._membership = joined.ok
+        self._believed_until = started_at + _BELIEVED_SECONDS
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -2,7 +2,8 @@
 
 from oleander_base import clock, log, metrics, tasks
 from oleander_direct import directory, servers
-from oleander_orders import plan, right
+from oleander_orders import plan, right, rights
+from oleanderdeal import ownership
 
 _ORDER_SECONDS = 0.8
 """An order is answered before the load; a server that is silent for so long is left for later."""
@@ -13,17 +14,19 @@
 
 
 class VersionKeeper:
-    """Gives orders while this process has the right to; one thread."""
+    """Gives orders to the servers that this process has the right to; one thread."""
 
     def __init__(
         self,
         known: directory.Directory,
-        held: right.OrderRight,
+        held: rights.OrderRights,
+        owned: ownership.Ownership,
         caller: servers.ServerCaller,
         group: tasks.TaskGroup,
     ) -> None:
         self._directory = known
-        self._right = held
+        self._rights = held
+        self._owned = owned
         self._caller = caller
         self._group = group
         self._plan = plan.OrderPlan()
@@ -34,31 +37,49 @@
         while not self._group.is_stopping and self._is_wanted:
             self._order_once()
             self._group.pause(_PAUSE_SECONDS)
-        self._right.release()
+        self._rights.release()
 
     def leave(self) -> None:
-        """Give no more orders and release the right."""
+        """Give no more orders and release the rights."""
         self._is_wanted = False
 
     def _order_once(self) -> None:
         table = self._directory.table
-        is_held = self._right.find_tenure() is not None
-        metrics.record_gauge(metrics.ORDERS_HELD, float(is_held))
-        if table is None or not is_held:
+        if table is None:
             return
+        engines = [backend for backend in table.backends if backend.models]
+        listed = {item.name: self._directory.list_servers(item.name) for item in engines}
+        every_id = [server.server_id for found in listed.values() for server in found]
+        self._rights.want(every_id, self._owned.partitions)
+        metrics.record_gauge(metrics.ORDERS_HELD, self._rights.held)
+        self._check_taken()
         named = self._directory.list_named()
-        for backend in table.backends:
-            if not backend.models:
-                continue
-            listed = self._directory.list_servers(backend.name)
+        for backend in engines:
             keeps_running = not table.wants_single_version(backend.name)
-            for order in self._plan.choose(listed, named, backend.models):
-                if not self._give(order, keeps_running):
-                    return
+            servers_of = listed[backend.name]
+            for order in self._plan.choose(servers_of, named, backend.models, self._may_order):
+                self._give(order, keeps_running)
 
-    def _give(self, order: plan.PlannedOrder, keeps_running: bool) -> bool:
+    def _may_order(self, server: servers.Server) -> bool:
+        return self._find_tenure(server) is not None
+
+    def _find_tenure(self, server: servers.Server) -> right.Tenure | None:
+        held = self._rights.find_right(server.server_id)
+        tenure = held.find_tenure() if held is not None else None
+        if tenure is None or tenure.deadline.remaining < _LEAST_TENURE_SECONDS:
+            return None
+        return tenure
+
+    def _check_taken(self) -> None:
+        """Ask servers whether they have loaded; the list would tell a heartbeat later."""
+        for order in self._plan.list_unseen():
+            state = self._caller.read_state(order.server, clock.start_deadline(_STATE_SECONDS))
+            if state.is_ok():
+                self._plan.note_state(order, state.ok)
+
+    def _give(self, order: plan.PlannedOrder, keeps_running: bool) -> None:
         """
-        Give one order; return whether the right still stands.
+        Give one order.
 
         The tenure is looked up right before the request leaves, and an order ends before it
         does: a process that was suspended in between finds that it has passed.
@@ -66,23 +87,25 @@
         state = self._caller.read_state(order.server, clock.start_deadline(_STATE_SECONDS))
         if state.is_error() or state.ok.is_loading:
             self._plan.put_off(order)
-            return True
+            return
         if (state.ok.find_version(order.model) or 0) >= order.version:
-            self._plan.note(order, 0, servers.OrderTaken(is_done=True))
-            return True
-        tenure = self._right.find_tenure()
-        if tenure is None or tenure.deadline.remaining < _LEAST_TENURE_SECONDS:
-            return False
+            self._plan.note_state(order, state.ok)
+            return
+        tenure = self._find_tenure(order.server)
+        held = self._rights.find_right(order.server.server_id)
+        if tenure is None or held is None:
+            return
         accepted = self._plan.count_accepted(order.server, state.ok)
         sent = servers.VersionOrder(
             model=order.model,
             version=order.version,
             keeps_running=keeps_running,
-            holder=self._right.name,
+            holder=held.name,
             fencing=tenure.fencing,
             accepted_orders=accepted,
         )
-        outcome = self._caller.order(order.server, sent, tenure.deadline.earlier(_ORDER_SECONDS))
+        deadline = tenure.deadline.earlier(_ORDER_SECONDS)
+        outcome = self._caller.order(order.server, sent, deadline)
         metrics.count(metrics.ORDERS)
         self._plan.note(order, accepted, outcome)
         log.logger.bind(
@@ -94,4 +117,3 @@
             tenure_left_ms=tenure.deadline.remaining_ms,
             expected=accepted,
         ).info(str(outcome))
-        return True
