--- a/features/orders.feature
+++ b/features/orders.feature
@@ -58,6 +58,18 @@
       | s1=1                          | n=9   | 1     | 9       | all    | 0     | none        |
       | s1=1                          | m=2   | 1     | 9       | none   | 0     | none        |
 
+  Scenario Outline: No model waits for ever behind the others
+    # Versions of several models come about as fast as one server loads them. Taken in a fixed order
+    # the last model would stay behind, and its trainer would have no server that is new enough.
+    Given an engine with the models <has> and the named models <named>
+    Then it is ordered to load <model> first
+
+    Examples:
+      | has         | named             | model |
+      | a=4 b=4 c=4 | a=5@9 b=5@8 c=5@7 | c     |
+      | a=4 b=4 c=3 | a=5@1 b=5@2 c=5@9 | c     |
+      | a=4 b=4 c=4 | a=5@1 b=5@2 c=4@0 | a     |
+
   Scenario: What a server says of itself goes before the list
     # The list tells a heartbeat late. Until then the server would count as loading, and its next
     # order would wait a second longer than it must.
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -165,6 +165,26 @@
     assert {order.server.server_id for order in context.planned} <= set(among.split())
 
 
+@behave.given("an engine with the models {has} and the named models {named}")
+def create_models(context, has, named):
+    pairs = [item.split("=") for item in has.split()]
+    models = tuple(servers.ModelVersion(model, int(version)) for model, version in pairs)
+    context.engine = servers.Server("s1", 1, "engines", "127.0.0.1:1", "z", 8, False, models)
+    context.named = {}
+    for item in named.split():
+        model, version, seen_at = item.replace("@", "=").split("=")
+        context.named[model] = directory.NamedVersion(int(version), 1000.0 + float(seen_at))
+
+
+@behave.then("it is ordered to load {model} first")
+def check_first(context, model):
+    with unittest.mock.patch.object(clock, "read_now", lambda: 1100.0):
+        orders = plan.OrderPlan().choose(
+            [context.engine], context.named, tuple("abc"), lambda server: True
+        )
+    assert [order.model for order in orders] == [model], orders
+
+
 @behave.given("an engine that reports {count:d} accepted orders")
 def create_state(context, count):
     context.state = servers.EngineState((), False, count)
--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -11,7 +11,8 @@
 _LEAST_WAVE = 2
 _WAVE_SECONDS = 1.2
 """The next wave follows after a load of 0.9 s and a margin, unless the last is seen to be done."""
-_CHECK_SECONDS = 0.4
+_FIRST_CHECK_SECONDS = 0.8
+_CHECK_SECONDS = 0.25
 """How often a server is asked whether it has loaded; the list tells a heartbeat later."""
 _TAKEN_SECONDS = 4.0
 """An order that does not show for so long is given again: several loads, or a restart."""
@@ -66,19 +67,28 @@
         models: tuple[str, ...],
         may_order: collections.abc.Callable[[servers.Server], bool],
     ) -> list[PlannedOrder]:
-        """Return the orders to give now to the servers of one backend."""
+        """
+        Return the orders to give now to the servers of one backend, one for each server.
+
+        A server goes first to the model that is furthest behind there, then to the one named
+        first. In a fixed order the last model would never have its turn where versions come
+        about as fast as they load, and its trainer would run out of servers.
+        """
         now = clock.read_now()
         self._forget(listed, now)
+        due = [
+            PlannedOrder(server, model, named[model].version)
+            for model in models
+            if model in named
+            for server in self._list_due(listed, model, named[model], now)
+        ]
+        due.sort(key=lambda item: (-self._find_lag(item), named[item.model].seen_at, item.model))
         busy = {incarnation for incarnation, _ in self._pending}
         planned: list[PlannedOrder] = []
-        for model in sorted(models):
-            target = named.get(model)
-            if target is None:
-                continue
-            for server in self._list_due(listed, model, target, now):
-                if server.incarnation not in busy and may_order(server):
-                    busy.add(server.incarnation)
-                    planned.append(PlannedOrder(server, model, target.version))
+        for order in due:
+            if order.server.incarnation not in busy and may_order(order.server):
+                busy.add(order.server.incarnation)
+                planned.append(order)
         return planned
 
     def count_accepted(self, server: servers.Server, state: servers.EngineState) -> int:
@@ -138,6 +148,9 @@
         due = set(map(id, ranked[:reached]))
         return [item for item in missing if id(item) in due]
 
+    def _find_lag(self, order: PlannedOrder) -> int:
+        return order.version - self._find_version(order.server, order.model)
+
     def _find_version(self, server: servers.Server, model: str) -> int:
         """Return the version that a server has, by the list or by its own word since."""
         listed = server.find_version(model) or 0
@@ -146,7 +159,7 @@
     def _note(self, order: PlannedOrder, is_taken: bool, seconds: float) -> None:
         now = clock.read_now()
         key = (order.server.incarnation, order.model)
-        self._pending[key] = _Pending(order, is_taken, now + 2 * _CHECK_SECONDS, now + seconds)
+        self._pending[key] = _Pending(order, is_taken, now + _FIRST_CHECK_SECONDS, now + seconds)
 
     def _forget(self, listed: list[servers.Server], now: float) -> None:
         """Forget what shows in the list, what is overdue, and servers that are gone."""
