Leave out every second version where loads can't keep up

Change: the pace is measured (naming intervals, load times); where it is not enough, servers of odd and even rank take turns, as far as the trainer's steps allow (step and oldest version stand in the index now). Ruled out: engines' capacity (38% used). Cost: half of the samples are one version behind the newest on such a site, within what the steps allow; one trainer's site loads every version as before.

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -70,6 +70,21 @@
       | a=4 b=4 c=3 | a=5@1 b=5@2 c=5@9 | c     |
       | a=4 b=4 c=4 | a=5@1 b=5@2 c=4@0 | a     |
 
+  Scenario Outline: Where loads can't keep up, each server leaves out every second version
+    # The weight store slows down when more than a few load. All servers then lag by two versions,
+    # and each step waits for one that is new enough. Half of them stay usable if they take turns;
+    # they may not where a trainer's steps allow the newest version only.
+    Given 4 engines and 3 models whose versions come every <seconds> s and steps allow <lag> behind
+    When 8 versions of each model were named and loaded
+    Then each server loaded <loads> of them
+    And whenever a version was named, <usable> servers or more could go on at once
+
+    Examples:
+      | seconds | lag | loads | usable |
+      | 30      | 1   | 8 8   | 4      |
+      | 3       | 1   | 4 5   | 2      |
+      | 3       | 0   | 8 8   | 0      |
+
   Scenario: What a server says of itself goes before the list
     # The list tells a heartbeat late. Until then the server would count as loading, and its next
     # order would wait a second longer than it must.
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -1,5 +1,6 @@
 """Steps for the right to order and for what is ordered; time is simulated."""
 
+import collections
 import contextlib
 import unittest.mock
 
@@ -185,6 +186,69 @@
     assert [order.model for order in orders] == [model], orders
 
 
+@behave.given(
+    "{count:d} engines and 3 models whose versions come every {seconds:d} s"
+    " and steps allow {lag:d} behind"
+)
+def create_fleet(context, count, seconds, lag):
+    context.count = count
+    context.seconds = seconds
+    context.lag = lag
+    context.versions = {(f"s{n}", model): 1 for n in range(count) for model in "abc"}
+
+
+@behave.when("{versions:d} versions of each model were named and loaded")
+def name_versions(context, versions):
+    context.loads = collections.Counter()
+    context.usable = []
+    planner = plan.OrderPlan()
+    now = [1000.0]
+    with unittest.mock.patch.object(clock, "read_now", lambda: now[0]):
+        for model in "abc":
+            planner.note_lag(model, context.lag)
+        for version in range(2, versions + 2):
+            named = {model: directory.NamedVersion(version, now[0]) for model in "abc"}
+            has = [context.versions[key] for key in context.versions if key[1] == "a"]
+            context.usable.append(sum(item >= version - context.lag for item in has))
+            until = now[0] + context.seconds
+            while now[0] < until:
+                _load_planned(context, planner, named)
+                now[0] += 0.5
+
+
+def _load_planned(context, planner, named):
+    listed = [
+        servers.Server(
+            f"s{n}",
+            1,
+            "engines",
+            "127.0.0.1:1",
+            "z",
+            8,
+            False,
+            tuple(
+                servers.ModelVersion(model, context.versions[f"s{n}", model]) for model in "abc"
+            ),
+        )
+        for n in range(context.count)
+    ]
+    for order in planner.choose(listed, named, tuple("abc"), lambda server: True):
+        planner.note(order, 0, servers.OrderTaken(is_done=False))
+        key = (order.server.server_id, order.model)
+        context.versions[key] = order.version
+        context.loads[key] += 1
+
+
+@behave.then("each server loaded {least:d} {most:d} of them")
+def check_loads(context, least, most):
+    assert all(least <= count <= most for count in context.loads.values()), context.loads
+
+
+@behave.then("whenever a version was named, {usable:d} servers or more could go on at once")
+def check_usable(context, usable):
+    assert min(context.usable[2:]) >= usable, context.usable
+
+
 @behave.given("an engine that reports {count:d} accepted orders")
 def create_state(context, count):
     context.state = servers.EngineState((), False, count)
--- a/libs/batches/oleander_batches/fold.py
+++ b/libs/batches/oleander_batches/fold.py
@@ -33,6 +33,8 @@
     host: str
     path: str
     model: str
+    step: int
+    oldest_version: int
     content_offset: int
     total: int
     seen_at: float
@@ -44,6 +46,16 @@
     finished: set[int] = dataclasses.field(default_factory=set)
     partials: dict[int, PartialPlace] = dataclasses.field(default_factory=dict)
 
+    @property
+    def allowed_lag(self) -> int | None:
+        """
+        How many versions behind its step its weights may be, or nothing where it does not tell.
+
+        A step is asked for once the version of its number is named; the first weights have number
+        1, so the first two steps say nothing.
+        """
+        return self.step - self.oldest_version if self.step > 1 else None
+
     @property
     def is_open(self) -> bool:
         """Whether items of it may still be run."""
@@ -103,6 +115,8 @@
             record.host,
             record.path,
             record.model,
+            record.step,
+            record.oldest_version,
             record.content_offset,
             record.total,
             clock.read_now(),
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -154,6 +154,8 @@
             accepted.host,
             accepted.path,
             accepted.model,
+            accepted.step,
+            accepted.oldest_version,
             kept.ok.first_offset,
             len(accepted.items),
         )
--- a/libs/batches/oleander_batches/records.py
+++ b/libs/batches/oleander_batches/records.py
@@ -22,6 +22,8 @@
     host: str
     path: str
     model: str
+    step: int
+    oldest_version: int
     content_offset: int
     total: int
     """How many items it has."""
--- /dev/null
+++ b/libs/orders/oleander_orders/pace.py
@@ -0,0 +1,47 @@
+"""Whether every server can load every version, measured from names and loads as they come."""
+
+from oleander_base import clock
+
+_NEWEST_WEIGHT = 0.3
+_UNKNOWN_LOAD_SECONDS = 1.0
+_MOST_USED = 0.8
+"""The part of the weight store's pace that loads may need before some are left out."""
+
+
+class LoadPace:
+    """
+    Compares the loads that are wanted with those that can run; used by one thread.
+
+    A weight store slows down when more than a few servers load at once. Where three trainers name
+    a version every four seconds, five servers want 3.8 loads a second of which 2.2 are possible;
+    servers then lag by two versions, and steps wait for one that is new enough.
+    """
+
+    def __init__(self) -> None:
+        self._load_seconds = _UNKNOWN_LOAD_SECONDS
+        self._named_at: dict[str, float] = {}
+        self._intervals: dict[str, float] = {}
+
+    def note_named(self, model: str, seen_at: float) -> None:
+        """Take in when a version of a model was named; repeated calls change nothing."""
+        before = self._named_at.get(model)
+        if before == seen_at:
+            return
+        self._named_at[model] = seen_at
+        if before is not None:
+            interval = max(0.1, seen_at - before)
+            known = self._intervals.get(model, interval)
+            self._intervals[model] = known + _NEWEST_WEIGHT * (interval - known)
+
+    def note_load(self, seconds: float) -> None:
+        """Take in how long a load took."""
+        self._load_seconds += _NEWEST_WEIGHT * (seconds - self._load_seconds)
+
+    def is_crowded(self, servers: int, at_once: int) -> bool:
+        """Tell whether so many servers can't load each version, so many of them at once."""
+        now = clock.read_now()
+        wanted = 0.0
+        for model, interval in self._intervals.items():
+            quiet = now - self._named_at[model]
+            wanted += servers / max(interval, quiet)
+        return wanted * self._load_seconds > _MOST_USED * at_once
--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -5,6 +5,7 @@
 
 from oleander_base import clock, identifiers
 from oleander_direct import directory, servers
+from oleander_orders import pace
 
 _WAVE_PART = 3
 """One server in so many loads a model at once, so that the others serve it meanwhile."""
@@ -37,6 +38,7 @@
 
     order: PlannedOrder
     is_taken: bool
+    given_at: float
     check_at: float
     until: float
 
@@ -56,6 +58,8 @@
     """
 
     def __init__(self) -> None:
+        self._pace = pace.LoadPace()
+        self._lags: dict[str, int] = {}
         self._pending: dict[tuple[str, str], _Pending] = {}
         self._accepted: dict[str, int] = {}
         self._loaded: dict[tuple[str, str], int] = {}
@@ -76,6 +80,8 @@
         """
         now = clock.read_now()
         self._forget(listed, now)
+        for model, target in named.items():
+            self._pace.note_named(model, target.seen_at)
         due = [
             PlannedOrder(server, model, named[model].version)
             for model in models
@@ -126,7 +132,13 @@
         if not state.is_loading and version >= order.version:
             key = (order.server.incarnation, order.model)
             self._loaded[key] = version
-            self._pending.pop(key, None)
+            pending = self._pending.pop(key, None)
+            if pending is not None and pending.is_taken:
+                self._pace.note_load(clock.read_now() - pending.given_at)
+
+    def note_lag(self, model: str, lag: int) -> None:
+        """Take in how many versions behind the newest a trainer's steps allow."""
+        self._lags[model] = lag
 
     def _list_due(
         self,
@@ -135,19 +147,35 @@
         target: directory.NamedVersion,
         now: float,
     ) -> list[servers.Server]:
-        """Return the servers without the target whose wave has come, in the waves' order."""
+        """
+        Return the servers that should load the target now, in the waves' order.
+
+        Where not every server can load every version, each leaves out every second one, those of
+        odd and of even rank in turns, as long as its trainer allows what it has. So at each new
+        version half of the servers go on at once, and the others load.
+        """
         size = max(_LEAST_WAVE, len(listed) // _WAVE_PART)
+        is_crowded = self._pace.is_crowded(len(listed), size)
         ranked = sorted(
             (item for item in listed if item.find_version(model) is not None),
             key=lambda item: identifiers.hash_text(f"{model}\n{item.server_id}"),
         )
         waves = int((now - target.seen_at) / _WAVE_SECONDS) + 1
-        missing = [item for item in ranked if self._find_version(item, model) < target.version]
+        missing = [
+            server
+            for rank, server in enumerate(ranked)
+            if self._find_version(server, model) < target.version
+            and not (is_crowded and self._may_skip(server, rank, model, target.version))
+        ]
         done = len(ranked) - len(missing)
         reached = max(waves, done // size + 1) * size
         due = set(map(id, ranked[:reached]))
         return [item for item in missing if id(item) in due]
 
+    def _may_skip(self, server: servers.Server, rank: int, model: str, version: int) -> bool:
+        is_allowed = self._find_version(server, model) >= version - self._lags.get(model, 0)
+        return is_allowed and (version + rank) % 2 == 1
+
     def _find_lag(self, order: PlannedOrder) -> int:
         return order.version - self._find_version(order.server, order.model)
 
@@ -159,7 +187,9 @@
     def _note(self, order: PlannedOrder, is_taken: bool, seconds: float) -> None:
         now = clock.read_now()
         key = (order.server.incarnation, order.model)
-        self._pending[key] = _Pending(order, is_taken, now + _FIRST_CHECK_SECONDS, now + seconds)
+        self._pending[key] = _Pending(
+            order, is_taken, now, now + _FIRST_CHECK_SECONDS, now + seconds
+        )
 
     def _forget(self, listed: list[servers.Server], now: float) -> None:
         """Forget what shows in the list, what is overdue, and servers that are gone."""
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -141,7 +141,7 @@
             self._group,
         )
         self._keeper = version_keeper.VersionKeeper(
-            self._known, held, self._owned, caller, self._group
+            self._known, held, self._owned, self._journal, caller, self._group
         )
         operations = Operations(
             self._known,
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -1,6 +1,7 @@
 """Brings the weights of backend servers to the versions that trainers named."""
 
 from oleander_base import clock, log, metrics, tasks
+from oleander_batches import journal
 from oleander_direct import directory, servers
 from oleander_orders import plan, right, rights
 from oleanderdeal import ownership
@@ -21,12 +22,14 @@
         known: directory.Directory,
         held: rights.OrderRights,
         owned: ownership.Ownership,
+        kept: journal.BatchJournal,
         caller: servers.ServerCaller,
         group: tasks.TaskGroup,
     ) -> None:
         self._directory = known
         self._rights = held
         self._owned = owned
+        self._journal = kept
         self._caller = caller
         self._group = group
         self._plan = plan.OrderPlan()
@@ -52,6 +55,9 @@
         every_id = [server.server_id for found in listed.values() for server in found]
         self._rights.want(every_id, self._owned.partitions)
         metrics.record_gauge(metrics.ORDERS_HELD, self._rights.held)
+        for batch in self._journal.list_open():
+            if batch.allowed_lag is not None:
+                self._plan.note_lag(batch.model, batch.allowed_lag)
         self._check_taken()
         named = self._directory.list_named()
         for backend in engines:
