Spread a large submission over records, and read starts of texts together

Starts of texts were read one by one while no item could be begun, seconds on a slow log. Tests: sizes and read-back in batches.feature.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -30,6 +30,8 @@
     Examples:
       | fault              | outcome  | found |
       | nothing            | accepted | yes   |
+      | nothing, for 400 kB | accepted | yes  |
+      | nothing, for 2 MB  | impossible | no  |
       | down               | refused  | no    |
       | lose the content   | refused  | no    |
       | lose the index     | unknown  | yes   |
@@ -65,6 +67,11 @@
     Then both entries list 0=x 1=y
     And the batch is open for neither entry
 
+  Scenario: A large submission is read back as it was
+    Given two entries on one log
+    When entry a accepts a batch while the log does nothing, for 400 kB
+    Then entry b reads the submission of entry a
+
   Scenario: The start of a text is there for whoever goes on with it
     Given two entries on one log and a batch of 3 items
     When entry a keeps the start "one\ntwo" of item 1 with 2 events
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -8,6 +8,8 @@
 from oleanderdeal import batch_api
 
 _SECONDS = 0.5
+_SIZES = {"": 4, "400 kB": 133_000, "2 MB": 667_000}
+"""Bytes of each of three bodies."""
 _FAULTS = {
     "nothing": {},
     "down": {"is_down": True},
@@ -64,7 +66,7 @@
                 pass
 
 
-def build_submission(items=3, batch_id="batch"):
+def build_submission(items=3, batch_id="batch", body=b"body"):
     """Return a submission of some items in groups of two."""
     return submission.Submission(
         batch_id,
@@ -75,7 +77,7 @@
         1,
         1,
         tuple(
-            submission.Item(f"item-{number}", "/i", (), b"body", 9, f"g{number // 2}", None)
+            submission.Item(f"item-{number}", "/i", (), body, 9, f"g{number // 2}", None)
             for number in range(items)
         ),
     )
@@ -117,6 +119,8 @@
 @behave.when("entry {name} accepts a batch while the log does {fault}")
 def accept_batch(context, name, fault):
     client = context.shared.clients[name]
+    fault, _, size = fault.partition(", for ")
+    context.submitted = build_submission(body=b"b" * _SIZES[size])
     if fault in _FAULTS:
         for field, value in _FAULTS[fault].items():
             setattr(client.faults, field, value)
@@ -124,7 +128,7 @@
         kind = "late_appends" if fault.startswith("delay") else "lost_answers"
         _fail_index(client, kind, 1000)
     api = batch_api.BatchApi(context.shared.journals[name])
-    context.accepted = api.accept(build_submission(), clock.start_deadline(_SECONDS))
+    context.accepted = api.accept(context.submitted, clock.start_deadline(_SECONDS))
 
 
 def _fail_index(client, fault, times):
@@ -185,7 +189,16 @@
 @behave.then('entry {name} goes on with item {number:d} from "{text}"')
 def check_start(context, name, number, text):
     context.shared.refresh()
-    place = context.shared.find(name).partials[number]
+    batch = context.shared.find(name)
     deadline = clock.start_deadline(_SECONDS)
-    read = context.shared.journals[name].read_partial("batch", place, deadline)
-    assert read.ok.text == text, read
+    read = context.shared.journals[name].read_partials(batch, deadline)
+    assert [(item.item_number, item.text) for item in read] == [(number, text)], read
+
+
+@behave.then("entry {reader} reads the submission of entry {writer}")
+def check_submission(context, reader, writer):
+    context.shared.refresh()
+    read = context.shared.journals[reader].read_submission(
+        context.shared.find(reader), clock.start_deadline(_SECONDS)
+    )
+    assert read.ok == context.submitted
--- a/libs/batches/oleander_batches/fold.py
+++ b/libs/batches/oleander_batches/fold.py
@@ -29,14 +29,7 @@
 class Batch:
     """One accepted batch."""
 
-    batch_id: str
-    host: str
-    path: str
-    model: str
-    step: int
-    oldest_version: int
-    content_offset: int
-    total: int
+    accepted: records.Accepted
     seen_at: float
     """When this process read of it. No host's time of day decides how old a batch is: one that
     is an hour fast would give up items that have hardly begun."""
@@ -46,6 +39,16 @@
     finished: set[int] = dataclasses.field(default_factory=set)
     partials: dict[int, PartialPlace] = dataclasses.field(default_factory=dict)
 
+    @property
+    def batch_id(self) -> str:
+        """The trainer's name of it."""
+        return self.accepted.batch_id
+
+    @property
+    def total(self) -> int:
+        """How many items it has."""
+        return self.accepted.total
+
     @property
     def allowed_lag(self) -> int | None:
         """
@@ -54,7 +57,8 @@
         A step is asked for once the version of its number is named; the first weights have number
         1, so the first two steps say nothing.
         """
-        return self.step - self.oldest_version if self.step > 1 else None
+        accepted = self.accepted
+        return accepted.step - accepted.oldest_version if accepted.step > 1 else None
 
     @property
     def is_open(self) -> bool:
@@ -110,17 +114,7 @@
             return
         while len(self._batches) >= MOST_BATCHES:
             self._batches.pop(next(iter(self._batches)))
-        self._batches[record.batch_id] = Batch(
-            record.batch_id,
-            record.host,
-            record.path,
-            record.model,
-            record.step,
-            record.oldest_version,
-            record.content_offset,
-            record.total,
-            clock.read_now(),
-        )
+        self._batches[record.batch_id] = Batch(record, clock.read_now())
 
 
 def _finish(batch: Batch, record: records.Finished) -> None:
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -22,6 +22,10 @@
 """Between reads of the index: results of the same moment come in one read."""
 _AGAIN_SECONDS = 0.2
 _APPEND_SECONDS = 1.0
+_RECORD_BYTES = 128 * 1024
+"""A submission is spread over records of this size: half of what a record may have here."""
+MOST_SUBMISSION_BYTES = 1536 * 1024
+"""All its records are appended in one call, which may have two megabytes."""
 _MOST_CACHED = 8
 """Submissions kept after they were read; each has some tens of kilobytes."""
 _FORGET_EVERY_SECONDS = 5.0
@@ -33,6 +37,8 @@
 
     detail: str
     may_have_effect: bool
+    is_final: bool = False
+    """Whether it can't succeed at another time either."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -85,7 +91,10 @@
         The runner knows what it has at each engine. With one for each batch, a trainer's steps in
         a row filled the engines without knowing of each other, and each opened connections anew.
         """
-        return identifiers.hash_text(f"{batch.host}\n{batch.model}") % self._partitions
+        return (
+            identifiers.hash_text(f"{batch.accepted.host}\n{batch.accepted.model}")
+            % self._partitions
+        )
 
     def find_partition(self, batch_id: str) -> int:
         """Return the partition of a batch's content."""
@@ -146,7 +155,13 @@
         """
         partition = self.find_partition(accepted.batch_id)
         content = submission.encode_submission(accepted)
-        kept = self._log.append(CONTENT_TOPIC, partition, [content], deadline)
+        if len(content) > MOST_SUBMISSION_BYTES:
+            return expression.Error(NotDone("the submission is too large", False, True))
+        parts = [
+            content[start : start + _RECORD_BYTES]
+            for start in range(0, len(content), _RECORD_BYTES)
+        ]
+        kept = self._log.append(CONTENT_TOPIC, partition, parts, deadline)
         if kept.is_error():
             return expression.Error(NotDone(kept.error.detail, False))
         record = records.Accepted(
@@ -157,6 +172,7 @@
             accepted.step,
             accepted.oldest_version,
             kept.ok.first_offset,
+            len(parts),
             len(accepted.items),
         )
         return self._append_index([record], deadline)
@@ -223,15 +239,32 @@
             return expression.Error(NotDone("a result's content is not kept any more", False))
         return expression.Ok(Listing(batch.total, tuple(results)))
 
-    def read_partial(
-        self, batch_id: str, place: fold.PartialPlace, deadline: clock.Deadline
-    ) -> expression.Result[submission.PartialText, NotDone]:
-        """Return the start of a text."""
-        contents = self._read_content(batch_id, place.content_offset, deadline)
-        if contents.is_error():
-            return expression.Error(contents.error)
-        decoded = submission.decode_partial(contents.ok.get(place.content_offset, b""))
-        return decoded.map_error(lambda error: NotDone(str(error), False))
+    def read_partials(
+        self, batch: fold.Batch, deadline: clock.Deadline
+    ) -> list[submission.PartialText]:
+        """
+        Return the starts of a batch's texts, as many as can be read in time.
+
+        They stand near each other, so a read from one brings many. Read one by one they would
+        take seconds where the log is slow, and no item would be begun meanwhile.
+        """
+        with self._lock:
+            offsets = sorted(place.content_offset for place in batch.partials.values())
+        partials = []
+        contents: dict[int, bytes] = {}
+        for offset in offsets:
+            if offset not in contents:
+                read = self._read_content(batch.batch_id, offset, deadline)
+                if read.is_error():
+                    log.warn_bounded("partials-unread", read.error.detail, batch=batch.batch_id)
+                    break
+                contents = read.ok
+            decoded = submission.decode_partial(contents.get(offset, b""))
+            if decoded.is_ok():
+                partials.append(decoded.ok)
+            else:
+                log.warn_bounded("partial-record", str(decoded.error), batch=batch.batch_id)
+        return partials
 
     def read_submission(
         self, batch: fold.Batch, deadline: clock.Deadline
@@ -241,10 +274,10 @@
             cached = self._cached.get(batch.batch_id)
         if cached is not None:
             return expression.Ok(cached)
-        contents = self._read_content(batch.batch_id, batch.content_offset, deadline)
-        if contents.is_error():
-            return expression.Error(contents.error)
-        decoded = submission.decode_submission(contents.ok.get(batch.content_offset, b""))
+        content = self._read_parts(batch, deadline)
+        if content.is_error():
+            return expression.Error(content.error)
+        decoded = submission.decode_submission(content.ok)
         if decoded.is_error():
             return expression.Error(NotDone(str(decoded.error), False))
         with self._lock:
@@ -253,6 +286,24 @@
                 self._cached.popitem(last=False)
         return expression.Ok(decoded.ok)
 
+    def _read_parts(
+        self, batch: fold.Batch, deadline: clock.Deadline
+    ) -> expression.Result[bytes, NotDone]:
+        """Return a submission's bytes, which may take several reads."""
+        offset = batch.accepted.content_offset
+        end = offset + batch.accepted.content_records
+        content = b""
+        while offset < end:
+            read = self._read_content(batch.batch_id, offset, deadline)
+            if read.is_error():
+                return expression.Error(read.error)
+            if offset not in read.ok:
+                return expression.Error(NotDone("a submission is not kept any more", False))
+            while offset < end and offset in read.ok:
+                content += read.ok[offset]
+                offset += 1
+        return expression.Ok(content)
+
     def _read_content(
         self, batch_id: str, offset: int, deadline: clock.Deadline
     ) -> expression.Result[dict[int, bytes], NotDone]:
--- a/libs/batches/oleander_batches/records.py
+++ b/libs/batches/oleander_batches/records.py
@@ -25,6 +25,8 @@
     step: int
     oldest_version: int
     content_offset: int
+    content_records: int
+    """Over how many records in a row the submission is spread."""
     total: int
     """How many items it has."""
 
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -27,6 +27,8 @@
     """The platform's log can't be read far enough to tell."""
     REFUSED = "refused"
     """Nothing was done and nothing will be."""
+    IMPOSSIBLE = "impossible"
+    """It can't be done at another time either."""
     UNKNOWN = "unknown"
     """It may have been done, or may be done later."""
 
@@ -130,6 +132,8 @@
 
 
 def _describe(error: journal.NotDone) -> BatchProblem:
+    if error.is_final:
+        return BatchProblem(BatchFault.IMPOSSIBLE, error.detail)
     fault = BatchFault.UNKNOWN if error.may_have_effect else BatchFault.REFUSED
     return BatchProblem(fault, error.detail)
 
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -141,11 +141,11 @@
 
     def _find_route(self, batch: fold.Batch) -> routes.Route | None:
         table = self._directory.table
-        return table.match(batch.host, batch.path) if table else None
+        return table.match(batch.accepted.host, batch.accepted.path) if table else None
 
     def _load(self, batch: fold.Batch) -> None:
         table = self._directory.table
-        route = table.match(batch.host, batch.path) if table else None
+        route = self._find_route(batch)
         if table is None or route is None:
             log.warn_bounded("batch-without-route", "its items wait", batch=batch.batch_id)
             return
@@ -174,16 +174,13 @@
 
     def _load_partials(self, batch: fold.Batch, run: batch_run.BatchRun) -> int:
         """Read the starts of texts; one that can't be read is made anew."""
-        resumed = 0
-        for place in list(batch.partials.values()):
-            deadline = clock.start_deadline(_LOAD_SECONDS)
-            partial = self._journal.read_partial(batch.batch_id, place, deadline)
-            if partial.is_ok():
-                run.resume_item(partial.ok)
-                resumed += 1
-            else:
-                log.warn_bounded("partial-unread", partial.error.detail, batch=batch.batch_id)
-        return resumed
+        if not batch.partials:
+            return 0
+        deadline = clock.start_deadline(_LOAD_SECONDS)
+        partials = self._journal.read_partials(batch, deadline)
+        for partial in partials:
+            run.resume_item(partial)
+        return len(partials)
 
     def _start_one(self) -> bool:
         if self._running >= self._most_items or self._writer.is_full:
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -57,7 +57,7 @@
         metrics.record_gauge(metrics.ORDERS_HELD, self._rights.held)
         for batch in self._journal.list_open():
             if batch.allowed_lag is not None:
-                self._plan.note_lag(batch.model, batch.allowed_lag)
+                self._plan.note_lag(batch.accepted.model, batch.allowed_lag)
         self._check_taken()
         named = self._directory.list_named()
         for backend in engines:
