--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -18,7 +18,7 @@
 _READ_SECONDS = 1.5
 _WAIT_MS = 1000
 """Below the configuration's bound, so that a connection gone silent is noticed in time."""
-_PAUSE_SECONDS = 0.1
+_PAUSE_SECONDS = 0.2
 """Between reads of the index: results of the same moment come in one read."""
 _AGAIN_SECONDS = 0.2
 _APPEND_SECONDS = 1.0
