Look for an unknown batch in the index as of now

Also: an unexpected error of our own in an attempt ends the attempt instead of leaving its item marked as running for ever (row raises in batch_items.feature).

--- a/features/batch_items.feature
+++ b/features/batch_items.feature
@@ -2,7 +2,7 @@
   A batch of 4 items runs in one process, its log in memory. The whole text of item n is n.1 n.2 ... n.6.
   Engines e1 and e2 do what is said of them: whole sends all, cut breaks off after 3 events once an item,
   full refuses the first 3 attempts, stuck sends one event and no more, fails answers 500,
-  bad answers 422, old makes events with version 1, other is another server now, gone refuses to connect.
+  raises fails in our own code, bad answers 422, old makes events with version 1, other is another server now, gone refuses to connect.
 
   Scenario Outline: Each item gets its whole text once, whatever its engine does
     # A text that was cut and taken for whole, or joined with a gap or a copy, would train the model on
@@ -25,6 +25,7 @@
       | e1=old e2=whole  | 2      | done    |
       | e1=other e2=whole | 1     | done    |
       | e1=gone e2=whole | 1      | done    |
+      | e1=raises e2=whole | 1    | done    |
 
   Scenario Outline: A text is listed only with its score
     # The trainer learns from the score. A result without one, or with that of another call, is worse
--- a/features/steps/batch_items_steps.py
+++ b/features/steps/batch_items_steps.py
@@ -84,6 +84,8 @@
         behaviour = self._behaviours[server.server_id]
         if behaviour == "gone":
             return expression.Error(servers.CallFailure("refused", False))
+        if behaviour == "raises":
+            raise RuntimeError("a fault of our own")
         if behaviour == "other":
             return expression.Ok(_answer(421, is_other=True))
         if behaviour == "full" and self._refused[server.server_id] < 3:
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -227,14 +227,24 @@
 
     def _attempt(self, progress: _Progress, server: servers.Server) -> _Attempted:
         started_at = clock.read_now()
-        answered = self._caller.call(
-            server, progress.request, progress.deadline, lambda: progress.is_over
-        )
+        answered = self._call_server(progress, server)
         milliseconds = (clock.read_now() - started_at) * 1000
         outcome = _rate(answered, progress)
         self._router.note_finished(server.server_id, outcome, milliseconds)
         return answered
 
+    def _call_server(self, progress: _Progress, server: servers.Server) -> _Attempted:
+        """Call a server; an unexpected error counts as an answer that did not come."""
+        try:
+            return self._caller.call(
+                server, progress.request, progress.deadline, lambda: progress.is_over
+            )
+        except Exception:
+            log.logger.bind(event="call-failed", id=progress.request.request_id).exception(
+                "its caller may ask another server"
+            )
+            return expression.Error(servers.CallFailure("internal error", True))
+
 
 def _rate(answered: _Attempted, progress: _Progress) -> router.RouteOutcome:
     """Tell what an attempt says of its server; one that was cancelled says only how long."""
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -13,8 +13,8 @@
 _ACCEPT_SECONDS = 2.0
 _END_SECONDS = 2.0
 _FRESH_SECONDS = 0.4
-"""A batch or position that is not known is looked for in the index as of so long ago or newer:
-half of the second within which every entry must know what one has said."""
+"""That there is no further result is said as of so long ago: half of the second within which
+every entry must know what one has said."""
 _RETRY_AFTER_MS = 200
 
 
@@ -77,7 +77,7 @@
         batch = found.ok
         if len(batch.listed) <= after:
             self._journal.wait_longer(batch, after, wait)
-        if len(batch.listed) <= after and not self._refresh():
+        if len(batch.listed) <= after and not self._refresh(clock.read_now() - _FRESH_SECONDS):
             return _reject(BatchFault.UNSURE, "the index can't be read")
         listing = self._journal.read_results(batch, after, clock.start_deadline(_READ_SECONDS))
         if listing.is_error():
@@ -116,18 +116,23 @@
         return ended.map_error(_describe)
 
     def _find(self, batch_id: str) -> expression.Result[fold.Batch, BatchProblem]:
+        """
+        Return a batch; one that is not known is looked for in the index as of now.
+
+        A trainer that was told that its batch is accepted must never be told that there is none,
+        also not by the same entry a moment later.
+        """
         batch = self._journal.find(batch_id)
         if batch is not None:
             return expression.Ok(batch)
-        if not self._refresh():
+        if not self._refresh(clock.read_now()):
             return _reject(BatchFault.UNSURE, "the index can't be read")
         batch = self._journal.find(batch_id)
         if batch is None:
             return _reject(BatchFault.MISSING, "no such batch")
         return expression.Ok(batch)
 
-    def _refresh(self) -> bool:
-        since = clock.read_now() - _FRESH_SECONDS
+    def _refresh(self, since: float) -> bool:
         return self._journal.refresh(since, clock.start_deadline(_READ_SECONDS))
 
 
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -1,7 +1,5 @@
 """Generates one item, has it scored, and hands over its result."""
 
-import dataclasses
-
 from oleander_base import clock, log, metrics, tasks
 from oleander_batches import submission
 from oleander_direct import calls, directory, routes, servers
@@ -19,14 +17,6 @@
 _BAD_ITEM = 422
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class ScoredText:
-    """A whole text and its score."""
-
-    sample: steps.Sample
-    score: str
-
-
 class ItemRunner:
     """Runs items on threads of its caller; safe to use from several threads."""
 
@@ -48,18 +38,37 @@
         self, item: batch_run.ItemWork, server: servers.Server
     ) -> submission.ItemResult | None:
         """Return the item's result, or nothing where it is to be tried again."""
-        started_at = clock.read_now()
         outcome = _ItemAttempt(self._caller, item, server)
-        ended = outcome.run()
-        rated, milliseconds = outcome.rate(clock.read_now() - started_at)
-        self._router.note_finished(server.server_id, rated, milliseconds)
-        _note_attempt(item, server, outcome, clock.read_now() - started_at)
+        ended = self._run_attempt(outcome, item, server)
         if isinstance(ended, submission.ItemResult):
             return ended
         if ended is None:
             return self._give_up_failing(item, outcome)
         return self._score(item, ended)
 
+    def _run_attempt(
+        self, outcome: "_ItemAttempt", item: batch_run.ItemWork, server: servers.Server
+    ) -> steps.Sample | submission.ItemResult | None:
+        """
+        Run one stream and rate its server.
+
+        An unexpected error ends the attempt like a broken stream: an item that stayed marked as
+        running would never be tried again, and its step would wait for it until it is late.
+        """
+        started_at = clock.read_now()
+        ended = None
+        try:
+            ended = outcome.run()
+        except Exception:
+            log.logger.bind(event="item-failed", id=item.item.item_id).exception("tried again")
+            outcome.reason = "internal-error"
+            item.run.fail(item)
+        seconds = clock.read_now() - started_at
+        rated, milliseconds = outcome.rate(seconds)
+        self._router.note_finished(server.server_id, rated, milliseconds)
+        _note_attempt(item, server, outcome, seconds)
+        return ended
+
     def _give_up_failing(
         self, item: batch_run.ItemWork, outcome: "_ItemAttempt"
     ) -> submission.ItemResult | None:
