--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -16,11 +16,13 @@
 """All of the index is one partition: its order is the order of the results in each batch. A record
 has some 80 bytes; a partition of 20 MB/s carries a hundred times the results aimed at."""
 _READ_SECONDS = 1.5
+"""Half a second above the wait: round trips take some ms, a slow store a quarter second."""
 _WAIT_MS = 1000
 """Below the configuration's bound, so that a connection gone silent is noticed in time."""
 _PAUSE_SECONDS = 0.2
 """Between reads of the index: results of the same moment come in one read."""
 _AGAIN_SECONDS = 0.2
+"""Between tries while the log does not answer: five calls a second from each entry."""
 _APPEND_SECONDS = 1.0
 _RECORD_BYTES = 128 * 1024
 """A submission is spread over records of this size: half of what a record may have here."""
@@ -29,6 +31,7 @@
 _MOST_CACHED = 8
 """Submissions kept after they were read; each has some tens of kilobytes."""
 _FORGET_EVERY_SECONDS = 5.0
+"""Batches are kept for minutes; looking each few seconds costs nothing."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -14,16 +14,19 @@
 _REPLY_PART = 0.05
 """The part of a caller's time that is kept for the way back."""
 _MOST_REPLY_SECONDS = 0.1
+"""Above the way back between any two places of one region, with a retransmission."""
 _LEAST_ATTEMPT_SECONDS = 0.02
 """With less time left nothing is sent: no server answers in it, and it would work for nobody."""
 _HEDGE_PART = 0.4
 """A second server is asked after this part of the objective, so that it can still meet it."""
 _MOST_HEDGES = 20
+"""Saved up for a burst: what one slow server gets of a second's calls."""
 _HEDGE_PERCENT = 15
 """Hedges in percent of requests: they cost the servers less than one slow server costs callers."""
 _POLL_SECONDS = 0.05
 """How often a waiting request looks whether its caller is still there."""
 _RETRY_AFTER_MS = 150
+"""Full servers have a free slot again in about one request's time."""
 _MOST_RUNNING = 64
 """Attempts of one process that run at once; more wait for a thread."""
 
--- a/libs/orders/oleander_orders/pace.py
+++ b/libs/orders/oleander_orders/pace.py
@@ -3,6 +3,7 @@
 from oleander_base import clock
 
 _NEWEST_WEIGHT = 0.3
+"""Follows a change within about three values."""
 _UNKNOWN_LOAD_SECONDS = 1.0
 _MOST_USED = 0.8
 """The part of the weight store's pace that loads may need before some are left out."""
--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -10,9 +10,11 @@
 _WAVE_PART = 3
 """One server in so many loads a model at once, so that the others serve it meanwhile."""
 _LEAST_WAVE = 2
+"""Small fleets: a weight store takes two at once without slowing down."""
 _WAVE_SECONDS = 1.2
 """The next wave follows after a load of 0.9 s and a margin, unless the last is seen to be done."""
 _FIRST_CHECK_SECONDS = 0.8
+"""Shortly before a load of 0.9 s can be done."""
 _CHECK_SECONDS = 0.25
 """How often a server is asked whether it has loaded; the list tells a heartbeat later."""
 _TAKEN_SECONDS = 4.0
--- a/libs/orders/oleander_orders/right.py
+++ b/libs/orders/oleander_orders/right.py
@@ -13,11 +13,14 @@
 """How long a confirmed record lets its writer order. Renewed three times in it, so that one lost
 answer or a pause of half a second does not end it."""
 _RENEW_SECONDS = 0.8
+"""A third of the term."""
 _GAP_MARGIN_SECONDS = 0.5
 """On top of the required gap, for orders on their way when the term ended."""
 _READ_SECONDS = 1.4
+"""A silent connection is given up well within the term and the gap."""
 _APPEND_SECONDS = 0.7
 _AGAIN_SECONDS = 0.2
+"""Between tries while the log does not answer."""
 _RELEASED = "released"
 _HELD = "held"
 
--- a/libs/orders/oleander_orders/rights.py
+++ b/libs/orders/oleander_orders/rights.py
@@ -8,6 +8,7 @@
 from oleander_platform import recordlog
 
 _LOOK_SECONDS = 0.5
+"""How soon a free right is seen; a successor waits six seconds in any case."""
 
 
 class OrderRights:
--- a/libs/platform/oleander_platform/keyed_follower.py
+++ b/libs/platform/oleander_platform/keyed_follower.py
@@ -8,6 +8,7 @@
 _WAIT_MS = 1000
 """A silent connection must be noticed while a change can still be in force in time."""
 _READ_SECONDS = 1.4
+"""Above the wait by a slow store's answer."""
 _AGAIN_SECONDS = 0.2
 _PARTITION = 0
 
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -10,12 +10,15 @@
 from oleander_batches import fold, journal, submission
 
 _READ_SECONDS = 1.0
+"""Trainers wait 1.5 s longer than they allow."""
 _ACCEPT_SECONDS = 2.0
 _END_SECONDS = 2.0
+"""Half of the time in which an end must be acknowledged here."""
 _FRESH_SECONDS = 0.4
 """That there is no further result is said as of so long ago: half of the second within which
 every entry must know what one has said."""
 _RETRY_AFTER_MS = 200
+"""Soon: a refusal is of one entry, and the next try goes to another."""
 
 
 class BatchFault(enum.Enum):
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -11,6 +11,7 @@
 _IDLE_SECONDS = 0.05
 """How soon a free place at an engine is used; a tenth of a short text's time."""
 _LOAD_SECONDS = 1.0
+"""For reading a submission; the items of other batches wait meanwhile."""
 _KEEP_SECONDS = 0.8
 _LEAST_KEPT_EVENTS = 12
 """A start that is kept costs two small appends; below half of a usual text it isn't worth them."""
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -31,10 +31,12 @@
 """Items that one entry generates at once: all that a few dozen engines can run, should the
 entry be the only one left."""
 _OTHER_TASKS = 16
+"""Followers, servers, writer, runner, keeper and room for a few more."""
 _SILENT_SECONDS = 2.5
 """After such a silence of the platform an entry reports that it is not ready: others may hear it.
 Two missed polls of a second."""
 _CONFIGURATION_PAUSE_SECONDS = 0.05
+"""Configurations are rare and must be in force soon."""
 _SERVERS_PAUSE_SECONDS = 0.25
 """Servers report all the time; a read four times a second takes in what came since."""
 _LEAVE_SECONDS = 2.5
@@ -42,8 +44,10 @@
 _STOP_MARGIN_SECONDS = 1.5
 """A stop ends so long before the platform's limit."""
 _CLOSE_SECONDS = 0.5
+"""For tasks that wait in a call; the process ends without them after it."""
 _RELOAD_SECONDS = 1.0
 _POLL_SECONDS = 0.05
+"""How soon the end of the last request is seen."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/programs/oleanderdeal/oleanderdeal/result_writer.py
+++ b/programs/oleanderdeal/oleanderdeal/result_writer.py
@@ -7,6 +7,7 @@
 from oleander_batches import journal, submission
 
 _MOST_RESULTS = 64
+"""In one append: half a megabyte of usual texts, a quarter of what a call may have."""
 _WRITE_AGAIN_SECONDS = 0.2
 _MOST_WAITING_RESULTS = 4096
 """Past this no item is begun: results can't be written, and more would only fill memory."""
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -9,9 +9,11 @@
 _ORDER_SECONDS = 0.8
 """An order is answered before the load; a server that is silent for so long is left for later."""
 _STATE_SECONDS = 0.4
+"""An engine that does not say its state in this time is left for later."""
 _LEAST_TENURE_SECONDS = 1.0
 """With less of the right left no order is begun: it could arrive when a successor may order."""
 _PAUSE_SECONDS = 0.1
+"""A tenth of a load."""
 
 
 class VersionKeeper:
