--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -13,7 +13,7 @@
 """Without an event for so long an engine counts as silent. A change of weights takes 0.9 s and
 some more when several load, and a waiting request starts within a second."""
 _SCORING_SECONDS = 3.0
-"""A usual scoring takes 0.2 s; a hanging one is asked again while the step can still be in time."""
+"""Usual scorings take 0.2 s; one that hangs is asked again while its step can be in time."""
 _SCORING_AGAIN_SECONDS = 0.05
 _BAD_ITEM = 422
 
