--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -72,7 +72,7 @@
         for name, held in self._rights.items():
             tenure = held.find_tenure()
             if tenure is not None:
-                self.permissions.append((self.now, name, tenure.fencing))
+                self.permissions.append((self.now, name, tenure.fencing, held.name))
 
 
 @behave.given("the order holders {names}")
@@ -102,8 +102,8 @@
     for earlier, later in zip(
         context.holders.permissions, context.holders.permissions[1:], strict=False
     ):
-        if earlier[1] == later[1]:
-            assert earlier[2] <= later[2], (earlier, later)
+        if earlier[3] == later[3]:
+            assert earlier[2] == later[2], (earlier, later)
         else:
             assert earlier[2] < later[2], (earlier, later)
 
