Let a batch stay with the process that runs it

The platform then took one partition of each runner, among them the one of the trainer's batches, and dealt it 1.2 s later. Its runner stopped at 29.7 s with 19 texts at engines; the new one began at 30.9 s, from starts up to 0.8 s old, and the short texts from nothing.

Change: a record in the index says who runs a batch. Its runner goes on when the partition is dealt anew, and says so each 0.8 s; another takes the batch when the runner hands it over (a stop), was not heard for 1.6 s, or is unknown. The runner stops when it reads that.

--- /dev/null
+++ b/features/batch_tenures.feature
@@ -0,0 +1,55 @@
+Feature: A batch stays with the process that runs it
+  Runners a and b share a log and two engines; the batch has 4 items of 6 events. An engine that is slow
+  takes 0.3 s an event, one that crawls 1 s.
+
+  Scenario Outline: A batch goes on while its partition is dealt anew
+    # A process joins, and the partition of a batch in progress is taken from its runner, a second
+    # later given to another. A batch that moved along stood still for that second, lost what its
+    # engines were at and ended seconds later; its trainer was too late with its next step.
+    Given runners a and b with the engines e1=slow e2=slow, all partitions dealt to a
+    When a batch that allows versions from 1 on is accepted
+    And its items have 2 events each
+    And all partitions are dealt to <first>
+    And after 1.2 s
+    And all partitions are dealt to <then>
+    Then within 12 s its results are done
+    And each item was begun once
+
+    Examples:
+      | first  | then   |
+      | nobody | nobody |
+      | nobody | b      |
+      | b      | b      |
+      | b      | a      |
+
+  Scenario: A runner that is gone is replaced
+    # The runner was killed: it neither hands over nor speaks again. Its trainer waits for the batch.
+    Given runners a and b with the engines e1=slow e2=slow, all partitions dealt to a
+    When a batch that allows versions from 1 on is accepted
+    And its items have 2 events each
+    And runner a ends without a word
+    And all partitions are dealt to b
+    Then within 3 s runner b runs 4 items
+    And within 12 s its results are done
+
+  Scenario: A runner that stops as planned is replaced at once
+    # Silence need not be waited for: the one that leaves says that it hands its batches over.
+    Given runners a and b with the engines e1=crawls e2=crawls, all partitions dealt to a
+    When a batch that allows versions from 1 on is accepted
+    And within 2 s runner a runs 4 items
+    And runner a is drained
+    And all partitions are dealt to b
+    Then within 1.2 s runner b runs 4 items
+
+  Scenario: A runner that was cut off stops when it reads that another took its batch
+    # Both run the batch while one can't read the log. Going on after that, the engines would make
+    # each text twice, and the trainer's next step would wait for places.
+    Given runners a and b with the engines e1=crawls e2=crawls, all partitions dealt to a
+    When a batch that allows versions from 1 on is accepted
+    And within 2 s runner a runs 4 items
+    And the log is down for runner a
+    And all partitions are dealt to b
+    Then within 4 s runner b runs 4 items
+    When the log is up for runner a
+    Then within 2 s runner a runs 0 items
+    And runner b goes on with its 4 items
--- a/features/steps/batch_items_steps.py
+++ b/features/steps/batch_items_steps.py
@@ -12,13 +12,14 @@
 from oleander_direct import calls, directory, routes, servers
 from oleander_routing import router
 from oleander_standins import recordlog
-from oleanderdeal import batch_runner, item_task, ownership, result_writer
+from oleanderdeal import batch_runner, batch_tenures, item_task, ownership, result_writer
 
 _ITEMS = 4
 _EVENTS = 6
 _MODEL = "m"
 _EVENT_SECONDS = 0.005
-_SLOW_SECONDS = 0.3
+_SECONDS = {"slow": 0.3, "crawls": 1.0}
+"""From one event to the next, where an engine takes longer than usual."""
 _TICK_SECONDS = 0.02
 
 
@@ -33,13 +34,14 @@
         self._sent = 0
         self._is_cancelled = is_cancelled
         engines.running += 1
+        engines.attempts += 1
         self._is_open = True
 
     def read_event(self):
         if self._breaks():
             self.close()
             return expression.Error(servers.CallFailure("reset", True))
-        seconds = _SLOW_SECONDS if self._behaviour == "slow" else _EVENT_SECONDS
+        seconds = _SECONDS.get(self._behaviour, _EVENT_SECONDS)
         stuck = self._behaviour == "stuck" and self._sent
         until = time.monotonic() + (60.0 if stuck else seconds)
         while time.monotonic() < until:
@@ -79,6 +81,7 @@
         self.made = collections.Counter()
         self.cuts = collections.Counter()
         self.running = 0
+        self.attempts = 0
 
     def generate(self, server, request, deadline, is_cancelled):
         behaviour = self._behaviours[server.server_id]
@@ -137,7 +140,7 @@
 class RunnerProcess:
     """One process that runs batches."""
 
-    def __init__(self, log_service, engines, names):
+    def __init__(self, log_service, engines, names, member="runner"):
         self.group = tasks.TaskGroup("runner", 64)
         chooser = router.Router(3)
         self._known = directory.Directory(chooser, engines)
@@ -146,12 +149,13 @@
             self._put_server(name, "engines", (servers.ModelVersion(_MODEL, 2),))
         self._put_server("s1", "scorers", ())
         self.journal = journal.BatchJournal(log_service, self.group, 4, 100.0)
-        owned = ownership.Ownership(log_service, "runner", self.group)
+        owned = ownership.Ownership(log_service, member, self.group)
+        tenures = batch_tenures.BatchTenures(self.journal, owned, member)
         dispatcher = calls.CallDispatcher(self._known, chooser, engines)
         items = item_task.ItemRunner(self._known, chooser, engines, dispatcher, self.group)
         writer = result_writer.ResultWriter(self.journal, self.group)
         self.runner = batch_runner.BatchRunner(
-            self._known, self.journal, owned, chooser, items, writer, self.group, 32
+            self._known, self.journal, tenures, chooser, items, writer, self.group, 32
         )
         for task in (
             self.journal.follow,
@@ -276,3 +280,68 @@
     context.engines._behaviours = behaviours
     context.process = RunnerProcess(context.log_service, context.engines, list(behaviours))
     stopper.join()
+
+
+@behave.given("runners a and b with the engines {listed}, all partitions dealt to a")
+def start_two_runners(context, listed):
+    context.log_service = recordlog.MemoryRecordLog()
+    _deal(context, "a")
+    behaviours = dict(item.split("=") for item in listed.split())
+    context.engines = FakeEngines(behaviours)
+    context.clients = {name: context.log_service.create_client() for name in "ab"}
+    context.processes = {
+        name: RunnerProcess(client, context.engines, list(behaviours), name)
+        for name, client in context.clients.items()
+    }
+    context.process = context.processes["a"]
+    for process in context.processes.values():
+        context.add_cleanup(process.stop)
+    _wait(2, lambda: all(p.journal.is_caught_up for p in context.processes.values()), str)
+
+
+def _deal(context, name):
+    for member in "ab":
+        is_dealt = member == name
+        context.log_service.dealt[member] = frozenset(range(64) if is_dealt else ())
+
+
+@behave.when("all partitions are dealt to {name}")
+def deal(context, name):
+    _deal(context, name)
+
+
+@behave.when("runner a ends without a word")
+def end_abruptly(context):
+    context.processes["a"].stop()
+    context.process = context.processes["b"]
+
+
+@behave.when("runner {name} is drained")
+def drain(context, name):
+    context.processes[name].runner.drain()
+
+
+@behave.when("the log is {state} for runner {name}")
+def break_log(context, state, name):
+    context.clients[name].faults.is_down = state == "down"
+
+
+@behave.when("after {seconds:g} s")
+def let_pass(context, seconds):
+    time.sleep(seconds)
+
+
+@behave.then("each item was begun once")
+def check_attempts(context):
+    assert context.engines.attempts == _ITEMS, context.engines.attempts
+
+
+@behave.step("within {seconds:g} s runner {name} runs {items:d} items")
+def check_running(context, seconds, name, items):
+    runner = context.processes[name].runner
+    _wait(seconds, lambda: runner.running == items, lambda: runner.running)
+
+
+@behave.then("runner {name} goes on with its {items:d} items")
+def check_still_running(context, name, items):
+    assert context.processes[name].runner.running == items, context.processes[name].runner.running
--- a/libs/batches/oleander_batches/fold.py
+++ b/libs/batches/oleander_batches/fold.py
@@ -38,6 +38,11 @@
     """The results in their order in the index, which no process can change."""
     finished: set[int] = dataclasses.field(default_factory=set)
     partials: dict[int, PartialPlace] = dataclasses.field(default_factory=dict)
+    runner: str = ""
+    """Who said last that it runs the items; empty before that and after a hand-over."""
+    heard_at: float = 0.0
+    """When a runner's last record was read as it came; 0 where all are from before this process
+    began to read, for nobody may be left who wrote them."""
 
     @property
     def batch_id(self) -> str:
@@ -86,18 +91,22 @@
         """Return all batches, in the order of acceptance."""
         return list(self._batches.values())
 
-    def apply(self, record: records.IndexRecord) -> None:
-        """Take in the next record."""
+    def apply(self, record: records.IndexRecord, is_live: bool = True) -> None:
+        """Take in the next record; `is_live` tells those that come from those found at a start."""
         if isinstance(record, records.Accepted):
             self._accept(record)
             return
         batch = self._batches.get(record.batch_id)
         if batch is None:
             return
+        if is_live:
+            batch.heard_at = clock.read_now()
         if isinstance(record, records.Finished):
             _finish(batch, record)
         elif isinstance(record, records.Partial):
             _note_partial(batch, record)
+        elif isinstance(record, records.Taken):
+            batch.runner = record.runner
         else:
             batch.is_ended = True
             batch.partials.clear()
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -217,6 +217,11 @@
         ]
         return self._append_index(index, clock.start_deadline(_APPEND_SECONDS))
 
+    def note_runner(self, batch_ids: list[str], runner: str) -> expression.Result[None, NotDone]:
+        """Tell all processes who runs batches; nobody, where the name is empty."""
+        index: list[records.IndexRecord] = [records.Taken(name, runner) for name in batch_ids]
+        return self._append_index(index, clock.start_deadline(_APPEND_SECONDS))
+
     def read_results(
         self, batch: fold.Batch, after: int, deadline: clock.Deadline
     ) -> expression.Result[Listing, NotDone]:
@@ -362,7 +367,7 @@
                 continue
             decoded = records.decode_record(record.content)
             if decoded.is_ok():
-                self._fold.apply(decoded.ok)
+                self._fold.apply(decoded.ok, self._is_caught_up)
             else:
                 log.warn_bounded("index-record", str(decoded.error), offset=record.offset)
             self._next_offset = record.offset + 1
--- a/libs/batches/oleander_batches/records.py
+++ b/libs/batches/oleander_batches/records.py
@@ -12,6 +12,7 @@
 _FINISHED = 2
 _ENDED = 3
 _PARTIAL = 4
+_TAKEN = 5
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -57,13 +58,22 @@
     events: int
 
 
-IndexRecord = Accepted | Finished | Ended | Partial
+@dataclasses.dataclass(slots=True, frozen=True)
+class Taken:
+    """A process runs the items of a batch, or, with an empty name, hands it to whoever is next."""
+
+    batch_id: str
+    runner: str
+
+
+IndexRecord = Accepted | Finished | Ended | Partial | Taken
 
 _TYPES: dict[int, typing.Any] = {
     _ACCEPTED: Accepted,
     _FINISHED: Finished,
     _ENDED: Ended,
     _PARTIAL: Partial,
+    _TAKEN: Taken,
 }
 _KINDS = {kind: number for number, kind in _TYPES.items()}
 
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -6,7 +6,7 @@
 from oleander_batches import fold, journal
 from oleander_direct import directory, routes, servers
 from oleander_routing import router
-from oleanderdeal import batch_run, item_task, item_texts, ownership, result_writer
+from oleanderdeal import batch_run, batch_tenures, item_task, item_texts, result_writer
 
 _IDLE_SECONDS = 0.05
 """How soon a free place at an engine is used; a tenth of a short text's time."""
@@ -30,7 +30,7 @@
         self,
         known: directory.Directory,
         kept: journal.BatchJournal,
-        owned: ownership.Ownership,
+        tenures: batch_tenures.BatchTenures,
         router_: router.Router,
         items: item_task.ItemRunner,
         writer: result_writer.ResultWriter,
@@ -39,7 +39,7 @@
     ) -> None:
         self._directory = known
         self._journal = kept
-        self._owned = owned
+        self._tenures = tenures
         self._router = router_
         self._items = items
         self._writer = writer
@@ -49,6 +49,7 @@
         self._texts = item_texts.TextCache()
         self._running = 0
         self._lock = threading.Lock()
+        self._has_taken = threading.Event()
         self._is_draining = False
 
     @property
@@ -77,6 +78,7 @@
         for run in list(self._runs.values()):
             run.stop()
             self._keep_partials(run, 1, "handed-over")
+        self._tenures.release(self._list_running())
 
     def keep_partials(self) -> None:
         """
@@ -86,9 +88,15 @@
         longest, which take most of a step's time anyway, would be late.
         """
         while not self._group.is_stopping:
+            if not self._is_draining:
+                self._tenures.announce(self._list_running())
             for run in list(self._runs.values()):
                 self._keep_partials(run, _LEAST_KEPT_EVENTS, "kept")
-            self._group.pause(_KEEP_SECONDS)
+            self._has_taken.wait(_KEEP_SECONDS)
+            self._has_taken.clear()
+
+    def _list_running(self) -> list[fold.Batch]:
+        return [run.batch for run in list(self._runs.values()) if run.batch.is_open]
 
     def _keep_partials(self, run: batch_run.BatchRun, least_events: int, event: str) -> None:
         if not run.batch.is_open:
@@ -110,19 +118,21 @@
         open_batches = {batch.batch_id: batch for batch in self._journal.list_open()}
         for batch_id, run in list(self._runs.items()):
             if batch_id not in open_batches:
-                run.stop()
-                del self._runs[batch_id]
+                self._drop(batch_id)
                 self._texts.keep(run.list_texts())
+            elif not self._is_draining and self._tenures.must_stop(run.batch):
+                self._drop(batch_id)
             else:
                 run.note_listed()
         if self._is_draining:
             return
         for batch_id, batch in open_batches.items():
-            is_owned = self._owned.owns(self._journal.find_runner_partition(batch))
-            if is_owned and batch_id not in self._runs:
+            if batch_id not in self._runs and self._tenures.may_take(batch):
                 self._load(batch)
-            elif not is_owned and batch_id in self._runs:
-                self._runs.pop(batch_id).stop()
+
+    def _drop(self, batch_id: str) -> None:
+        self._runs.pop(batch_id).stop()
+        self._tenures.forget(batch_id)
 
     def _give_up_overdue(self) -> None:
         """
@@ -164,7 +174,9 @@
         reused = run.reuse_texts(self._texts)
         for number, result in reused:
             self._writer.add(batch.batch_id, number, result)
+        self._tenures.note_taken(batch)
         self._runs[batch.batch_id] = run
+        self._has_taken.set()
         log.logger.bind(
             event="batch-taken",
             batch=batch.batch_id,
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/batch_tenures.py
@@ -0,0 +1,74 @@
+"""Decides which batches this process runs, and tells the others."""
+
+from oleander_base import clock, log
+from oleander_batches import fold, journal
+from oleanderdeal import ownership
+
+_SILENT_SECONDS = 1.6
+"""A runner that was not heard for so long is replaced: twice the time between two of its records
+(`batch_runner` keeps starts of texts, or says that it is there, each 0.8 s)."""
+
+
+class BatchTenures:
+    """
+    A batch stays with the process that runs it, whoever its partition is dealt to meanwhile.
+
+    Partitions are dealt anew whenever a process joins: first taken from one, a second later given
+    to another. A batch that moved along lost what its engines were at, nobody ran it for that
+    second, and its trainer came too late with the next one. So a process that runs a batch goes on
+    and says so in the index; the one that the partition is dealt to takes the batch when its
+    runner hands it over or falls silent, and the runner stops when it reads of that. Two may still
+    run one batch for a moment, which costs work and changes no result.
+    """
+
+    def __init__(self, kept: journal.BatchJournal, owned: ownership.Ownership, name: str) -> None:
+        self._journal = kept
+        self._owned = owned
+        self._name = name
+        self._taken_from: dict[str, str] = {}
+        """Whom the index named as the runner of a batch when this process took it."""
+
+    def may_take(self, batch: fold.Batch) -> bool:
+        """Tell whether this process should run a batch that it does not run."""
+        if not self._owned.owns(self._journal.find_runner_partition(batch)):
+            return False
+        is_free = batch.runner in ("", self._name)
+        return is_free or clock.read_now() >= batch.heard_at + _SILENT_SECONDS
+
+    def must_stop(self, batch: fold.Batch) -> bool:
+        """Tell whether a batch that this process runs is another's now."""
+        if not self._owned.is_believed:
+            return True
+        return batch.runner not in (self._name, self._taken_from.get(batch.batch_id, ""))
+
+    def note_taken(self, batch: fold.Batch) -> None:
+        """Remember that this process runs a batch from now on."""
+        self._taken_from[batch.batch_id] = batch.runner
+
+    def forget(self, batch_id: str) -> None:
+        """Forget a batch that this process runs no more."""
+        self._taken_from.pop(batch_id, None)
+
+    def announce(self, batches: list[fold.Batch]) -> None:
+        """Say of these batches that this process runs them, where others could doubt it."""
+        doubtful = [batch.batch_id for batch in batches if self._is_doubtful(batch)]
+        if doubtful:
+            self._say(doubtful, self._name)
+
+    def release(self, batches: list[fold.Batch]) -> None:
+        """Hand these batches to whoever their partitions are dealt to."""
+        if batches:
+            self._say([batch.batch_id for batch in batches], "")
+
+    def _is_doubtful(self, batch: fold.Batch) -> bool:
+        is_dealt = self._owned.owns(self._journal.find_runner_partition(batch))
+        return not is_dealt or batch.runner != self._name
+
+    def _say(self, batch_ids: list[str], runner: str) -> None:
+        said = self._journal.note_runner(batch_ids, runner)
+        log.logger.bind(
+            event="batch-tenure",
+            batches=batch_ids,
+            runner=runner,
+            error=said.error.detail if said.is_error() else "",
+        ).info("runs them" if runner else "hands them over")
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -14,6 +14,7 @@
 from oleanderdeal import (
     batch_api,
     batch_runner,
+    batch_tenures,
     http_server,
     item_task,
     lifecycle,
@@ -130,7 +131,7 @@
         self._runner = batch_runner.BatchRunner(
             self._known,
             self._journal,
-            self._owned,
+            batch_tenures.BatchTenures(self._journal, self._owned, chosen.name),
             self._router,
             items,
             self._writer,
--- a/programs/oleanderdeal/oleanderdeal/ownership.py
+++ b/programs/oleanderdeal/oleanderdeal/ownership.py
@@ -44,9 +44,12 @@
     @property
     def partitions(self) -> frozenset[int]:
         """The partitions dealt to this process, as far as it knows."""
-        if clock.read_now() >= self._believed_until:
-            return frozenset()
-        return self._membership.partitions
+        return self._membership.partitions if self.is_believed else frozenset()
+
+    @property
+    def is_believed(self) -> bool:
+        """Whether the platform's last answer is recent enough to act on."""
+        return clock.read_now() < self._believed_until
 
     def owns(self, partition: int) -> bool:
         """Tell whether a partition's batches fall to this process."""
--- a/standins/oleander_standins/recordlog.py
+++ b/standins/oleander_standins/recordlog.py
@@ -56,6 +56,8 @@
         self._lock: threading.Lock = shared._lock if shared else threading.Lock()
         self._late: list[_LateAppend] = []
         self.appends = 0
+        self.dealt: dict[str, frozenset[int]] = shared.dealt if shared else {}
+        """Partitions by member; where nothing is said here, every member is given all."""
 
     def create_client(self) -> "MemoryRecordLog":
         """Return another client of the same log."""
@@ -119,10 +121,12 @@
     def join(
         self, request: recordlog.MemberRequest, deadline: clock.Deadline
     ) -> expression.Result[recordlog.Membership, recordlog.LogError]:
-        """Give one member every partition."""
+        """Give a member what it was dealt."""
         if self.faults.is_down:
             return expression.Error(recordlog.LogError("down", False, 0))
-        return expression.Ok(recordlog.Membership(1, frozenset(range(64))))
+        if not self.dealt:
+            return expression.Ok(recordlog.Membership(1, frozenset(range(64))))
+        return expression.Ok(recordlog.Membership(2, self.dealt.get(request.member, frozenset())))
 
     def leave(
         self, request: recordlog.MemberRequest, deadline: clock.Deadline
