Refuse trainers at once where the log does not answer

Change: while the last read of the index had no answer, submissions, ends and reads are refused or left unsure at once (nothing was appended, so "not run" is true), and the index is probed each 0.8 s in place of each 1.9 s. A reader that waits hears of the cut as soon as it is noticed.

Ruled out: refusing only submissions (a read that waits costs the trainer as much). Tests: features/batches.feature, five cells, red on the code before (answers after 0.5 s and more).

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -52,6 +52,29 @@
       | down  | accepted | unsure  |
       | down  | other    | unsure  |
 
+  Scenario Outline: An entry that is cut from the log answers at once
+    # The entry was cut off and knows it. A trainer whose call it holds asks no other entry meanwhile:
+    # its step begins, ends or is seen to be whole seconds later than it could.
+    Given two entries on one log and a batch of 3 items
+    And the entries write a:0=x
+    And entry a was cut from the log and has noticed
+    When a trainer asks entry a to <call>
+    Then it hears <answer> within 0.3 s
+    And once the log is back, entry a does what it is asked
+
+    Examples:
+      | call                | answer  |
+      | accept a batch      | refused |
+      | list more results   | unsure  |
+      | list all results    | unsure  |
+      | list another batch  | unsure  |
+      | end the batch       | refused |
+
+  Scenario: A trainer that waits at an entry hears at once that it was cut
+    Given two entries on one log and a batch of 3 items
+    When a trainer waits at entry a for 3 s and the log is cut
+    Then it hears unsure within 1.3 s
+
   Scenario: A page without records moves no reader on
     # A read that waits in vain is answered with the end of the log just as a record is appended. An
     # entry that goes on from that end misses the record for ever: all later results of the batch
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -1,5 +1,8 @@
 """Steps for batches that several entries share in one log."""
 
+import threading
+import time
+
 import behave
 
 from oleander_base import clock, tasks
@@ -98,7 +101,7 @@
     context.shared.refresh()
 
 
-@behave.when("the entries write {writes}")
+@behave.step("the entries write {writes}")
 def write_results(context, writes):
     for word in writes.split():
         context.shared.write(word)
@@ -202,3 +205,64 @@
         context.shared.find(reader), clock.start_deadline(_SECONDS)
     )
     assert read.ok == context.submitted
+
+
+@behave.given("entry {name} was cut from the log and has noticed")
+def cut_entry(context, name):
+    context.shared.clients[name].faults.is_silent = True
+    kept = context.shared.journals[name]
+    assert not kept.refresh(clock.read_now(), clock.start_deadline(0.1))
+
+
+def _ask(context, call):
+    api = batch_api.BatchApi(context.shared.journals["a"])
+    asked = {
+        "accept a batch": lambda: api.accept(
+            build_submission(batch_id="next"), clock.start_deadline(5.0)
+        ),
+        "list more results": lambda: api.list_results("batch", 1, clock.start_deadline(1.0)),
+        "list all results": lambda: api.list_results("batch", 0, clock.start_deadline(1.0)),
+        "list another batch": lambda: api.list_results("other", 0, clock.start_deadline(1.0)),
+        "end the batch": lambda: api.end("batch"),
+    }
+    started_at = time.monotonic()
+    answer = asked[call]()
+    context.seconds = time.monotonic() - started_at
+    return answer
+
+
+@behave.when("a trainer asks entry a to {call}")
+def ask_cut_entry(context, call):
+    context.call = call
+    context.answer = _ask(context, call)
+
+
+@behave.when("a trainer waits at entry a for {seconds:g} s and the log is cut")
+def wait_at_cut_entry(context, seconds):
+    shared = context.shared
+    shared.clients["a"].faults.is_silent = True
+    reader = threading.Thread(
+        target=shared.journals["a"].refresh,
+        args=(clock.read_now(), clock.start_deadline(1.0)),
+    )
+    reader.start()
+    api = batch_api.BatchApi(shared.journals["a"])
+    started_at = time.monotonic()
+    context.answer = api.list_results("batch", 0, clock.start_deadline(seconds))
+    context.seconds = time.monotonic() - started_at
+    reader.join()
+
+
+@behave.then("it hears {fault} within {seconds:g} s")
+def check_soon(context, fault, seconds):
+    assert context.answer.is_error() and context.answer.error.fault.value == fault, context.answer
+    assert context.seconds < seconds, context.seconds
+
+
+@behave.then("once the log is back, entry a does what it is asked")
+def check_back(context):
+    context.shared.clients["a"].faults.is_silent = False
+    context.shared.refresh()
+    answer = _ask(context, context.call)
+    is_missing = answer.is_error() and answer.error.fault is batch_api.BatchFault.MISSING
+    assert answer.is_ok() or (is_missing and context.call == "list another batch"), answer
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -19,6 +19,9 @@
 """Half a second above the wait: round trips take some ms, a slow store a quarter second."""
 _WAIT_MS = 1000
 """Below the configuration's bound, so that a connection gone silent is noticed in time."""
+_PROBE_SECONDS = 0.6
+"""For a read while the log does not answer; it waits for no record, and a slow store takes a
+quarter second. So an entry that was cut off is of use again within a second."""
 _PAUSE_SECONDS = 0.2
 """Between reads of the index: results of the same moment come in one read."""
 _AGAIN_SECONDS = 0.2
@@ -78,6 +81,7 @@
         self._next_offset = 0
         self._complete_at = 0.0
         self._is_caught_up = False
+        self._is_cut = False
         self._cached: collections.OrderedDict[str, submission.Submission] = (
             collections.OrderedDict()
         )
@@ -87,6 +91,16 @@
         """Whether the index was read to its end at least once."""
         return self._is_caught_up
 
+    @property
+    def is_cut(self) -> bool:
+        """
+        Whether the last read of the index had no answer.
+
+        What a trainer asks then is refused at once: it asks another entry, which may reach the
+        log. Held for the usual second or two, a submission began by as much later.
+        """
+        return self._is_cut
+
     def find_runner_partition(self, batch: fold.Batch) -> int:
         """
         Return the partition whose owner runs a batch: the same for all batches of a model.
@@ -107,8 +121,9 @@
         """Read the index as it grows, until the group stops."""
         forget_at = clock.read_now() + _FORGET_EVERY_SECONDS
         while not self._group.is_stopping:
-            wait_ms = _WAIT_MS if self._is_caught_up else 0
-            if not self._read_on(wait_ms, clock.start_deadline(_READ_SECONDS)):
+            wait_ms = _WAIT_MS if self._is_caught_up and not self._is_cut else 0
+            seconds = _PROBE_SECONDS if self._is_cut else _READ_SECONDS
+            if not self._read_on(wait_ms, clock.start_deadline(seconds)):
                 self._group.pause(_AGAIN_SECONDS)
             if clock.read_now() >= forget_at:
                 forget_at = clock.read_now() + _FORGET_EVERY_SECONDS
@@ -134,9 +149,9 @@
             return [batch for batch in self._fold.list_batches() if batch.is_open]
 
     def wait_longer(self, batch: fold.Batch, after: int, deadline: clock.Deadline) -> bool:
-        """Wait until a batch has more results than so many; return whether it has."""
+        """Wait until a batch has more results than so many, or can't be known to have them."""
         with self._changed:
-            while len(batch.listed) <= after and not batch.is_ended:
+            while len(batch.listed) <= after and not batch.is_ended and not self._is_cut:
                 if deadline.is_past:
                     return False
                 self._changed.wait(deadline.remaining)
@@ -354,12 +369,19 @@
         if page.is_error():
             metrics.count(metrics.LOG_OUTAGES)
             log.warn_bounded("index-unread", page.error.detail)
+            self._note_cut()
             return False
         with self._changed:
+            self._is_cut = False
             self._apply_page(page.ok, started_at)
             self._changed.notify_all()
         return True
 
+    def _note_cut(self) -> None:
+        with self._changed:
+            self._is_cut = True
+            self._changed.notify_all()
+
     def _apply_page(self, page: recordlog.RawPage, started_at: float) -> None:
         """Apply what is new in a page; another thread may have applied a part of it."""
         for record in page.records:
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -57,6 +57,8 @@
         """Accept a batch; one that is known already is accepted again."""
         if self._journal.find(submitted.batch_id) is not None:
             return expression.Ok(None)
+        if self._journal.is_cut:
+            return self._refuse_cut(submitted.batch_id, "submission")
         accepted = self._journal.accept(submitted, deadline.earlier(_ACCEPT_SECONDS))
         if accepted.is_ok():
             metrics.count(metrics.BATCHES_ACCEPTED)
@@ -82,6 +84,8 @@
             self._journal.wait_longer(batch, after, wait)
         if len(batch.listed) <= after and not self._refresh(clock.read_now() - _FRESH_SECONDS):
             return _reject(BatchFault.UNSURE, "the index can't be read")
+        if self._journal.is_cut:
+            return _reject(BatchFault.UNSURE, "the log does not answer here")
         listing = self._journal.read_results(batch, after, clock.start_deadline(_READ_SECONDS))
         if listing.is_error():
             return _reject(BatchFault.UNSURE, listing.error.detail)
@@ -108,6 +112,8 @@
             return expression.Error(found.error)
         if found.ok.is_ended:
             return expression.Ok(None)
+        if self._journal.is_cut:
+            return self._refuse_cut(batch_id, "end")
         ended = self._journal.end(batch_id, clock.start_deadline(_END_SECONDS))
         log.logger.bind(
             event="batch-ended",
@@ -135,7 +141,15 @@
             return _reject(BatchFault.MISSING, "no such batch")
         return expression.Ok(batch)
 
+    def _refuse_cut(self, batch_id: str, call: str) -> expression.Result[typing.Any, BatchProblem]:
+        log.logger.bind(event="batch-refused", batch=batch_id, call=call).info(
+            "the log does not answer here"
+        )
+        return _reject(BatchFault.REFUSED, "the log does not answer here")
+
     def _refresh(self, since: float) -> bool:
+        if self._journal.is_cut:
+            return False
         return self._journal.refresh(since, clock.start_deadline(_READ_SECONDS))
 
 
--- a/standins/oleander_standins/recordlog.py
+++ b/standins/oleander_standins/recordlog.py
@@ -3,6 +3,7 @@
 import collections
 import dataclasses
 import threading
+import time
 
 import expression
 
@@ -18,6 +19,8 @@
 
     is_down: bool = False
     """Calls are refused and do nothing."""
+    is_silent: bool = False
+    """Reads and appends do nothing and have no answer until their time is up."""
     lost_answers: int = 0
     """So many appends take effect without an answer."""
     lost_calls: int = 0
@@ -67,6 +70,8 @@
         self, topic: str, partition: int, records: list[bytes], deadline: clock.Deadline
     ) -> expression.Result[recordlog.Appended, recordlog.LogError]:
         """Append all records or none."""
+        if self.faults.is_silent:
+            return expression.Error(_let_pass(deadline))
         appended = self._append(_LateAppend(topic, partition, records, None))
         if appended.is_error():
             assert isinstance(appended.error, recordlog.LogError)
@@ -87,7 +92,9 @@
     def read(
         self, topic: str, partition: int, offset: int, wait_ms: int, deadline: clock.Deadline
     ) -> expression.Result[recordlog.RawPage, recordlog.LogError]:
-        """Return records from an offset on; never waits."""
+        """Return records from an offset on; never waits for one."""
+        if self.faults.is_silent:
+            return expression.Error(_let_pass(deadline))
         if self.faults.is_down:
             return expression.Error(recordlog.LogError("down", False, 0))
         with self._lock:
@@ -171,3 +178,9 @@
             return expression.Error(recordlog.EndMoved(end))
         held.records.extend(append.records)
         return expression.Ok(recordlog.Appended(end, end + len(append.records)))
+
+
+def _let_pass(deadline: clock.Deadline) -> recordlog.LogError:
+    """Wait in vain for an answer."""
+    time.sleep(max(0.0, deadline.remaining))
+    return recordlog.LogError("no answer", True, 0)
