Wait for the claim's append itself before a cell kills its entry

Cause of the known red features/once_matrix.feature:24: the cell waited until a connection to the log was open, and then killed the entry. An entry that is killed between opening the connection and sending has appended nothing, so the claim that the cell waits for never comes.

The relay tells what it holds, and the cell waits until that is the append. The check of the cell is as strict as before.

--- a/features/once_trial.py
+++ b/features/once_trial.py
@@ -215,12 +215,19 @@
 
 
 def _reach_received(trial):
-    """The entry has the request; its append does not get to the log."""
+    """
+    The entry has the request; its append does not get to the log.
+
+    That a connection is open says nothing yet: an entry that is killed between opening it and
+    sending has appended nothing, and its claim never comes.
+    """
     log_relay = trial.relays["log-entry-a"]
     log_relay.block(relay.TO_SERVER)
-    before = log_relay.connections
     trial.ask("entry-a")
-    support.wait_until(lambda: log_relay.connections > before, "the claim's append was sent")
+    append = f"POST /streams/claims-{trial.shard}/records"
+    support.wait_until(
+        lambda: log_relay.holds(relay.TO_SERVER, append), "the claim's append was sent"
+    )
 
 
 def _reach_appended(trial):
--- a/standins/oleander_standins/relay.py
+++ b/standins/oleander_standins/relay.py
@@ -125,6 +125,11 @@
         with self._changed:
             return sum(direction in pair.held for pair in self._pairs)
 
+    def holds(self, direction: str, text: str) -> bool:
+        """Tell whether a text is among what is held on its way."""
+        with self._changed:
+            return any(text.encode() in pair.held.get(direction, b"") for pair in self._pairs)
+
     def heal(self) -> None:
         """Pass everything again, what was held first."""
         with self._changed:
@@ -190,12 +195,12 @@
             while data := source.recv(_MOST_BYTES):
                 if direction == TO_SERVER:
                     self._hold_matching(pair, data)
-                pair.held.add(direction)
+                pair.held[direction] = data
                 self._wait_open(pair, direction)
                 self._send(pair, sink, data, direction)
                 with self._changed:
                     self._passed[direction] += len(data)
-                pair.held.discard(direction)
+                pair.held.pop(direction, None)
             self._wait_open(pair, direction)
             sink.shutdown(socket.SHUT_WR)
         except OSError:
@@ -255,7 +260,8 @@
         self.client = client
         self.server = server
         self.blocked: set[str] = set()
-        self.held: set[str] = set()
+        self.held: dict[str, bytes] = {}
+        """What was read one way and is not passed on yet."""
         self.is_closed = False
         self.pumps_left = 2
 
