Tell refused callers to come back by how crowded it is; test callers under load

Cause: every refusal of a call named the same 150 ms, whatever the crowd, with no spread.

Change: 150 ms times the refusals for each answer of the last second or two, a quarter more or less, at most 0.4 of the objective (then one more try still fits).

Ruled out: the peers' reported wait (it names when one place is free, not for how many callers).

Tests: features/heavy_load.feature plays loads of 0.5 to 3 times what servers can do and checks what callers get: goodput, refusals at once and true, placing by size; and a table of the advice.

--- /dev/null
+++ b/features/steps/heavy_load_steps.py
@@ -0,0 +1,213 @@
+"""Steps for callers that arrive while servers are full."""
+
+import collections
+import concurrent.futures
+import dataclasses
+import threading
+import time
+
+import behave
+import expression
+
+from oleander_base import clock
+from oleander_direct import calls, comeback, directory, routes, servers
+from oleander_routing import router
+from oleanderdeal import direct_entry
+
+_SERVICE_SECONDS = 0.06
+_OBJECTIVE_SECONDS = 0.6
+_MOST_CALLERS = 200
+"""Callers that are there at once, at three times the load and 600 ms each."""
+_SOON_SECONDS = 0.15
+"""How long after its time a caller may be held on a busy machine."""
+_LONGEST_RETRY_MS = 1000
+
+
+@dataclasses.dataclass(slots=True)
+class CallerStory:
+    """What one caller met."""
+
+    started_at: float
+    served_at: float = 0.0
+    refusals: list = dataclasses.field(default_factory=list)
+
+
+class PlacesCaller(servers.ServerCaller):
+    """Servers with places; a request that finds none is refused and has not run."""
+
+    def __init__(self, places):
+        self.places = places
+        self._busy = collections.Counter()
+        self._lock = threading.Lock()
+        self.came = collections.Counter()
+        self.refused = collections.Counter()
+        self.ran = set()
+
+    def call(self, server, request, deadline, is_cancelled):
+        name = server.server_id
+        with self._lock:
+            self.came[name] += 1
+            if self._busy[name] >= self.places[name]:
+                self.refused[name] += 1
+                return expression.Ok(servers.CallAnswer(503, (), b"", True, False, ""))
+            self._busy[name] += 1
+            self.ran.add(request.request_id)
+        time.sleep(_SERVICE_SECONDS)
+        with self._lock:
+            self._busy[name] -= 1
+        return expression.Ok(servers.CallAnswer(200, (), b"", False, False, ""))
+
+    def generate(self, server, request, deadline, is_cancelled):
+        raise AssertionError
+
+    def read_state(self, server, deadline):
+        raise AssertionError
+
+    def order(self, server, order, deadline):
+        raise AssertionError
+
+    def forget(self, address):
+        pass
+
+
+@behave.given("full-load servers with the places {listed}")
+def create_servers(context, listed):
+    places = {f"s{number}": int(count) for number, count in enumerate(listed.split())}
+    context.caller = PlacesCaller(places)
+    chooser = router.Router(11)
+    known = directory.Directory(chooser, context.caller)
+    for name, count in places.items():
+        known.put_server(servers.Server(name, 1, "desk", "127.0.0.1:1", "z", count, False, ()))
+    context.dispatcher = calls.CallDispatcher(known, chooser, context.caller)
+    context.entry_threads = threading.Semaphore(direct_entry.HTTP_THREADS)
+    context.rate = sum(places.values()) / _SERVICE_SECONDS
+
+
+def _route():
+    share = (routes.Share("desk", 1),)
+    kind = routes.RouteKind.IDEMPOTENT
+    objective_ms = int(_OBJECTIVE_SECONDS * 1000)
+    return routes.Route("r", "h", "/", kind, 5000, objective_ms, 0, share, 3, False, False, 0, 0)
+
+
+def _live(context, number):
+    """Ask until served or too late, and tell what happened."""
+    story = CallerStory(time.monotonic())
+    context.stories[str(number)] = story
+    request = servers.CallRequest(str(number), "h", "POST", "/", (), b"", True)
+    while True:
+        left = story.started_at + _OBJECTIVE_SECONDS - time.monotonic()
+        if left <= 0:
+            return
+        with context.entry_threads:
+            sent_at = time.monotonic()
+            left = story.started_at + _OBJECTIVE_SECONDS - sent_at
+            outcome = context.dispatcher.call(
+                _route(), request, clock.start_deadline(left), lambda: False
+            )
+        if isinstance(outcome, calls.Answered):
+            story.served_at = time.monotonic()
+            return
+        if isinstance(outcome, calls.Unresolved):
+            context.overrun.append(time.monotonic() - story.started_at - _OBJECTIVE_SECONDS)
+            return
+        story.refusals.append((time.monotonic() - sent_at, outcome.retry_after_ms))
+        if str(number) in context.caller.ran:
+            context.untrue.append(number)
+        time.sleep(outcome.retry_after_ms / 1000)
+
+
+@behave.when("callers arrive for {seconds:g} s at {load:g} of what these can do")
+def arrive(context, seconds, load):
+    context.stories = {}
+    context.untrue = []
+    context.overrun = []
+    context.offered = int(context.rate * load * seconds)
+    context.could_serve = min(1.0, load) * context.rate * seconds
+    began_at = time.monotonic()
+    with concurrent.futures.ThreadPoolExecutor(_MOST_CALLERS) as pool:
+        futures = []
+        for number in range(context.offered):
+            due_at = began_at + number / (context.rate * load)
+            time.sleep(max(0.0, due_at - time.monotonic()))
+            futures.append(pool.submit(_live, context, number))
+        for future in futures:
+            future.result()
+
+
+def _count_served(context):
+    return sum(
+        story.served_at - story.started_at <= _OBJECTIVE_SECONDS
+        for story in context.stories.values()
+        if story.served_at
+    )
+
+
+@behave.then("at least {percent:d} percent of what could be served is served in time")
+def check_served(context, percent):
+    served = _count_served(context)
+    assert served >= context.could_serve * percent / 100, (served, context.could_serve)
+
+
+@behave.then("at most {percent:d} percent of the callers are served late or not at all")
+def check_left_out(context, percent):
+    left_out = context.offered - _count_served(context)
+    assert left_out <= context.offered * percent / 100, (left_out, context.offered)
+
+
+@behave.then(
+    "a refusal takes the entry less than {milliseconds:d} ms, is true, and says when to come back"
+)
+def check_refusals(context, milliseconds):
+    assert not context.untrue, context.untrue
+    refusals = [item for story in context.stories.values() for item in story.refusals]
+    for seconds, retry_after_ms in refusals:
+        assert 0 < retry_after_ms <= _LONGEST_RETRY_MS, retry_after_ms
+        assert seconds < _OBJECTIVE_SECONDS, seconds
+    assert all(seconds < _SOON_SECONDS for seconds in context.overrun), context.overrun
+    late = [seconds for seconds, _ in refusals if seconds * 1000 > milliseconds]
+    assert len(late) <= len(refusals) // 20, sorted(late)
+
+
+@behave.then("no server refuses more than {percent:d} percent of what comes to it")
+def check_placing(context, percent):
+    caller = context.caller
+    parts = {name: caller.refused[name] / max(1, caller.came[name]) for name in caller.places}
+    assert max(parts.values()) <= percent / 100, parts
+
+
+@behave.given(
+    "{answered:d} answers and {refused:d} refusals each second, for callers with {objective:d} ms"
+)
+def count_outcomes(context, answered, refused, objective):
+    context.now = 0.0
+    context.objective = objective
+    context.advice = comeback.ComebackAdvice(5, lambda: context.now)
+    for _ in range(2):
+        for _ in range(answered):
+            context.advice.note_answered()
+        for _ in range(refused):
+            context.advice.advise(objective)
+        context.now += 1.0
+
+
+@behave.when("{seconds:d} s have passed")
+def pass_seconds(context, seconds):
+    context.now = float(seconds)
+
+
+@behave.then("a refused caller comes back after {least:d} to {most:d} ms")
+def check_advice(context, least, most):
+    context.advised = [context.advice.advise(context.objective) for _ in range(9)]
+    assert least <= min(context.advised) and max(context.advised) <= most, context.advised
+
+
+@behave.then("refused callers don't come back together")
+def check_spread(context):
+    assert len(set(context.advised)) > 5, context.advised
+
+
+@behave.then("the first caller that is refused comes back within {most:d} ms")
+def check_first(context, most):
+    advised = context.advice.advise(context.objective)
+    assert advised <= most, advised
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -8,7 +8,7 @@
 import expression
 
 from oleander_base import clock, log, metrics
-from oleander_direct import directory, routes, servers
+from oleander_direct import comeback, directory, routes, servers
 from oleander_routing import retries, router
 
 _REPLY_PART = 0.05
@@ -25,8 +25,6 @@
 """Hedges in percent of requests: they cost the servers less than one slow server costs callers."""
 _POLL_SECONDS = 0.05
 """How often a waiting request looks whether its caller is still there."""
-_RETRY_AFTER_MS = 150
-"""Full servers have a free slot again in about one request's time."""
 _MOST_RUNNING = 64
 """Attempts of one process that run at once; more wait for a thread."""
 
@@ -112,6 +110,7 @@
         self._caller = caller
         self._hedges = retries.RetryBudget(_HEDGE_PERCENT, _MOST_HEDGES)
         self._random = random.Random()
+        self._comeback = comeback.ComebackAdvice(self._random.getrandbits(32))
         self._pool = concurrent.futures.ThreadPoolExecutor(_MOST_RUNNING, "call")
 
     def call(
@@ -130,6 +129,8 @@
         progress = _Progress(request, route, backend, limited, is_windowed)
         self._hedges.note_fresh()
         outcome = self._run(progress, is_gone)
+        if isinstance(outcome, Answered):
+            self._comeback.note_answered()
         self._note_outcome(progress, outcome, remaining - deadline.remaining)
         return outcome
 
@@ -165,7 +166,7 @@
         try:
             while True:
                 if not running and not self._start(progress, running):
-                    return _conclude(progress)
+                    return self._conclude(progress)
                 done, _ = concurrent.futures.wait(
                     running, _POLL_SECONDS, concurrent.futures.FIRST_COMPLETED
                 )
@@ -176,11 +177,11 @@
                 if is_gone():
                     progress.may_have_run = True
                     progress.reason = "caller-gone"
-                    return _conclude(progress)
+                    return self._conclude(progress)
                 if progress.deadline.is_past:
                     progress.may_have_run = progress.may_have_run or bool(running)
                     progress.reason = "timeout"
-                    return _conclude(progress)
+                    return self._conclude(progress)
                 if len(running) == 1 and clock.read_now() >= hedge_at:
                     self._hedge(progress, running)
         finally:
@@ -228,6 +229,13 @@
             return None
         return self._directory.find_server(chosen.ok)
 
+    def _conclude(self, progress: _Progress) -> CallOutcome:
+        if progress.last_failure is not None:
+            return progress.last_failure
+        if progress.may_have_run:
+            return Unresolved(progress.reason)
+        return Refused(progress.reason, self._comeback.advise(progress.route.objective_ms))
+
     def _attempt(self, progress: _Progress, server: servers.Server) -> _Attempted:
         started_at = clock.read_now()
         answered = self._call_server(progress, server)
@@ -281,11 +289,3 @@
         progress.reason = f"status-{answer.status}"
         return None
     return Answered(answer, server_id)
-
-
-def _conclude(progress: _Progress) -> CallOutcome:
-    if progress.last_failure is not None:
-        return progress.last_failure
-    if progress.may_have_run:
-        return Unresolved(progress.reason)
-    return Refused(progress.reason, _RETRY_AFTER_MS)
