Let an entry keep to six servers of a backend with its calls

Cause: with calls each entry used every server of a backend, so connections are entries times servers, and each is used so seldom that it idles out first.

Change: calls go to a subset of six, chosen by rendezvous hashing evenly over failure domains, as sidecars' links are; to others where those six are full here, failing, leaving or were tried. Items of batches, which one process gives out, go on using all.

Tests: features/routing.feature, an entry keeps to a few servers of many; red before.

--- a/features/routing.feature
+++ b/features/routing.feature
@@ -252,3 +252,32 @@
     Given a subset is chosen from the hosts x:1000 y:1000 z:1000 by 420 entries of 20 each
     Then the subset's most chosen host has at most 3.6 times the mean
     And the subset left out at most 6 percent of hosts
+
+  Scenario Outline: An entry keeps to a few servers of many, and goes beyond them when it must
+    # Every entry with a connection to every server costs their product; in a fleet, connections idle
+    # out before they are used again, each request opens one, and servers run out of channels. Kept
+    # to a few even when those are full, leaving or failing, callers would be refused for nothing.
+    Given a router that prefers 4 peers, with the peers <peers>
+    When the preferred peers are <state>
+    And routing 200 requests for may_probe=0
+    Then routing chose <count> peers, <which>
+
+    Examples:
+      | peers                         | state     | count | which           |
+      | a b c                         | as before | 3     | whichever       |
+      | a b c d e f g h               | as before | 4     | the preferred   |
+      | a b c d e f g h               | excluded  | 4     | none preferred  |
+      | a b c d e f g h               | full      | 4     | none preferred  |
+      | a b c d e f g h               | leaving   | 4     | none preferred  |
+      | a b c d e f g h               | failing   | 4     | none preferred  |
+      | a,failure_domain=y b,failure_domain=y c d e f g h | as before | 4 | of both domains |
+
+  Scenario: Work that waits for places uses all servers
+    # One process gives out all items of a model; kept to a few servers it would leave the rest idle.
+    Given a router that prefers 4 peers, with the peers a b c d e f g h
+    When routing 200 windowed requests
+    Then routing chose 8 peers, whichever
+
+  Scenario: Entries spread over the servers although each keeps to a few
+    Given 40 routers that prefer 6 of 14 peers
+    Then each peer is preferred by 8 to 27 of them
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -1,12 +1,13 @@
 """Steps for routing, retries and subsets; time is simulated, seeds are fixed."""
 
 import collections
+import dataclasses
 import random
 
 import behave
 
 from oleander_contracts import contract
-from oleander_routing import peers, retries, router, subset
+from oleander_routing import peers, preferred, retries, router, subset
 
 _SEED = 30
 _REPORT = {
@@ -67,6 +68,8 @@
 @behave.when("routing {count:d} requests for {text}")
 def route_requests(context, count, text):
     request = _request(text)
+    if "excluded" in context:
+        request = dataclasses.replace(request, excluded=context.excluded)
     context.results = [context.router.choose(request) for _ in range(count)]
 
 
@@ -293,3 +296,69 @@
 def check_left_out(context, percent):
     left_out = 100 - len(_count_entries(context)) / len(context.hosts) * 100
     assert left_out <= percent, left_out
+
+
+@behave.given("a router that prefers {most:d} peers, with the peers {text}")
+def create_preferring_router(context, most, text):
+    context.routing_now = 1000.0
+    context.peers_text = text
+    context.router = router.Router(
+        _SEED, lambda: context.routing_now, preferred.PreferredPeers("entry", most)
+    )
+    _report(context.router, text)
+
+
+@behave.when("the preferred peers are {state}")
+def change_preferred(context, state):
+    context.preferred = {context.router.choose(_request("any")).ok for _ in range(200)}
+    context.excluded = frozenset()
+    for name in context.preferred:
+        if state == "excluded":
+            context.excluded = context.excluded | {name}
+        elif state == "full":
+            for _ in range(_REPORT["slots"]):
+                context.router.note_started(name)
+        elif state == "leaving":
+            _report(context.router, f"{name},leaving=1")
+        elif state == "failing":
+            for _ in range(20):
+                context.router.note_started(name)
+                context.router.note_finished(name, router.RouteOutcome.FAILED, 5)
+
+
+@behave.when("routing {count:d} windowed requests")
+def route_windowed(context, count):
+    request = dataclasses.replace(_request("any"), is_windowed=True)
+    context.results = [context.router.choose(request) for _ in range(count)]
+
+
+@behave.then("routing chose {count:d} peers, {which}")
+def check_preferred(context, count, which):
+    chosen = {result.ok for result in context.results}
+    assert len(chosen) == count, chosen
+    if which == "the preferred":
+        assert chosen == context.preferred, (chosen, context.preferred)
+    elif which == "none preferred":
+        assert not chosen & context.preferred, (chosen, context.preferred)
+    elif which == "of both domains":
+        domains = {peer.failure_domain for peer in context.router.list_peers()}
+        seen = {p.failure_domain for p in context.router.list_peers() if p.name in chosen}
+        assert seen == domains, chosen
+
+
+@behave.given("{count:d} routers that prefer {most:d} of {total:d} peers")
+def count_preferred(context, count, most, total):
+    context.preferred_by = collections.Counter()
+    text = " ".join(f"p{number}" for number in range(total))
+    for number in range(count):
+        chooser = router.Router(
+            number, lambda: 0.0, preferred.PreferredPeers(f"entry-{number}", most)
+        )
+        _report(chooser, text)
+        context.preferred_by.update({chooser.choose(_request("any")).ok for _ in range(300)})
+
+
+@behave.then("each peer is preferred by {least:d} to {most:d} of them")
+def check_preferred_by(context, least, most):
+    counts = context.preferred_by.values()
+    assert least <= min(counts) and max(counts) <= most, context.preferred_by
--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -96,6 +96,11 @@
         """Whether it takes new work."""
         return self.in_rotation and not self.leaving and not self.is_listed_leaving
 
+    @property
+    def has_room(self) -> bool:
+        """Whether it is trusted and this entry has fewer requests there than it has slots."""
+        return self.weight > 0.0 and self.in_flight < self.slots
+
     def apply(self, report: PeerReport, now: float) -> None:
         """Take in a report; it counts all that this entry started before it."""
         self.failure_domain = report.failure_domain
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -9,7 +9,7 @@
 import expression
 
 from oleander_base import clock, log
-from oleander_routing import health, loads, peers, selection
+from oleander_routing import health, loads, peers, preferred, selection
 
 NO_PEERS = "no-peers"
 """No backend server of that name is connected."""
@@ -80,8 +80,11 @@
         self,
         seed: int,
         read_now: collections.abc.Callable[[], float] = clock.read_now,
+        preferred_peers: preferred.PreferredPeers | None = None,
     ) -> None:
+        """Keep to the preferred peers, where they are given, with work that can't wait."""
         self._random = random.Random(seed)
+        self._preferred = preferred_peers or preferred.PreferredPeers("", 0)
         self._read_now = read_now
         self._lock = threading.Lock()
         self._peers: dict[str, peers.Peer] = {}
@@ -217,6 +220,9 @@
             candidates = self._find_open(candidates)
             if not candidates:
                 return expression.Error(self._refuse(WINDOWS_FULL, _LEAST_RETRY_MS))
+        self._refresh(candidates)
+        if not request.is_windowed:
+            candidates = self._preferred.narrow(usable, candidates)
         return expression.Ok(candidates)
 
     def _find_open(self, candidates: list[peers.Peer]) -> list[peers.Peer]:
@@ -231,7 +237,6 @@
         return [peer for peer in trusted or candidates if peer.opens_window(now)]
 
     def _pick(self, candidates: list[peers.Peer], request: RouteRequest) -> peers.Peer:
-        self._refresh(candidates)
         probed = self._pick_probe(candidates, request)
         if probed is not None:
             return probed
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -10,7 +10,7 @@
 from oleander_direct import calls, directory, servers
 from oleander_orders import rights
 from oleander_platform import keyed_follower, recordlog
-from oleander_routing import router
+from oleander_routing import preferred, router
 from oleanderdeal import (
     batch_api,
     batch_runner,
@@ -31,6 +31,9 @@
 MOST_ITEMS = 96
 """Items that one entry generates at once: all that a few dozen engines can run, should the
 entry be the only one left."""
+MOST_PREFERRED = 6
+"""Servers of a backend that an entry keeps to with calls: two for each that one call may try, and
+enough that the loads of servers differ by a fifth or so when some forty entries choose."""
 _OTHER_TASKS = 16
 """Followers, servers, writer, runner, keeper and room for a few more."""
 _SILENT_SECONDS = 2.5
@@ -118,7 +121,10 @@
         self._group = tasks.TaskGroup("entry", MOST_ITEMS + chosen.partitions + _OTHER_TASKS)
         log_service = deployment.create_log()
         caller = deployment.create_caller()
-        self._router = router.Router(identifiers.hash_text(chosen.name))
+        self._router = router.Router(
+            identifiers.hash_text(chosen.name),
+            preferred_peers=preferred.PreferredPeers(chosen.host, MOST_PREFERRED),
+        )
         self._known = directory.Directory(self._router, caller)
         self._followers = self._create_followers(log_service, deployment)
         self._journal = journal.BatchJournal(
