Bear signals while the libraries are loaded; soak the front programs under random faults

It sets its handlers after some 0.3 s of loading libraries; until then SIGTERM ends it as if it had failed, and SIGHUP ends it too, so a settings change at a start kills it.

Tests: features/platform_front.feature, "a signal while it starts", both cells red before. The soak no longer spares programs that are starting from SIGHUP; it waits 0.2 s after each start, for the interpreter itself can't take a signal earlier.

The soak checks: charges run once at most, a refusal has not run, answers are one's own; accepted batches are whole, each item once, at the same place at every front; fencing numbers don't go back and no version is ordered twice; stops end with 0; no invariant broken. Ruled out: the drain (the programs that ended so had not begun to serve).

--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH = $(subst $(space),:,$(abspath $(SOURCE_PATHS)))
 export PYTHONDONTWRITEBYTECODE = 1
 
-.PHONY: install format check pages test demo site bench costs soak binary
+.PHONY: install format check pages test demo site bench costs soak front-soak binary
 
 install: $(VENV)/.installed
 
@@ -49,6 +49,9 @@
 soak: install
 	$(PYTHON) features/soak.py --seed $(or $(SEED),1) --minutes $(or $(MINUTES),1)
 
+front-soak: install
+	$(PYTHON) features/front_soak.py --seed $(or $(SEED),1) --count $(or $(COUNT),1) --seconds $(or $(SECONDS),12)
+
 binary: dist/oleanderdeal
 
 dist/oleanderdeal: requirements.txt $(PRODUCT_FILES) | install
--- a/features/platform_front.feature
+++ b/features/platform_front.feature
@@ -41,6 +41,18 @@
     When it gets SIGHUP
     Then a call is answered by the service, unchanged
 
+  Scenario Outline: A signal while it starts does what it does later
+    # Settings change, or a machine is stopped, half a second after the program began: its libraries
+    # are still being loaded. Ended by the signal it counts as a process that fell over.
+    Given a front program that is still loading its libraries
+    When it gets <signal> meanwhile
+    Then it <does>
+
+    Examples:
+      | signal  | does             |
+      | SIGHUP  | goes on          |
+      | SIGTERM | ends with code 0 |
+
   Scenario: A faulty settings file is told with all its faults
     When the front program is started with a settings file that lacks ip and listen.ready
     Then it ends with exit code 2 and names ip and listen.ready
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -2,8 +2,10 @@
 
 import base64
 import collections
+import contextlib
 import http.server
 import json
+import socket
 import struct
 import threading
 import time
@@ -13,6 +15,8 @@
 _HEAD = struct.Struct(">QQ")
 _HOST = "127.0.0.1"
 EVENTS = 5
+_SILENT_SECONDS = 3.0
+"""Longer than the program waits for any answer of the store."""
 
 
 def frame_keyed(key, value):
@@ -80,6 +84,11 @@
     def __init__(self, partitions=4):
         super().__init__()
         self.is_down = False
+        self.is_silent = False
+        self.slow_seconds = 0.0
+        self._members = {}
+        self._generation = 0
+        self._dealt = {}
         self._partitions = partitions
         self._changed = threading.Condition()
         self._records = collections.defaultdict(list)
@@ -90,7 +99,10 @@
             self._changed.notify_all()
 
     def answer(self, handler, path, query, body):
-        if self.is_down:
+        time.sleep(self.slow_seconds)
+        if self.is_silent:
+            time.sleep(_SILENT_SECONDS)
+        if self.is_down or self.is_silent:
             handler.send(503)
             return
         name = path.removeprefix("/api/log-")
@@ -134,11 +146,32 @@
         handler.send_json({"items": items, "has_more": False, "end": len(held)})
 
     def _answer_join(self, handler, query, body):
-        topic = json.loads(body)["topics"][0]
-        rows = [[topic, partition, 0] for partition in range(self._partitions)]
-        handler.send_json({"generation": 1, "ttl_ms": 2000, "parts": rows})
+        asked = json.loads(body)
+        topic, ttl_ms = asked["topics"][0], asked["ttl_ms"]
+        with self._changed:
+            self._members[asked["group"], asked["member"]] = time.monotonic() + ttl_ms / 1000
+            dealt = self._deal(asked["group"])
+            mine = [part for part, member in dealt.items() if member == asked["member"]]
+            generation = self._generation
+        rows = [[topic, partition, 0] for partition in mine]
+        handler.send_json({"generation": generation, "ttl_ms": ttl_ms, "parts": rows})
+
+    def _deal(self, group):
+        """Deal partitions out evenly, by the order of names, to the members heard in time."""
+        now = time.monotonic()
+        members = sorted(
+            m for (g, m), until in self._members.items() if g == group and until > now
+        )
+        dealt = {part: members[part % len(members)] for part in range(self._partitions)}
+        if self._dealt.get(group) != dealt:
+            self._dealt[group] = dealt
+            self._generation += 1
+        return dealt
 
     def _answer_leave(self, handler, query, body):
+        asked = json.loads(body)
+        with self._changed:
+            self._members.pop((asked["group"], asked["member"]), None)
         handler.send_json({})
 
 
@@ -152,6 +185,8 @@
         self.seen = []
         self.version = 1
         self.event_seconds = 0.01
+        self.lost_answers = 0
+        """So many next requests run, and their answers are lost or broken off."""
 
     def answer(self, handler, path, query, body):
         if handler.headers.get("X-Oleanderdeal-Expect-Instance") != self.name:
@@ -175,8 +210,12 @@
             ("X-Oleanderdeal-Attempt-Id", request_id),
             ("X-Oleanderdeal-Server-Stamp", f"stamp-{request_id}"),
         ]
+        is_lost, self.lost_answers = self.lost_answers > 0, max(0, self.lost_answers - 1)
         if not path.startswith("/items/"):
             time.sleep(self.event_seconds)
+            if is_lost:
+                _break_off(handler)
+                return
             handler.send(200, b"answer to " + body, headers)
             return
         handler.send_response(200)
@@ -186,11 +225,21 @@
         handler.end_headers()
         for number in range(int(handler.headers.get("Last-Event-Id") or 0) + 1, EVENTS + 1):
             time.sleep(self.event_seconds)
+            if is_lost and number > EVENTS // 2:
+                _break_off(handler)
+                return
             event = f"id: {number}\ndata: {request_id}.{number}\n\n".encode()
             handler.wfile.write(b"%x\r\n%b\r\n" % (len(event), event))
         handler.wfile.write(b"0\r\n\r\n")
 
 
+def _break_off(handler):
+    """Close a connection in the middle of an answer."""
+    handler.close_connection = True
+    with contextlib.suppress(OSError):
+        handler.connection.shutdown(socket.SHUT_RDWR)
+
+
 def describe_route(name, prefix, kind, service, **changes):
     """Return a route as the operator writes it."""
     route = {
--- a/features/steps/platform_front_steps.py
+++ b/features/steps/platform_front_steps.py
@@ -3,37 +3,19 @@
 import base64
 import http.client
 import json
-import os
 import pathlib
 import signal
-import socket
-import subprocess
-import sys
 import tempfile
 import threading
 import time
 
 import behave
 
+import front_programs
 import platform_standin
 
-_ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
 _WAIT_SECONDS = 15.0
 _PAUSE_SECONDS = 0.05
-_SETTINGS = """
-node_name = "front-1"
-ip = "127.0.0.1"
-zone = "z"
-internal_ports = [7380, 7395]
-listen = {{ front = "127.0.0.1:{front}", ready = "127.0.0.1:{ready}" }}
-bounds = {{ grace_s = 8, lease_ms = 300, status_s = 120 }}
-platform = {{ address = "{store}", parts = 4, retention_s = 300 }}
-"""
-
-
-def _find_port():
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
 
 
 class Front:
@@ -48,11 +30,17 @@
             content = platform_standin.describe_server(sampler, service)
             self.store.put("keyed.servers", sampler.name, content)
         self._folder = tempfile.TemporaryDirectory()
-        self.front, self.ready, self.metrics = _find_port(), _find_port(), _find_port()
+        self.front, self.ready, self.metrics = (
+            front_programs.find_port(),
+            front_programs.find_port(),
+            front_programs.find_port(),
+        )
         self.output = pathlib.Path(self._folder.name) / "output"
-        self.process = start_front(
+        self.process = front_programs.start_front(
             self._folder.name,
-            _SETTINGS.format(front=self.front, ready=self.ready, store=self.store.address),
+            front_programs.describe_settings(
+                "front-1", self.front, self.ready, self.store.address
+            ),
             self.output,
             self.metrics,
         )
@@ -87,19 +75,6 @@
         self._folder.cleanup()
 
 
-def start_front(folder, settings, output, metrics_port):
-    """Start the deployed program with a settings file."""
-    path = pathlib.Path(folder) / "local.toml"
-    path.write_text(settings)
-    environ = os.environ | {"OLEANDERDEAL_BOOT": str(path)}
-    command = [sys.executable, str(_ROOT / "platform" / "run_front.py")]
-    command.append(f"--metrics_port={metrics_port}")
-    with open(output, "wb") as file:
-        return subprocess.Popen(
-            command, cwd=_ROOT, env=environ, stdout=file, stderr=subprocess.STDOUT
-        )
-
-
 def _wait_until(condition, what):
     until = time.monotonic() + _WAIT_SECONDS
     while not condition():
@@ -288,7 +263,7 @@
     settings += 'platform = { address = "127.0.0.1:1", parts = 4, retention_s = 300 }\n'
     with tempfile.TemporaryDirectory() as folder:
         output = pathlib.Path(folder) / "output"
-        context.code = start_front(folder, settings, output, 0).wait(_WAIT_SECONDS)
+        context.code = front_programs.start_front(folder, settings, output, 0).wait(_WAIT_SECONDS)
         context.printed = output.read_text()
 
 
@@ -297,3 +272,40 @@
     assert context.code == code, context.printed
     places = [line.split(":")[1].strip() for line in context.printed.splitlines()]
     assert places == ["ip", "listen.ready"], context.printed
+
+
+_LOADING = "loading"
+_SLOW_LIBRARY = f"""import time
+print("{_LOADING}", flush=True)
+time.sleep(30)
+"""
+
+
+@behave.given("a front program that is still loading its libraries")
+def start_loading(context):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    library = pathlib.Path(folder.name) / "loguru.py"
+    library.write_text(_SLOW_LIBRARY)
+    output = pathlib.Path(folder.name) / "output"
+    context.loading = front_programs.start_front(
+        folder.name, "", output, 0, {"PYTHONPATH": folder.name}
+    )
+    context.add_cleanup(context.loading.kill)
+    _wait_until(lambda: _LOADING in output.read_text(), "it does not load its libraries")
+
+
+@behave.when("it gets {name} meanwhile")
+def signal_loading(context, name):
+    context.loading.send_signal(signal.Signals[name])
+    time.sleep(0.5)
+
+
+@behave.then("it goes on")
+def check_goes_on(context):
+    assert context.loading.poll() is None, context.loading.poll()
+
+
+@behave.then("it ends with code {code:d}")
+def check_ended(context, code):
+    assert context.loading.wait(_WAIT_SECONDS) == code
