--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -1,17 +1,15 @@
 """Batches in the platform's log: appended by any process, read by all."""
 
-import collections
 import dataclasses
 import threading
 
 import expression
 
 from oleander_base import clock, identifiers, log, metrics, tasks
-from oleander_batches import fold, records, submission
+from oleander_batches import content, fold, records, submission
 from oleander_platform import recordlog
 
 INDEX_TOPIC = "oleander.index"
-CONTENT_TOPIC = "oleander.content"
 _INDEX_PARTITION = 0
 """All of the index is one partition: its order is the order of the results in each batch. A record
 has some 80 bytes; a partition of 20 MB/s carries a hundred times the results aimed at."""
@@ -27,26 +25,10 @@
 _AGAIN_SECONDS = 0.2
 """Between tries while the log does not answer: five calls a second from each entry."""
 _APPEND_SECONDS = 1.0
-_RECORD_BYTES = 128 * 1024
-"""A submission is spread over records of this size: half of what a record may have here."""
-MOST_SUBMISSION_BYTES = 1536 * 1024
-"""All its records are appended in one call, which may have two megabytes."""
-_MOST_CACHED = 8
-"""Submissions kept after they were read; each has some tens of kilobytes."""
 _FORGET_EVERY_SECONDS = 5.0
 """Batches are kept for minutes; looking each few seconds costs nothing."""
 
 
-@dataclasses.dataclass(slots=True, frozen=True)
-class NotDone:
-    """A call that did not succeed."""
-
-    detail: str
-    may_have_effect: bool
-    is_final: bool = False
-    """Whether it can't succeed at another time either."""
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class Listing:
     """The results from a position on."""
@@ -74,6 +56,7 @@
         self._log = log_service
         self._group = group
         self._partitions = partitions
+        self._content = content.BatchContent(log_service, partitions)
         self._keep_seconds = keep_seconds
         self._lock = threading.Lock()
         self._changed = threading.Condition(self._lock)
@@ -82,9 +65,6 @@
         self._complete_at = 0.0
         self._is_caught_up = False
         self._is_cut = False
-        self._cached: collections.OrderedDict[str, submission.Submission] = (
-            collections.OrderedDict()
-        )
 
     @property
     def is_caught_up(self) -> bool:
@@ -113,10 +93,6 @@
             % self._partitions
         )
 
-    def find_partition(self, batch_id: str) -> int:
-        """Return the partition of a batch's content."""
-        return identifiers.hash_text(batch_id) % self._partitions
-
     def follow(self) -> None:
         """Read the index as it grows, until the group stops."""
         forget_at = clock.read_now() + _FORGET_EVERY_SECONDS
@@ -164,24 +140,16 @@
 
     def accept(
         self, accepted: submission.Submission, deadline: clock.Deadline
-    ) -> expression.Result[None, NotDone]:
+    ) -> expression.Result[None, content.NotDone]:
         """
         Keep a submission; an error that may have had effect must not be called a refusal.
 
         The content alone means nothing, so only the index record decides: where its append was
         not answered it may appear later, and the batch will run.
         """
-        partition = self.find_partition(accepted.batch_id)
-        content = submission.encode_submission(accepted)
-        if len(content) > MOST_SUBMISSION_BYTES:
-            return expression.Error(NotDone("the submission is too large", False, True))
-        parts = [
-            content[start : start + _RECORD_BYTES]
-            for start in range(0, len(content), _RECORD_BYTES)
-        ]
-        kept = self._log.append(CONTENT_TOPIC, partition, parts, deadline)
+        kept = self._content.append_submission(accepted, deadline)
         if kept.is_error():
-            return expression.Error(NotDone(kept.error.detail, False))
+            return expression.Error(kept.error)
         record = records.Accepted(
             accepted.batch_id,
             accepted.host,
@@ -190,12 +158,14 @@
             accepted.step,
             accepted.oldest_version,
             kept.ok.first_offset,
-            len(parts),
+            kept.ok.records,
             len(accepted.items),
         )
         return self._append_index([record], deadline)
 
-    def end(self, batch_id: str, deadline: clock.Deadline) -> expression.Result[None, NotDone]:
+    def end(
+        self, batch_id: str, deadline: clock.Deadline
+    ) -> expression.Result[None, content.NotDone]:
         """Record that a trainer wants no more of a batch."""
         ended = self._append_index([records.Ended(batch_id)], deadline)
         if ended.is_ok():
@@ -206,10 +176,10 @@
 
     def finish(
         self, batch_id: str, results: list[tuple[int, submission.ItemResult]]
-    ) -> expression.Result[None, NotDone]:
+    ) -> expression.Result[None, content.NotDone]:
         """Keep results, by the numbers of their items; safe to repeat after any failure."""
         contents = [submission.encode_result(result) for _, result in results]
-        appended = self._append_content(batch_id, contents)
+        appended = self._content.append(batch_id, contents)
         if appended.is_error():
             return expression.Error(appended.error)
         index: list[records.IndexRecord] = [
@@ -220,10 +190,10 @@
 
     def keep_partials(
         self, batch_id: str, partials: list[submission.PartialText]
-    ) -> expression.Result[None, NotDone]:
+    ) -> expression.Result[None, content.NotDone]:
         """Keep the starts of texts, so that another process can go on from them."""
         contents = [submission.encode_partial(partial) for partial in partials]
-        appended = self._append_content(batch_id, contents)
+        appended = self._content.append(batch_id, contents)
         if appended.is_error():
             return expression.Error(appended.error)
         index: list[records.IndexRecord] = [
@@ -232,34 +202,38 @@
         ]
         return self._append_index(index, clock.start_deadline(_APPEND_SECONDS))
 
-    def note_runner(self, batch_ids: list[str], runner: str) -> expression.Result[None, NotDone]:
+    def note_runner(
+        self, batch_ids: list[str], runner: str
+    ) -> expression.Result[None, content.NotDone]:
         """Tell all processes who runs batches; nobody, where the name is empty."""
         index: list[records.IndexRecord] = [records.Taken(name, runner) for name in batch_ids]
         return self._append_index(index, clock.start_deadline(_APPEND_SECONDS))
 
     def read_results(
         self, batch: fold.Batch, after: int, deadline: clock.Deadline
-    ) -> expression.Result[Listing, NotDone]:
+    ) -> expression.Result[Listing, content.NotDone]:
         """Return results from a position on: at least one where there is one."""
         with self._lock:
             places = batch.listed[after:]
         if not places:
             return expression.Ok(Listing(batch.total, ()))
         first = places[0].content_offset
-        contents = self._read_content(batch.batch_id, first, deadline)
+        contents = self._content.read(batch.batch_id, first, deadline)
         if contents.is_error():
             return expression.Error(contents.error)
         results = []
         for place in places:
-            content = contents.ok.get(place.content_offset)
-            if content is None:
+            found = contents.ok.get(place.content_offset)
+            if found is None:
                 break
-            decoded = submission.decode_result(content)
+            decoded = submission.decode_result(found)
             if decoded.is_error():
-                return expression.Error(NotDone(str(decoded.error), False))
+                return expression.Error(content.NotDone(str(decoded.error), False))
             results.append(decoded.ok)
         if not results:
-            return expression.Error(NotDone("a result's content is not kept any more", False))
+            return expression.Error(
+                content.NotDone("a result's content is not kept any more", False)
+            )
         return expression.Ok(Listing(batch.total, tuple(results)))
 
     def read_partials(
@@ -277,7 +251,7 @@
         contents: dict[int, bytes] = {}
         for offset in offsets:
             if offset not in contents:
-                read = self._read_content(batch.batch_id, offset, deadline)
+                read = self._content.read(batch.batch_id, offset, deadline)
                 if read.is_error():
                     log.warn_bounded("partials-unread", read.error.detail, batch=batch.batch_id)
                     break
@@ -291,64 +265,13 @@
 
     def read_submission(
         self, batch: fold.Batch, deadline: clock.Deadline
-    ) -> expression.Result[submission.Submission, NotDone]:
+    ) -> expression.Result[submission.Submission, content.NotDone]:
         """Return what a trainer handed in."""
-        with self._lock:
-            cached = self._cached.get(batch.batch_id)
-        if cached is not None:
-            return expression.Ok(cached)
-        content = self._read_parts(batch, deadline)
-        if content.is_error():
-            return expression.Error(content.error)
-        decoded = submission.decode_submission(content.ok)
-        if decoded.is_error():
-            return expression.Error(NotDone(str(decoded.error), False))
-        with self._lock:
-            self._cached[batch.batch_id] = decoded.ok
-            while len(self._cached) > _MOST_CACHED:
-                self._cached.popitem(last=False)
-        return expression.Ok(decoded.ok)
-
-    def _read_parts(
-        self, batch: fold.Batch, deadline: clock.Deadline
-    ) -> expression.Result[bytes, NotDone]:
-        """Return a submission's bytes, which may take several reads."""
-        offset = batch.accepted.content_offset
-        end = offset + batch.accepted.content_records
-        content = b""
-        while offset < end:
-            read = self._read_content(batch.batch_id, offset, deadline)
-            if read.is_error():
-                return expression.Error(read.error)
-            if offset not in read.ok:
-                return expression.Error(NotDone("a submission is not kept any more", False))
-            while offset < end and offset in read.ok:
-                content += read.ok[offset]
-                offset += 1
-        return expression.Ok(content)
-
-    def _read_content(
-        self, batch_id: str, offset: int, deadline: clock.Deadline
-    ) -> expression.Result[dict[int, bytes], NotDone]:
-        partition = self.find_partition(batch_id)
-        page = self._log.read(CONTENT_TOPIC, partition, offset, 0, deadline)
-        if page.is_error():
-            return expression.Error(NotDone(page.error.detail, False))
-        return expression.Ok({item.offset: item.content for item in page.ok.records})
-
-    def _append_content(
-        self, batch_id: str, contents: list[bytes]
-    ) -> expression.Result[int, NotDone]:
-        partition = self.find_partition(batch_id)
-        deadline = clock.start_deadline(_APPEND_SECONDS)
-        appended = self._log.append(CONTENT_TOPIC, partition, contents, deadline)
-        if appended.is_error():
-            return expression.Error(NotDone(appended.error.detail, False))
-        return expression.Ok(appended.ok.first_offset)
+        return self._content.read_submission(batch.accepted, deadline)
 
     def _append_index(
         self, items: list[records.IndexRecord], deadline: clock.Deadline
-    ) -> expression.Result[None, NotDone]:
+    ) -> expression.Result[None, content.NotDone]:
         """Append until an answer comes or time is up; a record that stands twice does no harm."""
         contents = [records.encode_record(item) for item in items]
         may_have_effect = False
@@ -359,7 +282,7 @@
                 return expression.Ok(None)
             may_have_effect = may_have_effect or appended.error.may_have_effect
             if not may_have_effect or deadline.remaining < _AGAIN_SECONDS:
-                return expression.Error(NotDone(appended.error.detail, may_have_effect))
+                return expression.Error(content.NotDone(appended.error.detail, may_have_effect))
             self._group.pause(_AGAIN_SECONDS / 2)
 
     def _read_on(self, wait_ms: int, deadline: clock.Deadline) -> bool:
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -7,7 +7,7 @@
 import expression
 
 from oleander_base import clock, log, metrics
-from oleander_batches import fold, journal, submission
+from oleander_batches import content, fold, journal, submission
 
 _READ_SECONDS = 1.0
 """Trainers wait 1.5 s longer than they allow."""
@@ -153,7 +153,7 @@
         return self._journal.refresh(since, clock.start_deadline(_READ_SECONDS))
 
 
-def _describe(error: journal.NotDone) -> BatchProblem:
+def _describe(error: content.NotDone) -> BatchProblem:
     if error.is_final:
         return BatchProblem(BatchFault.IMPOSSIBLE, error.detail)
     fault = BatchFault.UNKNOWN if error.may_have_effect else BatchFault.REFUSED
--- a/programs/oleanderdeal/oleanderdeal/ownership.py
+++ b/programs/oleanderdeal/oleanderdeal/ownership.py
@@ -1,7 +1,7 @@
 """Which partitions the platform deals to this process."""
 
 from oleander_base import clock, log, tasks
-from oleander_batches import journal
+from oleander_batches import content
 from oleander_platform import recordlog
 
 _GROUP = "oleander.runners"
@@ -65,7 +65,7 @@
     def _request(self) -> recordlog.MemberRequest:
         generation = self._membership.generation
         return recordlog.MemberRequest(
-            _GROUP, self._member, journal.CONTENT_TOPIC, _TTL_MS, generation
+            _GROUP, self._member, content.CONTENT_TOPIC, _TTL_MS, generation
         )
 
     def _join(self) -> None:
