Let the soak read a batch in several answers, as trainers do

Traced: when two programs write results and the index names them in another order than the content holds them, a listing ends early and goes on with the next read, which the pages allow ("at least one if one exists"). Shown in memory: places (1 at 2), (0 at 1), (2 at 3) are listed as one result, then two. The check now reads on until all are there and compares each position with what was read before, which is as strict.

--- a/features/front_soak.py
+++ b/features/front_soak.py
@@ -68,7 +68,7 @@
             until = time.monotonic() + _STEP_SECONDS
             while time.monotonic() < until:
                 for name in self.accepted[-3:]:
-                    self.read_on(self._site.pick_front(), name)
+                    self.read_on(self._site.pick_front(), name, len(self.read[name]))
                 time.sleep(0.1)
 
     def submit(self, name, step):
@@ -81,16 +81,25 @@
             if self.stopping.wait(0.2):
                 return
 
-    def read_on(self, front, name, again=False):
-        """Read results; from the start where asked again, and compare."""
+    def read_whole(self, front, name):
+        """Read a batch from the start, in several answers if need be; tell whether all came."""
+        after = 0
+        while after < _ITEMS:
+            count = self.read_on(front, name, after)
+            if not count:
+                return False
+            after += count
+        return True
+
+    def read_on(self, front, name, after):
+        """Read results from a position on, compare what was read before; return how many."""
         known = self.read[name]
-        after = 0 if again else len(known)
         answer = front.ask("GET", f"/api/lots/{name}?after={after}")
         if answer is None or answer[0] == 503:
-            return False
+            return 0
         if answer[0] != 200:
             self.problems.append(f"{name} at {front.name}: {answer[0]} after it was accepted")
-            return True
+            return 0
         listed = json.loads(answer[2])
         for place, result in enumerate(listed["results"], after):
             if place < len(known):
@@ -98,7 +107,7 @@
                     self.problems.append(f"{name}[{place}] changed: {known[place]} {result}")
             else:
                 known.append(result)
-        return not again or len(listed["results"]) == listed["total"]
+        return len(listed["results"])
 
 
 class Faults:
@@ -275,10 +284,12 @@
     site.await_ready()
     for front in site.fronts:
         for name in trainer.accepted:
-            while not trainer.read_on(front, name, again=True):
+            while not trainer.read_whole(front, name):
                 if time.monotonic() > until:
                     held = len(trainer.read[name])
-                    return [*trainer.problems, f"{name} at {front.name}: {held} of {_ITEMS}"]
+                    answer = front.ask("GET", f"/api/lots/{name}?after=0")
+                    problem = f"{name} at {front.name}: {held} of {_ITEMS}, then {answer}"
+                    return [*trainer.problems, problem]
                 time.sleep(0.1)
     return trainer.problems + [
         problem for name in trainer.accepted for problem in _check_batch(trainer.read[name], name)
