Try the log where it turned a read away; refuse at once only where it was silent

Cause: an entry counted as cut after any failed read, also one that the store answered at once with "busy". It then refused submissions for up to 0.8 s, until its next read, though an append would have cost some milliseconds and might have gone through.

Change: only a read that had no answer in its time makes an entry refuse at once. Ruled out: shorter probes (they cost calls to a store that is busy). Test: features/batches.feature, "an entry whose log turned a read away still tries", red before.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -70,6 +70,13 @@
       | list another batch  | unsure  |
       | end the batch       | refused |
 
+  Scenario: An entry whose log turned a read away still tries
+    # A log that answers "busy" answers at once: trying costs the trainer nothing, and may succeed.
+    Given two entries on one log and a batch of 3 items
+    And entry a was turned away by the log for a moment
+    When a trainer asks entry a to accept a batch
+    Then it is accepted
+
   Scenario: A trainer that waits at an entry hears at once that it was cut
     Given two entries on one log and a batch of 3 items
     When a trainer waits at entry a for 3 s and the log is cut
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -266,3 +266,17 @@
     answer = _ask(context, context.call)
     is_missing = answer.is_error() and answer.error.fault is batch_api.BatchFault.MISSING
     assert answer.is_ok() or (is_missing and context.call == "list another batch"), answer
+
+
+@behave.given("entry {name} was turned away by the log for a moment")
+def turn_away(context, name):
+    faults = context.shared.clients[name].faults
+    faults.is_down = True
+    kept = context.shared.journals[name]
+    assert not kept.refresh(clock.read_now(), clock.start_deadline(0.1))
+    faults.is_down = False
+
+
+@behave.then("it is accepted")
+def check_accepted(context):
+    assert context.answer.is_ok(), context.answer
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -74,7 +74,7 @@
     @property
     def is_cut(self) -> bool:
         """
-        Whether the last read of the index had no answer.
+        Whether the last read of the index had no answer in its time.
 
         What a trainer asks then is refused at once: it asks another entry, which may reach the
         log. Held for the usual second or two, a submission began by as much later.
@@ -292,7 +292,7 @@
         if page.is_error():
             metrics.count(metrics.LOG_OUTAGES)
             log.warn_bounded("index-unread", page.error.detail)
-            self._note_cut()
+            self._note_cut(deadline.is_past)
             return False
         with self._changed:
             self._is_cut = False
@@ -300,9 +300,10 @@
             self._changed.notify_all()
         return True
 
-    def _note_cut(self) -> None:
+    def _note_cut(self, was_silent: bool) -> None:
+        """Take in a failed read; a log that turned it away at once may be tried: nobody waits."""
         with self._changed:
-            self._is_cut = True
+            self._is_cut = was_silent
             self._changed.notify_all()
 
     def _apply_page(self, page: recordlog.RawPage, started_at: float) -> None:
