Listen for a runner before a process that has just started takes its batch

Cause, found by reading: a batch stays with its runner while its partition moves, and the runner says so each 0.8 s. A process that has just started knows that runner from history alone, counted it as silent, and would take the batch as soon as it is dealt the partition. Both would run it until the runner reads of that, some 0.4 s: as long as a text may be at two engines.

Change: a process that knows a runner only from history listens for 1 s before it replaces it (the runner speaks each 0.8 s, the index is read each 0.2 s). After a loss of all processes steps go on up to a second later. Tried on the way, not committed: 0.4 s with the runner speaking at once; it failed the new test, where the runner had spoken before the other began to listen. Tests: features/batch_tenures.feature, "hears the runner before it takes a batch", red before (8 attempts in place of 4); "takes a batch that nobody runs" bounds what it costs.

--- a/features/batch_tenures.feature
+++ b/features/batch_tenures.feature
@@ -22,6 +22,27 @@
       | b      | b      |
       | b      | a      |
 
+  Scenario: A process that has just started hears the runner before it takes a batch
+    # A program is restarted and dealt the partition of a batch that another runs. All that it knows of
+    # that runner is history; taking the batch at once, both would send the same texts to engines.
+    Given runners a and b with the engines e1=slow e2=slow, all partitions dealt to a
+    When a batch that allows versions from 1 on is accepted
+    And within 2 s runner a runs 4 items
+    And all partitions are dealt to nobody
+    And runner a has lost its partitions
+    And runner b is started anew with all partitions
+    And after 0.9 s
+    Then each item was begun once
+
+  Scenario: A process that has just started takes a batch that nobody runs
+    # All processes were killed: whoever comes first goes on, having listened for a second.
+    Given runners a and b with the engines e1=crawls e2=crawls, all partitions dealt to a
+    When a batch that allows versions from 1 on is accepted
+    And within 2 s runner a runs 4 items
+    And runner a ends without a word
+    And runner b is started anew with all partitions
+    Then within 2 s runner b runs 4 items
+
   Scenario: A runner that is gone is replaced
     # The runner was killed: it neither hands over nor speaks again. Its trainer waits for the batch.
     Given runners a and b with the engines e1=slow e2=slow, all partitions dealt to a
--- a/features/steps/batch_items_steps.py
+++ b/features/steps/batch_items_steps.py
@@ -149,8 +149,8 @@
             self._put_server(name, "engines", (servers.ModelVersion(_MODEL, 2),))
         self._put_server("s1", "scorers", ())
         self.journal = journal.BatchJournal(log_service, self.group, 4, 100.0)
-        owned = ownership.Ownership(log_service, member, self.group)
-        tenures = batch_tenures.BatchTenures(self.journal, owned, member)
+        self.owned = ownership.Ownership(log_service, member, self.group)
+        tenures = batch_tenures.BatchTenures(self.journal, self.owned, member)
         dispatcher = calls.CallDispatcher(self._known, chooser, engines)
         items = item_task.ItemRunner(self._known, chooser, engines, dispatcher, self.group)
         writer = result_writer.ResultWriter(self.journal, self.group)
@@ -159,7 +159,7 @@
         )
         for task in (
             self.journal.follow,
-            owned.keep,
+            self.owned.keep,
             writer.write,
             self.runner.feed,
             self.runner.keep_partials,
@@ -345,3 +345,18 @@
 @behave.then("runner {name} goes on with its {items:d} items")
 def check_still_running(context, name, items):
     assert context.processes[name].runner.running == items, context.processes[name].runner.running
+
+
+@behave.when("runner a has lost its partitions")
+def wait_lost(context):
+    owned = context.processes["a"].owned
+    _wait(2, lambda: not owned.partitions, lambda: owned.partitions)
+
+
+@behave.when("runner b is started anew with all partitions")
+def start_anew(context):
+    context.processes["b"].stop()
+    _deal(context, "b")
+    engines = context.engines
+    context.processes["b"] = RunnerProcess(context.clients["b"], engines, ["e1", "e2"], "b")
+    context.add_cleanup(context.processes["b"].stop)
--- a/programs/oleanderdeal/oleanderdeal/batch_tenures.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_tenures.py
@@ -7,6 +7,9 @@
 _SILENT_SECONDS = 1.6
 """A runner that was not heard for so long is replaced: twice the time between two of its records
 (`batch_runner` keeps starts of texts, or says that it is there, each 0.8 s)."""
+_LISTEN_SECONDS = 1.0
+"""For so long a process that knows a runner from history alone listens before it replaces it: a
+runner without the partition speaks each 0.8 s, and the index is read each 0.2 s."""
 
 
 class BatchTenures:
@@ -28,13 +31,18 @@
         self._name = name
         self._taken_from: dict[str, str] = {}
         """Whom the index named as the runner of a batch when this process took it."""
+        self._listens_since: dict[str, float] = {}
 
     def may_take(self, batch: fold.Batch) -> bool:
         """Tell whether this process should run a batch that it does not run."""
         if not self._owned.owns(self._journal.find_runner_partition(batch)):
             return False
-        is_free = batch.runner in ("", self._name)
-        return is_free or clock.read_now() >= batch.heard_at + _SILENT_SECONDS
+        if batch.runner in ("", self._name):
+            return True
+        now = clock.read_now()
+        if batch.heard_at:
+            return now >= batch.heard_at + _SILENT_SECONDS
+        return now >= self._listens_since.setdefault(batch.batch_id, now) + _LISTEN_SECONDS
 
     def must_stop(self, batch: fold.Batch) -> bool:
         """Tell whether a batch that this process runs is another's now."""
@@ -44,6 +52,7 @@
 
     def note_taken(self, batch: fold.Batch) -> None:
         """Remember that this process runs a batch from now on."""
+        self._listens_since.clear()
         self._taken_from[batch.batch_id] = batch.runner
 
     def forget(self, batch_id: str) -> None:
