--- a/features/front_site.py
+++ b/features/front_site.py
@@ -64,6 +64,10 @@
         answer = self.ask("GET", "/api/ready", port=self.ready)
         return answer is not None and answer[0] == 200
 
+    def describe(self):
+        """Return whether it runs, whether it is ready, and its last lines."""
+        return self.name, self.process.poll(), self.is_ready(), self.output.read_text()[-1500:]
+
     def signal(self, number):
         if self.process.poll() is None:
             self.process.send_signal(number)
@@ -111,7 +115,7 @@
     def await_ready(self):
         until = time.monotonic() + _START_SECONDS
         while not all(front.is_ready() for front in self.fronts):
-            assert time.monotonic() < until, self.read_logs()[-2000:]
+            assert time.monotonic() < until, [front.describe() for front in self.fronts]
             time.sleep(_PAUSE_SECONDS)
 
     def read_logs(self):
