--- /dev/null
+++ b/features/front_load.py
@@ -0,0 +1,109 @@
+"""Callers and a trainer of several front programs, with what each of them was told."""
+
+import collections
+import json
+import threading
+import time
+
+import platform_standin
+
+ITEMS = 4
+_TRIES = 4
+_STEP_SECONDS = 1.5
+
+
+class Callers(threading.Thread):
+    """Calls that may not be repeated, with what each was told."""
+
+    def __init__(self, site, number):
+        super().__init__(daemon=True)
+        self._site = site
+        self._number = number
+        self.stopping = threading.Event()
+        self.told = collections.defaultdict(list)
+
+    def run(self):
+        count = 0
+        while not self.stopping.wait(0.03):
+            count += 1
+            request_id = f"charge-{self._number}-{count}"
+            for _ in range(_TRIES):
+                body = request_id.encode()
+                answer = self._site.pick_front().try_ask("POST", "/charges/a", body, request_id)
+                status = answer[0] if answer else 0
+                is_whole = status != 200 or answer[2] == b"answer to " + body
+                self.told[request_id].append(status if is_whole else "wrong body")
+                if status != 503:
+                    break
+                time.sleep(float(answer[1].get("Retry-After", "0")))
+
+
+class Trainer(threading.Thread):
+    """Submits batches and reads them from any front."""
+
+    def __init__(self, site):
+        super().__init__(daemon=True)
+        self._site = site
+        self.stopping = threading.Event()
+        self.accepted = []
+        self.read = collections.defaultdict(list)
+        self.problems = []
+
+    def run(self):
+        step = 0
+        while not self.stopping.is_set():
+            self.submit(f"batch-{step}", step)
+            step += 1
+            until = time.monotonic() + _STEP_SECONDS
+            while time.monotonic() < until:
+                for name in self.accepted[-3:]:
+                    self.read_on(self._site.pick_front(), name, len(self.read[name]))
+                time.sleep(0.1)
+
+    def submit(self, name, step):
+        for _ in range(_TRIES * 5):
+            front = self._site.pick_front()
+            answer = front.try_ask("POST", "/items/batch", describe_batch(name, step), name)
+            if answer and answer[0] == 202:
+                self.accepted.append(name)
+                return
+            if self.stopping.wait(0.2):
+                return
+
+    def read_whole(self, front, name):
+        """Read a batch from the start, in several answers if need be; tell whether all came."""
+        after = 0
+        while after < ITEMS:
+            count = self.read_on(front, name, after)
+            if not count:
+                return False
+            after += count
+        return True
+
+    def read_on(self, front, name, after):
+        """Read results from a position on, compare what was read before; return how many."""
+        known = self.read[name]
+        answer = front.try_ask("GET", f"/api/lots/{name}?after={after}")
+        if answer is None or answer[0] == 503:
+            return 0
+        if answer[0] != 200:
+            self.problems.append(f"{name} at {front.name}: {answer[0]} after it was accepted")
+            return 0
+        listed = json.loads(answer[2])
+        for place, result in enumerate(listed["results"], after):
+            if place < len(known):
+                if known[place] != result:
+                    self.problems.append(f"{name}[{place}] changed: {known[place]} {result}")
+            else:
+                known.append(result)
+        return len(listed["results"])
+
+
+def list_items(name):
+    """Return the names of a batch's items."""
+    return [f"{name}-{number}" for number in range(ITEMS)]
+
+
+def describe_batch(name, step):
+    """Return the body of a batch."""
+    return platform_standin.describe_batch(list_items(name), step)
--- a/features/front_programs.py
+++ b/features/front_programs.py
@@ -1,7 +1,9 @@
-"""Starts the deployed front program as a process."""
+"""Starts the deployed front program as a process, and asks it."""
 
+import http.client
 import os
 import pathlib
+import random
 import socket
 import subprocess
 import sys
@@ -18,10 +20,24 @@
 """
 
 
+_PORTS = range(20_000, 32_000)
+"""Below those that the system gives to whoever asks for any: a program that is started again
+must find its port still free, while other tests open servers all the time."""
+_ASK_SECONDS = 10.0
+_KILL_SECONDS = 12.0
+_LAST_CHARACTERS = 1500
+_LOOPBACK = "127.0.0.1"
+
+
 def find_port():
     """Return a port that was free a moment ago."""
-    with socket.create_server(("127.0.0.1", 0)) as server:
-        return server.getsockname()[1]
+    while True:
+        port = random.SystemRandom().choice(_PORTS)
+        try:
+            with socket.create_server((_LOOPBACK, port)):
+                return port
+        except OSError:
+            continue
 
 
 def describe_settings(name, front, ready, store):
@@ -36,7 +52,63 @@
     environ = os.environ | {"OLEANDERDEAL_BOOT": str(path)} | dict(changes)
     command = [sys.executable, str(_ROOT / "platform" / "run_front.py")]
     command.append(f"--metrics_port={metrics_port}")
-    with open(output, "wb") as file:
+    with open(output, "ab") as file:
         return subprocess.Popen(
             command, cwd=_ROOT, env=environ, stdout=file, stderr=subprocess.STDOUT
         )
+
+
+class FrontProgram:
+    """One program, which may be ended and started again under the same name."""
+
+    def __init__(self, name, folder, store_address, has_metrics=False):
+        self.name = name
+        self.front, self.ready = find_port(), find_port()
+        self.metrics = find_port() if has_metrics else 0
+        self._settings = describe_settings(name, self.front, self.ready, store_address)
+        self._folder = pathlib.Path(folder) / name
+        self._folder.mkdir()
+        self.output = self._folder / "output"
+        self.process = None
+        self.start()
+
+    def start(self):
+        self.process = start_front(self._folder, self._settings, self.output, self.metrics)
+
+    def ask(self, method, path, body=b"", request_id="r1", port=None, headers=()):
+        """Return status, headers and body of an answer; raise where no whole one came."""
+        connection = http.client.HTTPConnection(
+            _LOOPBACK, port or self.front, timeout=_ASK_SECONDS
+        )
+        sent = {
+            "Host": "h.example",
+            "X-Oleanderdeal-Attempt-Id": request_id,
+            "X-Oleanderdeal-Deadline-Ms": "3000",
+        } | dict(headers)
+        try:
+            connection.request(method, path, body, sent)
+            answer = connection.getresponse()
+            return answer.status, dict(answer.getheaders()), answer.read()
+        finally:
+            connection.close()
+
+    def is_ready(self):
+        try:
+            return self.ask("GET", "/api/ready", port=self.ready)[0] == 200
+        except (OSError, http.client.HTTPException):
+            return False
+
+    def describe(self):
+        """Return whether it runs, whether it is ready, and its last lines."""
+        lines = self.output.read_text()[-_LAST_CHARACTERS:]
+        return f"{self.name}: code {self.process.poll()}, ready {self.is_ready()}\n{lines}"
+
+    def signal(self, number):
+        if self.process.poll() is None:
+            self.process.send_signal(number)
+
+    def end(self):
+        """Kill it, paused or not."""
+        if self.process.poll() is None:
+            self.process.kill()
+        self.process.wait(_KILL_SECONDS)
--- a/features/front_site.py
+++ b/features/front_site.py
@@ -1,9 +1,7 @@
 """Several front programs on one stand-in of the platform, each behind a relay to the store."""
 
 import http.client
-import pathlib
 import random
-import signal
 import tempfile
 import threading
 import time
@@ -13,70 +11,31 @@
 from oleander_standins import relay
 
 _START_SECONDS = 20.0
-_STOP_SECONDS = 12.0
 _PAUSE_SECONDS = 0.05
 _INTERPRETER_SECONDS = 0.2
 """Before the interpreter has read the program's first line, no program can take a signal."""
-_ASK_SECONDS = 6.0
 
 
-class FrontProgram:
-    """One program, which may be ended and started again under the same name."""
+class RelayedProgram(front_programs.FrontProgram):
+    """A program that reaches the store through a relay."""
 
     def __init__(self, name, folder, store_address):
-        self.name = name
         self.relay = relay.Relay(store_address)
-        self.front, self.ready = front_programs.find_port(), front_programs.find_port()
-        self.output = pathlib.Path(folder) / f"{name}.log"
-        self._folder = pathlib.Path(folder) / name
-        self._folder.mkdir()
-        self.is_frozen = False
-        self.process = None
-        self.start()
+        super().__init__(name, folder, self.relay.address)
 
     def start(self):
-        settings = front_programs.describe_settings(
-            self.name, self.front, self.ready, self.relay.address
-        )
-        self.process = front_programs.start_front(self._folder, settings, self.output, 0)
+        super().start()
         time.sleep(_INTERPRETER_SECONDS)
 
-    def ask(self, method, path, body=b"", request_id="", headers=(), port=None):
+    def try_ask(self, *arguments, **named):
         """Return status, headers and body, or nothing where no whole answer came."""
-        connection = http.client.HTTPConnection(
-            "127.0.0.1", port or self.front, timeout=_ASK_SECONDS
-        )
-        sent = {
-            "Host": "h.example",
-            "X-Oleanderdeal-Attempt-Id": request_id,
-            "X-Oleanderdeal-Deadline-Ms": "3000",
-        } | dict(headers)
         try:
-            connection.request(method, path, body, sent)
-            answer = connection.getresponse()
-            return answer.status, dict(answer.getheaders()), answer.read()
+            return self.ask(*arguments, **named)
         except (OSError, http.client.HTTPException):
             return None
-        finally:
-            connection.close()
 
-    def is_ready(self):
-        answer = self.ask("GET", "/api/ready", port=self.ready)
-        return answer is not None and answer[0] == 200
-
-    def describe(self):
-        """Return whether it runs, whether it is ready, and its last lines."""
-        return self.name, self.process.poll(), self.is_ready(), self.output.read_text()[-1500:]
-
-    def signal(self, number):
-        if self.process.poll() is None:
-            self.process.send_signal(number)
-
-    def stop(self):
-        self.signal(signal.SIGCONT)
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait(_STOP_SECONDS)
+    def end(self):
+        super().end()
         self.relay.close()
 
 
@@ -94,7 +53,9 @@
             self.register(sampler)
         self._folder = tempfile.TemporaryDirectory()
         names = [f"front-{n}" for n in range(fronts)]
-        self.fronts = [FrontProgram(name, self._folder.name, self.store.address) for name in names]
+        self.fronts = [
+            RelayedProgram(name, self._folder.name, self.store.address) for name in names
+        ]
         self.await_ready()
 
     def register(self, sampler):
@@ -123,7 +84,7 @@
 
     def stop(self):
         for front in self.fronts:
-            front.stop()
+            front.end()
         for stand in (self.store, *self.engines, *self.services):
             stand.stop()
         self._folder.cleanup()
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -280,6 +280,29 @@
     }
 
 
+def describe_batch(item_ids, step=0):
+    """Return the body with which a trainer hands in a batch of scored items."""
+    items = [
+        {
+            "id": item_id,
+            "path": f"/items/{number}",
+            "headers": {"X-Oleanderdeal-Model": "m"},
+            "body": base64.b64encode(b"prompt").decode(),
+            "tokens": 50,
+            "group": "g",
+            "scorer": {
+                "id": f"score-{item_id}",
+                "host": "h.example",
+                "path": "/calls/score",
+                "body": base64.b64encode(b"score").decode(),
+            },
+        }
+        for number, item_id in enumerate(item_ids)
+    ]
+    submitted = {"step": step, "model": "m", "min_version": 1, "group_count": 1, "items": items}
+    return json.dumps(submitted).encode()
+
+
 def describe_server(sampler, service):
     """Return a registration as a server writes it."""
     return {
--- a/features/run.py
+++ b/features/run.py
@@ -16,18 +16,22 @@
 _FEATURE_SECONDS = 400
 _PASSED = "passed"
 _SKIPPED = ("skipped", "untested")
+_FAILED = ("failed", "error")
+_MESSAGE_CHARACTERS = 4000
+"""Enough for a traceback and the last lines of a program's log."""
 
 
 class Outcome:
     """What one feature's scenarios came to."""
 
-    __slots__ = ("counts", "failed", "name", "output")
+    __slots__ = ("counts", "failed", "messages", "name", "output")
 
     def __init__(self, name, output):
         self.name = name
         self.output = output
         self.counts = collections.Counter()
         self.failed = []
+        self.messages = []
 
 
 def run_feature(path):
@@ -65,6 +69,17 @@
         outcome.counts[kind] += 1
         if kind == "failed":
             outcome.failed.append(item["location"])
+            outcome.messages += [f"{item['location']}: {text}" for text in list_messages(item)]
+
+
+def list_messages(scenario):
+    """Return the failed steps with what they said: the progress report leaves that out."""
+    for step in scenario.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") in _FAILED:
+            said = result.get("error_message", "")
+            text = "\n".join(said) if isinstance(said, list) else said
+            yield f"{step['name']}\n{text}"[-_MESSAGE_CHARACTERS:]
 
 
 def read_known_red():
@@ -87,7 +102,7 @@
             failed += outcome.failed
             print(f"{outcome.name}: {dict(outcome.counts)}", flush=True)
             if outcome.failed:
-                print(outcome.output)
+                print(outcome.output, *outcome.messages, sep="\n", flush=True)
     known = read_known_red()
     unexpected = [place for place in failed if place not in known]
     for place in failed:
--- /dev/null
+++ b/features/steps/batch_tenures_steps.py
@@ -0,0 +1,92 @@
+"""Steps for batches whose partition is dealt to another process."""
+
+import time
+
+import behave
+
+import batch_processes
+from oleander_standins import recordlog
+
+
+@behave.given("runners a and b with the engines {listed}, all partitions dealt to a")
+def start_two_runners(context, listed):
+    context.log_service = recordlog.MemoryRecordLog()
+    _deal(context, "a")
+    behaviours = dict(item.split("=") for item in listed.split())
+    context.engines = batch_processes.FakeEngines(behaviours)
+    context.clients = {name: context.log_service.create_client() for name in "ab"}
+    context.processes = {
+        name: batch_processes.RunnerProcess(client, context.engines, list(behaviours), name)
+        for name, client in context.clients.items()
+    }
+    context.process = context.processes["a"]
+    for process in context.processes.values():
+        context.add_cleanup(process.stop)
+    batch_processes.wait_until(
+        2, lambda: all(p.journal.is_caught_up for p in context.processes.values()), str
+    )
+
+
+def _deal(context, name):
+    for member in "ab":
+        is_dealt = member == name
+        context.log_service.dealt[member] = frozenset(range(64) if is_dealt else ())
+
+
+@behave.when("all partitions are dealt to {name}")
+def deal(context, name):
+    _deal(context, name)
+
+
+@behave.when("runner a ends without a word")
+def end_abruptly(context):
+    context.processes["a"].stop()
+    context.process = context.processes["b"]
+
+
+@behave.when("runner {name} is drained")
+def drain(context, name):
+    context.processes[name].runner.drain()
+
+
+@behave.when("the log is {state} for runner {name}")
+def break_log(context, state, name):
+    context.clients[name].faults.is_down = state == "down"
+
+
+@behave.when("after {seconds:g} s")
+def let_pass(context, seconds):
+    time.sleep(seconds)
+
+
+@behave.then("each item was begun once")
+def check_attempts(context):
+    assert context.engines.attempts == batch_processes.ITEMS, context.engines.attempts
+
+
+@behave.step("within {seconds:g} s runner {name} runs {items:d} items")
+def check_running(context, seconds, name, items):
+    runner = context.processes[name].runner
+    batch_processes.wait_until(seconds, lambda: runner.running == items, lambda: runner.running)
+
+
+@behave.then("runner {name} goes on with its {items:d} items")
+def check_still_running(context, name, items):
+    assert context.processes[name].runner.running == items, context.processes[name].runner.running
+
+
+@behave.when("runner a has lost its partitions")
+def wait_lost(context):
+    owned = context.processes["a"].owned
+    batch_processes.wait_until(2, lambda: not owned.partitions, lambda: owned.partitions)
+
+
+@behave.when("runner b is started anew with all partitions")
+def start_anew(context):
+    context.processes["b"].stop()
+    _deal(context, "b")
+    engines = context.engines
+    context.processes["b"] = batch_processes.RunnerProcess(
+        context.clients["b"], engines, ["e1", "e2"], "b"
+    )
+    context.add_cleanup(context.processes["b"].stop)
--- a/features/steps/direct_calls_steps.py
+++ b/features/steps/direct_calls_steps.py
@@ -6,6 +6,7 @@
 import behave
 import expression
 
+import server_fakes
 from oleander_base import clock
 from oleander_direct import calls, directory, routes, servers
 from oleander_routing import router
@@ -16,7 +17,7 @@
 _KINDS = {"idempotent": routes.RouteKind.IDEMPOTENT, "once": routes.RouteKind.ONCE}
 
 
-class FakeCaller(servers.ServerCaller):
+class FakeCaller(server_fakes.UnusedCaller):
     """Answers as each server was told to."""
 
     def __init__(self, behaviours):
@@ -46,18 +47,6 @@
         self.cancelled.set()
         return expression.Error(servers.CallFailure("no answer", True, is_cancelled()))
 
-    def generate(self, server, request, deadline, is_cancelled):
-        raise AssertionError
-
-    def read_state(self, server, deadline):
-        raise AssertionError
-
-    def order(self, server, order, deadline):
-        raise AssertionError
-
-    def forget(self, address):
-        pass
-
 
 def _answer(status, did_not_run=False, is_other=False):
     return servers.CallAnswer(status, (), b"", did_not_run, is_other, "stamp")
--- a/features/steps/heavy_load_steps.py
+++ b/features/steps/heavy_load_steps.py
@@ -9,6 +9,7 @@
 import behave
 import expression
 
+import server_fakes
 from oleander_base import clock
 from oleander_direct import calls, comeback, directory, routes, servers
 from oleander_routing import router
@@ -32,7 +33,7 @@
     refusals: list = dataclasses.field(default_factory=list)
 
 
-class PlacesCaller(servers.ServerCaller):
+class PlacesCaller(server_fakes.UnusedCaller):
     """Servers with places; a request that finds none is refused and has not run."""
 
     def __init__(self, places):
@@ -57,18 +58,6 @@
             self._busy[name] -= 1
         return expression.Ok(servers.CallAnswer(200, (), b"", False, False, ""))
 
-    def generate(self, server, request, deadline, is_cancelled):
-        raise AssertionError
-
-    def read_state(self, server, deadline):
-        raise AssertionError
-
-    def order(self, server, order, deadline):
-        raise AssertionError
-
-    def forget(self, address):
-        pass
-
 
 @behave.given("full-load servers with the places {listed}")
 def create_servers(context, listed):
--- a/features/steps/platform_front_steps.py
+++ b/features/steps/platform_front_steps.py
@@ -1,7 +1,5 @@
 """Steps for the front program as a process."""
 
-import base64
-import http.client
 import json
 import pathlib
 import signal
@@ -18,8 +16,8 @@
 _PAUSE_SECONDS = 0.05
 
 
-class Front:
-    """The program, its platform, and a client."""
+class Front(front_programs.FrontProgram):
+    """The program, with its platform."""
 
     def __init__(self):
         self.store = platform_standin.Store()
@@ -29,56 +27,20 @@
         for sampler, service in ((self.engine, "engines"), (self.service, "desk")):
             content = platform_standin.describe_server(sampler, service)
             self.store.put("keyed.servers", sampler.name, content)
-        self._folder = tempfile.TemporaryDirectory()
-        self.front, self.ready, self.metrics = (
-            front_programs.find_port(),
-            front_programs.find_port(),
-            front_programs.find_port(),
-        )
-        self.output = pathlib.Path(self._folder.name) / "output"
-        self.process = front_programs.start_front(
-            self._folder.name,
-            front_programs.describe_settings(
-                "front-1", self.front, self.ready, self.store.address
-            ),
-            self.output,
-            self.metrics,
-        )
-
-    def ask(self, method, path, body=b"", request_id="r1", port=None, headers=()):
-        """Return status, headers and body of an answer."""
-        connection = http.client.HTTPConnection("127.0.0.1", port or self.front, timeout=10)
-        sent = {
-            "Host": "h.example",
-            "X-Oleanderdeal-Attempt-Id": request_id,
-            "X-Oleanderdeal-Deadline-Ms": "3000",
-        } | dict(headers)
-        try:
-            connection.request(method, path, body, sent)
-            answer = connection.getresponse()
-            return answer.status, dict(answer.getheaders()), answer.read()
-        finally:
-            connection.close()
-
-    def is_ready(self):
-        try:
-            return self.ask("GET", "/api/ready", port=self.ready)[0] == 200
-        except OSError:
-            return False
+        self._temporary = tempfile.TemporaryDirectory()
+        super().__init__("front-1", self._temporary.name, self.store.address, has_metrics=True)
 
     def stop(self):
-        if self.process.poll() is None:
-            self.process.kill()
-        self.process.wait()
+        self.end()
         for stand in (self.store, self.engine, self.service):
             stand.stop()
-        self._folder.cleanup()
+        self._temporary.cleanup()
 
 
-def _wait_until(condition, what):
+def _wait_until(condition, describe):
     until = time.monotonic() + _WAIT_SECONDS
     while not condition():
-        assert time.monotonic() < until, what
+        assert time.monotonic() < until, describe()
         time.sleep(_PAUSE_SECONDS)
 
 
@@ -86,7 +48,7 @@
 def start_platform(context):
     context.front = Front()
     context.add_cleanup(context.front.stop)
-    _wait_until(context.front.is_ready, context.front.output.read_text())
+    _wait_until(context.front.is_ready, context.front.describe)
 
 
 @behave.then("a call is answered by the service, unchanged")
@@ -100,31 +62,7 @@
 
 
 def _build_batch(items):
-    return json.dumps(
-        {
-            "step": 0,
-            "model": "m",
-            "min_version": 1,
-            "group_count": 1,
-            "items": [
-                {
-                    "id": f"item-{number}",
-                    "path": f"/items/{number}",
-                    "headers": {"X-Oleanderdeal-Model": "m"},
-                    "body": base64.b64encode(b"prompt").decode(),
-                    "tokens": 50,
-                    "group": "g",
-                    "scorer": {
-                        "id": f"score-{number}",
-                        "host": "h.example",
-                        "path": "/calls/score",
-                        "body": base64.b64encode(b"score").decode(),
-                    },
-                }
-                for number in range(items)
-            ],
-        }
-    ).encode()
+    return platform_standin.describe_batch([f"item-{number}" for number in range(items)])
 
 
 @behave.then("a batch of {items:d} items is accepted, listed with scores, read again, ended")
@@ -144,10 +82,9 @@
         assert status == 200, body
         results += json.loads(body)["results"]
     for result in results:
-        number = result["id"].removeprefix("item-")
         events = range(1, platform_standin.EVENTS + 1)
         assert result["output"] == "\n".join(f"{result['id']}.{event}" for event in events)
-        assert result["score"] == f"stamp-score-{number}", result
+        assert result["score"] == f"stamp-score-{result['id']}", result
         assert (result["state"], result["versions"]) == ("completed", [1]), result
     again = json.loads(front.ask("GET", "/api/lots/batch-1?after=0")[2])
     assert again == {"total": items, "next": items, "results": results}, again
@@ -160,7 +97,7 @@
 def check_order(context):
     front = context.front
     front.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
-    _wait_until(lambda: front.engine.orders, front.output.read_text())
+    _wait_until(lambda: front.engine.orders, front.describe)
     time.sleep(1.5)
     assert len(front.engine.orders) == 1, front.engine.orders
     order = front.engine.orders[0]
@@ -225,9 +162,9 @@
         target=lambda: context.answers.append(front.ask("POST", "/calls/slow", b"x"))
     )
     call.start()
-    _wait_until(lambda: front.service.seen, "the call did not arrive")
+    _wait_until(lambda: front.service.seen, front.describe)
     front.process.send_signal(signal.SIGTERM)
-    _wait_until(lambda: not front.is_ready(), "still ready")
+    _wait_until(lambda: not front.is_ready(), front.describe)
     context.was_running = front.process.poll() is None
     call.join()
 
@@ -292,7 +229,7 @@
         folder.name, "", output, 0, {"PYTHONPATH": folder.name}
     )
     context.add_cleanup(context.loading.kill)
-    _wait_until(lambda: _LOADING in output.read_text(), "it does not load its libraries")
+    _wait_until(lambda: _LOADING in output.read_text(), output.read_text)
 
 
 @behave.when("it gets {name} meanwhile")
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -1,4 +1,4 @@
-"""Steps for routing, retries and subsets; time is simulated, seeds are fixed."""
+"""Steps for routing and retries; time is simulated, seeds are fixed."""
 
 import collections
 import dataclasses
@@ -7,7 +7,7 @@
 import behave
 
 from oleander_contracts import contract
-from oleander_routing import peers, preferred, retries, router, subset
+from oleander_routing import peers, preferred, retries, router
 
 _SEED = 30
 _REPORT = {
@@ -236,68 +236,6 @@
     assert 0.45 * most <= mean <= 0.55 * most, mean
 
 
-@behave.given("a subset is chosen from the hosts {text} by {entries:d} entries of {size:d} each")
-def choose_subsets(context, text, entries, size):
-    context.size = size
-    context.hosts = []
-    for item in text.split():
-        group, count = item.split(":")
-        domain, _, backend = group.partition("/")
-        context.hosts += [
-            subset.SubsetHost(f"{group}-{number}", domain, backend) for number in range(int(count))
-        ]
-    context.subsets = {
-        f"entry-{number}": subset.choose_subset(f"entry-{number}", context.hosts, size)
-        for number in range(entries)
-    }
-
-
-@behave.then("the subset has {spread} from each group")
-def check_spread(context, spread):
-    for chosen in context.subsets.values():
-        found = collections.Counter(name.rsplit("-", 1)[0] for name in chosen)
-        for item in spread.split():
-            group, bounds = item.split(":")
-            least, most = bounds.split("-")
-            assert int(least) <= found[group] <= int(most), found
-
-
-@behave.when("each host of the subset's list is taken away in turn")
-def remove_hosts(context):
-    context.changes = []
-    for removed in context.hosts:
-        rest = [host for host in context.hosts if host is not removed]
-        for entry, before in context.subsets.items():
-            after = subset.choose_subset(entry, rest, context.size)
-            context.changes.append(len(set(before) - set(after)))
-
-
-@behave.then(
-    "the subset never changed by more than {most:d} host, and by {least:g} to {mean:g} on average"
-)
-def check_churn(context, most, least, mean):
-    assert max(context.changes) == most, max(context.changes)
-    found = sum(context.changes) / len(context.changes)
-    assert least <= found <= mean, found
-
-
-def _count_entries(context):
-    return collections.Counter(name for chosen in context.subsets.values() for name in chosen)
-
-
-@behave.then("the subset's most chosen host has at most {ratio:g} times the mean")
-def check_balance(context, ratio):
-    found = _count_entries(context)
-    mean = sum(found.values()) / len(context.hosts)
-    assert max(found.values()) <= ratio * mean, max(found.values()) / mean
-
-
-@behave.then("the subset left out at most {percent:g} percent of hosts")
-def check_left_out(context, percent):
-    left_out = 100 - len(_count_entries(context)) / len(context.hosts) * 100
-    assert left_out <= percent, left_out
-
-
 @behave.given("a router that prefers {most:d} peers, with the peers {text}")
 def create_preferring_router(context, most, text):
     context.routing_now = 1000.0
