Look routes up in the product; give each new threshold its unit and origin

Two modules had the same bound for appends. The help of `orders.held` told of one holder, which is long gone: the number is of partitions. Fifteen thresholds had neither unit nor origin.

Change: `route_lookup` decides, the adapter maps its answer to 404 or 503; one bound each; no value changed. No change of behaviour was meant. Test: features/direct_calls.feature, "no route is said only by an entry that knows the newest configuration", five cells; the two for an unknown newest configuration held through HTTP before too.

--- a/features/direct_calls.feature
+++ b/features/direct_calls.feature
@@ -36,6 +36,21 @@
     When 30 idempotent requests that 2 servers may get are called
     Then each took less than 250 ms
 
+  Scenario Outline: "No route" is said only by an entry that knows the newest configuration
+    # An entry that is cut off, or has just started, does not know a route that was published since.
+    # Told that there is none, a caller gives up; told to come back, it asks another entry.
+    Given an entry that has <configuration> and <heard> the platform
+    When a caller asks for the path <path>
+    Then the lookup says <answer>
+
+    Examples:
+      | configuration      | heard             | path     | answer  |
+      | no configuration   | hears             | /calls/a | unsure  |
+      | a configuration    | hears             | /calls/a | calls   |
+      | a configuration    | has not heard     | /calls/a | calls   |
+      | a configuration    | hears             | /other/a | missing |
+      | a configuration    | has not heard     | /other/a | unsure  |
+
   Scenario: A request whose caller has left is ended
     Given the servers s1=silent
     When a request is called whose caller leaves after 100 ms
--- a/features/steps/direct_calls_steps.py
+++ b/features/steps/direct_calls_steps.py
@@ -10,6 +10,7 @@
 from oleander_base import clock
 from oleander_direct import calls, directory, routes, servers
 from oleander_routing import router
+from oleanderdeal import route_lookup
 
 _OK_SECONDS = 0.01
 _SLOW_SECONDS = 0.3
@@ -120,3 +121,30 @@
 def check_left(context, milliseconds):
     assert context.took[0] < milliseconds, context.took
     assert context.caller.cancelled.wait(1.0)
+
+
+@behave.given("an entry that has {configuration} and {heard} the platform")
+def create_lookup(context, configuration, heard):
+    known = directory.Directory(router.Router(7), server_fakes.UnusedCaller())
+    if configuration == "a configuration":
+        share = (routes.Share("desk", 1),)
+        kind = routes.RouteKind.IDEMPOTENT
+        route = routes.Route("calls", "h", "/calls/", kind, 1, 1, 0, share, 1, False, False, 0, 0)
+        backends = (routes.Backend("desk", (), 1),)
+        known.put_table(routes.RouteTable(1, (route,), backends, routes.Limits(1, 1, 1)))
+    context.lookup = route_lookup.RouteLookup(known, lambda: heard == "has not heard")
+
+
+@behave.when("a caller asks for the path {path}")
+def look_up(context, path):
+    context.found = context.lookup.find("h", path, "id")
+
+
+@behave.then("the lookup says {answer}")
+def check_lookup(context, answer):
+    found = context.found
+    if found.is_ok():
+        assert found.ok.name == answer, found
+        return
+    assert found.error.is_certain == (answer == "missing"), found
+    assert found.error.is_certain or found.error.retry_after_ms > 0, found
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -154,9 +154,9 @@
 ORDERS_HELD = _declare(
     "orders.held",
     "gauge",
-    "flag",
-    "Whether this process may order.",
-    "One of all processes has 1.",
+    "partitions",
+    "Partitions of backend servers that this process may order.",
+    "Over all processes the sum is the number of partitions; less for long: nobody claims.",
 )
 STORE_MS = _declare(
     "log.ms", "timer", "ms", "How long a call to the platform's log took.", "As log.failed_calls."
--- a/libs/batches/oleander_batches/content.py
+++ b/libs/batches/oleander_batches/content.py
@@ -11,7 +11,8 @@
 from oleander_platform import recordlog
 
 CONTENT_TOPIC = "oleander.content"
-_APPEND_SECONDS = 1.0
+APPEND_SECONDS = 1.0
+"""A slow store answers in a quarter second; past a second another try is worth more."""
 _RECORD_BYTES = 128 * 1024
 """A submission is spread over records of this size: half of what a record may have here."""
 MOST_SUBMISSION_BYTES = 1536 * 1024
@@ -81,7 +82,7 @@
         Without an index record that points there they mean nothing: an error has had no effect.
         """
         partition = self.find_partition(batch_id)
-        deadline = clock.start_deadline(_APPEND_SECONDS)
+        deadline = clock.start_deadline(APPEND_SECONDS)
         appended = self._log.append(CONTENT_TOPIC, partition, contents, deadline)
         if appended.is_error():
             return expression.Error(NotDone(appended.error.detail, False))
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -24,7 +24,6 @@
 """Between reads of the index: results of the same moment come in one read."""
 _AGAIN_SECONDS = 0.2
 """Between tries while the log does not answer: five calls a second from each entry."""
-_APPEND_SECONDS = 1.0
 _FORGET_EVERY_SECONDS = 5.0
 """Batches are kept for minutes; looking each few seconds costs nothing."""
 
@@ -186,7 +185,7 @@
             records.Finished(batch_id, number, appended.ok + place)
             for place, (number, _) in enumerate(results)
         ]
-        return self._append_index(index, clock.start_deadline(_APPEND_SECONDS))
+        return self._append_index(index, clock.start_deadline(content.APPEND_SECONDS))
 
     def keep_partials(
         self, batch_id: str, partials: list[submission.PartialText]
@@ -200,14 +199,14 @@
             records.Partial(batch_id, item.item_number, appended.ok + place, item.events)
             for place, item in enumerate(partials)
         ]
-        return self._append_index(index, clock.start_deadline(_APPEND_SECONDS))
+        return self._append_index(index, clock.start_deadline(content.APPEND_SECONDS))
 
     def note_runner(
         self, batch_ids: list[str], runner: str
     ) -> expression.Result[None, content.NotDone]:
         """Tell all processes who runs batches; nobody, where the name is empty."""
         index: list[records.IndexRecord] = [records.Taken(name, runner) for name in batch_ids]
-        return self._append_index(index, clock.start_deadline(_APPEND_SECONDS))
+        return self._append_index(index, clock.start_deadline(content.APPEND_SECONDS))
 
     def read_results(
         self, batch: fold.Batch, after: int, deadline: clock.Deadline
@@ -276,7 +275,7 @@
         contents = [records.encode_record(item) for item in items]
         may_have_effect = False
         while True:
-            attempt = deadline.earlier(_APPEND_SECONDS)
+            attempt = deadline.earlier(content.APPEND_SECONDS)
             appended = self._log.append(INDEX_TOPIC, _INDEX_PARTITION, contents, attempt)
             if appended.is_ok():
                 return expression.Ok(None)
--- a/libs/orders/oleander_orders/pace.py
+++ b/libs/orders/oleander_orders/pace.py
@@ -5,6 +5,7 @@
 _NEWEST_WEIGHT = 0.3
 """Follows a change within about three values."""
 _UNKNOWN_LOAD_SECONDS = 1.0
+"""Taken for a load until the first one was seen; a guess, and of no effect after that."""
 _MOST_USED = 0.8
 """The part of the weight store's pace that loads may need before some are left out."""
 
--- a/libs/orders/oleander_orders/right.py
+++ b/libs/orders/oleander_orders/right.py
@@ -19,6 +19,7 @@
 _READ_SECONDS = 1.4
 """A silent connection is given up well within the term and the gap."""
 _APPEND_SECONDS = 0.7
+"""Below the time between renewals: one that hangs leaves time for two more in the term."""
 _AGAIN_SECONDS = 0.2
 """Between tries while the log does not answer."""
 _RELEASED = "released"
--- a/libs/platform/oleander_platform/keyed_follower.py
+++ b/libs/platform/oleander_platform/keyed_follower.py
@@ -10,6 +10,7 @@
 _READ_SECONDS = 1.4
 """Above the wait by a slow store's answer."""
 _AGAIN_SECONDS = 0.2
+"""Between tries while the log does not answer: five calls a second."""
 _PARTITION = 0
 
 
--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -9,6 +9,7 @@
 waits. Long texts decide when a step is whole, so they have to be handed over at its start; with
 windows of half a batch the longest began seconds late and steps took 5 to 12 s."""
 _MOST_WINDOW = 3.0
+"""What is above it waits at the server, where it can't go elsewhere any more."""
 _LEAST_WINDOW = 1.0
 """A refusal says that a server was full or is loading weights, not that it is slow."""
 _REFUSED_SECONDS = 0.15
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -12,6 +12,7 @@
 _READ_SECONDS = 1.0
 """Trainers wait 1.5 s longer than they allow."""
 _ACCEPT_SECONDS = 2.0
+"""One append to the content and one to the index, of a second at most each."""
 _END_SECONDS = 2.0
 """Half of the time in which an end must be acknowledged here."""
 _FRESH_SECONDS = 0.4
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -13,6 +13,7 @@
 _LOAD_SECONDS = 1.0
 """For reading a submission; the items of other batches wait meanwhile."""
 _KEEP_SECONDS = 0.8
+"""What texts lose at most when their process is killed; the longest usual ones take 5 s."""
 _LEAST_KEPT_EVENTS = 12
 """A start that is kept costs two small appends; below half of a usual text it isn't worth them."""
 _BATCH_PRIORITY = 0
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -21,6 +21,7 @@
     metrics_page,
     ownership,
     result_writer,
+    route_lookup,
     version_keeper,
 )
 
@@ -28,6 +29,7 @@
 """Requests that one entry answers at once. Trainers' reads wait up to a second each; at the rates
 of the aim an entry has about ten calls and a few reads in progress."""
 READY_THREADS = 2
+"""The platform asks once a second; the second thread is for a check that hangs."""
 MOST_ITEMS = 96
 """Items that one entry generates at once: all that a few dozen engines can run, should the
 entry be the only one left."""
@@ -50,6 +52,7 @@
 _CLOSE_SECONDS = 0.5
 """For tasks that wait in a call; the process ends without them after it."""
 _RELOAD_SECONDS = 1.0
+"""Settings change rarely; the store's new address must be used within a few seconds."""
 _POLL_SECONDS = 0.05
 """How soon the end of the last request is seen."""
 
@@ -76,13 +79,10 @@
 class Operations:
     """What a surface for callers may use."""
 
-    known: directory.Directory
+    lookup: route_lookup.RouteLookup
     dispatcher: calls.CallDispatcher
     batches: batch_api.BatchApi
     is_ready: collections.abc.Callable[[], bool]
-    is_silent: collections.abc.Callable[[], bool]
-    """Whether the platform was not heard for so long that its newest configuration may be
-    unknown here."""
 
 
 class Deployment(abc.ABC):
@@ -155,11 +155,10 @@
             self._known, held, self._owned, self._journal, caller, self._group
         )
         operations = Operations(
-            self._known,
+            route_lookup.RouteLookup(self._known, self._is_silent),
             dispatcher,
             batch_api.BatchApi(self._journal),
             self._is_ready,
-            self._is_silent,
         )
         surface = deployment.create_surface(operations)
         self._callers = self._create_server(surface, chosen.callers_address, HTTP_THREADS)
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -15,6 +15,7 @@
 _SCORING_SECONDS = 3.0
 """Usual scorings take 0.2 s; one that hangs is asked again while its step can be in time."""
 _SCORING_AGAIN_SECONDS = 0.05
+"""Between tries of a scoring that was refused: a quarter of a usual one's time."""
 _BAD_ITEM = 422
 
 
--- a/programs/oleanderdeal/oleanderdeal/ownership.py
+++ b/programs/oleanderdeal/oleanderdeal/ownership.py
@@ -13,6 +13,7 @@
 _JOIN_SECONDS = 0.6
 """Three times within the time to live; such a call costs a tenth of another."""
 _JOIN_DEADLINE_SECONDS = 1.0
+"""Half the time to live, so that another try comes in time."""
 
 
 class Ownership:
--- a/programs/oleanderdeal/oleanderdeal/result_writer.py
+++ b/programs/oleanderdeal/oleanderdeal/result_writer.py
@@ -9,6 +9,7 @@
 _MOST_RESULTS = 64
 """In one append: half a megabyte of usual texts, a quarter of what a call may have."""
 _WRITE_AGAIN_SECONDS = 0.2
+"""Between tries while the log does not answer."""
 _MOST_WAITING_RESULTS = 4096
 """Past this no item is begun: results can't be written, and more would only fill memory."""
 
