Try a server that refuses with one text at a time until it has begun with one

Cause: a server that loads weights refuses at once, so it has nothing in flight and looks the least loaded; all texts that wait for a place were sent there together, every 0.15 s. Change: the window remembers since when a server refuses, lets one request through as a trial, the next after a quarter of that time (0.1 to 2 s), and opens once the server has begun with one that was sent since. Several refusals at one moment halve the window once. Ruled out: a longer fixed pause, which does nothing at other lengths of a load.

--- /dev/null
+++ b/features/refusals.feature
@@ -0,0 +1,38 @@
+Feature: What a runner hands to servers that refuse
+  Simulated time. Each of 4 servers runs 12 texts at once and queues as many more, each for a second; while it loads weights it goes on
+  with what it runs and refuses all else. A runner hands out what the windows allow, and what was refused again.
+
+  Scenario Outline: A server that loads weights is tried with one text at a time
+    # Nothing waits at a loading server, so it looks the least loaded of all, and every text that
+    # waits for a place is sent there: some eleven at a time, six times a second. Each is refused,
+    # takes a connection, and is then late for a place that gets free at another server.
+    # Tried too seldom the server would stand idle once it has loaded, and a slow load is no other.
+    Given a runner with <texts> texts before 4 servers
+    When <loading> of them load weights for <seconds> s
+    Then a server that loads refuses at most <most> trials
+    And a server that has loaded and has a place gets work within <idle> s, and is full within another 0.1 s
+
+    Examples:
+      | texts | loading | seconds | most | idle |
+      | 200   | 1       | 0.3     | 28   | 0.2  |
+      | 200   | 2       | 0.9     | 32   | 0.3  |
+      | 200   | 2       | 2.8     | 38   | 0.9  |
+      | 200   | 4       | 0.9     | 32   | 0.3  |
+      | 400   | 2       | 8.0     | 44   | 2.1  |
+
+  Scenario: A server that refuses for ever is tried every two seconds
+    # It holds up nobody: the others take the work. Tried in a tight loop it costs connections.
+    Given a runner with 2000 texts before 4 servers
+    When 1 of them load weights for 40 s
+    Then a server that loads refuses at most 60 trials
+    And texts were done at no less than 0.99 of what the others can do
+
+  Scenario: What ends at a loading server says nothing of its load
+    # Texts that it ran before go on and end. Taken for a sign that it takes work, each end would
+    # send it a window of texts, all refused.
+    Given a router with the peers p1 p2
+    When p1 refuses a windowed request after a long one began
+    And the long one ends well
+    Then p1 takes no windowed request yet
+    When a trial after 1 s begins there
+    Then p1 takes windowed requests again
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -206,7 +206,7 @@
             return False
         progress.excluded.add(chosen.server_id)
         progress.sent += 1
-        self._router.note_started(chosen.server_id)
+        self._router.note_started(chosen.server_id, progress.is_windowed)
         if progress.sent > 1:
             metrics.count(metrics.RETRIES)
         running[self._pool.submit(self._attempt, progress, chosen)] = chosen.server_id
@@ -241,6 +241,8 @@
         answered = self._call_server(progress, server)
         milliseconds = (clock.read_now() - started_at) * 1000
         outcome = _rate(answered, progress)
+        if answered.is_ok() and outcome is not router.RouteOutcome.REFUSED:
+            self._router.note_accepted(server.server_id, started_at)
         self._router.note_finished(server.server_id, outcome, milliseconds)
         return answered
 
--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -3,17 +3,9 @@
 import collections.abc
 import dataclasses
 
+from oleander_routing import windows
+
 _NEWEST_WEIGHT = 0.1
-FIRST_WINDOW = 2.0
-"""Windowed requests in flight at first, in multiples of a server's slots: one batch runs, one
-waits. Long texts decide when a step is whole, so they have to be handed over at its start; with
-windows of half a batch the longest began seconds late and steps took 5 to 12 s."""
-_MOST_WINDOW = 3.0
-"""What is above it waits at the server, where it can't go elsewhere any more."""
-_LEAST_WINDOW = 1.0
-"""A refusal says that a server was full or is loading weights, not that it is slow."""
-_REFUSED_SECONDS = 0.15
-"""After a refusal, about the time in which one of eight requests of a second ends."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -64,28 +56,8 @@
     weight: float = 1.0
     """The part of its usual work that it is given; 0 while it is ejected."""
     models: collections.abc.Mapping[str, int] = dataclasses.field(default_factory=dict)
-    window: float = FIRST_WINDOW
-    """How many windowed requests this entry may have there, in multiples of its slots."""
-    closed_until: float = 0.0
-    """A windowed request is sent again only after this time, since the last was refused."""
-
-    def opens_window(self, now: float) -> bool:
-        """Whether one more windowed request may be sent."""
-        return self.in_flight < int(self.window * self.slots) and now >= self.closed_until
-
-    def adapt_window(self, was_refused: bool, now: float) -> None:
-        """
-        Halve the window after a refusal, and let it grow by one for each window of successes.
-
-        Entries know nothing of each other's requests at a server. With a fixed number of slots
-        each, they fill it together, and nine of ten requests are refused and sent again.
-        """
-        if was_refused:
-            self.window = max(_LEAST_WINDOW, self.window / 2)
-            self.closed_until = now + _REFUSED_SECONDS
-            return
-        grown = self.window + 1.0 / (self.window * self.slots * self.slots)
-        self.window = min(_MOST_WINDOW, grown)
+    window: windows.RequestWindow = dataclasses.field(default_factory=windows.RequestWindow)
+    """How much of this entry's work that can wait it may have."""
 
     @property
     def load(self) -> float:
@@ -102,6 +74,10 @@
         """Whether it is trusted and this entry has fewer requests there than it has slots."""
         return self.weight > 0.0 and self.in_flight < self.slots
 
+    def opens_window(self, now: float) -> bool:
+        """Whether one more windowed request may be sent."""
+        return self.window.is_open(self.in_flight, self.slots, now)
+
     def apply(self, report: PeerReport, now: float) -> None:
         """Take in a report; it counts all that this entry started before it."""
         self.failure_domain = report.failure_domain
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -136,12 +136,21 @@
                 return expression.Error(candidates.error)
             return expression.Ok(self._pick(candidates.ok, request).name)
 
-    def note_started(self, name: str) -> None:
+    def note_started(self, name: str, is_windowed: bool = False) -> None:
         """Count a request that is being sent to a peer."""
         with self._lock:
             peer = self._peers.get(name)
             if peer is not None:
                 peer.in_flight += 1
+                if is_windowed:
+                    peer.window.note_started(self._read_now(), self._random.random())
+
+    def note_accepted(self, name: str, started_at: float) -> None:
+        """Take in that a peer has begun with a request that was sent at this time, or ran it."""
+        with self._lock:
+            peer = self._peers.get(name)
+            if peer is not None:
+                peer.window.note_accepted(started_at)
 
     def note_finished(
         self, name: str, outcome: RouteOutcome, service_ms: float, now: float | None = None
@@ -152,10 +161,11 @@
             if peer is None:
                 return
             peer.in_flight = max(0, peer.in_flight - 1)
-            if outcome in {RouteOutcome.REFUSED, RouteOutcome.OK}:
-                peer.adapt_window(outcome is RouteOutcome.REFUSED, self._read_now())
             if outcome is RouteOutcome.REFUSED:
+                peer.window.note_refused(self._read_now(), self._random.random())
                 return
+            if outcome is RouteOutcome.OK:
+                peer.window.note_done(peer.slots)
             moment = self._read_now() if now is None else now
             group = self._list_usable(peer.backend)
             failed = outcome in {RouteOutcome.FAILED, RouteOutcome.TIMED_OUT}
--- /dev/null
+++ b/libs/routing/oleander_routing/windows.py
@@ -0,0 +1,83 @@
+"""How much work that can wait an entry may have at one server."""
+
+import dataclasses
+
+FIRST_WINDOW = 2.0
+"""Requests in flight at first, in multiples of a server's slots: one batch runs, one waits. Long
+texts decide when a step is whole, so they have to be handed over at its start; with windows of
+half a batch the longest began seconds late and steps took 5 to 12 s."""
+_MOST_WINDOW = 3.0
+"""What is above it waits at the server, where it can't go elsewhere any more."""
+_LEAST_WINDOW = 1.0
+"""A refusal says that a server was full or is loading weights, not that it is slow."""
+_TRIAL_PART = 0.25
+"""The next trial follows after this part of the time for which a server has refused. So whatever
+a load takes, at most a quarter of it is lost after it, and its length need not be known."""
+_LEAST_TRIAL_SECONDS = 0.1
+"""Between two trials; some round trips, and a small part of the shortest load worth waiting for."""
+_MOST_TRIAL_SECONDS = 2.0
+"""Between two trials at a server that refuses for ever."""
+
+
+@dataclasses.dataclass(slots=True)
+class RequestWindow:
+    """
+    Adapts to what a server takes; not thread-safe.
+
+    Entries know nothing of each other's requests at a server. With a fixed number of slots each,
+    they fill it together, and nine of ten requests are refused and sent again.
+
+    A server that has refused is tried with one request at a time until it has begun with one. It
+    loads weights, or is full; with the whole window sent again after each pause, a server that
+    loaded for 0.9 s refused some 60 requests, and one that loaded for 2.8 s several hundred.
+    """
+
+    size: float = FIRST_WINDOW
+    """How many requests may be in flight, in multiples of the server's slots."""
+    refuses_since: float | None = None
+    """Since when it has refused everything; nothing while it takes requests."""
+    next_trial_at: float = 0.0
+    """While it refuses, nothing is sent before this time."""
+
+    def is_open(self, in_flight: int, slots: int, now: float) -> bool:
+        """Tell whether one more request may be sent."""
+        if in_flight >= int(self.size * slots):
+            return False
+        return self.refuses_since is None or now >= self.next_trial_at
+
+    def note_started(self, now: float, jitter: float) -> None:
+        """Take in that a request is sent; to a server that refuses, it is the trial."""
+        if self.refuses_since is not None:
+            self._put_off(now, jitter)
+
+    def note_accepted(self, started_at: float) -> None:
+        """
+        Take in that the server has begun with a request, or has answered it.
+
+        One that was sent before the refusals began proves nothing: servers that load weights go
+        on with what they run.
+        """
+        if self.refuses_since is not None and started_at >= self.refuses_since:
+            self.refuses_since = None
+
+    def note_refused(self, now: float, jitter: float) -> None:
+        """
+        Take in a refusal; the first of several halves the window.
+
+        All that waits at a server is refused at once when it begins to load; counted one by one,
+        they would say that it takes next to nothing.
+        """
+        if self.refuses_since is None:
+            self.refuses_since = now
+            self.size = max(_LEAST_WINDOW, self.size / 2)
+        self._put_off(now, jitter)
+
+    def note_done(self, slots: int) -> None:
+        """Take in a success; the window grows by one for each window of them."""
+        self.size = min(_MOST_WINDOW, self.size + 1.0 / (self.size * slots * slots))
+
+    def _put_off(self, now: float, jitter: float) -> None:
+        """Allow the next trial after a pause; a jitter of 0 to 1 spreads those of several entries."""
+        since = now if self.refuses_since is None else self.refuses_since
+        seconds = min(_MOST_TRIAL_SECONDS, (now - since) * _TRIAL_PART)
+        self.next_trial_at = now + max(_LEAST_TRIAL_SECONDS, seconds) * (1.0 + jitter / 4)
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -223,7 +223,7 @@
             run.put_back(item)
             return False
         run.note_server(item.item_number, server.server_id)
-        self._router.note_started(server.server_id)
+        self._router.note_started(server.server_id, is_windowed=True)
         with self._lock:
             self._running += 1
         self._group.start(lambda: self._run(item, server))
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -40,7 +40,7 @@
         self, item: batch_run.ItemWork, server: servers.Server
     ) -> submission.ItemResult | None:
         """Return the item's result, or nothing where it is to be tried again."""
-        outcome = _ItemAttempt(self._caller, item, server)
+        outcome = _ItemAttempt(self._caller, self._router, item, server)
         ended = self._run_attempt(outcome, item, server)
         if isinstance(ended, submission.ItemResult):
             return ended
@@ -124,13 +124,19 @@
     """One stream of one item."""
 
     def __init__(
-        self, caller: servers.ServerCaller, item: batch_run.ItemWork, server: servers.Server
+        self,
+        caller: servers.ServerCaller,
+        router_: router.Router,
+        item: batch_run.ItemWork,
+        server: servers.Server,
     ) -> None:
         self._caller = caller
+        self._router = router_
         self._item = item
         self._run = item.run
         self._server = server
-        self._heard_at = clock.read_now()
+        self._started_at = clock.read_now()
+        self._heard_at = self._started_at
         self._first_at = 0.0
         self._events = 0
         self.was_refused = False
@@ -183,7 +189,9 @@
                 self.reason = "" if sample else "unusable"
                 return sample
             self._heard_at = clock.read_now()
-            self._first_at = self._first_at or self._heard_at
+            if not self._events:
+                self._first_at = self._heard_at
+                self._router.note_accepted(self._server.server_id, self._started_at)
             self._events += 1
             self._run.note_event(self._item, read.ok.text, read.ok.version)
             if self._run.is_cancelled(self._item):
