Ask the other servers whether they load before one more is ordered to

Cause: processes order the servers they have rights to in turns of 1.2 s, a load of 0.9 s and a margin. Change: before an order the servers that lack the version are asked (12 at most) whether they load; with a third of the fleet (two at least) loading, the order waits, for 8 s at most. Test: features/order_crowd.feature, simulated time: before, 4 of 4 and 12 of 12 servers load at once with loads of 2.8 s; now 2 and 5. Ruled out: asking 4 of 12 (9 of 12 loaded at once in the test); turns by the loads that a process has seen, since a process that took over a right has seen none and the first version is missed.

--- /dev/null
+++ b/features/steps/order_crowd_steps.py
@@ -0,0 +1,160 @@
+"""Steps for loads of weights that several processes order; time is simulated."""
+
+import dataclasses
+import types
+import unittest.mock
+
+import behave
+import expression
+
+import server_fakes
+from oleander_base import clock
+from oleander_direct import directory, routes, servers
+from oleander_orders import right
+from oleanderdeal import version_keeper
+
+_MODEL = "m"
+_TICK_SECONDS = 0.1
+_LIST_SECONDS = 1.0
+"""How late the list tells what a server has."""
+_FIRST_VERSION = 1
+_START = 1000.0
+
+
+@dataclasses.dataclass(slots=True)
+class LoadingEngine:
+    """A server that loads when it is ordered to."""
+
+    name: str
+    version: int = _FIRST_VERSION
+    loads: int = 0
+    left_seconds: float = 0.0
+    accepted: int = 0
+    changed_at: float = 0.0
+    listed: int = _FIRST_VERSION
+
+    @property
+    def is_loading(self):
+        return self.left_seconds > 0.0
+
+
+class Fleet(server_fakes.UnusedCaller):
+    """The servers, and one process for each."""
+
+    def __init__(self, count, seconds):
+        self.now = _START
+        self.seconds = seconds
+        self.engines = {f"s{n}": LoadingEngine(f"s{n}") for n in range(count)}
+        self.named = {}
+        self.most_loading = 0
+        self.keepers = [self._create_keeper(name) for name in self.engines]
+
+    def read_state(self, server, deadline):
+        engine = self.engines[server.server_id]
+        models = (servers.ModelVersion(_MODEL, engine.version),)
+        return expression.Ok(servers.EngineState(models, engine.is_loading, engine.accepted))
+
+    def order(self, server, order, deadline):
+        engine = self.engines[server.server_id]
+        assert not engine.is_loading, order
+        engine.loads = order.version
+        engine.left_seconds = self.seconds
+        engine.accepted += 1
+        return servers.OrderTaken(is_done=False)
+
+    def run(self, until):
+        with unittest.mock.patch.object(clock, "read_now", lambda: self.now):
+            while self.now < until:
+                self._advance()
+                for keeper in self.keepers:
+                    keeper.order_due()
+
+    def list_servers(self, backend):
+        return [
+            servers.Server(
+                engine.name,
+                1,
+                backend,
+                "127.0.0.1:1",
+                "z",
+                8,
+                False,
+                (servers.ModelVersion(_MODEL, engine.listed),),
+            )
+            for engine in self.engines.values()
+        ]
+
+    def _advance(self):
+        self.now += _TICK_SECONDS
+        loading = [engine for engine in self.engines.values() if engine.is_loading]
+        self.most_loading = max(self.most_loading, len(loading))
+        slower = max(1.0, len(loading) / max(2, len(self.engines) / 3))
+        for engine in loading:
+            engine.left_seconds -= _TICK_SECONDS / slower
+            if not engine.is_loading:
+                engine.version, engine.changed_at = engine.loads, self.now
+        for engine in self.engines.values():
+            if self.now - engine.changed_at >= _LIST_SECONDS:
+                engine.listed = engine.version
+
+    def _create_keeper(self, name):
+        table = routes.RouteTable(
+            1, (), (routes.Backend("engines", (_MODEL,), 1),), routes.Limits(1, 1, 1)
+        )
+        known = types.SimpleNamespace(
+            table=table, list_servers=self.list_servers, list_named=lambda: self.named
+        )
+        held = types.SimpleNamespace(
+            want=lambda ids, dealt: None,
+            held=1,
+            find_right=lambda server_id: self._find_right(name, server_id),
+        )
+        owned = types.SimpleNamespace(partitions=frozenset())
+        kept = types.SimpleNamespace(list_open=list)
+        return version_keeper.VersionKeeper(known, held, owned, kept, self, None)
+
+    def _find_right(self, name, server_id):
+        if name != server_id:
+            return None
+        tenure = right.Tenure(1, clock.start_deadline(5.0))
+        return types.SimpleNamespace(name=name, find_tenure=lambda: tenure)
+
+
+@behave.given("{count:d} servers, each ordered by its own process, whose loads take {seconds:g} s")
+def create_fleet(context, count, seconds):
+    context.fleet = Fleet(count, seconds)
+    context.stuck = set()
+
+
+@behave.when("{count:d} of them load for ever")
+def hang(context, count):
+    context.stuck = set(list(context.fleet.engines)[:count])
+    for name in context.stuck:
+        context.fleet.engines[name].left_seconds = float("inf")
+
+
+@behave.when("{count:d} versions are named, one every {seconds:d} s")
+def name_versions(context, count, seconds):
+    fleet = context.fleet
+    for version in range(_FIRST_VERSION + 1, _FIRST_VERSION + 1 + count):
+        fleet.named = {_MODEL: directory.NamedVersion(version, fleet.now)}
+        context.last_named_at = fleet.now
+        context.last = version
+        if version < _FIRST_VERSION + count:
+            fleet.run(fleet.now + seconds)
+
+
+@behave.then("never more than {most:d} servers load at once")
+def check_most(context, most):
+    assert context.fleet.most_loading <= most, context.fleet.most_loading
+
+
+@behave.then("after the last every {kind} has it within {seconds:d} s")
+def check_loaded(context, kind, seconds):
+    context.fleet.run(context.last_named_at + seconds)
+    has = {
+        name: engine.version
+        for name, engine in context.fleet.engines.items()
+        if name not in context.stuck
+    }
+    assert set(has.values()) == {context.last}, has
--- /dev/null
+++ b/libs/orders/oleander_orders/crowd.py
@@ -0,0 +1,75 @@
+"""Whether one more server may load weights now, by what the others say of themselves."""
+
+import collections.abc
+import random
+
+from oleander_base import clock
+from oleander_direct import servers
+from oleander_orders import plan
+
+_MOST_ASKED = 12
+"""Servers that are asked before an order; in a large fleet they stand for the others. Of 4 out of
+11, which cost less, too many are sometimes found idle: 9 of 12 servers loaded at once."""
+_MOST_WAIT_SECONDS = 8.0
+"""After waiting so long an order is given all the same: weights are to be everywhere within 10 s,
+and servers that say for ever that they load must not keep the others from it."""
+
+
+class LoadCrowd:
+    """
+    Keeps servers from loading weights all at once; used by one thread.
+
+    Processes with rights to different servers order them in turns, by the time since a version was
+    named. Turns that are shorter than a load overlap: with loads of 2.8 s all four servers of a
+    fleet loaded at once, nothing could begin anywhere for seconds, and the weight store became
+    slower still. How long a load takes is not known beforehand, so the servers are asked.
+    """
+
+    def __init__(self, seed: int) -> None:
+        self._random = random.Random(seed)
+        self._waits_since: dict[tuple[str, str], float] = {}
+
+    def must_wait(
+        self,
+        order: plan.PlannedOrder,
+        listed: list[servers.Server],
+        is_loading: collections.abc.Callable[[servers.Server], bool],
+    ) -> bool:
+        """Ask some of the servers that do not show the version yet; too many may load it now."""
+        lacking = _list_lacking(order, listed)
+        asked = self._random.sample(lacking, min(_MOST_ASKED, len(lacking)))
+        loading = sum(map(is_loading, asked))
+        is_crowded = loading * len(lacking) >= plan.count_at_once(len(listed)) * len(asked)
+        if not asked or not is_crowded:
+            self._waits_since.pop(_find_key(order), None)
+            return False
+        return not self._has_waited_long(order)
+
+    def forget_gone(self, listed: collections.abc.Iterable[servers.Server]) -> None:
+        """Forget servers that are gone."""
+        known = {server.incarnation for server in listed}
+        for key in [item for item in self._waits_since if item[0] not in known]:
+            del self._waits_since[key]
+
+    def _has_waited_long(self, order: plan.PlannedOrder) -> bool:
+        now = clock.read_now()
+        since = self._waits_since.setdefault(_find_key(order), now)
+        if now - since < _MOST_WAIT_SECONDS:
+            return False
+        del self._waits_since[_find_key(order)]
+        return True
+
+
+def _find_key(order: plan.PlannedOrder) -> tuple[str, str]:
+    return order.server.incarnation, order.model
+
+
+def _list_lacking(order: plan.PlannedOrder, listed: list[servers.Server]) -> list[servers.Server]:
+    """Return the other servers that have the model, but not the version yet."""
+    return [
+        other
+        for other in listed
+        if other.incarnation != order.server.incarnation
+        and (has := other.find_version(order.model)) is not None
+        and has < order.version
+    ]
--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -45,6 +45,11 @@
     until: float
 
 
+def count_at_once(count: int) -> int:
+    """Return how many of so many servers may load a model at once."""
+    return max(_LEAST_WAVE, count // _WAVE_PART)
+
+
 class OrderPlan:
     """
     Remembers what was ordered; used by one thread.
@@ -156,7 +161,7 @@
         odd and of even rank in turns, as long as its trainer allows what it has. So at each new
         version half of the servers go on at once, and the others load.
         """
-        size = max(_LEAST_WAVE, len(listed) // _WAVE_PART)
+        size = count_at_once(len(listed))
         is_crowded = self._pace.is_crowded(len(listed), size)
         ranked = sorted(
             (item for item in listed if item.find_version(model) is not None),
--- a/libs/routing/oleander_routing/windows.py
+++ b/libs/routing/oleander_routing/windows.py
@@ -14,7 +14,7 @@
 """The next trial follows after this part of the time for which a server has refused. So whatever
 a load takes, at most a quarter of it is lost after it, and its length need not be known."""
 _LEAST_TRIAL_SECONDS = 0.1
-"""Between two trials; some round trips, and a small part of the shortest load worth waiting for."""
+"""Between two trials; some round trips, and a small part of a short load."""
 _MOST_TRIAL_SECONDS = 2.0
 """Between two trials at a server that refuses for ever."""
 
@@ -77,7 +77,7 @@
         self.size = min(_MOST_WINDOW, self.size + 1.0 / (self.size * slots * slots))
 
     def _put_off(self, now: float, jitter: float) -> None:
-        """Allow the next trial after a pause; a jitter of 0 to 1 spreads those of several entries."""
+        """Allow the next trial after a pause; a jitter of 0 to 1 spreads those of entries."""
         since = now if self.refuses_since is None else self.refuses_since
         seconds = min(_MOST_TRIAL_SECONDS, (now - since) * _TRIAL_PART)
         self.next_trial_at = now + max(_LEAST_TRIAL_SECONDS, seconds) * (1.0 + jitter / 4)
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -1,15 +1,19 @@
 """Brings the weights of backend servers to the versions that trainers named."""
 
-from oleander_base import clock, log, metrics, tasks
+import expression
+
+from oleander_base import clock, identifiers, log, metrics, tasks
 from oleander_batches import journal
 from oleander_direct import directory, servers
-from oleander_orders import plan, right, rights
+from oleander_orders import crowd, plan, right, rights
 from oleanderdeal import ownership
 
 _ORDER_SECONDS = 0.8
 """An order is answered before the load; a server that is silent for so long is left for later."""
 _STATE_SECONDS = 0.4
 """An engine that does not say its state in this time is left for later."""
+_NEIGHBOR_SECONDS = 0.2
+"""For asking whether another server loads; one that is gone must not hold up the order."""
 _LEAST_TENURE_SECONDS = 1.0
 """With less of the right left no order is begun: it could arrive when a successor may order."""
 _PAUSE_SECONDS = 0.1
@@ -35,12 +39,14 @@
         self._caller = caller
         self._group = group
         self._plan = plan.OrderPlan()
+        self._crowd = crowd.LoadCrowd(identifiers.hash_text(identifiers.create_nonce()))
+        self._loading: dict[str, bool] = {}
         self._is_wanted = True
 
     def keep(self) -> None:
         """Order until the group stops or the process is about to leave."""
         while not self._group.is_stopping and self._is_wanted:
-            self._order_once()
+            self.order_due()
             self._group.pause(_PAUSE_SECONDS)
         self._rights.release()
 
@@ -48,25 +54,28 @@
         """Give no more orders and release the rights."""
         self._is_wanted = False
 
-    def _order_once(self) -> None:
+    def order_due(self) -> None:
+        """Give the orders that are due now."""
         table = self._directory.table
         if table is None:
             return
         engines = [backend for backend in table.backends if backend.models]
         listed = {item.name: self._directory.list_servers(item.name) for item in engines}
-        every_id = [server.server_id for found in listed.values() for server in found]
-        self._rights.want(every_id, self._owned.partitions)
+        every = [server for found in listed.values() for server in found]
+        self._crowd.forget_gone(every)
+        self._rights.want([server.server_id for server in every], self._owned.partitions)
         metrics.record_gauge(metrics.ORDERS_HELD, self._rights.held)
         for batch in self._journal.list_open():
             if batch.allowed_lag is not None:
                 self._plan.note_lag(batch.accepted.model, batch.allowed_lag)
         self._check_taken()
+        self._loading.clear()
         named = self._directory.list_named()
         for backend in engines:
             keeps_running = not table.wants_single_version(backend.name)
             servers_of = listed[backend.name]
             for order in self._plan.choose(servers_of, named, backend.models, self._may_order):
-                self._give(order, keeps_running)
+                self._give(order, servers_of, keeps_running)
 
     def _may_order(self, server: servers.Server) -> bool:
         return self._find_tenure(server) is not None
@@ -81,24 +90,47 @@
     def _check_taken(self) -> None:
         """Ask servers whether they have loaded; the list would tell a heartbeat later."""
         for order in self._plan.list_unseen():
-            state = self._caller.read_state(order.server, clock.start_deadline(_STATE_SECONDS))
+            state = self._read_state(order.server)
             if state.is_ok():
                 self._plan.note_state(order, state.ok)
 
-    def _give(self, order: plan.PlannedOrder, keeps_running: bool) -> None:
+    def _read_state(
+        self, server: servers.Server
+    ) -> expression.Result[servers.EngineState, servers.CallFailure]:
+        return self._caller.read_state(server, clock.start_deadline(_STATE_SECONDS))
+
+    def _is_loading(self, server: servers.Server) -> bool:
+        """
+        Tell whether a server says that it loads; asked once for all orders that are due now.
+
+        One that says nothing is taken not to load: it may be gone.
+        """
+        known = self._loading.get(server.incarnation)
+        if known is None:
+            state = self._caller.read_state(server, clock.start_deadline(_NEIGHBOR_SECONDS))
+            known = state.is_ok() and state.ok.is_loading
+            self._loading[server.incarnation] = known
+        return known
+
+    def _give(
+        self, order: plan.PlannedOrder, listed: list[servers.Server], keeps_running: bool
+    ) -> None:
         """
         Give one order.
 
         The tenure is looked up right before the request leaves, and an order ends before it
         does: a process that was suspended in between finds that it has passed.
         """
-        state = self._caller.read_state(order.server, clock.start_deadline(_STATE_SECONDS))
+        state = self._read_state(order.server)
         if state.is_error() or state.ok.is_loading:
             self._plan.put_off(order)
             return
         if (state.ok.find_version(order.model) or 0) >= order.version:
             self._plan.note_state(order, state.ok)
             return
+        if self._crowd.must_wait(order, listed, self._is_loading):
+            self._plan.put_off(order)
+            return
         tenure = self._find_tenure(order.server)
         held = self._rights.find_right(order.server.server_id)
         if tenure is None or held is None:
@@ -116,6 +148,7 @@
         outcome = self._caller.order(order.server, sent, deadline)
         metrics.count(metrics.ORDERS)
         self._plan.note(order, accepted, outcome)
+        self._loading[order.server.incarnation] = True
         log.logger.bind(
             event="order",
             server=order.server.incarnation,
