Read a keyed topic without waiting while the log was away

Cause: the follower's first read after an outage waited for something new, a second in vain. Change: while the last read failed the next one asks for what is there, with 0.6 s for an answer. Test: features/log_return.feature, red on the code before in both rows (not current within 0.9 s).

--- /dev/null
+++ b/features/log_return.feature
@@ -0,0 +1,14 @@
+Feature: A process is of use again as soon as the platform's log is back
+  Scenario Outline: An outage ends while nothing changes
+    # A process that has not heard the platform for a while refuses its callers. The log comes back
+    # and has nothing new; a read that waits for something new is answered a second later, and all
+    # that time callers are refused for nothing.
+    Given a follower of a keyed topic that has read it to its end
+    When the log <fails> for 1 s
+    Then within 0.9 s of its return the follower knows that it is current
+    And while nothing changes it asks no more than 4 times in 2 s
+
+    Examples:
+      | fails                 |
+      | refuses               |
+      | is silent             |
--- /dev/null
+++ b/features/steps/log_return_steps.py
@@ -0,0 +1,88 @@
+"""Steps for a follower of the platform's log after an outage."""
+
+import time
+
+import behave
+
+from oleander_base import tasks
+from oleander_platform import keyed_follower
+from oleander_standins import recordlog
+
+_TOPIC = "keyed.things"
+_PAUSE_SECONDS = 0.05
+_TICK_SECONDS = 0.02
+
+
+class WaitingLog(recordlog.MemoryRecordLog):
+    """Answers a read that finds nothing new only after its wait, as the platform does."""
+
+    def __init__(self):
+        super().__init__()
+        self.reads = 0
+
+    def read(self, topic, partition, offset, wait_ms, deadline):
+        self.reads += 1
+        page = super().read(topic, partition, offset, wait_ms, deadline)
+        if page.is_ok() and not page.ok.records:
+            time.sleep(wait_ms / 1000)
+        return page
+
+
+class CurrentSink(keyed_follower.KeyedSink):
+    """Notes when the topic was read to its end."""
+
+    def __init__(self):
+        self.current_at = 0.0
+
+    def put(self, key, value):
+        pass
+
+    def drop(self, key):
+        pass
+
+    def keep_only(self, keys):
+        pass
+
+    def note_current(self):
+        self.current_at = time.monotonic()
+
+
+def _await_current(sink, since, seconds):
+    until = time.monotonic() + seconds
+    while sink.current_at < since:
+        assert time.monotonic() < until, f"not current within {seconds} s"
+        time.sleep(_TICK_SECONDS)
+
+
+@behave.given("a follower of a keyed topic that has read it to its end")
+def start_follower(context):
+    context.log_service = WaitingLog()
+    context.sink = CurrentSink()
+    group = tasks.TaskGroup("test", 4)
+    follower = keyed_follower.KeyedFollower(
+        context.log_service, _TOPIC, context.sink, group, _PAUSE_SECONDS
+    )
+    context.add_cleanup(group.stop)
+    began_at = time.monotonic()
+    group.keep(follower.follow)
+    _await_current(context.sink, began_at, 2.0)
+
+
+@behave.when("the log {fails} for {seconds:g} s")
+def fail(context, fails, seconds):
+    fault = "is_down" if fails == "refuses" else "is_silent"
+    setattr(context.log_service.faults, fault, True)
+    time.sleep(seconds + 1.2)
+    setattr(context.log_service.faults, fault, False)
+
+
+@behave.then("within {seconds:g} s of its return the follower knows that it is current")
+def check_current(context, seconds):
+    _await_current(context.sink, time.monotonic(), seconds)
+
+
+@behave.then("while nothing changes it asks no more than {most:d} times in {seconds:d} s")
+def check_reads(context, most, seconds):
+    before = context.log_service.reads
+    time.sleep(seconds)
+    assert context.log_service.reads - before <= most, context.log_service.reads - before
--- a/libs/platform/oleander_platform/keyed_follower.py
+++ b/libs/platform/oleander_platform/keyed_follower.py
@@ -9,6 +9,8 @@
 """A silent connection must be noticed while a change can still be in force in time."""
 _READ_SECONDS = 1.4
 """Above the wait by a slow store's answer."""
+_PROBE_SECONDS = 0.6
+"""For a read while the log is away, which waits for nothing; a slow log takes a quarter second."""
 _AGAIN_SECONDS = 0.2
 """Between tries while the log does not answer: five calls a second."""
 _PARTITION = 0
@@ -87,9 +89,16 @@
         return True
 
     def _read_on(self) -> bool:
+        """
+        Read what is new, waiting for it unless the log was away.
+
+        Only an answer shows that the log is back. Where nothing changes it would come after the
+        whole wait, and the process would refuse its callers for a second longer than it must.
+        """
         offset = self._next_offset or 0
-        deadline = clock.start_deadline(_READ_SECONDS)
-        read = self._log.read(self._topic, _PARTITION, offset, _WAIT_MS, deadline)
+        wait_ms = 0 if self._was_lost else _WAIT_MS
+        deadline = clock.start_deadline(_PROBE_SECONDS if self._was_lost else _READ_SECONDS)
+        read = self._log.read(self._topic, _PARTITION, offset, wait_ms, deadline)
         if read.is_error():
             log.warn_bounded(f"unread-{self._topic}", read.error.detail)
             return False
