Let a runner say each 0.8 s that it is there, also while its partition is its own

Cause: features/batch_tenures.feature:22 failed once (load 16 on 8 cores, each item begun twice) on code that does not touch it. A runner spoke only once it knew that it was not dealt the partition any more, and a text that grows slowly has no records; whoever is dealt the partition may learn of it first, hears nothing for 1.6 s past and takes the batch. The platform may deal all partitions anew at one moment. Ruled out: letting the new owner wait first, which delays the replacement of a killed runner.

--- a/features/batch_tenures.feature
+++ b/features/batch_tenures.feature
@@ -22,6 +22,17 @@
       | b      | b      |
       | b      | a      |
 
+  Scenario: A runner that had nothing to tell is not taken for gone
+    # Its texts are long, and nothing of them was kept for seconds. All partitions are dealt anew at one
+    # moment, and the other process learns of it first. Both then make every text.
+    Given runners a and b with the engines e1=crawls e2=crawls, all partitions dealt to a
+    When a batch that allows versions from 1 on is accepted
+    And within 2 s runner a runs 4 items
+    And after 2.4 s
+    And all partitions are dealt to b
+    Then within 12 s its results are done
+    And each item was begun once
+
   Scenario: A process that has just started hears the runner before it takes a batch
     # A program is restarted and dealt the partition of a batch that another runs. All that it knows of
     # that runner is history; taking the batch at once, both would send the same texts to engines.
--- a/programs/oleanderdeal/oleanderdeal/batch_tenures.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_tenures.py
@@ -6,7 +6,9 @@
 
 _SILENT_SECONDS = 1.6
 """A runner that was not heard for so long is replaced: twice the time between two of its records
-(`batch_runner` keeps starts of texts, or says that it is there, each 0.8 s)."""
+(`batch_runner` says that it is there each 0.8 s)."""
+_HEARD_SECONDS = 0.5
+"""A runner whose last record is younger says nothing: the next turn comes in time."""
 _LISTEN_SECONDS = 1.0
 """For so long a process that knows a runner from history alone listens before it replaces it: a
 runner without the partition speaks each 0.8 s, and the index is read each 0.2 s."""
@@ -60,7 +62,13 @@
         self._taken_from.pop(batch_id, None)
 
     def announce(self, batches: list[fold.Batch]) -> None:
-        """Say of these batches that this process runs them, where others could doubt it."""
+        """
+        Say of these batches that this process runs them, where others could doubt it.
+
+        A runner with long texts alone has no records of its own for seconds. If its partition is
+        then dealt to another, that one may learn of it first, and would take it for gone: the
+        texts of its batches were all made twice.
+        """
         doubtful = [batch.batch_id for batch in batches if self._is_doubtful(batch)]
         if doubtful:
             self._say(doubtful, self._name)
@@ -71,8 +79,8 @@
             self._say([batch.batch_id for batch in batches], "")
 
     def _is_doubtful(self, batch: fold.Batch) -> bool:
-        is_dealt = self._owned.owns(self._journal.find_runner_partition(batch))
-        return not is_dealt or batch.runner != self._name
+        was_heard = clock.read_now() < batch.heard_at + _HEARD_SECONDS
+        return batch.runner != self._name or not was_heard
 
     def _say(self, batch_ids: list[str], runner: str) -> None:
         said = self._journal.note_runner(batch_ids, runner)
