Let the process that accepted a batch run it if nobody else does

Change: a batch without a runner for 0.6 s is taken by the process that accepted it, if that has read the index as of then. The index decides as before; the last to say that it runs a batch goes on alone. Ruled out: letting any process take it: with 32 entries several would at once.

--- a/features/batch_tenures.feature
+++ b/features/batch_tenures.feature
@@ -85,3 +85,26 @@
     When the log is up for runner a
     Then within 2 s runner a runs 0 items
     And runner b goes on with its 4 items
+
+  Scenario Outline: A batch is not left to a process that is away
+    # The process that is dealt the batch's partition was killed, or can't reach the log; the platform
+    # deals anew after seconds. The trainer's time runs, and of the step nothing is begun. The process
+    # that accepted the batch runs it if nobody has said so for a while; else one item would run twice.
+    Given runners a and b with the engines e1=slow e2=slow, all partitions dealt to b
+    When <trouble>
+    And a batch that allows versions from 1 on is accepted
+    Then within 1.5 s runner <runner> runs 4 items
+    And within 12 s its results are done
+    And each item was begun once
+
+    Examples:
+      | trouble                      | runner |
+      | runner b ends without a word | a      |
+      | the log is down for runner b | a      |
+      | after 0.1 s                  | b      |
+
+  Scenario: What was accepted elsewhere is left to others
+    Given runners a and b with the engines e1=slow e2=slow, all partitions dealt to nobody
+    When a batch that allows versions from 1 on is accepted
+    Then within 1.5 s runner a runs 4 items
+    And runner b goes on with its 0 items
--- a/features/steps/batch_tenures_steps.py
+++ b/features/steps/batch_tenures_steps.py
@@ -8,10 +8,10 @@
 from oleander_standins import recordlog
 
 
-@behave.given("runners a and b with the engines {listed}, all partitions dealt to a")
-def start_two_runners(context, listed):
+@behave.given("runners a and b with the engines {listed}, all partitions dealt to {owner}")
+def start_two_runners(context, listed, owner):
     context.log_service = recordlog.MemoryRecordLog()
-    _deal(context, "a")
+    _deal(context, owner)
     behaviours = dict(item.split("=") for item in listed.split())
     context.engines = batch_processes.FakeEngines(behaviours)
     context.clients = {name: context.log_service.create_client() for name in "ab"}
@@ -38,10 +38,11 @@
     _deal(context, name)
 
 
-@behave.when("runner a ends without a word")
-def end_abruptly(context):
-    context.processes["a"].stop()
-    context.process = context.processes["b"]
+@behave.when("runner {name} ends without a word")
+def end_abruptly(context, name):
+    context.processes[name].stop()
+    other = "b" if name == "a" else "a"
+    context.process = context.processes[other]
 
 
 @behave.when("runner {name} is drained")
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -1,5 +1,6 @@
 """Batches in the platform's log: appended by any process, read by all."""
 
+import collections
 import dataclasses
 import threading
 
@@ -24,6 +25,8 @@
 """Between reads of the index: results of the same moment come in one read."""
 _AGAIN_SECONDS = 0.2
 """Between tries while the log does not answer: five calls a second from each entry."""
+_MOST_ACCEPTED = 256
+"""Batches remembered as accepted by this process; it matters for seconds."""
 _FORGET_EVERY_SECONDS = 5.0
 """Batches are kept for minutes; looking each few seconds costs nothing."""
 
@@ -62,6 +65,7 @@
         self._fold = fold.BatchFold()
         self._next_offset = 0
         self._complete_at = 0.0
+        self._accepted_here: collections.deque[str] = collections.deque(maxlen=_MOST_ACCEPTED)
         self._is_caught_up = False
         self._is_cut = False
 
@@ -80,6 +84,15 @@
         """
         return self._is_cut
 
+    @property
+    def complete_at(self) -> float:
+        """As of when everything that stood in the index is known."""
+        return self._complete_at
+
+    def was_accepted_here(self, batch_id: str) -> bool:
+        """Tell whether this process accepted a batch, in the last seconds at least."""
+        return batch_id in self._accepted_here
+
     def find_runner_partition(self, batch: fold.Batch) -> int:
         """
         Return the partition whose owner runs a batch: the same for all batches of a model.
@@ -160,6 +173,7 @@
             kept.ok.records,
             len(accepted.items),
         )
+        self._accepted_here.append(accepted.batch_id)
         return self._append_index([record], deadline)
 
     def end(
--- a/programs/oleanderdeal/oleanderdeal/batch_tenures.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_tenures.py
@@ -9,6 +9,9 @@
 (`batch_runner` says that it is there each 0.8 s)."""
 _HEARD_SECONDS = 0.5
 """A runner whose last record is younger says nothing: the next turn comes in time."""
+_ORPHAN_SECONDS = 0.6
+"""A batch that nobody has said to run for so long is run by the process that accepted it. Whoever
+its partition is dealt to reads of it within 0.2 s and says so within some round trips."""
 _LISTEN_SECONDS = 1.0
 """For so long a process that knows a runner from history alone listens before it replaces it: a
 runner without the partition speaks each 0.8 s, and the index is read each 0.2 s."""
@@ -38,7 +41,7 @@
     def may_take(self, batch: fold.Batch) -> bool:
         """Tell whether this process should run a batch that it does not run."""
         if not self._owned.owns(self._journal.find_runner_partition(batch)):
-            return False
+            return self._is_orphan(batch)
         if batch.runner in ("", self._name):
             return True
         now = clock.read_now()
@@ -78,6 +81,22 @@
         if batches:
             self._say([batch.batch_id for batch in batches], "")
 
+    def _is_orphan(self, batch: fold.Batch) -> bool:
+        """
+        Tell whether this process accepted a batch that nobody runs, as of a moment ago.
+
+        The process that the partition is dealt to may be gone, cut off or just starting, which
+        the platform notices after seconds; the trainer's time runs. The one that accepted the
+        batch lives and reaches the log. It must have read the index as it is since, or it would
+        run a batch that the other has taken.
+        """
+        if batch.runner or not self._owned.is_believed:
+            return False
+        if not self._journal.was_accepted_here(batch.batch_id):
+            return False
+        orphan_at = max(batch.seen_at, batch.heard_at) + _ORPHAN_SECONDS
+        return self._journal.complete_at >= orphan_at
+
     def _is_doubtful(self, batch: fold.Batch) -> bool:
         was_heard = clock.read_now() < batch.heard_at + _HEARD_SECONDS
         return batch.runner != self._name or not was_heard
