--- a/features/leaving.py
+++ b/features/leaving.py
@@ -81,7 +81,12 @@
         assert set(outcomes) == {"done"}, outcomes
 
     def ask_late(self, name):
-        """Send a request straight to a sidecar as an entry would; return outcome and reason."""
+        """
+        Send a request straight to a sidecar that says that it leaves; return outcome and reason.
+
+        A signal is acted on a while after it was sent, on a busy machine after a request that was
+        sent later: that one is run, and rightly so.
+        """
         address = self._cluster.address(name)
         opened = link.dial_link(address, clock.start_deadline(_LINK_SECONDS)).ok
         try:
@@ -90,6 +95,8 @@
             )
             opened.send(hello)
             incarnation = _receive(opened, messages.Hello).incarnation
+            while not _receive(opened, messages.Heartbeat).leaving:
+                pass
             opened.send(_write_run(incarnation))
             answer = _receive(opened, messages.Answer)
             return f"{answer.outcome.value} {answer.reason}"
--- a/programs/oleanderdeal/oleanderdeal/sidecar.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar.py
@@ -145,12 +145,13 @@
         """
         Tell every entry, refuse what is new and what waits, and let what runs come to its end.
 
-        Return whether it has. An order to load is let to end too, so that the next sidecar does
+        It says that it leaves once its queue takes nothing more: whoever has heard so may rely on
+        being refused. Return whether what ran has ended. An order to load is let to end too, so that the next sidecar does
         not find one that nobody waits for.
         """
         log.logger.bind(event="draining").info("finishing what runs")
-        self._leaving.set()
         self._queue.close()
+        self._leaving.set()
         if self._keeper is not None:
             self._keeper.leave()
         self._links.broadcast_heartbeat()
