--- a/programs/oleanderdeal/oleanderdeal/sidecar.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar.py
@@ -146,8 +146,8 @@
         Tell every entry, refuse what is new and what waits, and let what runs come to its end.
 
         It says that it leaves once its queue takes nothing more: whoever has heard so may rely on
-        being refused. Return whether what ran has ended. An order to load is let to end too, so that the next sidecar does
-        not find one that nobody waits for.
+        being refused. Return whether what ran has ended. An order to load is let to end too, so
+        that the next sidecar does not find one that nobody waits for.
         """
         log.logger.bind(event="draining").info("finishing what runs")
         self._queue.close()
