Believe the first load that was seen of how long loads take

Cause: the pace of loads averaged what it saw with its guess of 1 s, against its own comment. Change: the first load that is seen replaces the guess. Test: features/orders.feature, 'Whether loads keep up is known from the first one on'; the row of one load of 2.8 s is red on the code before.

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -85,6 +85,20 @@
       | 3       | 1   | 4 5   | 2      |
       | 3       | 0   | 8 8   | 0      |
 
+  Scenario Outline: Whether loads keep up is known from the first one on
+    # Loads take longer here than elsewhere. Until that is believed, servers are ordered to load every
+    # version, half of them load at any time, and the steps of that time wait for places.
+    Given versions of a model that come every 4 s
+    When <loads> loads of <seconds> s each were seen
+    Then 4 servers of which 2 load at once <keep up>
+
+    Examples:
+      | loads | seconds | keep up       |
+      | 0     | 0       | keep up       |
+      | 1     | 0.9     | keep up       |
+      | 1     | 2.8     | can't keep up |
+      | 5     | 2.8     | can't keep up |
+
   Scenario: What a server says of itself goes before the list
     # The list tells a heartbeat late. Until then the server would count as loading, and its next
     # order would wait a second longer than it must.
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -8,7 +8,7 @@
 
 from oleander_base import clock
 from oleander_direct import directory, servers
-from oleander_orders import plan, right
+from oleander_orders import pace, plan, right
 from oleander_standins import recordlog
 
 _GAP_SECONDS = 3.0
@@ -272,3 +272,24 @@
 @behave.then("the next order to it states {count:d} accepted orders")
 def check_accepted(context, count):
     assert context.planner.count_accepted(context.server, context.state) == count
+
+
+@behave.given("versions of a model that come every {seconds:d} s")
+def start_pace(context, seconds):
+    context.now = 1000.0
+    context.pace = pace.LoadPace()
+    for _ in range(3):
+        context.now += seconds
+        context.pace.note_named("m", context.now)
+
+
+@behave.when("{count:d} loads of {seconds:g} s each were seen")
+def note_loads(context, count, seconds):
+    for _ in range(count):
+        context.pace.note_load(seconds)
+
+
+@behave.then("{count:d} servers of which {at_once:d} load at once {state}")
+def check_pace(context, count, at_once, state):
+    with unittest.mock.patch.object(clock, "read_now", lambda: context.now):
+        assert context.pace.is_crowded(count, at_once) == (state == "can't keep up")
--- a/libs/orders/oleander_orders/pace.py
+++ b/libs/orders/oleander_orders/pace.py
@@ -5,7 +5,8 @@
 _NEWEST_WEIGHT = 0.3
 """Follows a change within about three values."""
 _UNKNOWN_LOAD_SECONDS = 1.0
-"""Taken for a load until the first one was seen; a guess, and of no effect after that."""
+"""Taken for a load until the first one was seen; a guess, and of no effect after that. Averaged
+with what was seen, it hid for five versions that loads of 2.8 s can't keep up."""
 _MOST_USED = 0.8
 """The part of the weight store's pace that loads may need before some are left out."""
 
@@ -20,7 +21,7 @@
     """
 
     def __init__(self) -> None:
-        self._load_seconds = _UNKNOWN_LOAD_SECONDS
+        self._load_seconds: float | None = None
         self._named_at: dict[str, float] = {}
         self._intervals: dict[str, float] = {}
 
@@ -37,7 +38,8 @@
 
     def note_load(self, seconds: float) -> None:
         """Take in how long a load took."""
-        self._load_seconds += _NEWEST_WEIGHT * (seconds - self._load_seconds)
+        known = seconds if self._load_seconds is None else self._load_seconds
+        self._load_seconds = known + _NEWEST_WEIGHT * (seconds - known)
 
     def is_crowded(self, servers: int, at_once: int) -> bool:
         """Tell whether so many servers can't load each version, so many of them at once."""
@@ -46,4 +48,5 @@
         for model, interval in self._intervals.items():
             quiet = now - self._named_at[model]
             wanted += servers / max(interval, quiet)
-        return wanted * self._load_seconds > _MOST_USED * at_once
+        load_seconds = _UNKNOWN_LOAD_SECONDS if self._load_seconds is None else self._load_seconds
+        return wanted * load_seconds > _MOST_USED * at_once
