--- a/libs/orders/oleander_orders/crowd.py
+++ b/libs/orders/oleander_orders/crowd.py
@@ -3,7 +3,7 @@
 import collections.abc
 import random
 
-from oleander_base import clock
+from oleander_base import clock, log
 from oleander_direct import servers
 from oleander_orders import plan
 
@@ -43,7 +43,7 @@
         if not asked or not is_crowded:
             self._waits_since.pop(_find_key(order), None)
             return False
-        return not self._has_waited_long(order)
+        return not self._has_waited_long(order, loading, len(asked))
 
     def forget_gone(self, listed: collections.abc.Iterable[servers.Server]) -> None:
         """Forget servers that are gone."""
@@ -51,12 +51,22 @@
         for key in [item for item in self._waits_since if item[0] not in known]:
             del self._waits_since[key]
 
-    def _has_waited_long(self, order: plan.PlannedOrder) -> bool:
+    def _has_waited_long(self, order: plan.PlannedOrder, loading: int, asked: int) -> bool:
+        key = _find_key(order)
         now = clock.read_now()
-        since = self._waits_since.setdefault(_find_key(order), now)
-        if now - since < _MOST_WAIT_SECONDS:
+        if key not in self._waits_since:
+            self._waits_since[key] = now
+            log.logger.bind(
+                event="order-waits",
+                server=order.server.incarnation,
+                model=order.model,
+                version=order.version,
+                loading=loading,
+                asked=asked,
+            ).info("too many servers load")
+        if now - self._waits_since[key] < _MOST_WAIT_SECONDS:
             return False
-        del self._waits_since[_find_key(order)]
+        del self._waits_since[key]
         return True
 
 
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -150,7 +150,9 @@
         with self._lock:
             peer = self._peers.get(name)
             if peer is not None:
+                was_refusing = peer.window.is_refusing
                 peer.window.note_accepted(started_at)
+                _log_turn(peer, was_refusing)
 
     def note_finished(
         self, name: str, outcome: RouteOutcome, service_ms: float, now: float | None = None
@@ -162,7 +164,9 @@
                 return
             peer.in_flight = max(0, peer.in_flight - 1)
             if outcome is RouteOutcome.REFUSED:
+                was_refusing = peer.window.is_refusing
                 peer.window.note_refused(self._read_now(), self._random.random())
+                _log_turn(peer, was_refusing)
                 return
             if outcome is RouteOutcome.OK:
                 peer.window.note_done(peer.slots)
@@ -244,7 +248,7 @@
         """
         now = self._read_now()
         trusted = [peer for peer in candidates if self._health.read_weight(peer.name, now) > 0.0]
-        return [peer for peer in trusted or candidates if peer.opens_window(now)]
+        return [peer for peer in trusted or candidates if _opens_window(peer, now)]
 
     def _pick(self, candidates: list[peers.Peer], request: RouteRequest) -> peers.Peer:
         probed = self._pick_probe(candidates, request)
@@ -281,3 +285,19 @@
         return True
     version = peer.models.get(request.model) if request.model else peer.version
     return version is not None and version >= request.oldest_version
+
+
+def _opens_window(peer: peers.Peer, now: float) -> bool:
+    was_refusing = peer.window.is_refusing
+    is_open = peer.opens_window(now)
+    _log_turn(peer, was_refusing)
+    return is_open
+
+
+def _log_turn(peer: peers.Peer, was_refusing: bool) -> None:
+    """Log that a peer has begun to refuse, or takes work again."""
+    if peer.window.is_refusing != was_refusing:
+        event = "server-takes" if was_refusing else "server-refuses"
+        log.logger.bind(event=event, server=peer.name, window=round(peer.window.size, 2)).info(
+            "work that can wait"
+        )
--- a/libs/routing/oleander_routing/windows.py
+++ b/libs/routing/oleander_routing/windows.py
@@ -47,6 +47,11 @@
     tried_at: float | None = None
     """When a trial was sent that has not been refused yet."""
 
+    @property
+    def is_refusing(self) -> bool:
+        """Whether the server has refused, and took nothing since."""
+        return self.refuses_since is not None
+
     def is_open(self, in_flight: int, slots: int, now: float) -> bool:
         """Tell whether one more request may be sent."""
         if in_flight >= int(self.size * slots):
--- a/programs/oleanderdeal/oleanderdeal/batch_tenures.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_tenures.py
@@ -58,6 +58,10 @@
     def note_taken(self, batch: fold.Batch) -> None:
         """Remember that this process runs a batch from now on."""
         self._listens_since.clear()
+        if not self._owned.owns(self._journal.find_runner_partition(batch)):
+            log.logger.bind(event="batch-orphan", batch=batch.batch_id).info(
+                "accepted here and run by nobody"
+            )
         self._taken_from[batch.batch_id] = batch.runner
 
     def forget(self, batch_id: str) -> None:
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -115,27 +115,29 @@
     def _give(
         self, order: plan.PlannedOrder, listed: list[servers.Server], keeps_running: bool
     ) -> None:
-        """
-        Give one order.
-
-        The tenure is looked up right before the request leaves, and an order ends before it
-        does: a process that was suspended in between finds that it has passed.
-        """
+        """Give one order, unless the server has the version or it is not the time."""
         state = self._read_state(order.server)
         if state.is_error() or state.ok.is_loading:
             self._plan.put_off(order)
-            return
-        if (state.ok.find_version(order.model) or 0) >= order.version:
+        elif (state.ok.find_version(order.model) or 0) >= order.version:
             self._plan.note_state(order, state.ok)
-            return
-        if self._crowd.must_wait(order, listed, self._is_loading):
+        elif self._crowd.must_wait(order, listed, self._is_loading):
             self._plan.put_off(order)
-            return
+        else:
+            accepted = self._plan.count_accepted(order.server, state.ok)
+            self._send(order, accepted, keeps_running)
+
+    def _send(self, order: plan.PlannedOrder, accepted: int, keeps_running: bool) -> None:
+        """
+        Send one order and take in what became of it.
+
+        The tenure is looked up right before the request leaves, and an order ends before it
+        does: a process that was suspended in between finds that it has passed.
+        """
         tenure = self._find_tenure(order.server)
         held = self._rights.find_right(order.server.server_id)
         if tenure is None or held is None:
             return
-        accepted = self._plan.count_accepted(order.server, state.ok)
         sent = servers.VersionOrder(
             model=order.model,
             version=order.version,
