--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -11,9 +11,8 @@
 
 MOST_BODY_BYTES = http_exchange.MOST_BODY_BYTES
 _MOST_ADDRESSES = 4096
-_MOST_IDLE = 36
-"""Idle connections kept for each address: as many as an entry has requests there at most, three
-windows of twelve slots. A server takes some hundred from all callers, and closes idle ones."""
+_MOST_IDLE = 16
+"""Idle connections kept for each address; a server takes some hundred from all callers."""
 _MOST_IDLE_SECONDS = 20.0
 """Used where a server does not state its own idle timeout."""
 _CONNECT_SECONDS = 0.7
