--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -41,28 +41,3 @@
       | is taken             |
       | begins               |
       | is not refused       |
-
-  Scenario Outline: Texts go where they are begun with at once
-    # Several trainers share the servers, each with a runner of its own that knows nothing of the others'
-    # texts. Counting its own alone it takes a server that is full for an idle one, and the text waits there for
-    # a second while another server stands idle; its group is whole as much later.
-    Given a runner with 0 texts before 4 servers
-    When other runners have <others> texts each at <busy> of them
-    And it gets 24 texts, one every 0.02 s
-    Then its texts waited <most> s on average at most
-
-    Examples:
-      | others | busy | most |
-      | 0      | 0    | 0.02 |
-      | 12     | 2    | 0.2  |
-      | 12     | 1    | 0.1  |
-
-  Scenario: A text that waits is not moved to where others wait
-    # A straggler moves only to a spare place. A server with fewer texts of this runner than slots is not
-    # spare while one of them waits there: the text would lose its turn for another wait.
-    Given a router with the peers p1 p2
-    When at p1 4 requests run and 3 wait
-    And at p2 1 requests run and 1 wait
-    Then there is no spare place
-    When the waiting one at p2 is begun with
-    Then there is a spare place
--- a/features/steps/refusals_steps.py
+++ b/features/steps/refusals_steps.py
@@ -43,7 +43,6 @@
         self.waiting = texts
         self.done = 0
         self.refused = []
-        self.waits = []
         for server in self.servers:
             report = peers.PeerReport(
                 "z", "engines", "1", 0, 0, _SLOTS, 0, None, in_rotation=True, leaving=False
@@ -62,14 +61,11 @@
     def _advance(self, server):
         ended = [item for item in server.running if item[1] <= self.now]
         server.running = [item for item in server.running if item[1] > self.now]
-        for started_at, _ in ended:
-            if started_at is None:
-                continue
+        for _ in ended:
             self.done += 1
             self.router.note_finished(server.name, router.RouteOutcome.OK, 80)
         if server.is_loading(self.now):
             for _ in server.queued:
-                self.router.note_waiting(server.name, -1)
                 self._refuse(server)
             server.queued = []
             return
@@ -78,10 +74,6 @@
         while server.queued and len(server.running) < _SLOTS:
             started_at = server.queued.pop(0)
             server.running.append((started_at, self.now + _TEXT_SECONDS))
-            if started_at is None:
-                continue
-            self.waits.append(self.now - started_at)
-            self.router.note_waiting(server.name, -1)
             self.router.note_accepted(server.name, started_at)
             self._note_work(server)
 
@@ -107,7 +99,6 @@
                 refused.append(server)
             else:
                 server.queued.append(self.now)
-                self.router.note_waiting(server.name, 1)
         self.refused = refused
 
     def _refuse(self, server):
@@ -196,42 +187,3 @@
 @behave.then("p1 takes windowed requests again")
 def check_open(context):
     assert _choose(context).is_ok()
-
-
-@behave.when("other runners have {texts:d} texts each at {count:d} of them")
-def fill_by_others(context, texts, count):
-    for server in context.simulation.servers[:count]:
-        server.queued += [None] * texts
-
-
-@behave.when("it gets {texts:d} texts, one every {seconds:g} s")
-def trickle(context, texts, seconds):
-    simulation = context.simulation
-    simulation.run(_TICK_SECONDS)
-    for _ in range(texts):
-        simulation.waiting += 1
-        simulation.run(simulation.now + seconds)
-    simulation.run(simulation.now + 3 * _TEXT_SECONDS)
-
-
-@behave.then("its texts waited {most:g} s on average at most")
-def check_waits(context, most):
-    waits = context.simulation.waits
-    assert sum(waits) / len(waits) <= most, sum(waits) / len(waits)
-
-
-@behave.when("at {name} {running:d} requests run and {waiting:d} wait")
-def start_some(context, name, running, waiting):
-    for _ in range(running + waiting):
-        context.router.note_started(name, is_windowed=True)
-    context.router.note_waiting(name, waiting)
-
-
-@behave.when("the waiting one at {name} is begun with")
-def begin_waiting(context, name):
-    context.router.note_waiting(name, -1)
-
-
-@behave.then("there is {spare} spare place")
-def check_spare(context, spare):
-    assert context.router.has_spare("engines") == (spare == "a")
--- a/libs/routing/oleander_routing/loads.py
+++ b/libs/routing/oleander_routing/loads.py
@@ -23,7 +23,7 @@
     mean = sum(peer.others for peer in candidates) / len(candidates)
     for peer in candidates:
         difference = round((peer.others - mean) * _weigh_report(peer, now))
-        peer.outstanding = peer.in_flight + max(0.0, mean + difference, peer.hidden)
+        peer.outstanding = peer.in_flight + max(0.0, mean + difference)
 
 
 def _weigh_report(peer: peers.Peer, now: float) -> float:
--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -45,8 +45,6 @@
     reported_at: float
     in_flight: int = 0
     """Requests of this entry that were started and not finished."""
-    waiting: int = 0
-    """Those of them that the server has not begun with yet, where that can be told."""
     others: int = 0
     """Requests of other entries that waited or ran there by the last report."""
     latency_ms: float = 0.0
@@ -61,16 +59,6 @@
     window: windows.RequestWindow = dataclasses.field(default_factory=windows.RequestWindow)
     """How much of this entry's work that can wait it may have."""
 
-    @property
-    def hidden(self) -> int:
-        """
-        How many requests of others run there, told by this entry's own that wait.
-
-        A server begins with a request at once while it has a free slot; so where one waits, all
-        slots are taken, and those that are not by this entry's are by others'.
-        """
-        return max(0, self.slots - (self.in_flight - self.waiting)) if self.waiting else 0
-
     @property
     def load(self) -> float:
         """Outstanding requests for each slot."""
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -145,13 +145,6 @@
                 if is_windowed:
                     peer.window.note_started(self._read_now(), self._random.random())
 
-    def note_waiting(self, name: str, change: int) -> None:
-        """Count a request that waits at a peer for its turn, by 1, or one that does no more."""
-        with self._lock:
-            peer = self._peers.get(name)
-            if peer is not None:
-                peer.waiting = max(0, peer.waiting + change)
-
     def note_accepted(self, name: str, started_at: float) -> None:
         """Take in that a peer has begun with a request that was sent at this time, or ran it."""
         with self._lock:
@@ -186,17 +179,11 @@
             self._health.note_outcome(name, group, failed, latency_ms, moment)
 
     def has_spare(self, backend: str) -> bool:
-        """
-        Tell whether a trusted peer has more slots than requests of this entry, and none waits.
-
-        Where one waits the other slots are taken by other entries' requests.
-        """
+        """Tell whether a trusted peer has more slots than requests of this entry."""
         with self._lock:
             now = self._read_now()
             return any(
-                peer.in_flight < peer.slots
-                and not peer.waiting
-                and self._health.read_weight(peer.name, now) > 0.0
+                peer.in_flight < peer.slots and self._health.read_weight(peer.name, now) > 0.0
                 for peer in self._peers.values()
                 if peer.backend == backend and peer.is_usable
             )
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -139,7 +139,6 @@
         self._heard_at = self._started_at
         self._first_at = 0.0
         self._events = 0
-        self._is_waiting = False
         self.was_refused = False
         self._was_cancelled = False
         self.was_error = False
@@ -147,19 +146,6 @@
 
     def run(self) -> steps.Sample | submission.ItemResult | None:
         """Return the whole text, a final result, or nothing where the item goes back."""
-        self._router.note_waiting(self._server.server_id, 1)
-        self._is_waiting = True
-        try:
-            return self._generate()
-        finally:
-            self._stop_waiting()
-
-    def _stop_waiting(self) -> None:
-        if self._is_waiting:
-            self._is_waiting = False
-            self._router.note_waiting(self._server.server_id, -1)
-
-    def _generate(self) -> steps.Sample | submission.ItemResult | None:
         call = servers.CallRequest(
             request_id=self._item.item.item_id,
             host=self._run.submitted.host,
@@ -205,7 +191,6 @@
             self._heard_at = clock.read_now()
             if not self._events:
                 self._first_at = self._heard_at
-                self._stop_waiting()
                 self._router.note_accepted(self._server.server_id, self._started_at)
             self._events += 1
             self._run.note_event(self._item, read.ok.text, read.ok.version)
