--- a/bench/site_copies.py
+++ b/bench/site_copies.py
@@ -1,7 +1,7 @@
 """
 Play copies of a platform's site at other speeds, and print the worth of each day.
 
-`python bench/site_copies.py BENCH SITE FOLDER [--loads 2.8] [--engines 2] [--days quiet-1,scale-1]`.
+`python bench/site_copies.py BENCH SITE FOLDER [--loads 2.8] [--engines 2] [--days quiet-1,...]`.
 BENCH is the platform's program, SITE a site file, FOLDER a new one outside the temporary folder
 for the copy, which is not committed. A load takes `--loads` times as long, an engine's step
 `--engines` times. Run in the checkout to be measured; each play leaves its journal entry there.
