--- a/features/steps/refusals_steps.py
+++ b/features/steps/refusals_steps.py
@@ -85,7 +85,7 @@
             server.full_at = server.full_at or self.now
 
     def _hand_out(self):
-        request = dataclasses.replace(routing_steps._request("any"), is_windowed=True)
+        request = dataclasses.replace(routing_steps.build_request("any"), is_windowed=True)
         refused = []
         while self.waiting:
             chosen = self.router.choose(request)
@@ -147,7 +147,7 @@
 
 
 def _choose(context):
-    request = dataclasses.replace(routing_steps._request("any"), is_windowed=True)
+    request = dataclasses.replace(routing_steps.build_request("any"), is_windowed=True)
     excluded = dataclasses.replace(request, excluded=frozenset(["p2"]))
     return context.router.choose(excluded)
 
--- a/features/steps/routing_steps.py
+++ b/features/steps/routing_steps.py
@@ -44,7 +44,7 @@
             target.update(name, peers.PeerReport(**_REPORT | changes))
 
 
-def _request(text, affinity=""):
+def build_request(text, affinity=""):
     changes = {} if text == "any" else _read_fields(text.split())
     changes["excluded"] = frozenset([changes["excluded"]] if "excluded" in changes else [])
     changes["may_probe"] = bool(changes.get("may_probe", True))
@@ -67,7 +67,7 @@
 
 @behave.when("routing {count:d} requests for {text}")
 def route_requests(context, count, text):
-    request = _request(text)
+    request = build_request(text)
     if "excluded" in context:
         request = dataclasses.replace(request, excluded=context.excluded)
     context.results = [context.router.choose(request) for _ in range(count)]
@@ -137,7 +137,7 @@
 
 def _place(target, count):
     names = [f"prefix {number}" for number in range(count)]
-    return {name: target.choose(_request("any", name)).ok for name in names}
+    return {name: target.choose(build_request("any", name)).ok for name in names}
 
 
 @behave.then("routing seeds do not matter for prefixes")
@@ -168,7 +168,7 @@
 def start_prefix(context, count):
     context.sent = collections.Counter()
     for _ in range(count):
-        name = context.router.choose(_request("any", "popular")).ok
+        name = context.router.choose(build_request("any", "popular")).ok
         context.router.note_started(name)
         context.sent[name] += 1
 
@@ -248,7 +248,7 @@
 
 @behave.when("the preferred peers are {state}")
 def change_preferred(context, state):
-    context.preferred = {context.router.choose(_request("any")).ok for _ in range(200)}
+    context.preferred = {context.router.choose(build_request("any")).ok for _ in range(200)}
     context.excluded = frozenset()
     for name in context.preferred:
         if state == "excluded":
@@ -266,7 +266,7 @@
 
 @behave.when("routing {count:d} windowed requests")
 def route_windowed(context, count):
-    request = dataclasses.replace(_request("any"), is_windowed=True)
+    request = dataclasses.replace(build_request("any"), is_windowed=True)
     context.results = [context.router.choose(request) for _ in range(count)]
 
 
@@ -293,7 +293,7 @@
             number, lambda: 0.0, preferred.PreferredPeers(f"entry-{number}", most)
         )
         _report(chooser, text)
-        context.preferred_by.update({chooser.choose(_request("any")).ok for _ in range(300)})
+        context.preferred_by.update({chooser.choose(build_request("any")).ok for _ in range(300)})
 
 
 @behave.then("each peer is preferred by {least:d} to {most:d} of them")
