--- a/libs/routing/oleander_routing/windows.py
+++ b/libs/routing/oleander_routing/windows.py
@@ -19,8 +19,8 @@
 a trainer follow one another: a server that stands idle for longer after each load is missed."""
 _REFUSAL_SECONDS = 0.06
 """A server that refuses does so at once: of 453 refusals seen 440 came within 60 ms, the
-others, of 0.1 to 0.8 s, had been queued when a load began. A trial that is not refused for so long is
-queued or running."""
+others, of 0.1 to 0.8 s, had been queued when a load began. A trial that is not refused for so
+long is queued or running."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -132,8 +132,8 @@
         Tell whether too many servers load just now.
 
         Nobody is asked where loads are seen to end within their turn: each question may open a
-        connection. With 23 servers prices of a quiet day were 0.199 with questions before each order
-        and 0.183 with these (one play each).
+        connection. With 23 servers prices of a quiet day were 0.199 with questions before each
+        order and 0.183 with these (one play each).
         """
         return self._plan.may_overlap and self._crowd.must_wait(order, listed, self._is_loading)
 
