Play callers at full servers in virtual time; end a call no later than its deadline

Cause: heavy_load measured the machine. Threads of servers that were to hold a place for 60 ms held it until the machine ran them again, so servers had less room than the scenario said, and callers were counted as held while their threads waited for a processor. Now one thread runs at a time and time passes only while all wait. The bounds are as they were, and one is stricter: a caller may not be held after its time at all, where 0.15 s were allowed for the machine. With that the test was red at 1.5 and 3 times the load: callers were held up to 26 ms over their time, since the dispatcher looked each 50 ms whether the time was over. It waits until the deadline at most now.

--- a/features/steps/heavy_load_steps.py
+++ b/features/steps/heavy_load_steps.py
@@ -1,15 +1,13 @@
 """Steps for callers that arrive while servers are full."""
 
 import collections
-import concurrent.futures
 import dataclasses
-import threading
-import time
 
 import behave
 import expression
 
 import server_fakes
+import virtual_time
 from oleander_base import clock
 from oleander_direct import calls, comeback, directory, routes, servers
 from oleander_routing import router
@@ -17,10 +15,6 @@
 
 _SERVICE_SECONDS = 0.06
 _OBJECTIVE_SECONDS = 0.6
-_MOST_CALLERS = 200
-"""Callers that are there at once, at three times the load and 600 ms each."""
-_SOON_SECONDS = 0.15
-"""How long after its time a caller may be held on a busy machine."""
 _LONGEST_RETRY_MS = 1000
 
 
@@ -36,39 +30,39 @@
 class PlacesCaller(server_fakes.UnusedCaller):
     """Servers with places; a request that finds none is refused and has not run."""
 
-    def __init__(self, places):
+    def __init__(self, places, time):
         self.places = places
+        self._time = time
         self._busy = collections.Counter()
-        self._lock = threading.Lock()
         self.came = collections.Counter()
         self.refused = collections.Counter()
         self.ran = set()
 
     def call(self, server, request, deadline, is_cancelled):
         name = server.server_id
-        with self._lock:
-            self.came[name] += 1
-            if self._busy[name] >= self.places[name]:
-                self.refused[name] += 1
-                return expression.Ok(servers.CallAnswer(503, (), b"", True, False, ""))
-            self._busy[name] += 1
-            self.ran.add(request.request_id)
-        time.sleep(_SERVICE_SECONDS)
-        with self._lock:
-            self._busy[name] -= 1
+        self.came[name] += 1
+        if self._busy[name] >= self.places[name]:
+            self.refused[name] += 1
+            return expression.Ok(servers.CallAnswer(503, (), b"", True, False, ""))
+        self._busy[name] += 1
+        self.ran.add(request.request_id)
+        self._time.sleep(_SERVICE_SECONDS)
+        self._busy[name] -= 1
         return expression.Ok(servers.CallAnswer(200, (), b"", False, False, ""))
 
 
 @behave.given("full-load servers with the places {listed}")
 def create_servers(context, listed):
     places = {f"s{number}": int(count) for number, count in enumerate(listed.split())}
-    context.caller = PlacesCaller(places)
-    chooser = router.Router(11)
-    known = directory.Directory(chooser, context.caller)
-    for name, count in places.items():
-        known.put_server(servers.Server(name, 1, "desk", "127.0.0.1:1", "z", count, False, ()))
-    context.dispatcher = calls.CallDispatcher(known, chooser, context.caller)
-    context.entry_threads = threading.Semaphore(direct_entry.HTTP_THREADS)
+    context.time = virtual_time.VirtualTime()
+    context.caller = PlacesCaller(places, context.time)
+    with context.time.replace_in(calls):
+        chooser = router.Router(11, context.time.read_now)
+        known = directory.Directory(chooser, context.caller)
+        for name, count in places.items():
+            known.put_server(servers.Server(name, 1, "desk", "127.0.0.1:1", "z", count, False, ()))
+        context.dispatcher = calls.CallDispatcher(known, chooser, context.caller)
+    context.entry_threads = virtual_time.VirtualSemaphore(context.time, direct_entry.HTTP_THREADS)
     context.rate = sum(places.values()) / _SERVICE_SECONDS
 
 
@@ -81,29 +75,29 @@
 
 def _live(context, number):
     """Ask until served or too late, and tell what happened."""
-    story = CallerStory(time.monotonic())
+    story = CallerStory(context.time.read_now())
     context.stories[str(number)] = story
     request = servers.CallRequest(str(number), "h", "POST", "/", (), b"", True)
     while True:
-        left = story.started_at + _OBJECTIVE_SECONDS - time.monotonic()
+        left = story.started_at + _OBJECTIVE_SECONDS - context.time.read_now()
         if left <= 0:
             return
         with context.entry_threads:
-            sent_at = time.monotonic()
+            sent_at = context.time.read_now()
             left = story.started_at + _OBJECTIVE_SECONDS - sent_at
             outcome = context.dispatcher.call(
                 _route(), request, clock.start_deadline(left), lambda: False
             )
         if isinstance(outcome, calls.Answered):
-            story.served_at = time.monotonic()
+            story.served_at = context.time.read_now()
             return
         if isinstance(outcome, calls.Unresolved):
-            context.overrun.append(time.monotonic() - story.started_at - _OBJECTIVE_SECONDS)
+            context.overrun.append(context.time.read_now() - story.started_at - _OBJECTIVE_SECONDS)
             return
-        story.refusals.append((time.monotonic() - sent_at, outcome.retry_after_ms))
+        story.refusals.append((context.time.read_now() - sent_at, outcome.retry_after_ms))
         if str(number) in context.caller.ran:
             context.untrue.append(number)
-        time.sleep(outcome.retry_after_ms / 1000)
+        context.time.sleep(outcome.retry_after_ms / 1000)
 
 
 @behave.when("callers arrive for {seconds:g} s at {load:g} of what these can do")
@@ -113,15 +107,15 @@
     context.overrun = []
     context.offered = int(context.rate * load * seconds)
     context.could_serve = min(1.0, load) * context.rate * seconds
-    began_at = time.monotonic()
-    with concurrent.futures.ThreadPoolExecutor(_MOST_CALLERS) as pool:
-        futures = []
-        for number in range(context.offered):
-            due_at = began_at + number / (context.rate * load)
-            time.sleep(max(0.0, due_at - time.monotonic()))
-            futures.append(pool.submit(_live, context, number))
-        for future in futures:
-            future.result()
+    with context.time.replace_in(calls):
+        context.time.play(_let_arrive, context, context.rate * load)
+
+
+def _let_arrive(context, rate):
+    began_at = context.time.read_now()
+    for number in range(context.offered):
+        context.time.sleep(began_at + number / rate - context.time.read_now())
+        context.time.start(_live, context, number)
 
 
 def _count_served(context):
@@ -153,7 +147,7 @@
     for seconds, retry_after_ms in refusals:
         assert 0 < retry_after_ms <= _LONGEST_RETRY_MS, retry_after_ms
         assert seconds < _OBJECTIVE_SECONDS, seconds
-    assert all(seconds < _SOON_SECONDS for seconds in context.overrun), context.overrun
+    assert all(seconds <= 0 for seconds in context.overrun), context.overrun
     late = [seconds for seconds, _ in refusals if seconds * 1000 > milliseconds]
     assert len(late) <= len(refusals) // 20, sorted(late)
 
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -110,7 +110,7 @@
         self._caller = caller
         self._hedges = retries.RetryBudget(_HEDGE_PERCENT, _MOST_HEDGES)
         self._random = random.Random()
-        self._comeback = comeback.ComebackAdvice(self._random.getrandbits(32))
+        self._comeback = comeback.ComebackAdvice(self._random.getrandbits(32), clock.read_now)
         self._pool = concurrent.futures.ThreadPoolExecutor(_MOST_RUNNING, "call")
 
     def call(
@@ -167,8 +167,9 @@
             while True:
                 if not running and not self._start(progress, running):
                     return self._conclude(progress)
+                pause = min(_POLL_SECONDS, progress.deadline.remaining)
                 done, _ = concurrent.futures.wait(
-                    running, _POLL_SECONDS, concurrent.futures.FIRST_COMPLETED
+                    running, pause, concurrent.futures.FIRST_COMPLETED
                 )
                 for future in done:
                     answered = _judge(progress, future.result(), running.pop(future))
