Begin no waiting request for an entry that has closed its link

A sidecar that was paused went on, its engine had ended the running texts meanwhile, and its slots began with what waited before the thread that reads the link came to its end. The system is asked now whether the other end has closed. Ruled out: the engine (it goes on with what runs, as it should), and the bound, which is that of the texts that ran.

--- a/features/deployments.py
+++ b/features/deployments.py
@@ -110,15 +110,17 @@
     def await_peers(self, count):
         """Wait until each running entry has links to exactly so many sidecars."""
         for name in self.list_running_entries():
-            try:
-                support.wait_until(
-                    lambda name=name: self.read_configuration(name)["peers"] == count,
-                    f"{name} has {count} peers",
-                )
-            except AssertionError as error:
-                raise AssertionError(
-                    f"{error}; it says {self.read_configuration(name)}"
-                ) from error
+            self.await_entry_peers(name, count)
+
+    def await_entry_peers(self, name, count):
+        """Wait until an entry has links to exactly so many sidecars."""
+        try:
+            support.wait_until(
+                lambda: self.read_configuration(name)["peers"] == count,
+                f"{name} has {count} peers",
+            )
+        except AssertionError as error:
+            raise AssertionError(f"{error}; it says {self.read_configuration(name)}") from error
 
     def list_running_entries(self):
         """Return the entries that have not been ended."""
--- a/features/sample_trials.py
+++ b/features/sample_trials.py
@@ -191,10 +191,7 @@
 
     def await_peers(self, count):
         """Wait until the collecting entry counts so many sidecars."""
-        support.wait_until(
-            lambda: self._deployed.read_configuration("entry-a")["peers"] == count,
-            f"entry-a has {count} peers",
-        )
+        self._deployed.await_entry_peers("entry-a", count)
 
     def _name_weights(self, version):
         return f"{self._cluster.url('weights')}/weights/{MODEL}/{version}"
--- a/features/steps/runners_steps.py
+++ b/features/steps/runners_steps.py
@@ -97,7 +97,13 @@
     )
     deadline = clock.start_deadline(30)
     pending = work.PendingRun(
-        "w", run, deadline, context.passed.append, lambda answer: None, threading.Event()
+        "w",
+        run,
+        deadline,
+        context.passed.append,
+        lambda answer: None,
+        threading.Event(),
+        lambda: False,
     )
     context.answer = runners.EngineRunner(context.engine, context.keeper).run(pending)
 
--- a/libs/wire/oleander_wire/link.py
+++ b/libs/wire/oleander_wire/link.py
@@ -3,6 +3,7 @@
 import collections.abc
 import contextlib
 import dataclasses
+import select
 import socket
 import struct
 import threading
@@ -57,6 +58,21 @@
         """Whether the link is of no more use."""
         return self._closed.is_set()
 
+    @property
+    def is_abandoned(self) -> bool:
+        """
+        Whether the other end has closed the link, also where that has not been read yet.
+
+        The system knows it before any thread here does: one that was paused, or waits for the
+        processor, still has to read what was sent before.
+        """
+        descriptor = self._connection.socket.fileno()
+        if self.is_closed or descriptor < 0:
+            return True
+        poller = select.poll()
+        poller.register(descriptor, select.POLLRDHUP)
+        return bool(poller.poll(0))
+
     def send(self, message: messages.Message) -> expression.Result[None, LinkError]:
         """Send a message; after an error it may or may not have arrived."""
         frame = codec.encode_message(message)
--- a/programs/oleanderdeal/oleanderdeal/executor.py
+++ b/programs/oleanderdeal/oleanderdeal/executor.py
@@ -113,9 +113,17 @@
         self._answer(work_id, answer)
 
     def _run_wanted(self, pending: work.PendingRun) -> messages.Answer:
-        """Run a request unless its caller has given up, checked right before it leaves here."""
+        """
+        Run a request unless its caller has given up, checked right before it leaves here.
+
+        A sidecar that was paused and goes on has requests waiting whose entry has closed its link
+        and had them made elsewhere. It began with them before the thread that reads the link came
+        to its end, and made up to 168 tokens for nobody.
+        """
         if pending.is_unwanted:
-            return messages.Answer("", messages.Outcome.NOT_RUN, 0, "too-late", 0, b"", 0)
+            return _refuse_unwanted("too-late")
+        if pending.run.repeatable and pending.is_abandoned():
+            return _refuse_unwanted("entry-gone")
         try:
             return runners.measure(self._runner, pending)
         except Exception:
@@ -153,6 +161,10 @@
                 self._answering -= 1
 
 
+def _refuse_unwanted(reason: str) -> messages.Answer:
+    return messages.Answer("", messages.Outcome.NOT_RUN, 0, reason, 0, b"", 0)
+
+
 def _log_run(pending: work.PendingRun, answer: messages.Answer, service_ms: float) -> None:
     run = pending.run
     log.logger.bind(
--- a/programs/oleanderdeal/oleanderdeal/sidecar_links.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar_links.py
@@ -217,6 +217,7 @@
             send=self._send,
             answer=end,
             cancelled=threading.Event(),
+            is_abandoned=lambda: self._link.is_abandoned,
         )
         self._runs.submit(pending)
 
--- a/programs/oleanderdeal/oleanderdeal/work.py
+++ b/programs/oleanderdeal/oleanderdeal/work.py
@@ -22,6 +22,8 @@
     answer: collections.abc.Callable[[messages.Answer], None]
     """Ends the request; called once."""
     cancelled: threading.Event
+    is_abandoned: collections.abc.Callable[[], bool]
+    """Tells whether the entry that asked has closed its link."""
     stop_backend: collections.abc.Callable[[], None] | None = None
     """Stops the running generation at the engine, where that is possible."""
 
