--- /dev/null
+++ b/bench/ablation.py
@@ -0,0 +1,174 @@
+"""
+Play days of a platform's site with one mechanism off at a time, and print what each is worth.
+
+`python bench/ablation.py BENCH SITE FOLDER [--off hedges,moves] [--days trouble-1,...]`.
+BENCH is the platform's program, SITE a site file, FOLDER a new one outside the temporary folder
+for the clones of this checkout's last commit. Each day and seed is played on all of them; a line
+gives the mean difference in worth with its standard error. Each play leaves its journal entry in
+its clone.
+"""
+
+import argparse
+import concurrent.futures
+import pathlib
+import random
+import statistics
+import subprocess
+
+import site_copies
+
+_WHOLE = "whole"
+_DAYS = "trouble-1,scale-1,trouble-2,scale-2,trouble-3"
+_DIRECT = "libs/direct/oleander_direct"
+_ROUTING = "libs/routing/oleander_routing"
+_ORDERS = "libs/orders/oleander_orders"
+_SAMPLES = "libs/samples/oleander_samples"
+_PROGRAM = "programs/oleanderdeal/oleanderdeal"
+_OFF = {
+    "hedges": (
+        f"{_DIRECT}/calls.py",
+        "progress.request.may_repeat and progress.may_send and self._hedges.try_take()",
+        "False",
+    ),
+    "comeback-advice": (
+        f"{_DIRECT}/comeback.py",
+        "_LEAST_MS * max(1.0, ratio)",
+        "_LEAST_MS",
+    ),
+    "moves": (f"{_PROGRAM}/batch_run.py", "    moves=True,", "    moves=False,"),
+    "kept-starts": (
+        f"{_PROGRAM}/batch_runner.py",
+        "_LEAST_KEPT_EVENTS = 12",
+        "_LEAST_KEPT_EVENTS = 1_000_000",
+    ),
+    "tenures": (
+        f"{_PROGRAM}/batch_tenures.py",
+        "        return batch.runner not in (self._name, self._taken_from",
+        "        if not self._owned.owns(self._journal.find_runner_partition(batch)):\n"
+        "            return True\n"
+        "        return batch.runner not in (self._name, self._taken_from",
+    ),
+    "orphans": (
+        f"{_PROGRAM}/batch_tenures.py",
+        "        if batch.runner or not self._owned.is_believed:",
+        "        if batch:",
+    ),
+    "window-sizes": (
+        f"{_ROUTING}/windows.py",
+        "            self.size = max(_LEAST_WINDOW, self.size / 2)",
+        "            self.size = FIRST_WINDOW",
+    ),
+    "trials": (
+        f"{_ROUTING}/windows.py",
+        "return self.refuses_since is None or now >= self.next_trial_at",
+        "return True",
+    ),
+    "preferred-servers": (
+        f"{_ROUTING}/preferred.py",
+        "if not self._most or len(usable) <= self._most:",
+        "if usable:",
+    ),
+    "outlier-health": (
+        f"{_ROUTING}/health.py",
+        "if self._is_outlier(health, group) and self._may_eject(name, group):",
+        "if health is None:",
+    ),
+    "longest-first": (
+        f"{_SAMPLES}/backlog.py",
+        "rank = (-self._lengths.predict_fresh(group), -len(waiting), group)",
+        "rank = (0, -len(waiting), group)",
+    ),
+    "guessed-lengths": (
+        f"{_SAMPLES}/predictions.py",
+        "self._expected_tokens = expected_tokens or [0] * len(most_tokens)",
+        "self._expected_tokens = [0] * len(most_tokens)",
+    ),
+    "spread-rights": (
+        f"{_ORDERS}/rights.py",
+        "return identifiers.hash_text(server_id) % self._partitions",
+        "return 0",
+    ),
+    "furthest-first": (
+        f"{_ORDERS}/plan.py",
+        "(-self._find_lag(item), named[item.model].seen_at, item.model)",
+        "(named[item.model].seen_at, item.model)",
+    ),
+    "versions-left-out": (
+        f"{_ORDERS}/pace.py",
+        "return wanted * load_seconds > _MOST_USED * at_once",
+        "return wanted < 0.0",
+    ),
+    "crowd": (
+        f"{_PROGRAM}/version_keeper.py",
+        "return self._plan.may_overlap and self._crowd.must_wait(order, listed, self._is_loading)",
+        "return False",
+    ),
+}
+"""What to replace in which file so that a mechanism does nothing."""
+
+
+def clone_without(source, folder, name, bench):
+    """Clone the checkout, take one mechanism out, and build it."""
+    subprocess.run(["git", "clone", "--quiet", str(source), str(folder)], check=True)
+    if name != _WHOLE:
+        path, text, replacement = _OFF[name]
+        changed = folder / path
+        before = changed.read_text()
+        if before.count(text) != 1:
+            raise SystemExit(f"{name}: {path} does not have this once: {text}")
+        changed.write_text(before.replace(text, replacement))
+    subprocess.run([bench, "build"], cwd=folder, check=True, capture_output=True)
+    return folder
+
+
+def describe(name, whole, without):
+    """Return the line of one mechanism; a positive worth says that it is of use."""
+    pairs = [(a, b) for a, b in zip(whole, without, strict=True) if None not in (a, b)]
+    differences = [before - after for before, after in pairs]
+    if len(differences) < 2:
+        return f"{name}: {len(differences)} pairs, no figure"
+    error = statistics.stdev(differences) / len(differences) ** 0.5
+    mean = statistics.mean(differences)
+    return f"{name}: worth {mean:+.4f}, standard error {error:.4f}, {len(differences)} pairs"
+
+
+def main():
+    """Make the clones, play all days on all of them, print what each mechanism is worth."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("bench")
+    parser.add_argument("site", type=pathlib.Path)
+    parser.add_argument("folder", type=pathlib.Path)
+    parser.add_argument("--off", default=",".join(_OFF))
+    parser.add_argument("--days", default=_DAYS)
+    parser.add_argument("--seeds", type=int, default=4)
+    parser.add_argument("--first-seed", type=int, default=1)
+    parser.add_argument("--jobs", type=int, default=4)
+    chosen = parser.parse_args()
+    source = random.Random(chosen.first_seed)
+    plays = [
+        (day, source.randrange(2**31))
+        for day in chosen.days.split(",")
+        for _ in range(chosen.seeds)
+    ]
+    here = pathlib.Path(__file__).resolve().parent.parent
+    names = [_WHOLE, *chosen.off.split(",")]
+    clones = {
+        name: clone_without(here, chosen.folder / name, name, chosen.bench) for name in names
+    }
+    with concurrent.futures.ThreadPoolExecutor(chosen.jobs) as pool:
+        futures = {
+            name: [
+                pool.submit(
+                    site_copies.play, chosen.bench, chosen.site, *one, clones[name], f"{name} off"
+                )
+                for one in plays
+            ]
+            for name in names
+        }
+        worth = {name: [item.result() for item in each] for name, each in futures.items()}
+    for name in names[1:]:
+        print(describe(name, worth[_WHOLE], worth[name]), flush=True)
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/site_copies.py
+++ b/bench/site_copies.py
@@ -35,11 +35,11 @@
     return f"{name} = {float(found[1]) * factor:.4g}"
 
 
-def play(bench, site, day, seed):
-    """Return the worth of a day, or nothing where it was not played."""
+def play(bench, site, day, seed, cwd=None, why="a copy of a site at other speeds"):
+    """Return the worth of a day on a checkout, or nothing where it was not played."""
     command = [bench, "run", str(site), day, "--seed", str(seed), "--no-cpu"]
-    command += ["--why", "a copy of a site at other speeds"]
-    ran = subprocess.run(command, capture_output=True, text=True)
+    command += ["--why", why]
+    ran = subprocess.run(command, cwd=cwd, capture_output=True, text=True)
     found = re.search(rf"^{re.escape(day)} +\S+ +[\d.]+ +(-?[\d.]+) ", ran.stdout, re.M)
     return float(found[1]) if found else None
 
