Judge stragglers by the rate of their stream, over a time that fits its speed

The usual rate was learned with the wait for a place counted in, so a slow engine looked like the others, and an engine's own rate was taken over the last 5 to 10 s, longer than most texts take. Now rates run from the first piece on, the window is as long as 512 tokens usually take (1.5 to 5 s), and waiting counts as slow only beyond twice what others waited.

--- /dev/null
+++ b/features/steps/stragglers_steps.py
@@ -0,0 +1,100 @@
+"""Steps for texts at engines that turn slow, in simulated time."""
+
+import behave
+
+from oleander_samples import hedging, scheduler, steps
+from oleanderdeal import batch_run
+
+_PIECE_TOKENS = 64
+_SHORT_PIECES = 10
+_SHORT_TEXTS = 20
+_TICK_SECONDS = 0.05
+"""How often the runner looks for something to start."""
+
+
+class SimulatedStep:
+    """Short texts that are whole, and a long one that is being made."""
+
+    def __init__(self, gap_ms, wait_ms):
+        self._gap = gap_ms / 1000
+        policy = batch_run.POLICY
+        assert isinstance(policy, hedging.StragglerPolicy)
+        groups = tuple(steps.Group("", "", 1, 10_000) for _ in range(_SHORT_TEXTS + 1))
+        self._scheduler = scheduler.WorkScheduler(
+            steps.Step("c", "t", 1, 0, 1, groups), policy, 11
+        )
+        works = [self._scheduler.start_next(0.0) for _ in groups]
+        self._long, *shorts = works
+        for work in shorts:
+            self._make_short(work, wait_ms / 1000)
+
+    def find_moved(self, pieces):
+        """Return how many pieces were made when it was moved, or nothing if it never was."""
+        made = 0
+        now = 0.0
+        while made < len(pieces):
+            now += _TICK_SECONDS
+            while made < len(pieces) and pieces[made] <= now:
+                self._note_piece(self._long, pieces[made])
+                made += 1
+            if now >= self._whole_at and self._scheduler.start_next(now) is not None:
+                return made
+        return None
+
+    def list_pieces(self, count, wait=0.0, slow_after=0, slower=1.0, pause=0.0):
+        """Return when each piece of the long text is made if it stays."""
+        times = []
+        now = wait
+        for number in range(count):
+            is_slow = slow_after and number >= slow_after
+            now += self._gap * (slower if is_slow else 1.0)
+            now += pause if number == slow_after and slow_after else 0.0
+            times.append(now)
+        return times
+
+    def _make_short(self, work, wait):
+        for number in range(_SHORT_PIECES):
+            self._whole_at = wait + (number + 1) * self._gap
+            self._note_piece(work, self._whole_at)
+        self._scheduler.finish(work.work_id, None, self._whole_at)
+
+    def _note_piece(self, work, at):
+        self._scheduler.note_progress(work.work_id, "x", _PIECE_TOKENS, 1, at)
+
+
+@behave.given(
+    "engines that make a piece in {gap:d} ms, and 20 texts of 10 pieces that waited {wait:d} ms"
+)
+def create_step(context, gap, wait):
+    context.step = SimulatedStep(gap, wait)
+
+
+@behave.given(
+    "a text of {count:d} pieces whose engine turns {slower:g} times slower after {after:d} pieces"
+)
+def slow_down(context, count, slower, after):
+    context.pieces = context.step.list_pieces(count, slow_after=after, slower=slower)
+
+
+@behave.given(
+    "a text of {count:d} pieces whose engine stands still for {pause:d} ms after {after:d} pieces"
+)
+def stand_still(context, count, pause, after):
+    context.pieces = context.step.list_pieces(count, slow_after=after, pause=pause / 1000)
+
+
+@behave.given("a text of {count:d} pieces that waits for {wait:d} ms")
+def wait_long(context, count, wait):
+    context.pieces = context.step.list_pieces(count, wait=wait / 1000)
+
+
+@behave.then("the text is moved before it has made {pieces:d} pieces")
+def check_moved(context, pieces):
+    made = context.step.find_moved(context.pieces)
+    assert made is not None and made < pieces, made
+
+
+@behave.then("the text is not moved")
+def check_stays(context):
+    made = context.step.find_moved(context.pieces)
+    assert made is None, made
--- a/libs/samples/oleander_samples/hedging.py
+++ b/libs/samples/oleander_samples/hedging.py
@@ -110,7 +110,7 @@
         """Return which of two attempts at one sample is expected to end later."""
         typical = self._rates.typical or 1.0
         seconds = [
-            self.predict_remaining(attempt) / attempt.measure_rate(typical, now)
+            self.predict_remaining(attempt) / attempt.measure_rate(typical, self._patience, now)
             for attempt in (first, second)
         ]
         return first if seconds[0] > seconds[1] else second
@@ -143,19 +143,24 @@
         """Forget a hedge that ended or that has no rival any more."""
         self._reserved.pop(work_id, None)
 
+    @property
+    def _patience(self) -> float:
+        """The seconds for which work may wait for its first token and be no straggler."""
+        return max(self._policy.start_seconds, _FAR_OVER * self._rates.typical_wait)
+
     def _measure_lateness(self, attempt: work.Attempt, typical: float, now: float) -> float | None:
         """
         Return the seconds that an attempt still needs, if that is far over what others do.
 
-        One that has made nothing yet waits for a place, as it would elsewhere; only after a while
-        it counts as stuck.
+        One that has made nothing yet waits for a place, as it would elsewhere; only when it waits
+        far longer than others did it counts as stuck.
         """
-        if not attempt.made_tokens and attempt.measure_seconds(now) < self._policy.start_seconds:
+        if not attempt.made_tokens and attempt.measure_seconds(now) < self._patience:
             return None
-        rate = attempt.measure_rate(typical, now)
+        rate = attempt.measure_rate(typical, self._patience, now)
         if rate * _FAR_OVER >= typical:
             return None
         tokens = self.predict_remaining(attempt)
         here = tokens / rate
-        elsewhere = (tokens + _START_TOKENS) / typical
+        elsewhere = self._rates.typical_wait + (tokens + _START_TOKENS) / typical
         return here if here > _FAR_OVER * elsewhere else None
--- a/libs/samples/oleander_samples/predictions.py
+++ b/libs/samples/oleander_samples/predictions.py
@@ -95,17 +95,25 @@
 
 
 class RateModel:
-    """The usual tokens a second of one sample."""
+    """How long work usually waits for its first token, and how fast it is made from then on."""
 
     def __init__(self) -> None:
         self._rates = RunningQuantile(_MOST_RATES)
+        self._waits = RunningQuantile(_MOST_RATES)
 
     @property
     def typical(self) -> float | None:
         """The median rate of finished work, if any has finished."""
         return self._rates.find_median_above(0.0)
 
-    def note_work(self, tokens: int, seconds: float) -> None:
-        """Learn from finished work."""
-        if tokens > 0 and seconds > 0:
-            self._rates.add(tokens / seconds)
+    @property
+    def typical_wait(self) -> float:
+        """The median seconds until the first token of finished work; 0 before any has finished."""
+        return self._waits.find_median_above(-1.0) or 0.0
+
+    def note_work(self, rate: float | None, wait_seconds: float | None) -> None:
+        """Learn from finished work what it tells."""
+        if rate:
+            self._rates.add(rate)
+        if wait_seconds is not None:
+            self._waits.add(wait_seconds)
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -99,7 +99,7 @@
         attempt = self._attempts.find(work_id)
         if attempt is None:
             return
-        attempt.add_piece(text, tokens, version)
+        attempt.add_piece(text, tokens, version, now)
         self._hedges.note_made(work_id, tokens)
         if self._is_stale(attempt.oldest_version):
             self._cancel_stale(attempt, now)
@@ -127,7 +127,7 @@
             steps.count_samples(self._step, metrics.SAMPLES_STALE)
             self._make_anew(attempt, now)
             return expression.Error(work.Outcome.STALE)
-        self._learn(attempt, now)
+        self._learn(attempt)
         return expression.Ok(built.ok)
 
     def fail(self, work_id: str, now: float) -> None:
@@ -301,9 +301,9 @@
         if len(same) > 1:
             self._cancel(self._hedges.find_slower(same[0], same[1], now))
 
-    def _learn(self, attempt: work.Attempt, now: float) -> None:
+    def _learn(self, attempt: work.Attempt) -> None:
         self._lengths.note_length(attempt.work.group, attempt.tokens)
-        self._rates.note_work(attempt.made_tokens, attempt.measure_seconds(now))
+        self._rates.note_work(attempt.mean_rate, attempt.wait_seconds)
         self._backlog.rank_group(attempt.work.group)
 
     def _is_worth_restarting(self, attempt: work.Attempt) -> bool:
--- a/libs/samples/oleander_samples/work.py
+++ b/libs/samples/oleander_samples/work.py
@@ -12,8 +12,12 @@
 _PRIOR_TOKENS = 128
 """How many tokens at the usual rate an attempt is credited with before it has shown its own."""
 
-_WINDOW_SECONDS = 5.0
-"""A rate is measured over the last one or two of these."""
+_WINDOW_TOKENS = 512
+"""A rate is measured over the time in which an engine usually makes so many, or twice as many."""
+_MOST_WINDOW_SECONDS = 5.0
+"""Longer, and a slow engine keeps its text for most of the time in which its step is due."""
+_LEAST_WINDOW_SECONDS = 1.5
+"""Shorter, and engines that stand still for a second to load weights look slow."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -88,6 +92,8 @@
         self._text.write(work.resumed_text)
         self._label = labels.LabelBuilder(work.resumed_label)
         self._made_tokens = 0
+        self._first_piece: tuple[float, int] | None = None
+        self._last_piece_at = started_at
         self._window = (started_at, 0)
         self._next_window = (started_at, 0)
 
@@ -121,28 +127,58 @@
         """The tokens that older weights made than the newest ones that made any."""
         return self._label.outdated_tokens
 
-    def add_piece(self, text: str, tokens: int, version: int | None) -> None:
+    @property
+    def wait_seconds(self) -> float | None:
+        """How long it waited for its first piece; one that came in a single piece doesn't tell."""
+        if self._first_piece is None or self._first_piece[1] == self._made_tokens:
+            return None
+        return self._first_piece[0] - self._started_at
+
+    @property
+    def mean_rate(self) -> float | None:
+        """
+        Its tokens a second from the first piece to the last, where these tell it.
+
+        With the wait for a place counted in, texts of a crowded step look half as fast as their
+        engines are, and one on an engine that is three times slower looks like the others.
+        """
+        if self._first_piece is None:
+            return None
+        since, before = self._first_piece
+        if self._made_tokens == before or self._last_piece_at <= since:
+            since, before = self._started_at, 0
+        seconds = self._last_piece_at - since
+        return (self._made_tokens - before) / seconds if seconds > 0.0 else None
+
+    def add_piece(self, text: str, tokens: int, version: int | None, now: float) -> None:
         """Take in a piece of the stream."""
         self._text.write(text)
         self._label.add(version, tokens)
         self._made_tokens += max(0, tokens)
+        self._last_piece_at = now
+        if self._first_piece is None and tokens > 0:
+            self._first_piece = (now, tokens)
 
     def measure_seconds(self, now: float) -> float:
         """Return how long it has run, the wait for a slot included."""
         return now - self._started_at
 
-    def measure_rate(self, typical: float, now: float) -> float:
+    def measure_rate(self, typical: float, patience: float, now: float) -> float:
         """
         Return its tokens a second lately; call it regularly.
 
-        It is credited with some tokens at the usual rate, so that a new one is no straggler.
+        It is credited with some tokens at the usual rate, so that a new one is no straggler. The
+        wait for its first piece is left out, but for what went beyond the patience in seconds.
         Only the last seconds count: an engine that stops after a good start would look
         fast on the whole for as long as it ran well.
         """
-        if now - self._next_window[0] >= _WINDOW_SECONDS:
+        window_seconds = max(_LEAST_WINDOW_SECONDS, _WINDOW_TOKENS / typical)
+        if now - self._next_window[0] >= min(_MOST_WINDOW_SECONDS, window_seconds):
             self._window = self._next_window
             self._next_window = (now, self._made_tokens)
         since, before = self._window
+        if self._first_piece is not None and since == self._started_at:
+            since = min(self._first_piece[0], self._started_at + patience)
         seconds = now - since + _PRIOR_TOKENS / typical
         return (self._made_tokens - before + _PRIOR_TOKENS) / seconds
 
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -9,7 +9,7 @@
 from oleander_samples import hedging, scheduler, steps, work
 from oleanderdeal import item_texts
 
-_POLICY = hedging.StragglerPolicy(
+POLICY = hedging.StragglerPolicy(
     hedge_percent=0,
     moves=True,
     nearly_whole_percent=10,
@@ -58,7 +58,7 @@
         self._lock = threading.Lock()
         step = _build_step(submitted, event_tokens)
         seed = identifiers.hash_text(submitted.batch_id)
-        self._scheduler = scheduler.WorkScheduler(step, _POLICY, seed)
+        self._scheduler = scheduler.WorkScheduler(step, POLICY, seed)
         self._scheduler.raise_oldest(submitted.oldest_version, clock.read_now())
         self._errors: collections.Counter[int] = collections.Counter()
         self._cancelled: set[str] = set()
