Share servers out among models where loads can't keep up

Now each model has its own servers, four at least, the same in every process; of those each still leaves out every second version. One trainer, or servers that keep up: as before. A straggler is moved only to a place whose weights are new enough, and servers of other models are not asked whether they load. Tests: how servers are shared out and how few change their model when one is lost, 1 to 30 servers. The turns of versions are tested as before.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -100,8 +100,8 @@
     ),
     "crowd": (
         f"{_PROGRAM}/version_keeper.py",
-        "return self._plan.may_overlap and self._crowd.must_wait(order, listed, self._is_loading)",
-        "return False",
+        "        if not self._plan.may_overlap:",
+        "        if order:",
     ),
 }
 """What to replace in which file so that a mechanism does nothing."""
--- a/features/orders.feature
+++ b/features/orders.feature
@@ -85,6 +85,25 @@
       | 3       | 1   | 4 5   | 2      |
       | 3       | 0   | 8 8   | 0      |
 
+  Scenario Outline: Where loads can't keep up, servers are shared out among the models
+    # Each server stands still while it loads, for each model in turn. Servers that load for all
+    # trainers spend a fifth of their time on it. One that is lost must not make half of the others
+    # change theirs: they would all load at once.
+    Given <servers> servers that <models> models share
+    Then each model has <least> to <most> servers, and each server <room> models at most
+    And of those that stay, <moved> at most change a model when one server is lost
+
+    Examples:
+      | servers | models | least | most | room | moved |
+      | 23      | 3      | 7     | 8    | 1    | 11    |
+      | 30      | 4      | 7     | 8    | 1    | 15    |
+      | 12      | 3      | 4     | 4    | 1    | 6     |
+      | 5       | 3      | 4     | 4    | 3    | 3     |
+      | 4       | 3      | 4     | 4    | 3    | 0     |
+      | 4       | 1      | 4     | 4    | 1    | 0     |
+      | 2       | 3      | 2     | 2    | 3    | 0     |
+      | 1       | 9      | 1     | 1    | 9    | 0     |
+
   Scenario Outline: Whether loads keep up is known from the first one on
     # Loads take longer here than elsewhere. Until that is believed, servers are ordered to load every
     # version, half of them load at any time, and the steps of that time wait for places.
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -8,7 +8,7 @@
 
 from oleander_base import clock
 from oleander_direct import directory, servers
-from oleander_orders import pace, plan, right
+from oleander_orders import homes, pace, plan, right
 from oleander_standins import recordlog
 
 _GAP_SECONDS = 3.0
@@ -244,6 +244,33 @@
     assert all(least <= count <= most for count in context.loads.values()), context.loads
 
 
+@behave.given("{servers_:d} servers that {models:d} models share")
+def share_servers(context, servers_, models):
+    context.server_ids = [f"i-{number}" for number in range(servers_)]
+    context.models = [f"m{number}" for number in range(models)]
+    context.homes = homes.choose_homes(context.server_ids, context.models)
+
+
+@behave.then(
+    "each model has {least:d} to {most:d} servers, and each server {room:d} models at most"
+)
+def check_shares(context, least, most, room):
+    sizes = [len(found) for found in context.homes.values()]
+    assert len(sizes) == len(context.models)
+    assert least == min(sizes) and max(sizes) == most, sizes
+    of_server = collections.Counter(name for found in context.homes.values() for name in found)
+    assert max(of_server.values()) <= room, of_server
+
+
+@behave.then("of those that stay, {count:d} at most change a model when one server is lost")
+def check_moved(context, count):
+    for lost in context.server_ids:
+        staying = [name for name in context.server_ids if name != lost]
+        after = homes.choose_homes(staying, context.models)
+        moved = sum(len(after[model] - context.homes[model]) for model in context.models)
+        assert moved <= count, (lost, moved)
+
+
 @behave.then("whenever a version was named, {usable:d} servers or more could go on at once")
 def check_usable(context, usable):
     assert min(context.usable[2:]) >= usable, context.usable
--- a/libs/orders/oleander_orders/crowd.py
+++ b/libs/orders/oleander_orders/crowd.py
@@ -32,14 +32,15 @@
     def must_wait(
         self,
         order: plan.PlannedOrder,
-        listed: list[servers.Server],
+        homes: list[servers.Server],
+        most_loading: int,
         is_loading: collections.abc.Callable[[servers.Server], bool],
     ) -> bool:
-        """Ask some of the servers that do not show the version yet; too many may load it now."""
-        lacking = _list_lacking(order, listed)
+        """Ask some of the model's servers that do not show the version yet; too many may load."""
+        lacking = _list_lacking(order, homes)
         asked = self._random.sample(lacking, min(_MOST_ASKED, len(lacking)))
         loading = sum(map(is_loading, asked))
-        is_crowded = loading * len(lacking) >= plan.count_at_once(len(listed)) * len(asked)
+        is_crowded = loading * len(lacking) >= most_loading * len(asked)
         if not asked or not is_crowded:
             self._waits_since.pop(_find_key(order), None)
             return False
--- /dev/null
+++ b/libs/orders/oleander_orders/homes.py
@@ -0,0 +1,45 @@
+"""Which servers load which model where not every server can load them all."""
+
+import collections
+import collections.abc
+
+from oleander_base import identifiers
+
+_LEAST_HOMES = 4
+"""Servers a model has at least: half of them leave out a version while the others load it, and
+two are left to serve even then."""
+
+
+def choose_homes(
+    server_ids: collections.abc.Iterable[str], models: collections.abc.Iterable[str]
+) -> dict[str, frozenset[str]]:
+    """
+    Return the servers of each model, shared out evenly; the same wherever the lists are the same.
+
+    Each model takes the first in a rank of its own that have room, so that few change their model
+    when a server comes or goes.
+    """
+    servers = sorted(set(server_ids))
+    ordered = sorted(set(models))
+    wanted = _count_homes(len(servers), len(ordered))
+    room = -(-sum(wanted) // max(1, len(servers)))
+    taken: collections.Counter[str] = collections.Counter()
+    homes = {}
+    for model, count in zip(ordered, wanted, strict=True):
+        ranked = _rank_servers(servers, model)
+        ranked.sort(key=lambda name: taken[name] >= room)
+        homes[model] = frozenset(ranked[:count])
+        taken.update(homes[model])
+    return homes
+
+
+def _count_homes(servers: int, models: int) -> list[int]:
+    """Return how many servers each model gets; what is left over goes to the first ones."""
+    return [
+        min(servers, max(_LEAST_HOMES, servers // models + (index < servers % models)))
+        for index in range(models)
+    ]
+
+
+def _rank_servers(server_ids: list[str], model: str) -> list[str]:
+    return sorted(server_ids, key=lambda name: identifiers.hash_text(f"{model}\n{name}"))
--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -5,7 +5,7 @@
 
 from oleander_base import clock, identifiers
 from oleander_direct import directory, servers
-from oleander_orders import pace
+from oleander_orders import homes, pace
 
 _WAVE_PART = 3
 """One server in so many loads a model at once, so that the others serve it meanwhile."""
@@ -72,6 +72,7 @@
         self._pending: dict[tuple[str, str], _Pending] = {}
         self._accepted: dict[str, int] = {}
         self._loaded: dict[tuple[str, str], int] = {}
+        self._homes: dict[str, frozenset[str]] = {}
 
     def choose(
         self,
@@ -91,6 +92,7 @@
         self._forget(listed, now)
         for model, target in named.items():
             self._pace.note_named(model, target.seen_at)
+        self._homes = self._share_out(listed, [model for model in models if model in named])
         due = [
             PlannedOrder(server, model, named[model].version)
             for model in models
@@ -106,6 +108,10 @@
                 planned.append(order)
         return planned
 
+    def is_home(self, server: servers.Server, model: str) -> bool:
+        """Tell whether a server is to load a model, as of the last orders that were chosen."""
+        return model not in self._homes or server.server_id in self._homes[model]
+
     def count_accepted(self, server: servers.Server, state: servers.EngineState) -> int:
         """Return how many orders a server has accepted by now."""
         return max(state.accepted_orders, self._accepted.get(server.incarnation, 0))
@@ -164,14 +170,19 @@
         """
         Return the servers that should load the target now, in the waves' order.
 
-        Where not every server can load every version, each leaves out every second one, those of
-        odd and of even rank in turns, as long as its trainer allows what it has. So at each new
-        version half of the servers go on at once, and the others load.
+        Where not every server can load every version, the servers are shared out among the
+        models, and each leaves out every second version, those of odd and of even rank in turns,
+        as long as its trainer allows what it has. So at each new version half of the servers go
+        on at once, and the others load.
         """
         size = count_at_once(len(listed))
         is_crowded = self._pace.is_crowded(len(listed), size)
         ranked = sorted(
-            (item for item in listed if item.find_version(model) is not None),
+            (
+                item
+                for item in listed
+                if item.find_version(model) is not None and self.is_home(item, model)
+            ),
             key=lambda item: identifiers.hash_text(f"{model}\n{item.server_id}"),
         )
         waves = int((now - target.seen_at) / _WAVE_SECONDS) + 1
@@ -186,6 +197,19 @@
         due = set(map(id, ranked[:reached]))
         return [item for item in missing if id(item) in due]
 
+    def _share_out(
+        self, listed: list[servers.Server], models: list[str]
+    ) -> dict[str, frozenset[str]]:
+        """
+        Return the servers of each model, or nothing where every server can load every version.
+
+        With three trainers that each name a version every four seconds, servers that load for all
+        of them spend a fifth of their time on it and stand still meanwhile.
+        """
+        if not self._pace.is_crowded(len(listed), count_at_once(len(listed))):
+            return {}
+        return homes.choose_homes((item.server_id for item in listed), models)
+
     def _may_skip(self, server: servers.Server, rank: int, model: str, version: int) -> bool:
         is_allowed = self._find_version(server, model) >= version - self._lags.get(model, 0)
         return is_allowed and (version + rank) % 2 == 1
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -178,14 +178,21 @@
                 peer.observe(latency_ms)
             self._health.note_outcome(name, group, failed, latency_ms, moment)
 
-    def has_spare(self, backend: str) -> bool:
-        """Tell whether a trusted peer has more slots than requests of this entry."""
+    def has_spare(self, request: RouteRequest) -> bool:
+        """
+        Tell whether a trusted peer with the version has more slots than requests of this entry.
+
+        Peers whose weights are too old count for nothing: work that is cancelled for a place there
+        only goes back to those that it came from.
+        """
         with self._lock:
             now = self._read_now()
             return any(
                 peer.in_flight < peer.slots and self._health.read_weight(peer.name, now) > 0.0
                 for peer in self._peers.values()
-                if peer.backend == backend and peer.is_usable
+                if peer.backend == request.backend
+                and peer.is_usable
+                and _has_version(peer, request)
             )
 
     def list_peers(self) -> list[peers.Peer]:
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -213,7 +213,7 @@
             return False
         if self._choose(run, route, frozenset()) is None:
             return False
-        has_spare = self._router.has_spare(route.pick_backend_of(run.batch.batch_id))
+        has_spare = self._router.has_spare(_describe_need(run, route, frozenset()))
         item = run.start_next(clock.read_now(), route.due_ms / 1000, has_spare)
         if item is None:
             return False
@@ -232,18 +232,7 @@
     def _choose(
         self, run: batch_run.BatchRun, route: routes.Route, excluded: frozenset[str]
     ) -> servers.Server | None:
-        chosen = self._router.choose(
-            router.RouteRequest(
-                backend=route.pick_backend_of(run.submitted.batch_id),
-                affinity="",
-                priority=_BATCH_PRIORITY,
-                oldest_version=run.submitted.oldest_version,
-                excluded=excluded,
-                budget_ms=route.due_ms,
-                model=run.submitted.model,
-                is_windowed=True,
-            )
-        )
+        chosen = self._router.choose(_describe_need(run, route, excluded))
         return self._directory.find_server(chosen.ok) if chosen.is_ok() else None
 
     def _run(self, item: batch_run.ItemWork, server: servers.Server) -> None:
@@ -255,3 +244,19 @@
         finally:
             with self._lock:
                 self._running -= 1
+
+
+def _describe_need(
+    run: batch_run.BatchRun, route: routes.Route, excluded: frozenset[str]
+) -> router.RouteRequest:
+    """Return what a server has to be for an item of a batch."""
+    return router.RouteRequest(
+        backend=route.pick_backend_of(run.submitted.batch_id),
+        affinity="",
+        priority=_BATCH_PRIORITY,
+        oldest_version=run.submitted.oldest_version,
+        excluded=excluded,
+        budget_ms=route.due_ms,
+        model=run.submitted.model,
+        is_windowed=True,
+    )
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -135,7 +135,11 @@
         connection. With 23 servers prices of a quiet day were 0.199 with questions before each
         order and 0.183 with these (one play each).
         """
-        return self._plan.may_overlap and self._crowd.must_wait(order, listed, self._is_loading)
+        if not self._plan.may_overlap:
+            return False
+        homes = [server for server in listed if self._plan.is_home(server, order.model)]
+        most_loading = plan.count_at_once(len(listed))
+        return self._crowd.must_wait(order, homes, most_loading, self._is_loading)
 
     def _send(self, order: plan.PlannedOrder, accepted: int, keeps_running: bool) -> None:
         """
