Order servers on kept connections

A connection kept from asking the server for its state a moment before is open. An order names how many were accepted before, so one that is sent again after a stale connection has effect once, and a new connection guarded nothing.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -94,6 +94,19 @@
       | 0    | id: 1,data: a                                                    | broken             |
       | 0    | id: 1,data: a,data: b,                                           | a_b@3 end          |
 
+  Scenario Outline: An order goes over the connection on which its server was asked
+    # Servers take some hundred connections from all callers. One more for each order is a tenth to
+    # a fifth of all that are opened on a quiet day.
+    Given a server that <keeps> its connections
+    When an entry asks for its state and orders it to load weights, <times> times
+    Then the server saw <requests> requests on <connections> connections, and took each order
+
+    Examples:
+      | keeps       | times | requests | connections |
+      | keeps open  | 1     | 2        | 1           |
+      | keeps open  | 3     | 6        | 1           |
+      | soon closes | 2     | 4        | 4           |
+
   Scenario Outline: All faults of the settings file are told together, each with its place
     Given a settings file with <change>
     Then the settings are <verdict>
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -5,15 +5,17 @@
 import pathlib
 import re
 import tempfile
+import time
 import tomllib
 import unittest.mock
 
 import behave
 import expression
 
+import raw_server
 from oleander_adapter import boot, operator, sampler_calls, samplers
-from oleander_base import clock
-from oleander_direct import directory
+from oleander_base import clock, http_pool
+from oleander_direct import directory, servers
 from oleander_routing import router
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -22,6 +24,9 @@
     r"|OLEANDERDEAL_BOOT|path_prefix.*traffic_split",
     re.IGNORECASE,
 )
+_CALL_SECONDS = 5.0
+_CLOSE_SECONDS = 0.1
+"""In which a server that closes its connections has done so."""
 _REGISTRATION = {
     "service": "desk",
     "address": "10.0.0.1:80",
@@ -233,3 +238,35 @@
         if _NAMES.search(line)
     ]
     assert not found, found
+
+
+@behave.given("a server that {keeps} its connections")
+def start_engine(context, keeps):
+    body = json.dumps({"models": [{"name": "m", "version": 1}], "busy": False, "sequence": 4})
+    answer = f"HTTP/1.1 200 OK\r\nContent-Length: {len(body)}\r\n\r\n{body}"
+    context.engine = raw_server.RawServer([answer.encode()], keeps == "keeps open")
+    context.add_cleanup(context.engine.stop)
+
+
+@behave.when("an entry asks for its state and orders it to load weights, {times:d} times")
+def order_engine(context, times):
+    caller = sampler_calls.SamplerCaller(http_pool.ConnectionPool())
+    address = context.engine.url.removeprefix("http://")
+    engine = servers.Server("i-1", 1, "desk", address, "z", 8, False, ())
+    order = servers.VersionOrder("m", 2, True, "holder", 7, 4)
+    context.outcomes = []
+    for _ in range(times):
+        assert caller.read_state(engine, clock.start_deadline(_CALL_SECONDS)).is_ok()
+        time.sleep(_CLOSE_SECONDS)
+        outcome = caller.order(engine, order, clock.start_deadline(_CALL_SECONDS))
+        context.outcomes.append(outcome)
+        time.sleep(_CLOSE_SECONDS)
+
+
+@behave.then(
+    "the server saw {requests:d} requests on {connections:d} connections, and took each order"
+)
+def check_connections(context, requests, connections):
+    assert len(context.engine.requests) == requests, context.engine.requests
+    assert context.engine.connections == connections, context.engine.connections
+    assert context.outcomes == [servers.OrderTaken(True)] * (requests // 2), context.outcomes
