Believe a refusal for a while only; probe ejected servers with batch work

Now a refusal is believed for as long as the server was seen to refuse, one second at least; and one in twenty texts that can wait may probe an ejected server that has nothing in flight, while others are open. A scenario of refusals waits for 0.5 s in place of 1 s before its trial, since the belief ends at 1 s; a new row has the same claim at 0.5 s and its end at 1.2 s.

--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -34,10 +34,37 @@
     When p1 refuses a windowed request after a long one began
     And the long one ends well
     Then p1 takes no windowed request yet
-    When a trial after 1 s <is taken> there
+    When a trial after 0.5 s <is taken> there
     Then p1 takes windowed requests again
 
     Examples:
       | is taken             |
       | begins               |
       | is not refused       |
+
+  Scenario Outline: A refusal from before a pause says little of the next step
+    # A step is over before a server that refused was tried again. The next begins with one trial
+    # there, at the moment when weights load anew; all else is queued at the other servers, and the
+    # server stands idle for that step too. One that refuses for longer is believed for longer.
+    Given 4 servers of 12 slots, of which one refused 16 texts at once and then trials for <refused> s
+    When a step of 48 texts is handed out <pause> s later
+    Then that server is given <least> to <most> of them
+
+    Examples:
+      | refused | pause | least | most |
+      | 0       | 0.05  | 0     | 0    |
+      | 0       | 0.5   | 1     | 1    |
+      | 0       | 1.2   | 10    | 14   |
+      | 0       | 3.8   | 10    | 14   |
+      | 2.8     | 1.2   | 1     | 1    |
+      | 2.8     | 3.8   | 10    | 14   |
+      | 20      | 3.8   | 1     | 1    |
+
+  Scenario: A server that was slow has its part of batches again
+    # A slow server is ejected. Texts that can wait are given to the others, none of them ever asks
+    # whether it is slow still, and a fourth of the engines is lost to that process for the day.
+    Given 4 servers of 12 slots, of which one is ejected for being slow
+    When steps of 48 texts are handed out each 4 s for 40 s, and all are done at the same speed
+    Then that server is given 10 to 14 of the last step's
+    And it was given 2 at most in the first
+
--- a/features/steps/refusals_steps.py
+++ b/features/steps/refusals_steps.py
@@ -14,6 +14,10 @@
 _TEXT_SECONDS = 1.0
 _LOAD_AT = 0.5
 _FULL_SECONDS = 0.1
+_TRIAL_SECONDS = 0.4
+_EVENT_MS = 40
+_SLOWER = 10
+_ANSWERS_TO_EJECT = 20
 
 
 @dataclasses.dataclass(slots=True)
@@ -172,7 +176,7 @@
     assert _choose(context).error.reason == router.WINDOWS_FULL
 
 
-@behave.when("a trial after {seconds:d} s {taken} there")
+@behave.when("a trial after {seconds:g} s {taken} there")
 def begin_trial(context, seconds, taken):
     context.routing_now += seconds
     assert _choose(context).is_ok()
@@ -187,3 +191,101 @@
 @behave.then("p1 takes windowed requests again")
 def check_open(context):
     assert _choose(context).is_ok()
+
+
+class SteppedRunner:
+    """Hands out steps of texts to four servers; the first is the one that matters."""
+
+    def __init__(self):
+        self.now = 100.0
+        self.router = router.Router(7, lambda: self.now)
+        self.given = []
+        for name in ("s0", "s1", "s2", "s3"):
+            report = peers.PeerReport(
+                "z", "engines", "1", 0, 0, _SLOTS, 0, None, in_rotation=True, leaving=False
+            )
+            self.router.update(name, report)
+
+    def refuse(self, texts, seconds):
+        """Let the first server refuse texts at once, and trials for some time."""
+        for _ in range(texts):
+            self.router.note_started("s0", is_windowed=True)
+        for _ in range(texts):
+            self._end("s0", router.RouteOutcome.REFUSED)
+        until = self.now + seconds
+        while self.now < until:
+            self.now = min(until, self.now + _TRIAL_SECONDS)
+            self.router.note_started("s0", is_windowed=True)
+            self._end("s0", router.RouteOutcome.REFUSED)
+
+    def eject(self):
+        """Let the first server answer, but ten times slower than the others."""
+        for _ in range(_ANSWERS_TO_EJECT):
+            for name in ("s0", "s1", "s2", "s3"):
+                self.router.note_started(name, is_windowed=True)
+                slower = _SLOWER if name == "s0" else 1
+                self._end(name, router.RouteOutcome.OK, _EVENT_MS * slower)
+
+    def hand_out(self, texts):
+        """Hand out a step at once; return whom its texts were given to."""
+        request = dataclasses.replace(routing_steps.build_request("any"), is_windowed=True)
+        given = []
+        for _ in range(texts):
+            chosen = self.router.choose(request)
+            if chosen.is_ok():
+                self.router.note_started(chosen.ok, is_windowed=True)
+                given.append(chosen.ok)
+        self.given.append(given.count("s0"))
+        return given
+
+    def play_step(self, texts):
+        """Hand out a step and let all of it be done."""
+        given = self.hand_out(texts)
+        self.now += _TEXT_SECONDS
+        for name in given:
+            self._end(name, router.RouteOutcome.OK, _EVENT_MS)
+
+    def _end(self, name, outcome, milliseconds=1):
+        self.router.note_finished(name, outcome, milliseconds)
+
+
+@behave.given(
+    "4 servers of 12 slots, of which one refused {texts:d} texts at once and then trials for"
+    " {seconds:g} s"
+)
+def refuse_texts(context, texts, seconds):
+    context.stepped = SteppedRunner()
+    context.stepped.refuse(texts, seconds)
+
+
+@behave.given("4 servers of 12 slots, of which one is ejected for being slow")
+def eject_slow(context):
+    context.stepped = SteppedRunner()
+    context.stepped.eject()
+
+
+@behave.when("a step of {texts:d} texts is handed out {pause:g} s later")
+def hand_out_later(context, texts, pause):
+    context.stepped.now += pause
+    context.stepped.hand_out(texts)
+
+
+@behave.when(
+    "steps of {texts:d} texts are handed out each {gap:d} s for {seconds:d} s, and all are done at"
+    " the same speed"
+)
+def hand_out_steps(context, texts, gap, seconds):
+    for _ in range(seconds // gap):
+        context.stepped.play_step(texts)
+        context.stepped.now += gap - _TEXT_SECONDS
+
+
+@behave.then("that server is given {least:d} to {most:d} of them")
+@behave.then("that server is given {least:d} to {most:d} of the last step's")
+def check_given(context, least, most):
+    assert least <= context.stepped.given[-1] <= most, context.stepped.given
+
+
+@behave.then("it was given {most:d} at most in the first")
+def check_first_given(context, most):
+    assert context.stepped.given[0] <= most, context.stepped.given
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -26,6 +26,8 @@
 _MOST_PEERS = 4096
 _PROBE_PART = 0.01
 """The part of requests that may probe an ejected peer."""
+_WINDOWED_PROBE_PART = 0.05
+"""The same of work that can wait, which comes by some fifty at a time: one or two of them."""
 _LEAST_RETRY_MS = 50
 _UNKNOWN_RETRY_MS = 1000
 
@@ -248,14 +250,20 @@
 
     def _find_open(self, candidates: list[peers.Peer]) -> list[peers.Peer]:
         """
-        Return the peers whose windows are open, but ejected ones only where all are.
+        Return the peers whose windows are open; ejected ones beside others, to be probed.
 
         A server that refuses connections has nothing in flight, so its window is open when all
-        others are full; work that only waits for a place would be sent there over and over.
+        others are full; work that only waits for a place would be sent there over and over. So
+        where no trusted peer is open there is none, unless all are ejected. Left out altogether
+        an ejected peer never came back: a server that was slow for 8 s got no batch work of that
+        process for the rest of the day.
         """
         now = self._read_now()
-        trusted = [peer for peer in candidates if self._health.read_weight(peer.name, now) > 0.0]
-        return [peer for peer in trusted or candidates if _opens_window(peer, now)]
+        is_open = [peer for peer in candidates if _opens_window(peer, now)]
+        weights = {peer.name: self._health.read_weight(peer.name, now) for peer in candidates}
+        if not any(weights.values()) or any(weights[peer.name] for peer in is_open):
+            return is_open
+        return []
 
     def _pick(self, candidates: list[peers.Peer], request: RouteRequest) -> peers.Peer:
         probed = self._pick_probe(candidates, request)
@@ -277,7 +285,8 @@
         if not request.may_probe or request.excluded:
             return None
         ejected = [peer for peer in candidates if peer.weight == 0.0 and not peer.in_flight]
-        if not ejected or self._random.random() >= _PROBE_PART:
+        part = _WINDOWED_PROBE_PART if request.is_windowed else _PROBE_PART
+        if not ejected or self._random.random() >= part:
             return None
         return self._random.choice(ejected)
 
--- a/libs/routing/oleander_routing/windows.py
+++ b/libs/routing/oleander_routing/windows.py
@@ -17,6 +17,8 @@
 _MOST_TRIAL_SECONDS = 0.4
 """Between two trials at a server that refuses for long. A tenth of the time in which the steps of
 a trainer follow one another: a server that stands idle for longer after each load is missed."""
+_LEAST_DOUBT_SECONDS = 1.0
+"""A server that refused is believed to refuse for so long at least without another refusal."""
 _REFUSAL_SECONDS = 0.06
 """A server that refuses does so at once: of 453 refusals seen 440 came within 60 ms, the
 others, of 0.1 to 0.8 s, had been queued when a load began. A trial that is not refused for so
@@ -37,12 +39,20 @@
 
     Waiting until the server has begun with a trial instead left it idle: its slots may be taken
     for long by what it went on with, and what it could queue meanwhile was not sent.
+
+    A refusal is believed for as long as the server was seen to refuse, and a second at least.
+    Nothing is tried while there is no work; the next step then began with a single trial, which
+    met the next load, and on a quiet day a server of four had no work for three steps.
     """
 
     size: float = FIRST_WINDOW
     """How many requests may be in flight, in multiples of the server's slots."""
     refuses_since: float | None = None
     """Since when it has refused everything; nothing while it takes requests."""
+    refused_at: float = 0.0
+    """When it last refused."""
+    refusing_seconds: float = 0.0
+    """For how long it refused the last time that it did."""
     next_trial_at: float = 0.0
     """While it refuses, nothing is sent before this time."""
     tried_at: float | None = None
@@ -58,7 +68,9 @@
         if in_flight >= int(self.size * slots):
             return False
         if self.tried_at is not None and now >= self.tried_at + _REFUSAL_SECONDS:
-            self._note_taken()
+            self._note_taken(now)
+        if self.refuses_since is not None and now >= self.refused_at + self._doubt_seconds:
+            self._note_taken(self.refused_at)
         return self.refuses_since is None or now >= self.next_trial_at
 
     def note_started(self, now: float, jitter: float) -> None:
@@ -75,7 +87,7 @@
         on with what they run.
         """
         if self.refuses_since is not None and started_at >= self.refuses_since:
-            self._note_taken()
+            self._note_taken(started_at)
 
     def note_refused(self, now: float, jitter: float) -> None:
         """
@@ -88,13 +100,22 @@
             self.refuses_since = now
             self.size = max(_LEAST_WINDOW, self.size / 2)
         self.tried_at = None
+        self.refused_at = now
         self._put_off(now, jitter)
 
     def note_done(self, slots: int) -> None:
         """Take in a success; the window grows by one for each window of them."""
         self.size = min(_MOST_WINDOW, self.size + 1.0 / (self.size * slots * slots))
 
-    def _note_taken(self) -> None:
+    @property
+    def _doubt_seconds(self) -> float:
+        """For how long the last refusal tells that the next request would be refused too."""
+        since = self.refused_at if self.refuses_since is None else self.refuses_since
+        return max(_LEAST_DOUBT_SECONDS, self.refusing_seconds, self.refused_at - since)
+
+    def _note_taken(self, until: float) -> None:
+        if self.refuses_since is not None:
+            self.refusing_seconds = until - self.refuses_since
         self.refuses_since = None
         self.tried_at = None
 
