Leave out every second version where loads hold up texts

What it costs: half of the servers serve a step with the version before the newest. The trainer's steps state that they allow it; a trainer whose steps allow the newest alone has every load as before.

--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -170,13 +170,13 @@
         """
         Return the servers that should load the target now, in the waves' order.
 
-        Where not every server can load every version, the servers are shared out among the
+        Where not every server should load every version, the servers are shared out among the
         models, and each leaves out every second version, those of odd and of even rank in turns,
         as long as its trainer allows what it has. So at each new version half of the servers go
         on at once, and the others load.
         """
         size = count_at_once(len(listed))
-        is_crowded = self._pace.is_crowded(len(listed), size)
+        leaves_out = self._must_leave_out(len(listed))
         ranked = sorted(
             (
                 item
@@ -190,7 +190,7 @@
             server
             for rank, server in enumerate(ranked)
             if self._find_version(server, model) < target.version
-            and not (is_crowded and self._may_skip(server, rank, model, target.version))
+            and not (leaves_out and self._may_skip(server, rank, model, target.version))
         ]
         done = len(ranked) - len(missing)
         reached = max(waves, done // size + 1) * size
@@ -201,15 +201,19 @@
         self, listed: list[servers.Server], models: list[str]
     ) -> dict[str, frozenset[str]]:
         """
-        Return the servers of each model, or nothing where every server can load every version.
+        Return the servers of each model, or nothing where all load every version.
 
         With three trainers that each name a version every four seconds, servers that load for all
         of them spend a fifth of their time on it and stand still meanwhile.
         """
-        if not self._pace.is_crowded(len(listed), count_at_once(len(listed))):
+        if not self._must_leave_out(len(listed)):
             return {}
         return homes.choose_homes((item.server_id for item in listed), models)
 
+    def _must_leave_out(self, count: int) -> bool:
+        """Tell whether so many servers can't load every version, or stand still for too long."""
+        return self._pace.holds_up or self._pace.is_crowded(count, count_at_once(count))
+
     def _may_skip(self, server: servers.Server, rank: int, model: str, version: int) -> bool:
         is_allowed = self._find_version(server, model) >= version - self._lags.get(model, 0)
         return is_allowed and (version + rank) % 2 == 1
