Let the ablation tool take out the mechanisms that are new

Shared servers, the end of the belief in a refusal, and probes by batch work; the versions that are left out are decided at another line now, and the tool said so.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -94,9 +94,24 @@
         "(named[item.model].seen_at, item.model)",
     ),
     "versions-left-out": (
-        f"{_ORDERS}/pace.py",
-        "return wanted * load_seconds > _MOST_USED * at_once",
-        "return wanted < 0.0",
+        f"{_ORDERS}/plan.py",
+        "return self._pace.holds_up or self._pace.is_crowded(count, count_at_once(count))",
+        "return False",
+    ),
+    "shared-servers": (
+        f"{_ORDERS}/plan.py",
+        "        if not self._must_leave_out(len(listed)):",
+        "        if listed:",
+    ),
+    "belief-that-ends": (
+        f"{_ROUTING}/windows.py",
+        "if self.refuses_since is not None and now >= self.refused_at + self._doubt_seconds:",
+        "if self.refuses_since is not None and now < 0.0:",
+    ),
+    "probes-by-batches": (
+        f"{_ROUTING}/router.py",
+        "_WINDOWED_PROBE_PART = 0.05",
+        "_WINDOWED_PROBE_PART = 0.0",
     ),
     "crowd": (
         f"{_PROGRAM}/version_keeper.py",
