Queue few texts at engines, and place the longest at the fastest

A runner hands texts out by what it has at each engine, up to twice its slots. Three runners know nothing of each other, so right after a step is asked some engines have 6 texts running and 10 to 15 queued while others, which loaded weights a moment before, have free slots; 40 to 60 texts waited with 30 to 50 slots free. A text that waits at an engine can't go elsewhere. Now a third of an engine's slots may be queued there by one runner; the rest waits at the runner and goes where a slot is free.

The last text of most steps was one of the longest, begun at once, and took 5.3 s at two engines of three and 7.0 s at the others: 32 and 42 ms from one event to the next. Runners keep each engine's rate now; a text that would end over 0.4 s later goes to a faster one, and one that runs moves to a faster engine with a free slot if it ends 0.5 s sooner there.

A retry no longer falls back to the server that it was cancelled at while the others are only full for a moment.

Ruled out: loads do not hold up running texts (pauses of 0.07 s at most beside an order); engines are not full on the whole (44% of slots).

--- a/features/steps/stragglers_steps.py
+++ b/features/steps/stragglers_steps.py
@@ -17,6 +17,7 @@
 
     def __init__(self, gap_ms, wait_ms):
         self._gap = gap_ms / 1000
+        self.spare_rate = None
         policy = batch_run.POLICY
         assert isinstance(policy, hedging.StragglerPolicy)
         groups = tuple(steps.Group("", "", 1, 10_000) for _ in range(_SHORT_TEXTS + 1))
@@ -37,7 +38,9 @@
             while made < len(pieces) and pieces[made] <= now:
                 self._note_piece(self._long, pieces[made])
                 made += 1
-            if now >= self._whole_at and self._scheduler.start_next(now) is not None:
+            if now < self._whole_at:
+                continue
+            if self._scheduler.start_next(now, spare_rate=self.spare_rate) is not None:
                 return made
         return None
 
@@ -52,6 +55,10 @@
             times.append(now)
         return times
 
+    def open_spare(self, slower):
+        """Let an engine have a place that is so many times slower than the usual one."""
+        self.spare_rate = _PIECE_TOKENS / (self._gap * slower)
+
     def _make_short(self, work, wait):
         for number in range(_SHORT_PIECES):
             self._whole_at = wait + (number + 1) * self._gap
@@ -83,6 +90,16 @@
     context.pieces = context.step.list_pieces(count, slow_after=after, pause=pause / 1000)
 
 
+@behave.given("an engine with a place that is {slower:g} times slower than the usual one")
+def open_spare(context, slower):
+    context.step.open_spare(slower)
+
+
+@behave.given("a text of {count:d} pieces at an engine that is {slower:g} times slower")
+def start_at_slower(context, count, slower):
+    context.pieces = context.step.list_pieces(count, slow_after=1, slower=slower)
+
+
 @behave.given("a text of {count:d} pieces that waits for {wait:d} ms")
 def wait_long(context, count, wait):
     context.pieces = context.step.list_pieces(count, wait=wait / 1000)
--- a/features/stragglers.feature
+++ b/features/stragglers.feature
@@ -37,3 +37,32 @@
       | 75  | 800  | whose engine turns 1.5 times slower after 30 pieces        |
       | 37  | 1200 | that waits for 1500 ms                                     |
       | 75  | 2000 | that waits for 3000 ms                                     |
+
+  Scenario Outline: A long text moves to a faster engine that has a place, if it ends sooner there
+    # Guards against steps that wait for one long text on a slow engine while faster ones are idle.
+    Given engines that make a piece in <gap> ms, and 20 texts of 10 pieces that waited 0 ms
+    And a text of 160 pieces at an engine that is <here> times slower
+    And an engine with a place that is <there> times slower than the usual one
+    Then the text is moved before it has made <pieces> pieces
+
+    Examples:
+      | gap | here | there | pieces |
+      | 37  | 1.3  | 1     | 80     |
+      | 37  | 1.6  | 1     | 80     |
+      | 75  | 1.3  | 1     | 80     |
+      | 75  | 1.3  | 0.8   | 80     |
+
+  Scenario Outline: A text stays where a faster engine would gain it little
+    # Guards against texts that are read again and again for nothing.
+    Given engines that make a piece in <gap> ms, and 20 texts of 10 pieces that waited 0 ms
+    And a text of <count> pieces at an engine that is <here> times slower
+    And an engine with a place that is <there> times slower than the usual one
+    Then the text is not moved
+
+    Examples:
+      | gap | count | here | there |
+      | 37  | 30    | 1.3  | 1     |
+      | 37  | 160   | 1    | 1     |
+      | 37  | 160   | 1.3  | 1.3   |
+      | 37  | 160   | 1    | 1.3   |
+      | 12  | 60    | 1.3  | 1     |
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -179,10 +179,15 @@
                 self._waiters -= 1
 
     def wait_change(self, seconds: float) -> None:
-        """Wait until the index has grown, or for so long."""
+        """Wait until the index has grown, until woken, or for so long."""
         with self._changed:
             self._changed.wait(seconds)
 
+    def wake(self) -> None:
+        """Wake whoever waits for a change: something else that it acts on has changed."""
+        with self._changed:
+            self._changed.notify_all()
+
     def accept(
         self, accepted: submission.Submission, deadline: clock.Deadline
     ) -> expression.Result[None, content.NotDone]:
--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -6,6 +6,10 @@
 from oleander_routing import windows
 
 _NEWEST_WEIGHT = 0.1
+_NEWEST_RATE_WEIGHT = 0.25
+_QUEUE_PART = 3
+"""One request in so many slots may wait at a peer: enough that a slot that becomes free is filled
+without a round trip, few enough that the others stay here and can go wherever a slot is free."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -45,10 +49,14 @@
     reported_at: float
     in_flight: int = 0
     """Requests of this entry that were started and not finished."""
+    queued_here: int = 0
+    """Streams of this entry that were sent and have not begun."""
     others: int = 0
     """Requests of other entries that waited or ran there by the last report."""
     latency_ms: float = 0.0
     """How long this entry's requests take there, as a moving average; 0 while unknown."""
+    event_ms: float = 0.0
+    """From one event of a stream to the next, as a moving average; 0 while unknown."""
     outstanding: float = 0.0
     """How many requests are estimated to wait or run there now."""
     is_listed_leaving: bool = False
@@ -72,10 +80,17 @@
     @property
     def has_room(self) -> bool:
         """Whether it is trusted and this entry has fewer requests there than it has slots."""
-        return self.weight > 0.0 and self.in_flight < self.slots
+        return self.weight > 0.0 and self.has_free_slot
+
+    @property
+    def has_free_slot(self) -> bool:
+        """Whether it seems to have a free slot: what this entry sent there has all begun."""
+        return self.in_flight < self.slots and not self.queued_here
 
     def opens_window(self, now: float) -> bool:
         """Whether one more windowed request may be sent."""
+        if self.queued_here >= max(1, self.slots // _QUEUE_PART):
+            return False
         return self.window.is_open(self.in_flight, self.slots, now)
 
     def apply(self, report: PeerReport, now: float) -> None:
@@ -98,6 +113,11 @@
         weight = _NEWEST_WEIGHT if self.latency_ms > 0.0 else 1.0
         self.latency_ms += weight * (latency_ms - self.latency_ms)
 
+    def observe_rate(self, event_ms: float) -> None:
+        """Take in how long a stream took from one event to the next."""
+        weight = _NEWEST_RATE_WEIGHT if self.event_ms > 0.0 else 1.0
+        self.event_ms += weight * (event_ms - self.event_ms)
+
 
 def create_peer(name: str, report: PeerReport, now: float) -> Peer:
     """Return a peer as its first report describes it."""
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -28,6 +28,10 @@
 """The part of requests that may probe an ejected peer."""
 _WINDOWED_PROBE_PART = 0.05
 """The same of work that can wait, which comes by some fifty at a time: one or two of them."""
+_MOST_LOST_MS = 400
+"""By so much later than on the fastest peer a text may be expected to end on the one chosen."""
+_ABOUT_AS_FAST = 1.15
+"""Peers whose rates differ by less are taken for equally fast; load alone changes a rate by it."""
 _LEAST_RETRY_MS = 50
 _UNKNOWN_RETRY_MS = 1000
 
@@ -61,6 +65,17 @@
     """The model that `oldest_version` is of, where peers have several."""
     is_windowed: bool = False
     """Whether it waits while the peers' windows are full."""
+    expected_events: float = 0.0
+    """How many events its stream is expected to have; 0 where that is unknown."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SparePeer:
+    """A peer that could begin with a request at once."""
+
+    name: str
+    event_ms: float
+    """From one event of a stream to the next; 0 where that is unknown."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -147,6 +162,27 @@
                 if is_windowed:
                     peer.window.note_started(self._read_now(), self._random.random())
 
+    def add_queued(self, name: str) -> None:
+        """Count a stream that was sent to a peer and has not begun."""
+        with self._lock:
+            peer = self._peers.get(name)
+            if peer is not None:
+                peer.queued_here += 1
+
+    def remove_queued(self, name: str) -> None:
+        """Count a stream no longer that has begun, or has ended without beginning."""
+        with self._lock:
+            peer = self._peers.get(name)
+            if peer is not None:
+                peer.queued_here = max(0, peer.queued_here - 1)
+
+    def record_rate(self, name: str, event_ms: float) -> None:
+        """Take in how long a peer took from one event of a stream to the next."""
+        with self._lock:
+            peer = self._peers.get(name)
+            if peer is not None:
+                peer.observe_rate(event_ms)
+
     def note_accepted(self, name: str, started_at: float) -> None:
         """Take in that a peer has begun with a request that was sent at this time, or ran it."""
         with self._lock:
@@ -180,22 +216,25 @@
                 peer.observe(latency_ms)
             self._health.note_outcome(name, group, failed, latency_ms, moment)
 
-    def has_spare(self, request: RouteRequest) -> bool:
+    def find_spare(self, request: RouteRequest) -> SparePeer | None:
         """
-        Tell whether a trusted peer with the version has more slots than requests of this entry.
+        Return the fastest trusted peer with the version that seems to have a free slot, if any.
 
         Peers whose weights are too old count for nothing: work that is cancelled for a place there
         only goes back to those that it came from.
         """
         with self._lock:
             now = self._read_now()
-            return any(
-                peer.in_flight < peer.slots and self._health.read_weight(peer.name, now) > 0.0
+            spare = [
+                SparePeer(peer.name, peer.event_ms)
                 for peer in self._peers.values()
                 if peer.backend == request.backend
                 and peer.is_usable
+                and peer.has_free_slot
+                and self._health.read_weight(peer.name, now) > 0.0
                 and _has_version(peer, request)
-            )
+            ]
+        return min(spare, key=lambda peer: (not peer.event_ms, peer.event_ms), default=None)
 
     def list_peers(self) -> list[peers.Peer]:
         """Return copies of all peers as they are now."""
@@ -272,6 +311,10 @@
         trusted = [peer for peer in candidates if peer.weight > 0.0]
         if not trusted:
             return min(candidates, key=lambda peer: peer.load)
+        if request.is_windowed:
+            fast = _narrow_by_rate(trusted, request.expected_events)
+            free = [peer for peer in fast if peer.has_free_slot]
+            trusted = _keep_fastest(free) or fast
         if request.affinity:
             cached = selection.pick_by_affinity(trusted, request.affinity, request.budget_ms)
             if cached is not None:
@@ -303,6 +346,26 @@
     return version is not None and version >= request.oldest_version
 
 
+def _narrow_by_rate(listed: list[peers.Peer], events: float) -> list[peers.Peer]:
+    """
+    Return the peers on which a stream ends little later than on the fastest; unknown ones too.
+
+    The longest texts decide when a step is whole. On a peer that is a third slower they end
+    seconds later, while short ones lose less there than by waiting for a faster one.
+    """
+    fastest = min((peer.event_ms for peer in listed if peer.event_ms), default=0.0)
+    if not events or not fastest:
+        return listed
+    most = fastest + _MOST_LOST_MS / events
+    return [peer for peer in listed if peer.event_ms <= most]
+
+
+def _keep_fastest(listed: list[peers.Peer]) -> list[peers.Peer]:
+    """Return the peers that are about as fast as the fastest, and unknown ones."""
+    fastest = min((peer.event_ms for peer in listed if peer.event_ms), default=0.0)
+    return [peer for peer in listed if peer.event_ms <= fastest * _ABOUT_AS_FAST]
+
+
 def _opens_window(peer: peers.Peer, now: float) -> bool:
     was_refusing = peer.window.is_refusing
     is_open = peer.opens_window(now)
--- a/libs/samples/oleander_samples/hedging.py
+++ b/libs/samples/oleander_samples/hedging.py
@@ -9,6 +9,9 @@
 """A straggler needs this times what another engine would."""
 _START_TOKENS = 32
 """What starting elsewhere costs, in tokens at the usual rate."""
+_LEAST_GAIN_SECONDS = 0.5
+"""By so much sooner a sample has to end on a faster engine to be moved there: moving has its text
+read again, and how long it will be is a guess."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -85,12 +88,16 @@
         return True
 
     def find_stragglers(
-        self, attempts: collections.abc.Iterable[work.Attempt], now: float
+        self,
+        attempts: collections.abc.Iterable[work.Attempt],
+        now: float,
+        spare_rate: float | None = None,
     ) -> list[int]:
         """
         Return the samples that another engine would finish far sooner, the latest first.
 
-        Where a sample has two attempts, both must be late.
+        Where a sample has two attempts, both must be late. The rate is that of the fastest engine
+        with a spare place, in tokens a second; nothing where it is unknown.
         """
         typical = self._rates.typical
         if typical is None:
@@ -99,7 +106,7 @@
         in_time = set()
         for attempt in attempts:
             number = attempt.work.number
-            seconds = self._measure_lateness(attempt, typical, now)
+            seconds = self._measure_lateness(attempt, typical, spare_rate, now)
             if seconds is None:
                 in_time.add(number)
             else:
@@ -148,7 +155,9 @@
         """The seconds for which work may wait for its first token and be no straggler."""
         return max(self._policy.start_seconds, _FAR_OVER * self._rates.typical_wait)
 
-    def _measure_lateness(self, attempt: work.Attempt, typical: float, now: float) -> float | None:
+    def _measure_lateness(
+        self, attempt: work.Attempt, typical: float, spare_rate: float | None, now: float
+    ) -> float | None:
         """
         Return the seconds that an attempt still needs, if that is far over what others do.
 
@@ -158,9 +167,11 @@
         if not attempt.made_tokens and attempt.measure_seconds(now) < self._patience:
             return None
         rate = attempt.measure_rate(typical, self._patience, now)
-        if rate * _FAR_OVER >= typical:
-            return None
         tokens = self.predict_remaining(attempt)
         here = tokens / rate
+        if spare_rate and here >= (tokens + _START_TOKENS) / spare_rate + _LEAST_GAIN_SECONDS:
+            return here
+        if rate * _FAR_OVER >= typical:
+            return None
         elsewhere = self._rates.typical_wait + (tokens + _START_TOKENS) / typical
         return here if here > _FAR_OVER * elsewhere else None
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -79,18 +79,21 @@
         """The tokens that hedges have made, counted against their budget."""
         return self._hedges.spent
 
-    def start_next(self, now: float, has_spare: bool = True) -> work.SampleWork | None:
+    def start_next(
+        self, now: float, has_spare: bool = True, spare_rate: float | None = None
+    ) -> work.SampleWork | None:
         """
         Return what to start: a waiting sample, or else a straggler's next attempt.
 
-        Without a spare place a straggler stays where it is: it would only wait elsewhere.
+        Without a spare place a straggler stays where it is: it would only wait elsewhere. The
+        rate is what the fastest engine with a spare place makes of one sample, in tokens a second.
         """
         number = self._backlog.pop(now)
         if number is not None:
             return self._start(number, self._partials.pop(number, None), now, is_hedge=False)
         if self._backlog or not has_spare:
             return None
-        return self._start_straggler(now)
+        return self._start_straggler(now, spare_rate)
 
     def note_progress(
         self, work_id: str, text: str, tokens: int, version: int | None, now: float
@@ -241,6 +244,7 @@
         self._work_count += 1
         group = self._group_of[number]
         terms = self._step.groups[group]
+        made = partial.tokens if partial else 0
         started = work.SampleWork(
             work_id=f"{self._work_name}-{self._work_count}",
             number=number,
@@ -250,18 +254,20 @@
             max_tokens=terms.max_tokens,
             resumed_text=partial.text if partial else "",
             resumed_label=partial.label if partial else (),
-            resumed_tokens=partial.tokens if partial else 0,
+            resumed_tokens=made,
             oldest_version=self._oldest_version,
             is_hedge=is_hedge,
+            expected_tokens=self._hedges.predict_hedge(group, made),
         )
         self._attempts.add(work.Attempt(started, now))
         return started
 
-    def _start_straggler(self, now: float) -> work.SampleWork | None:
+    def _start_straggler(self, now: float, spare_rate: float | None) -> work.SampleWork | None:
         whole = self._step.total - self.waiting - self.running
         if self._hedges.is_due(whole, now):
             self._stragglers.clear()
-            self._stragglers.extend(self._hedges.find_stragglers(self._attempts, now))
+            found = self._hedges.find_stragglers(self._attempts, now, spare_rate)
+            self._stragglers.extend(found)
         while self._stragglers:
             number = self._stragglers.popleft()
             same = self._attempts.find_all(number)
--- a/libs/samples/oleander_samples/work.py
+++ b/libs/samples/oleander_samples/work.py
@@ -42,6 +42,8 @@
     """Weights older than this are of no use."""
     is_hedge: bool
     """Whether another attempt at the same sample runs."""
+    expected_tokens: int = 0
+    """How many are expected to be made yet."""
 
 
 class Outcome(enum.Enum):
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -6,6 +6,7 @@
 
 from oleander_base import clock, identifiers
 from oleander_batches import fold, submission
+from oleander_routing import router
 from oleander_samples import hedging, scheduler, steps, work
 from oleanderdeal import item_texts
 
@@ -24,6 +25,7 @@
 token may be waiting for a place for a second. An item that fails at once is tried each second at
 the least: a step counts one that is nowhere for five as forgotten.
 """
+_MILLISECONDS = 1000
 _LEAST_URGENT = 5
 _MOST_URGENT = 1
 _URGENCIES = 4
@@ -41,6 +43,8 @@
     """Its place in the submission."""
     resumed_events: int
     urgency: int
+    expected_events: float
+    """How many are expected to be made yet."""
 
 
 class BatchRun:
@@ -193,19 +197,27 @@
         for partial in partials:
             self._kept_events[partial.item_number] = partial.events
 
-    def start_next(self, now: float, due_seconds: float, has_spare: bool) -> ItemWork | None:
+    def start_next(
+        self, now: float, due_seconds: float, spare: router.SparePeer | None
+    ) -> ItemWork | None:
         """Return the next item to generate, or a straggler to move to a spare place."""
+        spare_rate = (
+            self._event_tokens * _MILLISECONDS / spare.event_ms
+            if spare is not None and spare.event_ms
+            else None
+        )
         with self._lock:
             if self._is_stopped or self._batch.is_ended:
                 return None
-            started = self._scheduler.start_next(now, has_spare)
+            started = self._scheduler.start_next(now, spare is not None, spare_rate)
             self._cancelled.update(self._scheduler.take_cancellations())
         if started is None:
             return None
         events = started.resumed_tokens // self._event_tokens
         item = self._submitted.items[started.number]
         urgency = self.read_urgency(due_seconds)
-        return ItemWork(self, started, item, started.number, events, urgency)
+        expected = started.expected_tokens / self._event_tokens
+        return ItemWork(self, started, item, started.number, events, urgency, expected)
 
     def is_cancelled(self, item: ItemWork) -> bool:
         """Tell whether an attempt is of no more use."""
@@ -244,11 +256,11 @@
             self._forget(item)
             self._scheduler.fail(item.work.work_id, clock.read_now())
 
-    def put_back(self, item: ItemWork) -> None:
-        """Take in that an attempt was refused before it began."""
+    def put_back(self, item: ItemWork, delay_seconds: float = 0.0) -> None:
+        """Let an item wait again whose attempt was refused, or not sent, before it began."""
         with self._lock:
             self._forget(item)
-            self._scheduler.put_back(item.work.work_id, clock.read_now())
+            self._scheduler.put_back(item.work.work_id, clock.read_now() + delay_seconds)
 
     def count_error(self, item_number: int) -> int:
         """Count an answer by which the server failed; return how many there were."""
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -16,6 +16,8 @@
 """What texts lose at most when their process is killed; the longest usual ones take 5 s."""
 _LEAST_KEPT_EVENTS = 12
 """A start that is kept costs two small appends; below half of a usual text it isn't worth them."""
+_FULL_AGAIN_SECONDS = 0.05
+"""After which an item is tried again that may only go to servers that are full."""
 _BATCH_PRIORITY = 0
 
 
@@ -125,6 +127,7 @@
                 self._drop(batch_id)
             else:
                 run.note_listed()
+        self._journal.expect_updates(bool(self._runs))
         if self._is_draining:
             return
         for batch_id, batch in open_batches.items():
@@ -159,7 +162,6 @@
 
     def _load(self, batch: fold.Batch) -> None:
         table = self._directory.table
-        self._journal.expect_updates(bool(self._runs))
         route = self._find_route(batch)
         if table is None or route is None:
             log.warn_bounded("batch-without-route", "its items wait", batch=batch.batch_id)
@@ -214,22 +216,40 @@
             return False
         if self._choose(run, route, frozenset()) is None:
             return False
-        has_spare = self._router.has_spare(_describe_need(run, route, frozenset()))
-        item = run.start_next(clock.read_now(), route.due_ms / 1000, has_spare)
+        spare = self._router.find_spare(_describe_need(run, route, frozenset()))
+        item = run.start_next(clock.read_now(), route.due_ms / 1000, spare)
         if item is None:
             return False
-        server = self._choose(run, route, run.find_last_server(item.item_number))
-        server = server or self._choose(run, route, frozenset())
+        server = self._choose_next(run, route, item)
         if server is None:
-            run.put_back(item)
-            return False
+            run.put_back(item, _FULL_AGAIN_SECONDS)
+            return True
         run.note_server(item.item_number, server.server_id)
         self._router.note_started(server.server_id, is_windowed=True)
+        self._router.add_queued(server.server_id)
         with self._lock:
             self._running += 1
         self._group.start(lambda: self._run(item, server))
         return True
 
+    def _choose_next(
+        self, run: batch_run.BatchRun, route: routes.Route, item: batch_run.ItemWork
+    ) -> servers.Server | None:
+        """
+        Return the server of an item's next attempt: another one than its last, if there is any.
+
+        Nothing where all others are full for the moment: an item that was cancelled at a server
+        is no better off there.
+        """
+        excluded = run.find_last_server(item.item_number)
+        need = _describe_need(run, route, excluded, item.expected_events)
+        chosen = self._router.choose(need)
+        if chosen.is_ok():
+            return self._directory.find_server(chosen.ok)
+        if chosen.error.reason == router.WINDOWS_FULL:
+            return None
+        return self._choose(run, route, frozenset())
+
     def _choose(
         self, run: batch_run.BatchRun, route: routes.Route, excluded: frozenset[str]
     ) -> servers.Server | None:
@@ -238,7 +258,7 @@
 
     def _run(self, item: batch_run.ItemWork, server: servers.Server) -> None:
         try:
-            result = self._items.run_item(item, server)
+            result = self._items.run_item(item, server, self._journal.wake)
             if result is not None:
                 item.run.note_result(item.item_number, result)
                 self._writer.add(item.run.batch.batch_id, item.item_number, result)
@@ -248,7 +268,10 @@
 
 
 def _describe_need(
-    run: batch_run.BatchRun, route: routes.Route, excluded: frozenset[str]
+    run: batch_run.BatchRun,
+    route: routes.Route,
+    excluded: frozenset[str],
+    expected_events: float = 0.0,
 ) -> router.RouteRequest:
     """Return what a server has to be for an item of a batch."""
     return router.RouteRequest(
@@ -260,4 +283,5 @@
         budget_ms=route.due_ms,
         model=run.submitted.model,
         is_windowed=True,
+        expected_events=expected_events,
     )
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -1,5 +1,7 @@
 """Generates one item, has it scored, and hands over its result."""
 
+import collections.abc
+
 from oleander_base import clock, log, metrics, tasks
 from oleander_batches import submission
 from oleander_direct import calls, directory, routes, servers
@@ -16,6 +18,8 @@
 """Usual scorings take 0.2 s; one that hangs is asked again while its step can be in time."""
 _SCORING_AGAIN_SECONDS = 0.05
 """Between tries of a scoring that was refused: a quarter of a usual one's time."""
+_LEAST_RATED_EVENTS = 5
+"""Fewer say little of a server's rate."""
 _BAD_ITEM = 422
 
 
@@ -37,10 +41,18 @@
         self._group = group
 
     def run_item(
-        self, item: batch_run.ItemWork, server: servers.Server
+        self,
+        item: batch_run.ItemWork,
+        server: servers.Server,
+        on_dequeued: collections.abc.Callable[[], None] = lambda: None,
     ) -> submission.ItemResult | None:
-        """Return the item's result, or nothing where it is to be tried again."""
-        outcome = _ItemAttempt(self._caller, self._router, item, server)
+        """
+        Return the item's result, or nothing where it is to be tried again.
+
+        `on_dequeued` is called once, when the server has begun with it or never will: another
+        item may then be sent there.
+        """
+        outcome = _ItemAttempt(self._caller, self._router, item, server, on_dequeued)
         ended = self._run_attempt(outcome, item, server)
         if isinstance(ended, submission.ItemResult):
             return ended
@@ -65,6 +77,9 @@
             log.logger.bind(event="item-failed", id=item.item.item_id).exception("tried again")
             outcome.reason = "internal-error"
             item.run.fail(item)
+        finally:
+            outcome.leave_queue()
+            outcome.report_rate()
         seconds = clock.read_now() - started_at
         rated, milliseconds = outcome.rate(seconds)
         self._router.note_finished(server.server_id, rated, milliseconds)
@@ -129,16 +144,20 @@
         router_: router.Router,
         item: batch_run.ItemWork,
         server: servers.Server,
+        on_dequeued: collections.abc.Callable[[], None],
     ) -> None:
         self._caller = caller
         self._router = router_
         self._item = item
         self._run = item.run
         self._server = server
+        self._on_dequeued = on_dequeued
+        self._is_queued = True
         self._started_at = clock.read_now()
         self._heard_at = self._started_at
         self._first_at = 0.0
         self._events = 0
+        self._longest_gap = 0.0
         self.was_refused = False
         self._was_cancelled = False
         self.was_error = False
@@ -165,6 +184,13 @@
             return self._judge_answer(opened.ok)
         return self._read_stream(opened.ok)
 
+    def leave_queue(self) -> None:
+        """Count the item no longer as waiting at its server; repeated calls change nothing."""
+        if self._is_queued:
+            self._is_queued = False
+            self._router.remove_queued(self._server.server_id)
+            self._on_dequeued()
+
     def rate(self, seconds: float) -> tuple[router.RouteOutcome, float]:
         """Return what the attempt says of its server, and its milliseconds for each event."""
         milliseconds = seconds * 1000
@@ -177,6 +203,27 @@
             return router.RouteOutcome.FAILED, milliseconds
         return router.RouteOutcome.OK, milliseconds
 
+    def report_rate(self) -> None:
+        """Tell the router how long the server took from one event to the next, if it sent many."""
+        if self._events >= _LEAST_RATED_EVENTS:
+            milliseconds = (self._heard_at - self._first_at) * 1000 / (self._events - 1)
+            self._router.record_rate(self._server.server_id, milliseconds)
+
+    @property
+    def events(self) -> int:
+        """How many events it received."""
+        return self._events
+
+    @property
+    def first_ms(self) -> int:
+        """Milliseconds from its start to its first event; -1 before that."""
+        return int((self._first_at - self._started_at) * 1000) if self._events else -1
+
+    @property
+    def longest_gap_ms(self) -> int:
+        """The longest pause between two of its events, in milliseconds."""
+        return int(self._longest_gap * 1000)
+
     def _read_stream(self, stream: servers.EventStream) -> steps.Sample | None:
         while True:
             read = stream.read_event()
@@ -188,10 +235,14 @@
                 sample = self._run.finish(self._item)
                 self.reason = "" if sample else "unusable"
                 return sample
-            self._heard_at = clock.read_now()
+            now = clock.read_now()
+            if self._events:
+                self._longest_gap = max(self._longest_gap, now - self._heard_at)
+            self._heard_at = now
             if not self._events:
-                self._first_at = self._heard_at
+                self._first_at = now
                 self._router.note_accepted(self._server.server_id, self._started_at)
+                self.leave_queue()
             self._events += 1
             self._run.note_event(self._item, read.ok.text, read.ok.version)
             if self._run.is_cancelled(self._item):
@@ -248,5 +299,8 @@
         server=server.server_id,
         resumed=item.resumed_events,
         ms=int(seconds * 1000),
+        first_ms=outcome.first_ms,
+        events=outcome.events,
+        gap_ms=outcome.longest_gap_ms,
         reason=outcome.reason,
     ).info("broke off" if outcome.reason else "whole")
