Go on with texts at a stop while the log is away, and leave as soon as it is back

A runner that stops ends its texts, keeps their starts in the log and says that others may run its batches.

Tests: both red before (the texts stopped at once; no second leave).

--- a/features/batch_tenures.feature
+++ b/features/batch_tenures.feature
@@ -73,6 +73,30 @@
     And all partitions are dealt to b
     Then within 1.2 s runner b runs 4 items
 
+  Scenario: A runner that stops while the log is away goes on until the log is back
+    # Guards against texts that stand still for an outage, and seconds more, since nobody took them over.
+    Given runners a and b with the engines e1=crawls e2=crawls, all partitions dealt to a
+    When a batch that allows versions from 1 on is accepted
+    And within 2 s runner a runs 4 items
+    And the log is down for runner a
+    And the log is down for runner b
+    And runner a is drained
+    And after 0.6 s
+    Then runner a goes on with its 4 items
+    When the log is up for runner a
+    And the log is up for runner b
+    And all partitions are dealt to b
+    Then within 2 s runner a runs 0 items
+    And within 1.2 s runner b runs 4 items
+
+  Scenario: A runner that leaves while the log is away leaves as soon as the log is back
+    # Guards against partitions that stay with a process that has ended until its time to live is over.
+    Given runners a and b with the engines e1=crawls e2=crawls, all partitions dealt to a
+    When the log is down for runner a
+    And runner a leaves the group
+    And the log is up for runner a
+    Then within 1 s the log has heard that runner a left
+
   Scenario: A runner that was cut off stops when it reads that another took its batch
     # Both run the batch while one can't read the log. Going on after that, the engines would make
     # each text twice, and the trainer's next step would wait for places.
--- a/features/steps/batch_tenures_steps.py
+++ b/features/steps/batch_tenures_steps.py
@@ -50,6 +50,17 @@
     context.processes[name].runner.drain()
 
 
+@behave.when("runner {name} leaves the group")
+def leave_group(context, name):
+    context.processes[name].owned.leave()
+
+
+@behave.then("within {seconds:g} s the log has heard that runner {name} left")
+def check_left(context, seconds, name):
+    left = context.log_service.left
+    batch_processes.wait_until(seconds, lambda: name in left, lambda: left)
+
+
 @behave.when("the log is {state} for runner {name}")
 def break_log(context, state, name):
     context.clients[name].faults.is_down = state == "down"
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -60,6 +60,7 @@
         self._submitted = submitted
         self._event_tokens = event_tokens
         self._lock = threading.Lock()
+        self._attempt_ended = threading.Condition(self._lock)
         step = _build_step(submitted, event_tokens)
         seed = identifiers.hash_text(submitted.batch_id)
         self._scheduler = scheduler.WorkScheduler(step, POLICY, seed)
@@ -103,6 +104,12 @@
         with self._lock:
             self._is_stopped = True
 
+    def wait_stopped(self, deadline: clock.Deadline) -> None:
+        """Wait until no attempt is in flight; what a stream brings until its end is kept."""
+        with self._lock:
+            while self._scheduler.in_flight and not deadline.is_past:
+                self._attempt_ended.wait(deadline.remaining)
+
     def note_listed(self) -> None:
         """Take in which items have results, whoever made them."""
         with self._lock:
@@ -272,6 +279,7 @@
         return not item.resumed_events and not self._seen_events.get(item.work.work_id)
 
     def _forget(self, item: ItemWork) -> None:
+        self._attempt_ended.notify_all()
         self._seen_events.pop(item.work.work_id, None)
         self._cancelled.discard(item.work.work_id)
 
--- a/programs/oleanderdeal/oleanderdeal/batch_tenures.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_tenures.py
@@ -80,10 +80,9 @@
         if doubtful:
             self._say(doubtful, self._name)
 
-    def release(self, batches: list[fold.Batch]) -> None:
-        """Hand these batches to whoever their partitions are dealt to."""
-        if batches:
-            self._say([batch.batch_id for batch in batches], "")
+    def release(self, batches: list[fold.Batch]) -> bool:
+        """Hand these batches to whoever their partitions are dealt to; return success."""
+        return not batches or self._say([batch.batch_id for batch in batches], "")
 
     def _is_orphan(self, batch: fold.Batch) -> bool:
         """
@@ -105,7 +104,7 @@
         was_heard = clock.read_now() < batch.heard_at + _HEARD_SECONDS
         return batch.runner != self._name or not was_heard
 
-    def _say(self, batch_ids: list[str], runner: str) -> None:
+    def _say(self, batch_ids: list[str], runner: str) -> bool:
         said = self._journal.note_runner(batch_ids, runner)
         log.logger.bind(
             event="batch-tenure",
@@ -113,3 +112,4 @@
             runner=runner,
             error=said.error.detail if said.is_error() else "",
         ).info("runs them" if runner else "hands them over")
+        return said.is_ok()
--- a/programs/oleanderdeal/oleanderdeal/ownership.py
+++ b/programs/oleanderdeal/oleanderdeal/ownership.py
@@ -12,6 +12,7 @@
 and a batch has little more time than this."""
 _JOIN_SECONDS = 0.6
 """Three times within the time to live; such a call costs a tenth of another."""
+_LEAVE_AGAIN_SECONDS = 0.2
 _JOIN_DEADLINE_SECONDS = 1.0
 """Half the time to live, so that another try comes in time."""
 
@@ -35,12 +36,16 @@
         self._membership = recordlog.Membership(0, frozenset())
         self._believed_until = 0.0
         self._is_wanted = True
+        self._has_left = False
 
     def keep(self) -> None:
         """Stay in the group of runners until the process leaves."""
         while not self._group.is_stopping and self._is_wanted:
             self._join()
             self._group.pause(_JOIN_SECONDS)
+        while not self._group.is_stopping and not self._has_left:
+            self._has_left = self._leave()
+            self._group.pause(_LEAVE_AGAIN_SECONDS)
 
     @property
     def partitions(self) -> frozenset[int]:
@@ -57,11 +62,20 @@
         return partition in self.partitions
 
     def leave(self) -> None:
-        """Leave the group, so that others go on at once."""
+        """
+        Leave the group, so that others go on at once.
+
+        Where the log does not answer it is tried again until the process ends: a member that has
+        not left keeps its partitions from the others until its time to live is over.
+        """
         self._is_wanted = False
         self._believed_until = 0.0
+        self._has_left = self._leave()
+
+    def _leave(self) -> bool:
         left = self._log.leave(self._request(), clock.start_deadline(_JOIN_DEADLINE_SECONDS))
         log.logger.bind(event="runner-left", ok=left.is_ok()).info("batches go to others")
+        return left.is_ok()
 
     def _request(self) -> recordlog.MemberRequest:
         generation = self._membership.generation
--- a/standins/oleander_standins/recordlog.py
+++ b/standins/oleander_standins/recordlog.py
@@ -60,6 +60,7 @@
         self._late: list[_LateAppend] = []
         self.appends = 0
         self.dealt: dict[str, frozenset[int]] = shared.dealt if shared else {}
+        self.left: set[str] = shared.left if shared else set()
         """Partitions by member; where nothing is said here, every member is given all."""
 
     def create_client(self) -> "MemoryRecordLog":
@@ -138,7 +139,10 @@
     def leave(
         self, request: recordlog.MemberRequest, deadline: clock.Deadline
     ) -> expression.Result[None, recordlog.LogError]:
-        """Do nothing."""
+        """Remember that a member left."""
+        if self.faults.is_down:
+            return expression.Error(recordlog.LogError("down", False, 0))
+        self.left.add(request.member)
         return expression.Ok(None)
 
     def apply_late(self) -> None:
