Tell an engine's rate while its texts run

A runner learnt an engine's rate when a text there ended. The rate is told every five events now.

Test: the rate is known within 0.2 s of the sixth event while the text still runs; before it is unknown until the text has ended.

--- a/features/batch_items.feature
+++ b/features/batch_items.feature
@@ -67,3 +67,10 @@
     And the runner is drained and another takes over with the engines e1=whole
     Then within 12 s its results are done
     And no event was made twice from the start where it could go on
+
+  Scenario: An engine is known to be slow while its texts run
+    # Guards against texts that move to an engine that has just turned slow.
+    Given a runner with the engines e1=slow
+    When a batch that allows versions from 1 on is accepted
+    And its items have 6 events each
+    Then within 0.2 s e1 is known to take 250 to 600 ms an event
--- a/features/batch_processes.py
+++ b/features/batch_processes.py
@@ -131,7 +131,7 @@
 
     def __init__(self, log_service, engines, names, member="runner"):
         self.group = tasks.TaskGroup("runner", 64)
-        chooser = router.Router(3)
+        self.router = chooser = router.Router(3)
         self._known = directory.Directory(chooser, engines)
         self._known.put_table(_TABLE)
         for name in names:
--- a/features/steps/batch_items_steps.py
+++ b/features/steps/batch_items_steps.py
@@ -121,3 +121,12 @@
         context.log_service, context.engines, list(behaviours)
     )
     stopper.join()
+
+
+@behave.then("within {seconds:g} s {name} is known to take {least:d} to {most:d} ms an event")
+def check_rate(context, seconds, name, least, most):
+    def read_rate():
+        known = context.process.router.list_peers()
+        return next(peer.event_ms for peer in known if peer.name == name)
+
+    batch_processes.wait_until(seconds, lambda: least <= read_rate() <= most, read_rate)
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -18,8 +18,8 @@
 """Usual scorings take 0.2 s; one that hangs is asked again while its step can be in time."""
 _SCORING_AGAIN_SECONDS = 0.05
 """Between tries of a scoring that was refused: a quarter of a usual one's time."""
-_LEAST_RATED_EVENTS = 5
-"""Fewer say little of a server's rate."""
+_RATED_EVENTS = 5
+"""From one report of a server's rate to the next; a single event says little of it."""
 _BAD_ITEM = 422
 
 
@@ -79,7 +79,6 @@
             item.run.fail(item)
         finally:
             outcome.leave_queue()
-            outcome.report_rate()
         seconds = clock.read_now() - started_at
         rated, milliseconds = outcome.rate(seconds)
         self._router.note_finished(server.server_id, rated, milliseconds)
@@ -156,6 +155,7 @@
         self._started_at = clock.read_now()
         self._heard_at = self._started_at
         self._first_at = 0.0
+        self._rated_at = 0.0
         self._events = 0
         self._longest_gap = 0.0
         self.was_refused = False
@@ -203,12 +203,6 @@
             return router.RouteOutcome.FAILED, milliseconds
         return router.RouteOutcome.OK, milliseconds
 
-    def report_rate(self) -> None:
-        """Tell the router how long the server took from one event to the next, if it sent many."""
-        if self._events >= _LEAST_RATED_EVENTS:
-            milliseconds = (self._heard_at - self._first_at) * 1000 / (self._events - 1)
-            self._router.record_rate(self._server.server_id, milliseconds)
-
     @property
     def events(self) -> int:
         """How many events it received."""
@@ -240,10 +234,11 @@
                 self._longest_gap = max(self._longest_gap, now - self._heard_at)
             self._heard_at = now
             if not self._events:
-                self._first_at = now
+                self._first_at = self._rated_at = now
                 self._router.note_accepted(self._server.server_id, self._started_at)
                 self.leave_queue()
             self._events += 1
+            self._report_rate(now)
             self._run.note_event(self._item, read.ok.text, read.ok.version)
             if self._run.is_cancelled(self._item):
                 stream.close()
@@ -252,6 +247,18 @@
                 self._run.fail(self._item)
                 return None
 
+    def _report_rate(self, now: float) -> None:
+        """
+        Tell the router now and then how long the server takes from one event to the next.
+
+        Told only at the end, a server that turns slow would look fast for as long as its texts
+        run, and others would move there.
+        """
+        if self._events > 1 and (self._events - 1) % _RATED_EVENTS == 0:
+            milliseconds = (now - self._rated_at) * 1000 / _RATED_EVENTS
+            self._router.record_rate(self._server.server_id, milliseconds)
+            self._rated_at = now
+
     def _is_unwanted(self) -> bool:
         if self._run.is_cancelled(self._item):
             self._was_cancelled = True
