--- a/features/refusals.feature
+++ b/features/refusals.feature
@@ -68,3 +68,11 @@
     Then that server is given 10 to 14 of the last step's
     And it was given 2 at most in the first
 
+  Scenario: A server that refuses has no spare place
+    # Guards against texts that are cancelled where they run and then refused by one loading server after another.
+    Given a router with the peers p1 p2
+    When p1 refuses a windowed request after a long one began
+    Then only p2 has a spare place
+    When a trial after 0.5 s begins there
+    And the long one ends well
+    Then p1 and p2 have spare places
--- a/features/steps/refusals_steps.py
+++ b/features/steps/refusals_steps.py
@@ -289,3 +289,25 @@
 @behave.then("it was given {most:d} at most in the first")
 def check_first_given(context, most):
     assert context.stepped.given[0] <= most, context.stepped.given
+
+
+def _list_spare(context):
+    """Return the peers with a spare place, found by giving each a queued request in turn."""
+    request = dataclasses.replace(routing_steps.build_request("any"), is_windowed=True)
+    found = []
+    while (spare := context.router.find_spare(request)) is not None:
+        found.append(spare.name)
+        context.router.add_queued(spare.name)
+    for name in found:
+        context.router.remove_queued(name)
+    return sorted(found)
+
+
+@behave.then("only {name} has a spare place")
+def check_only_spare(context, name):
+    assert _list_spare(context) == [name], _list_spare(context)
+
+
+@behave.then("p1 and p2 have spare places")
+def check_all_spare(context):
+    assert _list_spare(context) == ["p1", "p2"], _list_spare(context)
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -220,8 +220,8 @@
         """
         Return the fastest trusted peer with the version that seems to have a free slot, if any.
 
-        Peers whose weights are too old count for nothing: work that is cancelled for a place there
-        only goes back to those that it came from.
+        Peers that refuse work or whose weights are too old count for nothing: work that is
+        cancelled for a place there only goes back to those that it came from.
         """
         with self._lock:
             now = self._read_now()
@@ -231,6 +231,7 @@
                 if peer.backend == request.backend
                 and peer.is_usable
                 and peer.has_free_slot
+                and not peer.window.is_refusing
                 and self._health.read_weight(peer.name, now) > 0.0
                 and _has_version(peer, request)
             ]
