Let one model have a server to itself where loads take long

Where not every server can load every version two models share a server, and each leaves out every second version. With loads of 2.8 s in place of 0.9 that is still more than the weight store's pace allows: servers lag behind both models, and steps wait for one that is new enough. How many models share a server follows from the loads that are seen, with a margin so that it does not change to and fro.

Test: 19 engines, three models; red before (two models at loads of 2.8 s).

--- a/features/orders.feature
+++ b/features/orders.feature
@@ -140,3 +140,19 @@
       | done    | 4        |
       | refused | 4        |
       | unknown | 4        |
+
+  Scenario Outline: Where loads take long, fewer models share a server
+    # Guards against servers that lag behind all their models while steps wait for one that is new enough.
+    Given 19 engines and 3 models whose versions come every 4 s
+    When loads are seen to take <load> s
+    Then <each> models share a server at most
+    When loads are seen to take <then> s
+    Then <after> models share a server at most
+
+    Examples:
+      | load | each | then | after |
+      | 0.2  | 3    | 0.9  | 2     |
+      | 0.9  | 2    | 1.5  | 2     |
+      | 0.9  | 2    | 2.8  | 1     |
+      | 2.8  | 1    | 1.5  | 1     |
+      | 2.8  | 1    | 0.9  | 2     |
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -13,6 +13,7 @@
 
 _GAP_SECONDS = 3.0
 _LOOK_SECONDS = 0.05
+_SEEN_VERSIONS = 4
 
 
 class Holders:
@@ -201,7 +202,7 @@
 def name_versions(context, versions):
     context.loads = collections.Counter()
     context.usable = []
-    planner = plan.OrderPlan()
+    planner = context.planner = plan.OrderPlan()
     now = [1000.0]
     with unittest.mock.patch.object(clock, "read_now", lambda: now[0]):
         for model in "abc":
@@ -212,12 +213,15 @@
             context.usable.append(sum(item >= version - context.lag for item in has))
             until = now[0] + context.seconds
             while now[0] < until:
-                _load_planned(context, planner, named)
+                for order in _load_planned(context, named):
+                    key = (order.server.server_id, order.model)
+                    context.versions[key] = order.version
+                    context.loads[key] += 1
                 now[0] += 0.5
 
 
-def _load_planned(context, planner, named):
-    listed = [
+def _list_engines(context):
+    return [
         servers.Server(
             f"s{n}",
             1,
@@ -232,11 +236,15 @@
         )
         for n in range(context.count)
     ]
-    for order in planner.choose(listed, named, tuple("abc"), lambda server: True):
-        planner.note(order, 0, servers.OrderTaken(is_done=False))
-        key = (order.server.server_id, order.model)
-        context.versions[key] = order.version
-        context.loads[key] += 1
+
+
+def _load_planned(context, named):
+    orders = context.planner.choose(
+        _list_engines(context), named, tuple("abc"), lambda server: True
+    )
+    for order in orders:
+        context.planner.note(order, 0, servers.OrderTaken(is_done=False))
+    return orders
 
 
 @behave.then("each server loaded {least:d} {most:d} of them")
@@ -320,3 +328,44 @@
 def check_pace(context, count, at_once, state):
     with unittest.mock.patch.object(clock, "read_now", lambda: context.now):
         assert context.pace.is_crowded(count, at_once) == (state == "can't keep up")
+
+
+@behave.given("{count:d} engines and 3 models whose versions come every {seconds:d} s")
+def create_shared(context, count, seconds):
+    context.count, context.seconds = count, seconds
+    context.versions = {(f"s{n}", model): 1 for n in range(count) for model in "abc"}
+    context.now, context.version = 1000.0, 1
+    context.planner = plan.OrderPlan()
+
+
+@behave.when("loads are seen to take {seconds:g} s")
+def see_loads(context, seconds):
+    """Name versions, and let each engine say that it has loaded so long after its order."""
+    loading = []
+    with unittest.mock.patch.object(clock, "read_now", lambda: context.now):
+        for _ in range(_SEEN_VERSIONS):
+            context.version += 1
+            named = {m: directory.NamedVersion(context.version, context.now) for m in "abc"}
+            until = context.now + context.seconds
+            while context.now < until:
+                loading += [
+                    (context.now + seconds, order) for order in _load_planned(context, named)
+                ]
+                context.now += _LOOK_SECONDS
+                for item in [item for item in loading if item[0] <= context.now]:
+                    loading.remove(item)
+                    _say_loaded(context, item[1])
+
+
+def _say_loaded(context, order):
+    has = (servers.ModelVersion(order.model, order.version),)
+    context.planner.note_state(order, servers.EngineState(has, False, 1))
+
+
+@behave.then("{most:d} models share a server at most")
+def check_shared(context, most):
+    shares = [
+        sum(context.planner.is_home(server, model) for model in "abc")
+        for server in _list_engines(context)
+    ]
+    assert max(shares) == most, shares
--- a/libs/orders/oleander_orders/homes.py
+++ b/libs/orders/oleander_orders/homes.py
@@ -5,27 +5,30 @@
 
 from oleander_base import identifiers
 
-_MODELS_EACH = 2
-"""Models that a server is shared by. Each leaves out every second version, so that a version is
-loaded by as many servers as there are for one model. With one model each, trainers had half as
-many places, and a step too late where servers were lost: 0.14 of a day's worth."""
+MOST_MODELS_EACH = 2
+"""Models that share a server at most. Each leaves out every second version, so that a version is
+loaded by as many servers as there are for one model."""
 _LEAST_HOMES = 4
 """Servers a model has at least: half of them leave out a version while the others load it, and
 two are left to serve even then."""
 
 
 def choose_homes(
-    server_ids: collections.abc.Iterable[str], models: collections.abc.Iterable[str]
+    server_ids: collections.abc.Iterable[str],
+    models: collections.abc.Iterable[str],
+    models_each: int = MOST_MODELS_EACH,
 ) -> dict[str, frozenset[str]]:
     """
     Return the servers of each model, shared out evenly; the same wherever the lists are the same.
 
+    So many models share a server, more where there are fewer servers than each model needs.
+
     Each model takes those that fewest have taken before it, by a rank of its own, so that not many
     change their models when a server comes or goes.
     """
     servers = sorted(set(server_ids))
     ordered = sorted(set(models))
-    wanted = _count_homes(len(servers), len(ordered))
+    wanted = _count_homes(len(servers), len(ordered), models_each)
     taken: collections.Counter[str] = collections.Counter()
     homes = {}
     for model, count in zip(ordered, wanted, strict=True):
@@ -36,9 +39,9 @@
     return homes
 
 
-def _count_homes(servers: int, models: int) -> list[int]:
+def _count_homes(servers: int, models: int, models_each: int) -> list[int]:
     """Return how many servers each model gets; what is left over goes to the first ones."""
-    places = servers * _MODELS_EACH
+    places = servers * models_each
     return [
         min(servers, max(_LEAST_HOMES, places // models + (index < places % models)))
         for index in range(models)
--- a/libs/orders/oleander_orders/pace.py
+++ b/libs/orders/oleander_orders/pace.py
@@ -1,6 +1,7 @@
 """Whether every server can load every version, measured from names and loads as they come."""
 
 from oleander_base import clock
+from oleander_orders import homes
 
 _NEWEST_WEIGHT = 0.3
 """Follows a change within about three values."""
@@ -9,6 +10,10 @@
 with what was seen, it hid for five versions that loads of 2.8 s can't keep up."""
 _MOST_USED = 0.8
 """The part of the weight store's pace that loads may need before some are left out."""
+_LEAST_SHARE = 1.25
+"""With loads for fewer models than this a server is left to one model."""
+_ENOUGH_SHARE = 1.8
+"""With loads for more models than this it is shared again; in between nothing changes."""
 
 
 class LoadPace:
@@ -24,6 +29,7 @@
         self._load_seconds: float | None = None
         self._named_at: dict[str, float] = {}
         self._intervals: dict[str, float] = {}
+        self._models_each = homes.MOST_MODELS_EACH
 
     def note_named(self, model: str, seen_at: float) -> None:
         """Take in when a version of a model was named; repeated calls change nothing."""
@@ -47,10 +53,33 @@
 
     def is_crowded(self, servers: int, at_once: int) -> bool:
         """Tell whether so many servers can't load each version, so many of them at once."""
+        wanted = servers * self._count_named() * self._typical_load_seconds
+        return wanted > _MOST_USED * at_once
+
+    def count_models_each(self, servers: int, at_once: int) -> int:
+        """
+        Return how many models may share a server that leaves out every second version of each.
+
+        Where loads take longer than that allows, servers lag behind all their models, and steps
+        wait for one that is new enough.
+        """
+        models = max(1, len(self._intervals))
+        loads = servers / models * self._count_named() / 2
+        possible = at_once / max(1e-9, loads * self._typical_load_seconds)
+        if possible < _LEAST_SHARE:
+            self._models_each = 1
+        elif possible > _ENOUGH_SHARE:
+            self._models_each = homes.MOST_MODELS_EACH
+        return self._models_each
+
+    @property
+    def _typical_load_seconds(self) -> float:
+        return _UNKNOWN_LOAD_SECONDS if self._load_seconds is None else self._load_seconds
+
+    def _count_named(self) -> float:
+        """Return how many versions of all models are named a second."""
         now = clock.read_now()
-        wanted = 0.0
-        for model, interval in self._intervals.items():
-            quiet = now - self._named_at[model]
-            wanted += servers / max(interval, quiet)
-        load_seconds = _UNKNOWN_LOAD_SECONDS if self._load_seconds is None else self._load_seconds
-        return wanted * load_seconds > _MOST_USED * at_once
+        return sum(
+            1.0 / max(interval, now - self._named_at[model])
+            for model, interval in self._intervals.items()
+        )
--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -73,8 +73,8 @@
         self._accepted: dict[str, int] = {}
         self._loaded: dict[tuple[str, str], int] = {}
         self._homes: dict[str, frozenset[str]] = {}
-        self._shared_among: tuple[frozenset[str], frozenset[str]] | None = None
-        """The servers and models that the homes were chosen for."""
+        self._shared_among: tuple[frozenset[str], frozenset[str], int] | None = None
+        """The servers and models that the homes were chosen for, and how many share a server."""
 
     def choose(
         self,
@@ -209,7 +209,8 @@
         if not self._must_leave_out(len(listed)):
             self._homes, self._shared_among = {}, None
             return
-        among = (frozenset(item.server_id for item in listed), models)
+        models_each = self._pace.count_models_each(len(listed), count_at_once(len(listed)))
+        among = (frozenset(item.server_id for item in listed), models, models_each)
         if among != self._shared_among:
             self._homes, self._shared_among = homes.choose_homes(*among), among
 
