--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -6,7 +6,14 @@
 from oleander_batches import fold, journal
 from oleander_direct import directory, routes, servers
 from oleander_routing import router
-from oleanderdeal import batch_run, batch_tenures, item_task, item_texts, result_writer
+from oleanderdeal import (
+    batch_run,
+    batch_tenures,
+    checkpoints,
+    item_task,
+    item_texts,
+    result_writer,
+)
 
 _IDLE_SECONDS = 0.05
 """How soon a free place at an engine is used; a tenth of a short text's time."""
@@ -18,8 +25,6 @@
 """A start that is kept costs two small appends; below half of a usual text it isn't worth them."""
 _HAND_OVER_AGAIN_SECONDS = 0.1
 """Between tries to hand over while the log does not answer."""
-_STOP_SECONDS = 0.2
-"""In which the streams of a stopped run have ended, unless a server is silent."""
 _FULL_AGAIN_SECONDS = 0.05
 """After which an item is tried again that may only go to servers that are full."""
 _BATCH_PRIORITY = 0
@@ -58,8 +63,7 @@
         self._lock = threading.Lock()
         self._has_taken = threading.Event()
         self._is_draining = False
-        self._hand_over_lock = threading.Lock()
-        self._released: set[str] = set()
+        self._checkpoints = checkpoints.BatchCheckpoints(kept, tenures)
 
     @property
     def running(self) -> int:
@@ -84,7 +88,7 @@
         with them, so they run on here until it does.
         """
         self._is_draining = True
-        self._hand_over()
+        self._checkpoints.hand_over(dict(self._runs))
         self._has_taken.set()
 
     def keep_partials(self) -> None:
@@ -96,59 +100,18 @@
         """
         while not self._group.is_stopping:
             if self._is_draining:
-                self._hand_over()
+                self._checkpoints.hand_over(dict(self._runs))
                 self._group.pause(_HAND_OVER_AGAIN_SECONDS)
                 continue
             self._tenures.announce(self._list_running())
             for run in list(self._runs.values()):
-                self._keep_partials(run, _LEAST_KEPT_EVENTS, "kept")
+                self._checkpoints.keep(run, _LEAST_KEPT_EVENTS)
             self._has_taken.wait(_KEEP_SECONDS)
             self._has_taken.clear()
 
-    def _hand_over(self) -> None:
-        """Hand over the batches whose texts the log has taken; the others are tried again."""
-        with self._hand_over_lock:
-            for batch_id, run in list(self._runs.items()):
-                if batch_id in self._released or not run.batch.is_open:
-                    continue
-                if self._stop_kept(run) and self._tenures.release([run.batch]):
-                    self._released.add(batch_id)
-                    run.stop()
-
-    def _stop_kept(self, run: batch_run.BatchRun) -> bool:
-        """
-        Stop a run if the log takes the starts of its texts; return whether they are kept.
-
-        What was made since they were listed is kept once its streams have ended. Where there is no
-        start yet, only the record that hands the batch over shows whether the log answers.
-        """
-        if run.is_given_up or not run.list_grown(1):
-            return True
-        if not self._keep_partials(run, 1, "handed-over"):
-            return False
-        run.stop()
-        run.wait_stopped(clock.start_deadline(_STOP_SECONDS))
-        return self._keep_partials(run, 1, "handed-over")
-
     def _list_running(self) -> list[fold.Batch]:
         return [run.batch for run in list(self._runs.values()) if run.batch.is_open]
 
-    def _keep_partials(self, run: batch_run.BatchRun, least_events: int, event: str) -> bool:
-        """Keep the starts that have grown; return whether none is left to be kept."""
-        partials = run.list_grown(least_events) if run.batch.is_open else []
-        if not partials:
-            return True
-        kept = self._journal.keep_partials(run.batch.batch_id, partials)
-        if kept.is_ok():
-            run.note_kept(partials)
-        log.logger.bind(
-            event=f"partials-{event}",
-            batch=run.batch.batch_id,
-            texts=len(partials),
-            error=kept.error.detail if kept.is_error() else "",
-        ).info("others can go on")
-        return kept.is_ok()
-
     def _update_runs(self) -> None:
         open_batches = {batch.batch_id: batch for batch in self._journal.list_open()}
         for batch_id, run in list(self._runs.items()):
