--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -24,7 +24,7 @@
 _PAUSE_SECONDS = 0.2
 """Between reads of the index: results of the same moment come in one read."""
 _WANTED_PAUSE_SECONDS = 0.02
-"""The same while somebody here waits for what the index will say next."""
+"""The same while a caller or a run of this process waits for the next records."""
 _AGAIN_SECONDS = 0.2
 """Between tries while the log does not answer: five calls a second from each entry."""
 _MOST_ACCEPTED = 256
@@ -126,7 +126,7 @@
             self._pause_unless_wanted()
 
     def expect_updates(self, is_expected: bool) -> None:
-        """Read the index on at once, or a few times a second: whether batches run here."""
+        """Set whether batches run here, whose owner reads the index without a longer pause."""
         with self._is_wanted:
             self._expects_updates = is_expected
             self._is_wanted.notify_all()
@@ -184,7 +184,7 @@
             self._changed.wait(seconds)
 
     def wake(self) -> None:
-        """Wake whoever waits for a change: something else that it acts on has changed."""
+        """Wake the threads that wait for a change, as if the index had grown."""
         with self._changed:
             self._changed.notify_all()
 
--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -8,8 +8,8 @@
 _NEWEST_WEIGHT = 0.1
 _NEWEST_RATE_WEIGHT = 0.25
 _QUEUE_PART = 3
-"""One request in so many slots may wait at a peer: enough that a slot that becomes free is filled
-without a round trip, few enough that the others stay here and can go wherever a slot is free."""
+"""One request for so many slots may be queued at a peer: a slot that becomes free is then filled
+without a round trip, and all other requests can still go wherever a slot is free."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -114,7 +114,7 @@
         self.latency_ms += weight * (latency_ms - self.latency_ms)
 
     def observe_rate(self, event_ms: float) -> None:
-        """Take in how long a stream took from one event to the next."""
+        """Update the moving average of the time from one event of a stream to the next."""
         weight = _NEWEST_RATE_WEIGHT if self.event_ms > 0.0 else 1.0
         self.event_ms += weight * (event_ms - self.event_ms)
 
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -29,9 +29,9 @@
 _WINDOWED_PROBE_PART = 0.05
 """The same of work that can wait, which comes by some fifty at a time: one or two of them."""
 _MOST_LOST_MS = 400
-"""By so much later than on the fastest peer a text may be expected to end on the one chosen."""
+"""The most by which a stream may be expected to end later than on the fastest peer."""
 _ABOUT_AS_FAST = 1.15
-"""Peers whose rates differ by less are taken for equally fast; load alone changes a rate by it."""
+"""Peers whose rates differ by a smaller factor count as equally fast: load alone changes rates."""
 _LEAST_RETRY_MS = 50
 _UNKNOWN_RETRY_MS = 1000
 
@@ -177,7 +177,7 @@
                 peer.queued_here = max(0, peer.queued_here - 1)
 
     def record_rate(self, name: str, event_ms: float) -> None:
-        """Take in how long a peer took from one event of a stream to the next."""
+        """Update the rate of a peer: the time from one event of a stream to the next."""
         with self._lock:
             peer = self._peers.get(name)
             if peer is not None:
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -19,7 +19,7 @@
 _SCORING_AGAIN_SECONDS = 0.05
 """Between tries of a scoring that was refused: a quarter of a usual one's time."""
 _RATED_EVENTS = 5
-"""From one report of a server's rate to the next; a single event says little of it."""
+"""Events from one report of a server's rate to the next."""
 _BAD_ITEM = 422
 
 
@@ -249,10 +249,10 @@
 
     def _report_rate(self, now: float) -> None:
         """
-        Tell the router now and then how long the server takes from one event to the next.
+        Report the server's rate to the router every few events.
 
-        Told only at the end, a server that turns slow would look fast for as long as its texts
-        run, and others would move there.
+        Reported only at the end, a server that turns slow would look fast for as long as its
+        texts run, and others would move there.
         """
         if self._events > 1 and (self._events - 1) % _RATED_EVENTS == 0:
             milliseconds = (now - self._rated_at) * 1000 / _RATED_EVENTS
