Move the choice by rate beside the other choices of a peer

Behaviour is unchanged: the functions and their constants stand in selection, which decides without knowing of requests in flight or locks.

--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -28,10 +28,6 @@
 """The part of requests that may probe an ejected peer."""
 _WINDOWED_PROBE_PART = 0.05
 """The same of work that can wait, which comes by some fifty at a time: one or two of them."""
-_MOST_LOST_MS = 400
-"""The most by which a stream may be expected to end later than on the fastest peer."""
-_ABOUT_AS_FAST = 1.15
-"""Peers whose rates differ by a smaller factor count as equally fast: load alone changes rates."""
 _LEAST_RETRY_MS = 50
 _UNKNOWN_RETRY_MS = 1000
 
@@ -313,9 +309,7 @@
         if not trusted:
             return min(candidates, key=lambda peer: peer.load)
         if request.is_windowed:
-            fast = _narrow_by_rate(trusted, request.expected_events)
-            free = [peer for peer in fast if peer.has_free_slot]
-            trusted = _keep_fastest(free) or fast
+            trusted = selection.narrow_by_rate(trusted, request.expected_events)
         if request.affinity:
             cached = selection.pick_by_affinity(trusted, request.affinity, request.budget_ms)
             if cached is not None:
@@ -347,26 +341,6 @@
     return version is not None and version >= request.oldest_version
 
 
-def _narrow_by_rate(listed: list[peers.Peer], events: float) -> list[peers.Peer]:
-    """
-    Return the peers on which a stream ends little later than on the fastest; unknown ones too.
-
-    The longest texts decide when a step is whole. On a peer that is a third slower they end
-    seconds later, while short ones lose less there than by waiting for a faster one.
-    """
-    fastest = min((peer.event_ms for peer in listed if peer.event_ms), default=0.0)
-    if not events or not fastest:
-        return listed
-    most = fastest + _MOST_LOST_MS / events
-    return [peer for peer in listed if peer.event_ms <= most]
-
-
-def _keep_fastest(listed: list[peers.Peer]) -> list[peers.Peer]:
-    """Return the peers that are about as fast as the fastest, and unknown ones."""
-    fastest = min((peer.event_ms for peer in listed if peer.event_ms), default=0.0)
-    return [peer for peer in listed if peer.event_ms <= fastest * _ABOUT_AS_FAST]
-
-
 def _opens_window(peer: peers.Peer, now: float) -> bool:
     was_refusing = peer.window.is_refusing
     is_open = peer.opens_window(now)
--- a/libs/routing/oleander_routing/selection.py
+++ b/libs/routing/oleander_routing/selection.py
@@ -1,4 +1,4 @@
-"""Pick one of several peers by load, or by where a prompt prefix is cached."""
+"""Pick one of several peers by load, by rate, or by where a prompt prefix is cached."""
 
 import math
 import random
@@ -9,6 +9,10 @@
 _LOAD_BOUND = 1.25
 """How far above the mean load a peer may be and still be given work for its prefixes."""
 _HASH_RANGE = 2.0**64
+_MOST_LOST_MS = 400
+"""The most by which a stream may be expected to end later than on the fastest peer."""
+_ABOUT_AS_FAST = 1.15
+"""Peers whose rates differ by a smaller factor count as equally fast: load alone changes rates."""
 
 
 def pick_by_load(
@@ -49,6 +53,37 @@
     return None
 
 
+def narrow_by_rate(candidates: list[peers.Peer], events: float) -> list[peers.Peer]:
+    """
+    Return the fastest of those that seem to have a free slot, else all that are fast enough.
+
+    The events are those that the stream is expected to have; 0 where that is unknown.
+    """
+    fast = _drop_slow(candidates, events)
+    free = [peer for peer in fast if peer.has_free_slot]
+    return _keep_fastest(free) or fast
+
+
+def _drop_slow(listed: list[peers.Peer], events: float) -> list[peers.Peer]:
+    """
+    Return the peers on which a stream ends little later than on the fastest; unknown ones too.
+
+    The longest texts decide when a step is whole. On a peer that is a third slower they end
+    seconds later, while short ones lose less there than by waiting for a faster one.
+    """
+    fastest = min((peer.event_ms for peer in listed if peer.event_ms), default=0.0)
+    if not events or not fastest:
+        return listed
+    most = fastest + _MOST_LOST_MS / events
+    return [peer for peer in listed if peer.event_ms <= most]
+
+
+def _keep_fastest(listed: list[peers.Peer]) -> list[peers.Peer]:
+    """Return the peers that are about as fast as the fastest, and unknown ones."""
+    fastest = min((peer.event_ms for peer in listed if peer.event_ms), default=0.0)
+    return [peer for peer in listed if peer.event_ms <= fastest * _ABOUT_AS_FAST]
+
+
 def _pick_weighted(candidates: list[peers.Peer], source: random.Random) -> peers.Peer:
     return source.choices(candidates, [peer.weight for peer in candidates])[0]
 
