Check keys, name organisations to servers and keep batches apart

Cause: the product knew no organisation.

Keys, names and priorities are decoded once at the boundary into a ring beside the routes; organisations.identify decides, without a network. A 401 is given only where the operator's records were read within 2.5 s: a 401 is never retried, so an entry that may not know a new key says 503. That age is now taken from the operator's records themselves; before, the list of servers stood for them. A batch belongs to its organisation, in the index and in the content; for another one there is no such batch, and its texts are never taken for an item of the same name. Headers from outside that name an organisation or a duty are dropped.

An organisation may be left without a key: taking the last one away is an operator's right, and a configuration turned down for it would keep the revoked key alive.

--- /dev/null
+++ b/features/front_platform.py
@@ -0,0 +1,39 @@
+"""The front program on a stand-in of its platform, with one engine and one service."""
+
+import tempfile
+import time
+
+import front_programs
+import platform_standin
+
+_WAIT_SECONDS = 15.0
+_PAUSE_SECONDS = 0.05
+
+
+class Front(front_programs.FrontProgram):
+    """The program, with its platform."""
+
+    def __init__(self):
+        self.store = platform_standin.Store()
+        self.engine = platform_standin.Sampler("engine-1")
+        self.service = platform_standin.Sampler("desk-1")
+        self.store.put("keyed.op", "config", platform_standin.describe_configuration(3))
+        for sampler, service in ((self.engine, "engines"), (self.service, "desk")):
+            content = platform_standin.describe_server(sampler, service)
+            self.store.put("keyed.servers", sampler.name, content)
+        self._temporary = tempfile.TemporaryDirectory()
+        super().__init__("front-1", self._temporary.name, self.store.address, has_metrics=True)
+
+    def stop(self):
+        self.end()
+        for stand in (self.store, self.engine, self.service):
+            stand.stop()
+        self._temporary.cleanup()
+
+
+def wait_until(condition, describe):
+    """Wait until a condition holds; past the deadline fail with what describes the state."""
+    until = time.monotonic() + _WAIT_SECONDS
+    while not condition():
+        assert time.monotonic() < until, describe()
+        time.sleep(_PAUSE_SECONDS)
--- /dev/null
+++ b/features/organisations.feature
@@ -0,0 +1,92 @@
+Feature: Organisations and the keys of their clients
+  Organisation red holds the keys r1 and r2 and has priority 0, blue holds b1 and has none.
+
+  Scenario Outline: A key tells who calls, and only what is certain is denied
+    # Guards against runs for nobody, and against a holder of a new key told that there is none.
+    Given the organisations are <configured> and the newest configuration is <age>
+    When a call comes with the header <header> for a <kind> route
+    Then the caller is <caller>
+
+    Examples:
+      | configured | age          | header     | kind    | caller           |
+      | red blue   | known        | Bearer r1  | private | red priority 0   |
+      | red blue   | known        | Bearer r2  | private | red priority 0   |
+      | red blue   | known        | bearer b1  | private | blue             |
+      | red blue   | maybe newer  | Bearer r1  | private | red priority 0   |
+      | red blue   | known        | Bearer x   | private | unknown          |
+      | red blue   | maybe newer  | Bearer x   | private | maybe unknown    |
+      | red blue   | known        | Basic r1   | private | unknown          |
+      | red blue   | known        | r1         | private | unknown          |
+      | red blue   | known        | Bearer R1  | private | unknown          |
+      | red blue   | known        | none       | private | unknown          |
+      | red blue   | maybe newer  | none       | private | maybe unknown    |
+      | red blue   | known        | none       | public  | anonymous        |
+      | red blue   | known        | Bearer x   | public  | anonymous        |
+      | red blue   | known        | Bearer b1  | public  | blue             |
+      | red        | known        | Bearer b1  | private | unknown          |
+      | none       | known        | Bearer r1  | private | unknown          |
+      | without    | known        | Bearer r1  | private | anybody          |
+      | without    | maybe newer  | none       | private | anybody          |
+
+  Scenario Outline: "Unknown key" is said only by an entry that knows the newest configuration
+    # Guards against a 401, which is never retried, for a key that another entry knows already.
+    Given an entry that read <configuration> and last heard the operator's records <seconds> s ago
+    When a caller presents <key>
+    Then its lookup says <answer>
+
+    Examples:
+      | configuration      | seconds | key | answer |
+      | no configuration   | 0.0     | r1  | unsure |
+      | a configuration    | 0.0     | r1  | red    |
+      | a configuration    | 60.0    | r1  | red    |
+      | a configuration    | 0.0     | x   | denied |
+      | a configuration    | 2.0     | x   | denied |
+      | a configuration    | 2.6     | x   | unsure |
+
+  Scenario Outline: A lookup costs the same however many keys there are
+    # Guards against a search through all organisations for each request.
+    Given <count> organisations of two keys each
+    Then a key is found by comparing it with at most 2 others
+
+    Examples:
+      | count |
+      | 77    |
+      | 10000 |
+
+  Scenario Outline: Texts of one organisation are never another's
+    # Guards against a sample handed to whoever names another organisation's item.
+    Given a text of item i of model m that was kept for red
+    Then <organisation> finds <found> for item i
+
+    Examples:
+      | organisation | found   |
+      | red          | a text  |
+      | blue         | nothing |
+
+  Scenario: An accepted batch names its organisation, and one of an earlier release has none
+    # Guards against batches that nobody can read after an upgrade.
+    Then records of both kinds are read, with red and with no organisation
+
+  Scenario: The whole path with keys
+    # Guards against keys that reach servers, and names of organisations that clients made up.
+    Given the platform's stand-in with the organisations red and blue, and the front program
+    Then a call with key r1 is run for red, without the key and whatever name the client sent
+    And a call with an unknown key is answered 401 and runs nowhere
+    And a call without a key is answered 200 on the public route, for nobody
+    And a batch of red is run for red, and its scorings for nobody
+    And a batch of red is read, asked for bodies and ended with key r2, and is unknown with key b1
+    And a name that red's batch has is not accepted from blue
+
+  Scenario: Keys come and go while clients are connected
+    # Guards against a revoked key that works on, and a new key that is not known.
+    Given the platform's stand-in with the organisations red and blue, and the front program
+    When the operator takes r1 away and adds r3
+    Then within 3 s a call with key r1 is answered 401 and with r3 200
+    And a batch that was handed in with r1 is still run, and read with r3
+
+  Scenario: Keys stay out of the logs
+    # Guards against secrets in logs, where many may read them.
+    Given the platform's stand-in with the organisations red and blue, and the front program
+    Then a call with key r1 is run for red, without the key and whatever name the client sent
+    And a call with an unknown key is answered 401 and runs nowhere
+    And no log line has a key
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -70,6 +70,22 @@
       | limits=null                      | rejected |
       | routes.0.retention_s=1.5         | in force |
       | unheard=1                        | in force |
+      | routes.0.public="yes"            | rejected |
+      | tenants=[]                       | in force |
+      | tenants=[{"name":"o","api_keys":["k"]}]                  | in force |
+      | tenants=[{"name":"o","api_keys":["k","l"],"priority":1}] | in force |
+      | tenants=[{"name":"o","api_keys":[]}]                     | in force |
+      | tenants=[{"name":"o"}]                                   | rejected |
+      | tenants=[{"api_keys":["k"]}]                             | rejected |
+      | tenants=[{"name":"","api_keys":["k"]}]                   | rejected |
+      | tenants=[{"name":"o","api_keys":[7]}]                    | rejected |
+      | tenants=[{"name":"o","api_keys":["k k"]}]                | rejected |
+      | tenants=[{"name":"o","api_keys":["k\n"]}]                | rejected |
+      | tenants=[{"name":"o","api_keys":["k","k"]}]              | rejected |
+      | tenants=[{"name":"o","api_keys":["k"]},{"name":"p","api_keys":["k"]}] | rejected |
+      | tenants=[{"name":"o","api_keys":["k"]},{"name":"o","api_keys":["l"]}] | rejected |
+      | tenants=[{"name":"o","api_keys":["k"],"priority":-1}]    | rejected |
+      | tenants=5                                                | rejected |
 
   Scenario: An older configuration changes nothing
     Given the configurations 7 and then 5
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -173,7 +173,7 @@
 def check_answer(context, name, which, answer):
     api = batch_api.BatchApi(context.shared.journals[name])
     batch_id = "batch" if which == "accepted" else which
-    listed = api.list_results(batch_id, 0, clock.start_deadline(0.05))
+    listed = api.list_results(batch_id, "", 0, clock.start_deadline(0.05))
     seen = "listed" if listed.is_ok() else listed.error.fault.value
     assert seen == answer, listed
 
@@ -221,10 +221,10 @@
         "accept a batch": lambda: api.accept(
             build_submission(batch_id="next"), clock.start_deadline(5.0)
         ),
-        "list more results": lambda: api.list_results("batch", 1, clock.start_deadline(1.0)),
-        "list all results": lambda: api.list_results("batch", 0, clock.start_deadline(1.0)),
-        "list another batch": lambda: api.list_results("other", 0, clock.start_deadline(1.0)),
-        "end the batch": lambda: api.end("batch"),
+        "list more results": lambda: api.list_results("batch", "", 1, clock.start_deadline(1.0)),
+        "list all results": lambda: api.list_results("batch", "", 0, clock.start_deadline(1.0)),
+        "list another batch": lambda: api.list_results("other", "", 0, clock.start_deadline(1.0)),
+        "end the batch": lambda: api.end("batch", ""),
     }
     started_at = time.monotonic()
     answer = asked[call]()
@@ -249,7 +249,7 @@
     reader.start()
     api = batch_api.BatchApi(shared.journals["a"])
     started_at = time.monotonic()
-    context.answer = api.list_results("batch", 0, clock.start_deadline(seconds))
+    context.answer = api.list_results("batch", "", 0, clock.start_deadline(seconds))
     context.seconds = time.monotonic() - started_at
     reader.join()
 
--- /dev/null
+++ b/features/steps/organisations_steps.py
@@ -0,0 +1,295 @@
+"""Steps for organisations and the keys of their clients."""
+
+import json
+import time
+import types
+import unittest.mock
+
+import behave
+import cbor2
+
+import front_platform
+import platform_standin
+import server_fakes
+from oleander_base import clock
+from oleander_batches import records, submission
+from oleander_direct import directory, organisations, routes
+from oleander_routing import router
+from oleanderdeal import direct_entry, item_texts, route_lookup
+
+_RED = organisations.Organisation("red", ("r1", "r2"), 0)
+_BLUE = organisations.Organisation("blue", ("b1",), None)
+_UNKNOWN = "unheard-of-key"
+_IN_FORCE_SECONDS = 3.0
+_PAUSE_SECONDS = 0.05
+_LIMITS = routes.Limits(1, 1, 1)
+
+
+def _ring(names):
+    if names == "without":
+        return None
+    return organisations.KeyRing(item for item in (_RED, _BLUE) if item.name in names.split())
+
+
+@behave.given("the organisations are {configured} and the newest configuration is {age}")
+def configure(context, configured, age):
+    context.ring = _ring(configured)
+    context.is_current = age == "known"
+
+
+@behave.when("a call comes with the header {header} for a {kind} route")
+def call_with_header(context, header, kind):
+    header = "" if header == "none" else header
+    context.caller = organisations.identify(
+        context.ring, header, kind == "public", context.is_current
+    )
+
+
+def _describe(caller):
+    if isinstance(caller, organisations.UnknownKey):
+        return "unknown" if caller.is_certain else "maybe unknown"
+    if not caller.has_secret:
+        return "anybody"
+    if not caller.organisation:
+        return "anonymous"
+    return caller.organisation + (
+        "" if caller.priority is None else f" priority {caller.priority}"
+    )
+
+
+@behave.then("the caller is {caller}")
+def check_identity(context, caller):
+    assert _describe(context.caller) == caller, context.caller
+
+
+@behave.given(
+    "an entry that read {configuration} and last heard the operator's records {seconds:f} s ago"
+)
+def create_entry(context, configuration, seconds):
+    context.now = 1000.0
+    with unittest.mock.patch.object(clock, "read_now", lambda: context.now):
+        context.known = directory.Directory(router.Router(1), server_fakes.UnusedCaller())
+        if configuration == "a configuration":
+            context.known.put_table(routes.RouteTable(1, (), (), _LIMITS, _ring("red")))
+        context.known.note_configuration_heard()
+        context.now += seconds
+        context.known.note_heard()
+
+
+@behave.when("a caller presents {key}")
+def present_key(context, key):
+    entry = types.SimpleNamespace(_known=context.known)
+    entry._is_silent = lambda: direct_entry.DirectEntry._is_silent(entry)
+    lookup = route_lookup.RouteLookup(
+        context.known, lambda: direct_entry.DirectEntry._is_outdated(entry)
+    )
+    with unittest.mock.patch.object(clock, "read_now", lambda: context.now):
+        context.found = lookup.identify(f"Bearer {key}", False, "id")
+
+
+@behave.then("its lookup says {answer}")
+def check_lookup(context, answer):
+    found = context.found
+    seen = found.ok.organisation if found.is_ok() else ""
+    if found.is_error():
+        seen = "denied" if found.error.is_certain else "unsure"
+        assert found.error.is_certain or found.error.retry_after_ms > 0
+    assert seen == answer, found
+
+
+class _CountedKey(str):
+    """A key that counts how often it is compared."""
+
+    __slots__ = ("compared",)
+
+    def __eq__(self, other):
+        self.compared = getattr(self, "compared", 0) + 1
+        return str.__eq__(self, other)
+
+    def __hash__(self):
+        return str.__hash__(self)
+
+
+@behave.given("{count:d} organisations of two keys each")
+def create_many(context, count):
+    context.ring = organisations.KeyRing(
+        organisations.Organisation(f"o{n}", (f"a{n}", f"b{n}"), None) for n in range(count)
+    )
+
+
+@behave.then("a key is found by comparing it with at most {most:d} others")
+def check_cost(context, most):
+    key = _CountedKey("b70")
+    assert context.ring.find_holder(key).name == "o70"
+    assert key.compared <= most, key.compared
+
+
+@behave.given("a text of item i of model m that was kept for red")
+def keep_text(context):
+    start = submission.PartialText(0, "text", 1, ((1, 1),))
+    context.texts = item_texts.TextCache()
+    context.texts.keep([item_texts.KnownText("red", "i", "m", start, None)])
+
+
+@behave.then("{organisation} finds {found} for item i")
+def find_text(context, organisation, found):
+    known = context.texts.find(organisation, "i", "m")
+    assert (known is not None) == (found == "a text"), known
+
+
+@behave.then("records of both kinds are read, with red and with no organisation")
+def read_records(context):
+    record = records.Accepted("b", "h", "/p", "m", 1, 1, 0, 1, 3, "red")
+    encoded = records.encode_record(record)
+    assert records.decode_record(encoded).ok == record
+    earlier = cbor2.dumps(cbor2.loads(encoded)[:-1])
+    assert records.decode_record(earlier).ok.organisation == ""
+    handed_in = submission.Submission("b", "h", "/p", 1, "m", 1, 1, (), "red")
+    encoded = submission.encode_submission(handed_in)
+    assert submission.decode_submission(encoded).ok == handed_in
+    earlier = cbor2.dumps(cbor2.loads(encoded)[:-1])
+    assert submission.decode_submission(earlier).ok.organisation == ""
+
+
+def _describe_organisations(**keys):
+    return [{"name": name, "api_keys": held, "priority": 1} for name, held in keys.items()]
+
+
+@behave.given("the platform's stand-in with the organisations red and blue, and the front program")
+def start_front(context):
+    context.front = front_platform.Front()
+    context.add_cleanup(context.front.stop)
+    _publish(context, 4, red=["r1", "r2"], blue=["b1"])
+    front_platform.wait_until(context.front.is_ready, context.front.describe)
+    front_platform.wait_until(lambda: _call(context, "r1")[0] == 200, context.front.describe)
+
+
+def _publish(context, version, **keys):
+    content = platform_standin.describe_configuration(version)
+    content["routes"].append(
+        platform_standin.describe_route("open", "/open/", "idempotent", "desk", public=True)
+    )
+    for route in content["routes"]:
+        route.setdefault("public", False)
+    context.front.store.put(
+        "keyed.op", "config", content | {"tenants": _describe_organisations(**keys)}
+    )
+
+
+def _call(context, key, path="/calls/a", request_id="c1", headers=()):
+    sent = [("Authorization", f"Bearer {key}")] if key else []
+    return context.front.ask("POST", path, b"x", request_id, headers=[*sent, *headers])
+
+
+@behave.then(
+    "a call with key r1 is run for red, without the key and whatever name the client sent"
+)
+def check_run_for(context):
+    made_up = [("X-Oleanderdeal-Tenant", "blue"), ("X-Oleanderdeal-Duty-Holder", "me")]
+    status, _, _ = _call(context, "r1", request_id="mine", headers=made_up)
+    assert status == 200, status
+    headers = _find_seen(context.front.service, "mine")
+    assert headers.get("X-Oleanderdeal-Tenant") == "red", headers
+    assert "Authorization" not in headers, headers
+    assert "X-Oleanderdeal-Duty-Holder" not in headers, headers
+
+
+def _find_seen(sampler, request_id):
+    """Return the headers of a request that a server saw; its names are spelled as on the pages."""
+    headers = next(seen[3] for seen in sampler.seen if seen[0] == request_id)
+    return {name.title(): value for name, value in headers.items()}
+
+
+@behave.then("a call with an unknown key is answered 401 and runs nowhere")
+def check_unknown(context):
+    status, headers, _ = _call(context, _UNKNOWN, request_id="stranger")
+    assert status == 401, status
+    challenge = {name.title(): value for name, value in headers.items()}["Www-Authenticate"]
+    assert challenge == "Bearer", headers
+    assert "stranger" not in [seen[0] for seen in context.front.service.seen]
+
+
+@behave.then("a call without a key is answered 200 on the public route, for nobody")
+def check_public(context):
+    assert _call(context, "", "/open/a", "visitor")[0] == 200
+    assert "X-Oleanderdeal-Tenant" not in _find_seen(context.front.service, "visitor")
+
+
+def _submit(context, key, batch_id, items):
+    body = platform_standin.describe_batch([f"{batch_id}-{n}" for n in range(items)])
+    sent = [("Authorization", f"Bearer {key}")]
+    return context.front.ask("POST", "/items/batch", body, batch_id, headers=sent)[0]
+
+
+def _ask_batch(context, key, method, path):
+    status, _, body = context.front.ask(method, path, headers=[("Authorization", f"Bearer {key}")])
+    return status, body
+
+
+def _wait_results(context, key, batch_id, items):
+    def is_whole():
+        status, body = _ask_batch(context, key, "GET", f"/api/lots/{batch_id}?after=0")
+        assert status == 200, (status, body)
+        return len(json.loads(body)["results"]) == items
+
+    front_platform.wait_until(is_whole, context.front.describe)
+
+
+@behave.then("a batch of red is run for red, and its scorings for nobody")
+def check_batch_run(context):
+    assert _submit(context, "r1", "batch-1", 2) == 202
+    _wait_results(context, "r1", "batch-1", 2)
+    headers = _find_seen(context.front.engine, "batch-1-0")
+    assert headers.get("X-Oleanderdeal-Tenant") == "red", headers
+    assert "Authorization" not in headers, headers
+    scoring = _find_seen(context.front.service, "score-batch-1-0")
+    assert "X-Oleanderdeal-Tenant" not in scoring, scoring
+
+
+@behave.then(
+    "a batch of red is read, asked for bodies and ended with key r2, and is unknown with key b1"
+)
+def check_batch_access(context):
+    asked = [
+        ("GET", "/api/lots/batch-1?after=0"),
+        ("GET", "/api/items/batch-1?id=batch-1-0"),
+        ("DELETE", "/api/lots/batch-1"),
+    ]
+    for method, path in asked:
+        assert _ask_batch(context, "b1", method, path)[0] == 404, path
+        assert _ask_batch(context, _UNKNOWN, method, path)[0] == 401, path
+    for method, path in asked:
+        assert _ask_batch(context, "r2", method, path)[0] == 200, path
+
+
+@behave.then("a name that red's batch has is not accepted from blue")
+def check_taken_name(context):
+    assert _submit(context, "b1", "batch-1", 2) == 404
+
+
+@behave.when("the operator takes r1 away and adds r3")
+def change_keys(context):
+    assert _submit(context, "r1", "batch-2", 2) == 202
+    _publish(context, 5, red=["r2", "r3"], blue=["b1"])
+
+
+@behave.then("within 3 s a call with key r1 is answered 401 and with r3 200")
+def check_changed(context):
+    until = time.monotonic() + _IN_FORCE_SECONDS
+    while (_call(context, "r1")[0], _call(context, "r3")[0]) != (401, 200):
+        assert time.monotonic() < until, context.front.describe()
+        time.sleep(_PAUSE_SECONDS)
+
+
+@behave.then("a batch that was handed in with r1 is still run, and read with r3")
+def check_kept(context):
+    _wait_results(context, "r3", "batch-2", 2)
+
+
+@behave.then("no log line has a key")
+def check_logs(context):
+    text = context.front.output.read_text()
+    assert '"event": "unauthorized"' in text, text
+    for key in ("r1", "r2", "b1", _UNKNOWN):
+        assert f'"{key}"' not in text, key
+        assert f"Bearer {key}" not in text, key
--- a/features/steps/platform_front_steps.py
+++ b/features/steps/platform_front_steps.py
@@ -9,6 +9,7 @@
 
 import behave
 
+import front_platform
 import front_programs
 import platform_standin
 
@@ -16,39 +17,11 @@
 _PAUSE_SECONDS = 0.05
 
 
-class Front(front_programs.FrontProgram):
-    """The program, with its platform."""
-
-    def __init__(self):
-        self.store = platform_standin.Store()
-        self.engine = platform_standin.Sampler("engine-1")
-        self.service = platform_standin.Sampler("desk-1")
-        self.store.put("keyed.op", "config", platform_standin.describe_configuration(3))
-        for sampler, service in ((self.engine, "engines"), (self.service, "desk")):
-            content = platform_standin.describe_server(sampler, service)
-            self.store.put("keyed.servers", sampler.name, content)
-        self._temporary = tempfile.TemporaryDirectory()
-        super().__init__("front-1", self._temporary.name, self.store.address, has_metrics=True)
-
-    def stop(self):
-        self.end()
-        for stand in (self.store, self.engine, self.service):
-            stand.stop()
-        self._temporary.cleanup()
-
-
-def _wait_until(condition, describe):
-    until = time.monotonic() + _WAIT_SECONDS
-    while not condition():
-        assert time.monotonic() < until, describe()
-        time.sleep(_PAUSE_SECONDS)
-
-
 @behave.given("the platform's stand-in and the front program")
 def start_platform(context):
-    context.front = Front()
+    context.front = front_platform.Front()
     context.add_cleanup(context.front.stop)
-    _wait_until(context.front.is_ready, context.front.describe)
+    front_platform.wait_until(context.front.is_ready, context.front.describe)
 
 
 @behave.then("a call is answered by the service, unchanged")
@@ -97,7 +70,7 @@
 def check_order(context):
     front = context.front
     front.store.put("keyed.op", "version/m", {"model": "m", "version": 2})
-    _wait_until(lambda: front.engine.orders, front.describe)
+    front_platform.wait_until(lambda: front.engine.orders, front.describe)
     time.sleep(1.5)
     assert len(front.engine.orders) == 1, front.engine.orders
     order = front.engine.orders[0]
@@ -162,9 +135,9 @@
         target=lambda: context.answers.append(front.ask("POST", "/calls/slow", b"x"))
     )
     call.start()
-    _wait_until(lambda: front.service.seen, front.describe)
+    front_platform.wait_until(lambda: front.service.seen, front.describe)
     front.process.send_signal(signal.SIGTERM)
-    _wait_until(lambda: not front.is_ready(), front.describe)
+    front_platform.wait_until(lambda: not front.is_ready(), front.describe)
     context.was_running = front.process.poll() is None
     call.join()
 
@@ -229,7 +202,7 @@
         folder.name, "", output, 0, {"PYTHONPATH": folder.name}
     )
     context.add_cleanup(context.loading.kill)
-    _wait_until(lambda: _LOADING in output.read_text(), output.read_text)
+    front_platform.wait_until(lambda: _LOADING in output.read_text(), output.read_text)
 
 
 @behave.when("it gets {name} meanwhile")
--- a/libs/base/oleander_base/json_input.py
+++ b/libs/base/oleander_base/json_input.py
@@ -88,6 +88,16 @@
             return ""
         return self.take_text(name)
 
+    def take_texts(self, name: str) -> tuple[str, ...]:
+        """Return a list of texts; a fault names no value, which may be a secret."""
+        value = self._content.get(name)
+        if isinstance(value, list) and all(
+            isinstance(item, str) and not _SURROGATE.search(item) for item in value
+        ):
+            return tuple(value)
+        self.reject(name, "is no list of texts")
+        return ()
+
     def take_base64(self, name: str) -> bytes:
         """Return the bytes that a text encodes."""
         try:
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -210,6 +210,7 @@
             kept.ok.first_offset,
             kept.ok.records,
             len(accepted.items),
+            accepted.organisation,
         )
         self._accepted_here.append(accepted.batch_id)
         return self._append_index([record], deadline)
--- a/libs/batches/oleander_batches/records.py
+++ b/libs/batches/oleander_batches/records.py
@@ -30,6 +30,8 @@
     """Over how many records in a row the submission is spread."""
     total: int
     """How many items it has."""
+    organisation: str = ""
+    """Whose batch it is; empty where nobody needs a key."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/libs/batches/oleander_batches/submission.py
+++ b/libs/batches/oleander_batches/submission.py
@@ -51,6 +51,8 @@
     wanted_groups: int
     """How many whole groups the trainer waits for."""
     items: tuple[Item, ...]
+    organisation: str = ""
+    """Whose batch it is for as long as it is kept; empty where nobody needs a key."""
 
     def find_item(self, item_id: str) -> Item | None:
         """Return an item by its id."""
@@ -103,6 +105,7 @@
             submission.oldest_version,
             submission.wanted_groups,
             items,
+            submission.organisation,
         ]
     )
 
@@ -144,7 +147,7 @@
 
 
 def _build_submission(fields: typing.Any) -> Submission:
-    batch_id, host, path, step, model, oldest_version, wanted_groups, items = fields
+    batch_id, host, path, step, model, oldest_version, wanted_groups, items, *rest = fields
     return Submission(
         batch_id,
         host,
@@ -154,6 +157,7 @@
         int(oldest_version),
         int(wanted_groups),
         tuple(_build_item(item) for item in items),
+        str(rest[0]) if rest else "",
     )
 
 
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -81,6 +81,12 @@
     is_over: bool = False
     """Attempts that are still running are no longer wanted."""
 
+    @property
+    def priority(self) -> int:
+        """The organisation's priority, or the route's where it has none."""
+        chosen = self.request.priority
+        return self.route.priority if chosen is None else chosen
+
     @property
     def may_send(self) -> bool:
         """Whether another server may be asked."""
@@ -217,7 +223,7 @@
         wanted = router.RouteRequest(
             backend=progress.backend,
             affinity="",
-            priority=progress.route.priority,
+            priority=progress.priority,
             oldest_version=-1,
             excluded=frozenset(progress.excluded),
             budget_ms=progress.deadline.remaining_ms,
--- a/libs/direct/oleander_direct/directory.py
+++ b/libs/direct/oleander_direct/directory.py
@@ -40,6 +40,7 @@
         self._table: routes.RouteTable | None = None
         self._is_listed = False
         self._heard_at = clock.read_now()
+        self._configuration_heard_at = clock.read_now()
         self._outage_ended_at = 0.0
         self._named: dict[str, NamedVersion] = {}
 
@@ -58,6 +59,15 @@
         """For how long the platform was not heard."""
         return clock.read_now() - self._heard_at
 
+    @property
+    def configuration_age_seconds(self) -> float:
+        """As of how long ago the configuration in force is known to be the newest."""
+        return clock.read_now() - self._configuration_heard_at
+
+    def note_configuration_heard(self) -> None:
+        """Note that the operator's records were read to their end."""
+        self._configuration_heard_at = clock.read_now()
+
     def note_heard(self) -> None:
         """Note that the platform's list was read to its end."""
         now = clock.read_now()
@@ -77,7 +87,10 @@
                 return
             self._table = table
         log.logger.bind(
-            event="configuration", version=table.version, routes=len(table.routes)
+            event="configuration",
+            version=table.version,
+            routes=len(table.routes),
+            organisations=table.keys.count if table.keys is not None else None,
         ).info("in force")
 
     def put_named(self, model: str, version: int) -> None:
--- a/libs/direct/oleander_direct/routes.py
+++ b/libs/direct/oleander_direct/routes.py
@@ -5,6 +5,7 @@
 import random
 
 from oleander_base import identifiers
+from oleander_direct import organisations
 
 
 class RouteKind(enum.Enum):
@@ -48,6 +49,8 @@
     """A batch is worth most when its results are there so long after it was handed in."""
     retention_ms: int
     """An item of a batch may be given up so long after it was handed in."""
+    is_public: bool = False
+    """Whether requests need no key."""
 
     @property
     def may_repeat(self) -> bool:
@@ -94,6 +97,8 @@
     routes: tuple[Route, ...]
     backends: tuple[Backend, ...]
     limits: Limits
+    keys: organisations.KeyRing | None = None
+    """Nothing where the configuration has no organisations, and nobody needs a key."""
 
     def match(self, host: str, path: str) -> Route | None:
         """Return the route of the longest prefix that begins the path."""
--- a/libs/direct/oleander_direct/servers.py
+++ b/libs/direct/oleander_direct/servers.py
@@ -53,6 +53,10 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     may_repeat: bool
+    organisation: str = ""
+    """On whose behalf it runs; empty where there is none."""
+    priority: int | None = None
+    """Goes before the priority of the route."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -56,7 +56,10 @@
         self, submitted: submission.Submission, deadline: clock.Deadline
     ) -> expression.Result[None, BatchProblem]:
         """Accept a batch; one that is known already is accepted again."""
-        if self._journal.find(submitted.batch_id) is not None:
+        known = self._journal.find(submitted.batch_id)
+        if known is not None:
+            if not _may_use(known, submitted.organisation):
+                return _reject(BatchFault.MISSING, "the batch is not of this organisation")
             return expression.Ok(None)
         if self._journal.is_cut:
             return self._refuse_cut(submitted.batch_id, "submission")
@@ -73,11 +76,16 @@
         ).info("accepted" if accepted.is_ok() else "not accepted")
         return accepted.map_error(_describe)
 
+    def needs_key(self, batch_id: str) -> bool:
+        """Tell whether calls about a batch need a key; so does one that is not known here."""
+        batch = self._journal.find(batch_id)
+        return batch is None or bool(batch.accepted.organisation)
+
     def list_results(
-        self, batch_id: str, after: int, wait: clock.Deadline
+        self, batch_id: str, organisation: str, after: int, wait: clock.Deadline
     ) -> expression.Result[journal.Listing, BatchProblem]:
         """Return results from a position on, waiting for the first of them."""
-        found = self._find(batch_id)
+        found = self._find(batch_id, organisation)
         if found.is_error():
             return expression.Error(found.error)
         batch = found.ok
@@ -93,9 +101,11 @@
         metrics.count(metrics.SAMPLES_DELIVERED, len(listing.ok.results))
         return expression.Ok(listing.ok)
 
-    def read_body(self, batch_id: str, item_id: str) -> expression.Result[bytes, BatchProblem]:
+    def read_body(
+        self, batch_id: str, organisation: str, item_id: str
+    ) -> expression.Result[bytes, BatchProblem]:
         """Return the body of an item."""
-        found = self._find(batch_id)
+        found = self._find(batch_id, organisation)
         if found.is_error():
             return expression.Error(found.error)
         read = self._journal.read_submission(found.ok, clock.start_deadline(_READ_SECONDS))
@@ -106,9 +116,9 @@
             return _reject(BatchFault.MISSING, "no such item")
         return expression.Ok(item.body)
 
-    def end(self, batch_id: str) -> expression.Result[None, BatchProblem]:
+    def end(self, batch_id: str, organisation: str) -> expression.Result[None, BatchProblem]:
         """End a batch; ending it again changes nothing."""
-        found = self._find(batch_id)
+        found = self._find(batch_id, organisation)
         if found.is_error():
             return expression.Error(found.error)
         if found.ok.is_ended:
@@ -125,20 +135,22 @@
         ).info("ended" if ended.is_ok() else "not ended")
         return ended.map_error(_describe)
 
-    def _find(self, batch_id: str) -> expression.Result[fold.Batch, BatchProblem]:
+    def _find(
+        self, batch_id: str, organisation: str
+    ) -> expression.Result[fold.Batch, BatchProblem]:
         """
         Return a batch; one that is not known is looked for in the index as of now.
 
+        For another organisation than its own there is no such batch, whoever guesses its name.
+
         A trainer that was told that its batch is accepted must never be told that there is none,
         also not by the same entry a moment later.
         """
         batch = self._journal.find(batch_id)
-        if batch is not None:
-            return expression.Ok(batch)
-        if not self._refresh(clock.read_now()):
+        if batch is None and not self._refresh(clock.read_now()):
             return _reject(BatchFault.UNSURE, "the index can't be read")
-        batch = self._journal.find(batch_id)
-        if batch is None:
+        batch = batch or self._journal.find(batch_id)
+        if batch is None or not _may_use(batch, organisation):
             return _reject(BatchFault.MISSING, "no such batch")
         return expression.Ok(batch)
 
@@ -154,6 +166,10 @@
         return self._journal.refresh(since, clock.start_deadline(_READ_SECONDS))
 
 
+def _may_use(batch: fold.Batch, organisation: str) -> bool:
+    return batch.accepted.organisation in {"", organisation}
+
+
 def _describe(error: content.NotDone) -> BatchProblem:
     if error.is_final:
         return BatchProblem(BatchFault.IMPOSSIBLE, error.detail)
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -148,21 +148,29 @@
         with self._lock:
             found = self._scheduler.list_partials()
         starts = [self._describe_partial(number, start) for number, start in found.items()]
-        items = self._submitted.items
-        model = self._submitted.model
-        known = [
-            item_texts.KnownText(items[s.item_number].item_id, model, s, None) for s in starts
-        ]
+        known = [self._describe_known(start.item_number, start, None) for start in starts]
         return known + [
-            item_texts.KnownText(items[number].item_id, model, None, result)
-            for number, result in self._results.items()
+            self._describe_known(number, None, result) for number, result in self._results.items()
         ]
 
+    def _describe_known(
+        self,
+        number: int,
+        start: submission.PartialText | None,
+        result: submission.ItemResult | None,
+    ) -> item_texts.KnownText:
+        submitted = self._submitted
+        item_id = submitted.items[number].item_id
+        return item_texts.KnownText(
+            submitted.organisation, item_id, submitted.model, start, result
+        )
+
     def reuse_texts(self, texts: item_texts.TextCache) -> list[tuple[int, submission.ItemResult]]:
         """Take over what is known of this batch's items; return results that fit as they are."""
         reused = []
         for number, item in enumerate(self._submitted.items):
-            known = texts.find(item.item_id, self._submitted.model)
+            submitted = self._submitted
+            known = texts.find(submitted.organisation, item.item_id, submitted.model)
             if known is None or number in self._batch.finished:
                 continue
             if known.start is not None:
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -155,7 +155,7 @@
             self._known, held, self._owned, self._journal, caller, self._group
         )
         operations = Operations(
-            route_lookup.RouteLookup(self._known, self._is_silent),
+            route_lookup.RouteLookup(self._known, self._is_outdated),
             dispatcher,
             batch_api.BatchApi(self._journal),
             self._is_ready,
@@ -217,6 +217,9 @@
     def _is_silent(self) -> bool:
         return not self._known.is_listed or self._known.silent_seconds > _SILENT_SECONDS
 
+    def _is_outdated(self) -> bool:
+        return self._is_silent() or self._known.configuration_age_seconds > _SILENT_SECONDS
+
     def _is_idle(self) -> bool:
         is_answered = self._callers.is_idle and not self._callers.connections
         return is_answered and self._writer.is_idle and not self._runner.running
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -173,6 +173,7 @@
             headers=self._item.item.headers,
             body=self._item.item.body,
             may_repeat=True,
+            organisation=self._run.submitted.organisation,
         )
         request = servers.GenerateRequest(call, self._item.resumed_events, self._item.urgency)
         deadline = clock.start_deadline(_STREAM_SECONDS)
--- a/programs/oleanderdeal/oleanderdeal/item_texts.py
+++ b/programs/oleanderdeal/oleanderdeal/item_texts.py
@@ -13,6 +13,7 @@
 class KnownText:
     """What was made of an item: a start, or a whole result."""
 
+    organisation: str
     item_id: str
     model: str
     start: submission.PartialText | None
@@ -29,19 +30,20 @@
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
-        self._texts: dict[str, KnownText] = {}
+        self._texts: dict[tuple[str, str], KnownText] = {}
 
     def keep(self, texts: list[KnownText]) -> None:
         """Take in texts."""
         with self._lock:
             for text in texts:
-                self._texts.pop(text.item_id, None)
-                self._texts[text.item_id] = text
+                key = (text.organisation, text.item_id)
+                self._texts.pop(key, None)
+                self._texts[key] = text
             while len(self._texts) > _MOST_TEXTS:
                 self._texts.pop(next(iter(self._texts)))
 
-    def find(self, item_id: str, model: str) -> KnownText | None:
-        """Return what is known of an item of a model."""
+    def find(self, organisation: str, item_id: str, model: str) -> KnownText | None:
+        """Return what is known of an organisation's item of a model."""
         with self._lock:
-            known = self._texts.get(item_id)
+            known = self._texts.get((organisation, item_id))
         return known if known is not None and known.model == model else None
--- a/programs/oleanderdeal/oleanderdeal/route_lookup.py
+++ b/programs/oleanderdeal/oleanderdeal/route_lookup.py
@@ -1,4 +1,4 @@
-"""Finds the route of a caller's request, or says what can be said where there is none."""
+"""Finds a request's route and who makes it, or says what can be said where it can't."""
 
 import collections.abc
 import dataclasses
@@ -6,10 +6,12 @@
 import expression
 
 from oleander_base import log
-from oleander_direct import directory, routes
+from oleander_direct import directory, organisations, routes
 
 _RETRY_AFTER_MS = 200
 """Soon: the refusal is of one entry, and another may know the newest configuration."""
+_NO_CONFIGURATION = "no configuration yet"
+_OUTDATED = "the newest configuration may be unknown here"
 _MOST_LOGGED = 120
 """Characters of a text from outside in a log line."""
 
@@ -24,15 +26,25 @@
     retry_after_ms: int
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class NoAccess:
+    """No organisation holds the key, as far as is known here."""
+
+    is_certain: bool
+    """Whether the newest configuration has none; else another entry may know one."""
+    reason: str
+    retry_after_ms: int
+
+
 class RouteLookup:
-    """Looks routes up in the newest configuration; "no route" is said only where it is known."""
+    """Looks up routes and keys in the newest configuration; denies only what it is sure of."""
 
     def __init__(
-        self, known: directory.Directory, is_silent: collections.abc.Callable[[], bool]
+        self, known: directory.Directory, is_outdated: collections.abc.Callable[[], bool]
     ) -> None:
-        """Take what tells that the platform was not heard for long."""
+        """Take what tells that a newer configuration may be in force."""
         self._known = known
-        self._is_silent = is_silent
+        self._is_outdated = is_outdated
 
     def find(
         self, host: str, path: str, request_id: str
@@ -40,12 +52,12 @@
         """Return a request's route."""
         table = self._known.table
         if table is None:
-            return _doubt("no configuration yet")
+            return _doubt(_NO_CONFIGURATION)
         route = table.match(host, path)
         if route is not None:
             return expression.Ok(route)
-        if self._is_silent():
-            return _doubt("the newest configuration may be unknown here")
+        if self._is_outdated():
+            return _doubt(_OUTDATED)
         log.logger.bind(
             event="unrouted",
             id=request_id,
@@ -55,6 +67,28 @@
         ).info("no route")
         return expression.Error(NoRoute(True, "no route", 0))
 
+    def identify(
+        self, authorization: str, is_public: bool, request_id: str
+    ) -> expression.Result[organisations.Caller, NoAccess]:
+        """Return who calls; the key is in no log line."""
+        table = self._known.table
+        if table is None:
+            return expression.Error(NoAccess(False, _NO_CONFIGURATION, _RETRY_AFTER_MS))
+        is_current = not self._is_outdated()
+        caller = organisations.identify(table.keys, authorization, is_public, is_current)
+        if isinstance(caller, organisations.Caller):
+            return expression.Ok(caller)
+        if not caller.is_certain:
+            return expression.Error(NoAccess(False, _OUTDATED, _RETRY_AFTER_MS))
+        log.logger.bind(
+            event="unauthorized",
+            id=request_id,
+            has_key=bool(organisations.read_key(authorization)),
+            configuration=table.version,
+            age_ms=int(self._known.configuration_age_seconds * 1000),
+        ).info("no organisation holds the key")
+        return expression.Error(NoAccess(True, "unknown key", 0))
+
 
 def _doubt(reason: str) -> expression.Result[routes.Route, NoRoute]:
     return expression.Error(NoRoute(False, reason, _RETRY_AFTER_MS))
