Report use to the platform, once for each window, by the holder of a lease

Cause: no duty was done.

Each process counts the requests that it sends, by organisation and window of true time, takes back what a server turned away, and appends the counts to the log each half second. The lease that orders to servers used becomes libs/leases, with its topic as a setting, and serves both. Its holder sums a window, appends the report, and sends only what the log holds as the window's first report: two holders can't send different counts, whichever was suspended, killed or cut off between the two. A window is reported as late as leaves a successor the time to take over: 10 s less 2.5 s of term, 3.5 s of gap and 1 s. A new holder repeats the last two reports.

Ruled out: counts by window (what a killed process counted in 5 s would be lost, here 5% of a window of 70 requests is one organisation's whole use); counts from process to process (each would have to be kept until it is known to be reported, whoever the holder is). Both by reasoning, not played.

--- a/features/front_platform.py
+++ b/features/front_platform.py
@@ -13,7 +13,8 @@
 class Front(front_programs.FrontProgram):
     """The program, with its platform."""
 
-    def __init__(self):
+    def __init__(self, window_seconds=0):
+        """Report use where its windows have a length."""
         self.store = platform_standin.Store()
         self.engine = platform_standin.Sampler("engine-1")
         self.service = platform_standin.Sampler("desk-1")
@@ -22,11 +23,17 @@
             content = platform_standin.describe_server(sampler, service)
             self.store.put("keyed.servers", sampler.name, content)
         self._temporary = tempfile.TemporaryDirectory()
-        super().__init__("front-1", self._temporary.name, self.store.address, has_metrics=True)
+        self.duties = platform_standin.Duties()
+        more = ""
+        if window_seconds:
+            more = front_programs.describe_duties(self.duties.address, window_seconds)
+        super().__init__(
+            "front-1", self._temporary.name, self.store.address, has_metrics=True, more=more
+        )
 
     def stop(self):
         self.end()
-        for stand in (self.store, self.engine, self.service):
+        for stand in (self.store, self.engine, self.service, self.duties):
             stand.stop()
         self._temporary.cleanup()
 
--- a/features/front_programs.py
+++ b/features/front_programs.py
@@ -15,9 +15,16 @@
 zone = "z"
 internal_ports = [7380, 7395]
 listen = {{ front = "127.0.0.1:{front}", ready = "127.0.0.1:{ready}" }}
-bounds = {{ grace_s = 8, lease_ms = 300, status_s = 120 }}
+bounds.grace_s = 8
+bounds.lease_ms = 300
+bounds.status_s = 120
 platform = {{ address = "{store}", parts = 4, retention_s = 300 }}
 """
+_DUTIES = """
+cloud = {{ address = "{address}", duties = ["usage_report"] }}
+bounds.report_window_s = {window}
+bounds.usage_late_s = 10
+"""
 
 
 _PORTS = range(20_000, 32_000)
@@ -45,6 +52,11 @@
     return _SETTINGS.format(name=name, front=front, ready=ready, store=store)
 
 
+def describe_duties(address, window_seconds):
+    """Return what the settings file says more where use is to be reported."""
+    return _DUTIES.format(address=address, window=window_seconds)
+
+
 def start_front(folder, settings, output, metrics_port, changes=()):
     """Start the deployed program with a settings file."""
     path = pathlib.Path(folder) / "local.toml"
@@ -61,11 +73,11 @@
 class FrontProgram:
     """One program, which may be ended and started again under the same name."""
 
-    def __init__(self, name, folder, store_address, has_metrics=False):
+    def __init__(self, name, folder, store_address, has_metrics=False, more=""):
         self.name = name
         self.front, self.ready = find_port(), find_port()
         self.metrics = find_port() if has_metrics else 0
-        self._settings = describe_settings(name, self.front, self.ready, store_address)
+        self._settings = describe_settings(name, self.front, self.ready, store_address) + more
         self._folder = pathlib.Path(folder) / name
         self._folder.mkdir()
         self.output = self._folder / "output"
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -233,6 +233,28 @@
         handler.wfile.write(b"0\r\n\r\n")
 
 
+class Duties(Stand):
+    """The platform where duties are done: keeps reports of use and what is wrong with them."""
+
+    def __init__(self):
+        super().__init__()
+        self.reports = {}
+        self.problems = []
+        self._newest = 0
+
+    def answer(self, handler, path, query, body):
+        report = json.loads(body)
+        fencing = int(handler.headers.get("X-Oleanderdeal-Fencing-Token", -1))
+        if path != "/usage" or not handler.headers.get("X-Oleanderdeal-Duty-Holder"):
+            self.problems.append((path, dict(handler.headers)))
+        if fencing < self._newest:
+            self.problems.append(f"fencing number {fencing} after {self._newest}")
+        if self.reports.setdefault(report["window"], report) != report:
+            self.problems.append(f"another report of window {report['window']}")
+        self._newest = fencing
+        handler.send(200)
+
+
 def _break_off(handler):
     """Close a connection in the middle of an answer."""
     handler.close_connection = True
--- a/features/server_fakes.py
+++ b/features/server_fakes.py
@@ -1,6 +1,15 @@
 """Backend servers of a test, which says what those do that it uses."""
 
-from oleander_direct import servers
+import threading
+import time
+
+import expression
+
+from oleander_direct import routes, servers
+
+_OK_SECONDS = 0.01
+_SLOW_SECONDS = 0.3
+_KINDS = {"idempotent": routes.RouteKind.IDEMPOTENT, "once": routes.RouteKind.ONCE}
 
 
 class UnusedCaller(servers.ServerCaller):
@@ -20,3 +29,45 @@
 
     def forget(self, address):
         """Keep nothing that could be forgotten."""
+
+
+class FakeCaller(UnusedCaller):
+    """Answers as each server was told to."""
+
+    def __init__(self, behaviours):
+        self._behaviours = behaviours
+        self.ran = []
+        self.cancelled = threading.Event()
+
+    def call(self, server, request, deadline, is_cancelled):
+        behaviour = self._behaviours[server.server_id]
+        if behaviour == "refuses":
+            return expression.Error(servers.CallFailure("refused", False))
+        if behaviour in {"full", "other"}:
+            return expression.Ok(_answer(503, behaviour == "full", behaviour == "other"))
+        self.ran.append(server.server_id)
+        if behaviour == "lost":
+            return expression.Error(servers.CallFailure("reset", True))
+        if behaviour == "fails":
+            return expression.Ok(_answer(500))
+        if behaviour == "silent":
+            return self._wait(deadline, is_cancelled)
+        time.sleep(_SLOW_SECONDS if behaviour == "slow" else _OK_SECONDS)
+        return expression.Ok(_answer(200))
+
+    def _wait(self, deadline, is_cancelled):
+        while not deadline.is_past and not is_cancelled():
+            time.sleep(_OK_SECONDS)
+        self.cancelled.set()
+        return expression.Error(servers.CallFailure("no answer", True, is_cancelled()))
+
+
+def _answer(status, did_not_run=False, is_other=False):
+    return servers.CallAnswer(status, (), b"", did_not_run, is_other, "stamp")
+
+
+def build_route(kind, most_servers):
+    """Return a route of a kind whose requests may go to so many servers."""
+    share = (routes.Share("desk", 1),)
+    kind = _KINDS[kind]
+    return routes.Route("r", "h", "/", kind, 5000, 150, 0, share, most_servers, False, False, 0, 0)
--- a/features/steps/direct_calls_steps.py
+++ b/features/steps/direct_calls_steps.py
@@ -1,10 +1,8 @@
 """Steps for calls to backend servers without sidecars."""
 
-import threading
 import time
 
 import behave
-import expression
 
 import server_fakes
 from oleander_base import clock
@@ -12,56 +10,13 @@
 from oleander_routing import router
 from oleanderdeal import route_lookup
 
-_OK_SECONDS = 0.01
-_SLOW_SECONDS = 0.3
 _DEADLINE_SECONDS = 0.8
-_KINDS = {"idempotent": routes.RouteKind.IDEMPOTENT, "once": routes.RouteKind.ONCE}
-
-
-class FakeCaller(server_fakes.UnusedCaller):
-    """Answers as each server was told to."""
-
-    def __init__(self, behaviours):
-        self._behaviours = behaviours
-        self.ran = []
-        self.cancelled = threading.Event()
-
-    def call(self, server, request, deadline, is_cancelled):
-        behaviour = self._behaviours[server.server_id]
-        if behaviour == "refuses":
-            return expression.Error(servers.CallFailure("refused", False))
-        if behaviour in {"full", "other"}:
-            return expression.Ok(_answer(503, behaviour == "full", behaviour == "other"))
-        self.ran.append(server.server_id)
-        if behaviour == "lost":
-            return expression.Error(servers.CallFailure("reset", True))
-        if behaviour == "fails":
-            return expression.Ok(_answer(500))
-        if behaviour == "silent":
-            return self._wait(deadline, is_cancelled)
-        time.sleep(_SLOW_SECONDS if behaviour == "slow" else _OK_SECONDS)
-        return expression.Ok(_answer(200))
-
-    def _wait(self, deadline, is_cancelled):
-        while not deadline.is_past and not is_cancelled():
-            time.sleep(_OK_SECONDS)
-        self.cancelled.set()
-        return expression.Error(servers.CallFailure("no answer", True, is_cancelled()))
-
-
-def _answer(status, did_not_run=False, is_other=False):
-    return servers.CallAnswer(status, (), b"", did_not_run, is_other, "stamp")
-
-
-def _route(kind, most_servers):
-    share = (routes.Share("desk", 1),)
-    return routes.Route("r", "h", "/", kind, 5000, 150, 0, share, most_servers, False, False, 0, 0)
 
 
 @behave.given("the servers {listed}")
 def create_servers(context, listed):
     behaviours = dict(item.split("=") for item in listed.split())
-    context.caller = FakeCaller(behaviours)
+    context.caller = server_fakes.FakeCaller(behaviours)
     chooser = router.Router(7)
     known = directory.Directory(chooser, context.caller)
     for name in behaviours:
@@ -72,7 +27,10 @@
 def _call(context, kind, most, is_gone=lambda: False):
     request = servers.CallRequest("id", "h", "POST", "/", (), b"", kind == "idempotent")
     return context.dispatcher.call(
-        _route(_KINDS[kind], most), request, clock.start_deadline(_DEADLINE_SECONDS), is_gone
+        server_fakes.build_route(kind, most),
+        request,
+        clock.start_deadline(_DEADLINE_SECONDS),
+        is_gone,
     )
 
 
--- a/features/steps/order_crowd_steps.py
+++ b/features/steps/order_crowd_steps.py
@@ -10,7 +10,7 @@
 import server_fakes
 from oleander_base import clock
 from oleander_direct import directory, routes, servers
-from oleander_orders import right
+from oleander_leases import lease
 from oleanderdeal import version_keeper
 
 _MODEL = "m"
@@ -120,7 +120,7 @@
     def _find_right(self, name, server_id):
         if name != server_id:
             return None
-        tenure = right.Tenure(1, clock.start_deadline(5.0))
+        tenure = lease.Tenure(1, clock.start_deadline(5.0))
         return types.SimpleNamespace(name=name, find_tenure=lambda: tenure)
 
 
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -8,9 +8,11 @@
 
 from oleander_base import clock
 from oleander_direct import directory, servers
-from oleander_orders import homes, pace, plan, right
+from oleander_leases import lease
+from oleander_orders import homes, pace, plan
 from oleander_standins import recordlog
 
+_TOPIC = "leases"
 _GAP_SECONDS = 3.0
 _LOOK_SECONDS = 0.05
 _SEEN_VERSIONS = 4
@@ -24,7 +26,7 @@
         self._log = recordlog.MemoryRecordLog()
         self._clients = {name: self._log.create_client() for name in names}
         self._rights = {
-            name: right.OrderRight(client, name, _GAP_SECONDS)
+            name: lease.FencedLease(client, _TOPIC, name, _GAP_SECONDS)
             for name, client in self._clients.items()
         }
         self.permissions = []
@@ -60,7 +62,7 @@
             assert may_order == word.endswith("?"), (word, self.now)
 
     def _restart(self, name):
-        self._rights[name] = right.OrderRight(self._clients[name], name, _GAP_SECONDS)
+        self._rights[name] = lease.FencedLease(self._clients[name], _TOPIC, name, _GAP_SECONDS)
 
     def _pass_time(self, seconds):
         until = self.now + seconds
--- /dev/null
+++ b/features/usage.feature
@@ -0,0 +1,93 @@
+Feature: Use is reported once for each window, whoever reports it
+  Processes a, b and c share a log. Windows have 5 s and are due 10 s after their end; a word like
+  5s lets time pass, a.begin=red*3 sends three requests of organisation red from process a.
+
+  Scenario Outline: A window is reported in time, with all that began in it
+    # Guards against missing, doubled or lost counts, whatever happens to the log and the holder.
+    Given the processes a b c that report use
+    When they do <script>
+    Then window 0 was reported with <counts> in time
+    And no window was reported with two counts
+    And no two processes reported within the gap, and fencing numbers only grew
+
+    Examples: the path of the counts
+      | script                                                           | counts        |
+      | 20s                                                              | nothing       |
+      | a.begin=red*3 20s                                                | red=3         |
+      | a.begin=red*3 b.begin=red*2 c.begin=blue*1 20s                   | blue=1 red=5  |
+      | a.begin=red*1 4s a.begin=red*1 2s a.begin=red*5 20s              | red=2         |
+      | a.begin=red*3 a.undo=red*1 20s                                   | red=2         |
+      | a.begin=red*1 a.undo=red*1 20s                                   | nothing       |
+      | a.begin=red*3 1s a.undo=red*3 20s                                | nothing       |
+      | a.lost a.begin=red*3 20s                                         | red=3         |
+      | a.late a.begin=red*3 2s late 20s                                 | red=3         |
+      | a.late a.begin=red*3 1s a.begin=red*1 1s late 20s                | red=4         |
+      | b.down b.begin=red*3 6s b.up 20s                                 | red=3         |
+      | a.down b.down c.down a.begin=red*3 7s a.up b.up c.up 20s         | red=3         |
+      | garbage a.begin=red*3 20s                                        | red=3         |
+
+    Examples: what happens to the holder
+      | script                                                           | counts        |
+      | b.begin=red*3 6s a.kill 20s                                      | red=3         |
+      | b.begin=red*3 7s a.kill 20s                                      | red=3         |
+      | b.begin=red*3 6s a.kill 1s a.start 20s                           | red=3         |
+      | b.begin=red*3 6s a.leave 20s                                     | red=3         |
+      | b.begin=red*3 6s a.down 20s                                      | red=3         |
+      | b.begin=red*3 6s a.freeze 9s a.thaw 20s                          | red=3         |
+      | a.dies-sending b.begin=red*3 20s                                 | red=3         |
+      | a.stalls-sending b.begin=red*3 8.3s a.freeze 12s a.arrive 20s     | red=3         |
+      | b.begin=red*3 1s a.kill b.kill c.kill 2s a.start b.start 20s     | red=3         |
+      | b.begin=red*3 6s a.kill b.kill c.kill 2s b.start c.start 20s     | red=3         |
+
+    Examples: what the platform does
+      | script                                                           | counts        |
+      | platform.lost b.begin=red*3 20s                                  | red=3         |
+      | platform.down b.begin=red*3 9s platform.up 20s                   | red=3         |
+      | platform.lost b.begin=red*3 7.2s a.kill 20s                      | red=3         |
+
+  Scenario: A window that nobody could report in time is reported once the log is back
+    # Guards against use that is never billed after an outage.
+    Given the processes a b c that report use
+    When they do b.begin=red*3 1s a.down b.down c.down 25s a.up b.up c.up 12s
+    Then window 0 was reported with red=3
+
+  Scenario Outline: Only what a server may have begun is counted
+    # Guards against organisations billed for requests that no server ran.
+    Given one server that <behaves>
+    When an idempotent call of red is sent to it
+    Then <count> requests of red are counted
+
+    Examples:
+      | behaves | count |
+      | ok      | 1     |
+      | fails   | 1     |
+      | lost    | 1     |
+      | full    | 0     |
+      | other   | 0     |
+      | refuses | 0     |
+
+  Scenario: Counts that nobody takes are bounded
+    # Guards against memory that grows while the log is away.
+    Given a counter of use whose windows nobody takes
+    When requests begin in 500 windows
+    Then the counts of the newest 64 windows are kept
+
+  Scenario Outline: Another writer's record is passed over
+    # Guards against a report that stops for bytes that can't be read.
+    Then a record of use of <content> can't be read
+
+    Examples:
+      | content         |
+      |                 |
+      | ff              |
+      | 80              |
+      | 8109            |
+      | 8401626161      |
+      | 83026178a0      |
+      | 830205a16172f6  |
+
+  Scenario: The program reports to the platform, in its node's name and with a fencing number
+    # Guards against a duty that the deployed program does not do.
+    Given the front program with windows of 1 s, and the organisations red and blue
+    When 3 calls of red are answered
+    Then the platform is told of 3 requests of red, and of idle windows, each window once
--- a/libs/base/oleander_base/clock.py
+++ b/libs/base/oleander_base/clock.py
@@ -16,7 +16,11 @@
 
 
 def read_wall_ms() -> int:
-    """Return wall-clock milliseconds, for people to read; no decision may use it."""
+    """
+    Return wall-clock milliseconds, for people to read and for windows of true time.
+
+    Clocks differ between hosts, so no decision may compare one host's with another's.
+    """
     return int(time.time() * 1000)
 
 
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -158,6 +158,13 @@
     "Partitions of backend servers that this process may order.",
     "Over all processes the sum is the number of partitions; less for long: nobody claims.",
 )
+USAGE_REPORTS = _declare(
+    "usage.reports",
+    "counter",
+    "count",
+    "Reports of use that were sent, repeats among them.",
+    "Over all processes one for each window; none for long: nobody holds the lease.",
+)
 STORE_MS = _declare(
     "log.ms", "timer", "ms", "How long a call to the platform's log took.", "As log.failed_calls."
 )
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -9,6 +9,7 @@
 
 from oleander_base import clock, log, metrics
 from oleander_direct import comeback, directory, routes, servers
+from oleander_duties import usage
 from oleander_routing import retries, router
 
 _REPLY_PART = 0.05
@@ -110,7 +111,10 @@
         known: directory.Directory,
         router_: router.Router,
         caller: servers.ServerCaller,
+        counter: usage.UsageCounter | None = None,
     ) -> None:
+        """Take what counts the requests that begin, where they are to be counted."""
+        self._counter = counter
         self._directory = known
         self._router = router_
         self._caller = caller
@@ -245,7 +249,7 @@
 
     def _attempt(self, progress: _Progress, server: servers.Server) -> _Attempted:
         started_at = clock.read_now()
-        answered = self._call_server(progress, server)
+        answered = self._call_counted(progress, server)
         milliseconds = (clock.read_now() - started_at) * 1000
         outcome = _rate(answered, progress)
         if answered.is_ok() and outcome is not router.RouteOutcome.REFUSED:
@@ -253,6 +257,17 @@
         self._router.note_finished(server.server_id, outcome, milliseconds)
         return answered
 
+    def _call_counted(self, progress: _Progress, server: servers.Server) -> _Attempted:
+        """Call a server, and count the request for its organisation unless it did not begin."""
+        organisation = progress.request.organisation
+        if self._counter is None or not organisation:
+            return self._call_server(progress, server)
+        counted = self._counter.add(organisation)
+        answered = self._call_server(progress, server)
+        if not _may_have_begun(answered):
+            self._counter.take_back(counted)
+        return answered
+
     def _call_server(self, progress: _Progress, server: servers.Server) -> _Attempted:
         """Call a server; an unexpected error counts as an answer that did not come."""
         try:
@@ -266,6 +281,12 @@
             return expression.Error(servers.CallFailure("internal error", True))
 
 
+def _may_have_begun(answered: _Attempted) -> bool:
+    if answered.is_error():
+        return answered.error.was_sent
+    return not answered.ok.did_not_run and not answered.ok.is_other_server
+
+
 def _rate(answered: _Attempted, progress: _Progress) -> router.RouteOutcome:
     """Tell what an attempt says of its server; one that was cancelled says only how long."""
     if answered.is_error():
--- /dev/null
+++ b/libs/duties/oleander_duties/usage.py
@@ -0,0 +1,68 @@
+"""Counts the requests that began, by organisation and window of true time."""
+
+import collections
+import collections.abc
+import dataclasses
+import threading
+
+from oleander_base import clock, log
+
+_MOST_WINDOWS = 64
+"""Windows with counts that nobody took; past this the oldest is dropped."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class CountedRequest:
+    """A request that was counted, so that it can be taken back."""
+
+    organisation: str
+    window: int
+
+
+class UsageCounter:
+    """
+    Counts what this process began and nobody took yet; thread-safe.
+
+    A request is counted when it is sent, since its window may be reported while it still runs; one
+    that the server turned away is taken back, in the same window.
+    """
+
+    def __init__(
+        self,
+        window_ms: int,
+        read_wall_ms: collections.abc.Callable[[], int] = clock.read_wall_ms,
+    ) -> None:
+        self._window_ms = window_ms
+        self._read_wall_ms = read_wall_ms
+        self._lock = threading.Lock()
+        self._counts: dict[int, collections.Counter[str]] = {}
+
+    def add(self, organisation: str) -> CountedRequest:
+        """Count a request that is sent now."""
+        counted = CountedRequest(organisation, self._read_wall_ms() // self._window_ms)
+        self._change(counted, 1)
+        return counted
+
+    def take_back(self, counted: CountedRequest) -> None:
+        """Count a request no longer: it did not begin."""
+        self._change(counted, -1)
+
+    def take(self) -> dict[int, dict[str, int]]:
+        """Return what was counted since the last call, by window; taken back is below zero."""
+        with self._lock:
+            counts, self._counts = self._counts, {}
+        changed = {
+            window: {name: count for name, count in names.items() if count}
+            for window, names in counts.items()
+        }
+        return {window: names for window, names in changed.items() if names}
+
+    def _change(self, counted: CountedRequest, change: int) -> None:
+        with self._lock:
+            names = self._counts.setdefault(counted.window, collections.Counter())
+            names[counted.organisation] += change
+            dropped = None
+            if len(self._counts) > _MOST_WINDOWS:
+                dropped = self._counts.pop(min(self._counts))
+        if dropped is not None:
+            log.warn_bounded("usage-dropped", "too many windows wait", counts=dropped.total())
--- a/libs/orders/oleander_orders/right.py
+++ b/libs/leases/oleander_leases/lease.py
@@ -1,4 +1,4 @@
-"""The right to order backend servers, held by one process at a time."""
+"""A lease with fencing numbers, held by one process at a time."""
 
 import dataclasses
 import threading
@@ -8,14 +8,13 @@
 from oleander_base import clock, identifiers, log
 from oleander_platform import recordlog
 
-TOPIC = "oleander.orders"
 TERM_SECONDS = 2.5
-"""How long a confirmed record lets its writer order. Renewed three times in it, so that one lost
+"""How long a confirmed record lets its writer act. Renewed three times in it, so that one lost
 answer or a pause of half a second does not end it."""
 _RENEW_SECONDS = 0.8
 """A third of the term."""
 _GAP_MARGIN_SECONDS = 0.5
-"""On top of the required gap, for orders on their way when the term ended."""
+"""On top of the required gap, for calls on their way when the term ended."""
 _READ_SECONDS = 1.4
 """A silent connection is given up well within the term and the gap."""
 _APPEND_SECONDS = 0.7
@@ -28,7 +27,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Tenure:
-    """The permission to order until a deadline."""
+    """The permission to act until a deadline."""
 
     fencing: int
     """The offset of the record that began it; those of later holders are all higher."""
@@ -46,12 +45,12 @@
     seen_at: float
 
 
-class OrderRight:
+class FencedLease:
     """
     Held by whoever wrote the newest record, until a deadline counted from before it was written.
 
     A holder may be suspended, cut off, or its partition dealt to another process while it goes on
-    believing that it holds the right; servers then get orders from two holders and can't tell
+    believing that it holds the lease; whoever it calls then hears from two holders and can't tell
     which is the newer. Here a successor appends its claim only where the log still ends at the
     last record that it has read, after that record is older, by its own clock, than the whole
     term and the gap that must lie between two holders. The earlier holder's deadline, counted
@@ -59,19 +58,21 @@
     that append took effect: an append that was delayed fails its condition or restarts the wait.
 
     A process that starts again on the holder's own host need not wait: a host runs one of them at
-    a time, and servers take one host's orders for one holder's. Else nobody could order for six
+    a time, and those who are called take one host for one holder. Else nobody could act for six
     seconds after all processes were restarted.
     """
 
     def __init__(
         self,
         log_service: recordlog.RecordLog,
+        topic: str,
         host: str,
         gap_seconds: float,
         partition: int = 0,
     ) -> None:
-        """Take what names this host alone, and the gap between the orders of two holders."""
+        """Take what names this host alone, and the gap between the acts of two holders."""
         self._log = log_service
+        self._topic = topic
         self._host = host
         self._partition = partition
         self._name = f"{host}/{identifiers.create_incarnation()}"
@@ -88,19 +89,24 @@
         """The name of this holder; each run of a process has its own."""
         return self._name
 
+    @property
+    def takeover_seconds(self) -> float:
+        """How long nobody holds the lease at most after its holder was lost."""
+        return TERM_SECONDS + self._gap_seconds
+
     @property
     def is_wanted(self) -> bool:
         """Whether it was not given up."""
         return self._is_wanted
 
     def find_tenure(self) -> Tenure | None:
-        """Return the permission to order now, if this process has it."""
+        """Return the permission to act now, if this process has it."""
         with self._lock:
             tenure = self._tenure
         return None if tenure is None or tenure.deadline.is_past else tenure
 
     def try_hold(self, wait_ms: int) -> float:
-        """Renew the right, or read on and claim it where it is free; return when to try again."""
+        """Renew the lease, or read on and claim it where it is free; return when to try again."""
         if self.find_tenure() is not None:
             self._renew()
             return _RENEW_SECONDS
@@ -111,7 +117,7 @@
         return 0.0
 
     def release(self) -> None:
-        """Give the right up, once no order is on its way; the gap still has to pass."""
+        """Give the lease up, once no call is on its way; the gap still has to pass."""
         self._is_wanted = False
         with self._lock:
             tenure, self._tenure = self._tenure, None
@@ -136,7 +142,11 @@
         with self._lock:
             self._tenure = Tenure(offset, deadline)
         log.logger.bind(
-            event="orders-held", holder=self._name, partition=self._partition, fencing=offset
+            event="lease-held",
+            topic=self._topic,
+            holder=self._name,
+            partition=self._partition,
+            fencing=offset,
         ).info("claimed")
 
     def _renew(self) -> None:
@@ -156,21 +166,21 @@
         content = cbor2.dumps([self._name, self._host, state, fencing])
         deadline = clock.start_deadline(_APPEND_SECONDS)
         offset = self._next_offset
-        appended = self._log.append_at(TOPIC, self._partition, [content], offset, deadline)
+        appended = self._log.append_at(self._topic, self._partition, [content], offset, deadline)
         if appended.is_ok():
             self._next_offset = offset + 1
             self._newest = _Entry(self._name, self._host, state, fencing, clock.read_now())
             return offset
-        log.warn_bounded("orders-unconfirmed", str(appended.error), state=state)
+        log.warn_bounded("lease-unconfirmed", str(appended.error), topic=self._topic, state=state)
         self._read_on(0)
         return None
 
     def _read_on(self, wait_ms: int) -> bool:
         deadline = clock.start_deadline(_READ_SECONDS)
         wait_ms = wait_ms if self._is_read else 0
-        page = self._log.read(TOPIC, self._partition, self._next_offset, wait_ms, deadline)
+        page = self._log.read(self._topic, self._partition, self._next_offset, wait_ms, deadline)
         if page.is_error():
-            log.warn_bounded("orders-unread", page.error.detail)
+            log.warn_bounded("lease-unread", page.error.detail, topic=self._topic)
             return False
         for record in page.ok.records:
             self._take(record)
@@ -191,5 +201,9 @@
             lost, self._tenure = self._tenure, None
         if lost is not None:
             log.logger.bind(
-                event="orders-lost", holder=holder, partition=self._partition, fencing=fencing
+                event="lease-lost",
+                topic=self._topic,
+                holder=holder,
+                partition=self._partition,
+                fencing=fencing,
             ).warning("taken")
--- a/libs/orders/oleander_orders/__init__.py
+++ b/libs/orders/oleander_orders/__init__.py
@@ -1,5 +1,5 @@
 """Orders to backend servers: who may give them, and which to give."""
 
-from oleander_orders import crowd, homes, pace, plan, right, rights
+from oleander_orders import crowd, homes, pace, plan, rights
 
-__all__ = ["crowd", "homes", "pace", "plan", "right", "rights"]
+__all__ = ["crowd", "homes", "pace", "plan", "rights"]
--- a/libs/orders/oleander_orders/rights.py
+++ b/libs/orders/oleander_orders/rights.py
@@ -4,9 +4,10 @@
 import threading
 
 from oleander_base import identifiers, log, tasks
-from oleander_orders import right
+from oleander_leases import lease
 from oleander_platform import recordlog
 
+TOPIC = "oleander.orders"
 _LOOK_SECONDS = 0.5
 """How soon a free right is seen; a successor waits six seconds in any case."""
 
@@ -37,7 +38,7 @@
         self._partitions = partitions
         self._group = group
         self._lock = threading.Lock()
-        self._rights: dict[int, right.OrderRight] = {}
+        self._rights: dict[int, lease.FencedLease] = {}
         self._wanted: frozenset[int] = frozenset()
 
     @property
@@ -60,7 +61,7 @@
         for partition in wanted:
             self._start(partition)
 
-    def find_right(self, server_id: str) -> right.OrderRight | None:
+    def find_right(self, server_id: str) -> lease.FencedLease | None:
         """Return the right to order a server, where this process watches or holds it."""
         with self._lock:
             return self._rights.get(self.find_partition(server_id))
@@ -76,11 +77,11 @@
         with self._lock:
             if partition in self._rights:
                 return
-            held = right.OrderRight(self._log, self._host, self._gap_seconds, partition)
+            held = lease.FencedLease(self._log, TOPIC, self._host, self._gap_seconds, partition)
             self._rights[partition] = held
         self._group.keep(lambda: self._hold(partition, held))
 
-    def _hold(self, partition: int, held: right.OrderRight) -> None:
+    def _hold(self, partition: int, held: lease.FencedLease) -> None:
         """Hold a right while it is wanted, and for as long as it is held."""
         while not self._group.is_stopping and held.is_wanted:
             if partition not in self._wanted and held.find_tenure() is None:
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -8,6 +8,8 @@
 from oleander_base import clock, identifiers, log, tasks
 from oleander_batches import journal
 from oleander_direct import calls, directory, servers
+from oleander_duties import platform, usage
+from oleander_leases import lease
 from oleander_orders import rights
 from oleander_platform import keyed_follower, recordlog
 from oleander_routing import preferred, router
@@ -22,6 +24,7 @@
     ownership,
     result_writer,
     route_lookup,
+    usage_reporter,
     version_keeper,
 )
 
@@ -73,6 +76,8 @@
     batch_keep_seconds: float
     grace_seconds: float
     """How long a stop may take at most."""
+    usage: usage_reporter.UsageSettings | None = None
+    """Nothing where use is not to be reported."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -96,6 +101,10 @@
     def create_caller(self) -> servers.ServerCaller:
         """Return what reaches backend servers."""
 
+    @abc.abstractmethod
+    def create_duties(self) -> platform.DutyPlatform | None:
+        """Return what takes reports of use, if anything does."""
+
     @abc.abstractmethod
     def create_sinks(
         self, known: directory.Directory
@@ -131,7 +140,8 @@
             log_service, self._group, chosen.partitions, chosen.batch_keep_seconds
         )
         self._owned = ownership.Ownership(log_service, chosen.name, self._group)
-        dispatcher = calls.CallDispatcher(self._known, self._router, caller)
+        self._reporter, counter = self._create_reporter(log_service)
+        dispatcher = calls.CallDispatcher(self._known, self._router, caller, counter)
         self._writer = result_writer.ResultWriter(self._journal, self._group)
         items = item_task.ItemRunner(self._known, self._router, caller, dispatcher, self._group)
         self._runner = batch_runner.BatchRunner(
@@ -179,6 +189,10 @@
         self._group.keep(self._runner.feed)
         self._group.keep(self._runner.keep_partials)
         self._group.keep(self._keeper.keep)
+        if self._reporter is not None:
+            self._group.keep(self._reporter.flush_counts)
+            self._group.keep(self._reporter.keep_lease)
+            self._group.keep(self._reporter.report)
         self._group.start(self._callers.serve)
         self._group.start(self._ready.serve)
         if self._metrics is not None:
@@ -190,6 +204,26 @@
         self._drain()
         log.logger.bind(event="stopped").info("nothing is in progress")
 
+    def _create_reporter(
+        self, log_service: recordlog.RecordLog
+    ) -> tuple[usage_reporter.UsageReporter | None, usage.UsageCounter | None]:
+        """Return what reports use and what counts it, where use is to be reported."""
+        chosen = self._chosen.usage
+        reached = self._deployment.create_duties()
+        if chosen is None or reached is None:
+            return None, None
+        counter = usage.UsageCounter(chosen.window_ms)
+        held = lease.FencedLease(
+            log_service,
+            usage_reporter.LEASE_TOPIC,
+            self._chosen.host,
+            self._chosen.order_gap_seconds,
+        )
+        reporter = usage_reporter.UsageReporter(
+            chosen, log_service, held, self._owned, counter, reached, self._group
+        )
+        return reporter, counter
+
     def _create_followers(
         self, log_service: recordlog.RecordLog, deployment: Deployment
     ) -> list[keyed_follower.KeyedFollower]:
@@ -236,6 +270,8 @@
         log.logger.bind(event="stopping", running=self._runner.running).info("finishing")
         self._leaving.set()
         self._keeper.leave()
+        if self._reporter is not None:
+            self._reporter.leave()
         self._runner.drain()
         self._owned.leave()
         pause = threading.Event()
@@ -247,6 +283,8 @@
             log.logger.bind(event="drain-cut", connections=self._callers.connections).error(
                 "stopping with requests in progress"
             )
+        if self._reporter is not None:
+            self._reporter.flush()
         self._group.stop()
         self._callers.stop()
         self._group.join(clock.start_deadline(_CLOSE_SECONDS))
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -5,7 +5,8 @@
 from oleander_base import clock, identifiers, log, metrics, tasks
 from oleander_batches import journal
 from oleander_direct import directory, servers
-from oleander_orders import crowd, plan, right, rights
+from oleander_leases import lease
+from oleander_orders import crowd, plan, rights
 from oleanderdeal import ownership
 
 _ORDER_SECONDS = 0.8
@@ -80,7 +81,7 @@
     def _may_order(self, server: servers.Server) -> bool:
         return self._find_tenure(server) is not None
 
-    def _find_tenure(self, server: servers.Server) -> right.Tenure | None:
+    def _find_tenure(self, server: servers.Server) -> lease.Tenure | None:
         held = self._rights.find_right(server.server_id)
         tenure = held.find_tenure() if held is not None else None
         if tenure is None or tenure.deadline.remaining < _LEAST_TENURE_SECONDS:
