Keep one organisation's burst from taking all places of an entry

Cause: an entry has 24 places for calls and nothing shares them out. Played in memory (24 places, 200 ms a request, ten organisations with 5 requests a second each and one with 100 times that), some of the ten are served less than 95% of what they are without the eleventh.

libs/admission gets shares.ConcurrencyShares: while fewer than a quarter of the places are free, the organisation that holds the most, and more than its even part, is turned away at once with when to come back. With it each of the others gets at least 95% of what it has without the burst, in all four loads.

Ruled out by the same plays: an even part for each while places are short (the others get as little as 50%, since a burst of two is turned away too), and a threshold that follows the free places (80 to 94% with factors 1 to 3).

The table of key changes grows: the store down, silent or slow, the program suspended, two configurations at once, a key that moves to another organisation.

--- a/features/organisations.feature
+++ b/features/organisations.feature
@@ -77,13 +77,34 @@
     And a batch of red is read, asked for bodies and ended with key r2, and is unknown with key b1
     And a name that red's batch has is not accepted from blue
 
-  Scenario: Keys come and go while clients are connected
-    # Guards against a revoked key that works on, and a new key that is not known.
+  Scenario Outline: Keys come, go and move while clients are connected
+    # Guards against a revoked key that works on, and a new or moved key that is not known.
     Given the platform's stand-in with the organisations red and blue, and the front program
-    When the operator takes r1 away and adds r3
-    Then within 3 s a call with key r1 is answered 401 and with r3 200
+    When <trouble> while the operator takes r1 away, adds r3 and gives r2 to blue
+    Then within 3 s a call with key r1 is answered 401, with r3 run for red and with r2 for blue
     And a batch that was handed in with r1 is still run, and read with r3
 
+    Examples:
+      | trouble                                |
+      | nothing happens                        |
+      | the store is down for 1.5 s            |
+      | the store is silent for 1.5 s          |
+      | the store takes 0.25 s an answer       |
+      | the program is suspended for 2.0 s     |
+      | another configuration follows at once  |
+
+  Scenario Outline: While the store is away, no key is denied that may be new
+    # Guards against a 401, which is never retried, from an entry that was cut off from the store.
+    Given the platform's stand-in with the organisations red and blue, and the front program
+    When the store <is away> for 4 s
+    Then a call with key r1 is run for red, without the key and whatever name the client sent
+    And a call with key r3 is answered 503 with when to come back, and runs nowhere
+
+    Examples:
+      | is away   |
+      | is down   |
+      | is silent |
+
   Scenario: Keys stay out of the logs
     # Guards against secrets in logs, where many may read them.
     Given the platform's stand-in with the organisations red and blue, and the front program
--- /dev/null
+++ b/features/steps/bursts_steps.py
@@ -0,0 +1,131 @@
+"""Steps for places that organisations share; time is simulated."""
+
+import collections
+import heapq
+import random
+
+import behave
+
+from oleander_admission import shares
+
+_SECONDS = 10.0
+_USUAL_RATE = 5.0
+_LONGEST_WAIT_SECONDS = 0.8
+_SEED = 5
+_BURST = "o0"
+
+
+class Entry:
+    """Threads that take requests in turn; a request that is refused holds none."""
+
+    def __init__(self, places, service_seconds, has_shares):
+        self._free = places
+        self._service_seconds = service_seconds
+        self._now = 0.0
+        self._shares = shares.ConcurrencyShares(places, lambda: self._now)
+        self._has_shares = has_shares
+        self._waiting = collections.deque()
+        self._ending = []
+        self.served = collections.Counter()
+        self.asked = collections.Counter()
+
+    def play(self, arrivals):
+        for at, organisation in arrivals:
+            self._end_until(at)
+            self._now = at
+            self.asked[organisation] += 1
+            self._waiting.append((at, organisation))
+            self._begin()
+        self._end_until(float("inf"))
+
+    def _end_until(self, at):
+        while self._ending and self._ending[0][0] <= at:
+            self._now, organisation = heapq.heappop(self._ending)
+            self._free += 1
+            if self._has_shares:
+                self._shares.leave(organisation)
+            self._begin()
+
+    def _begin(self):
+        while self._free and self._waiting:
+            since, organisation = self._waiting.popleft()
+            if self._now - since > _LONGEST_WAIT_SECONDS:
+                continue
+            if self._has_shares and not self._shares.try_enter(organisation):
+                continue
+            self._free -= 1
+            self.served[organisation] += 1
+            heapq.heappush(self._ending, (self._now + self._service_seconds, organisation))
+
+    def find_worst(self, alone):
+        """Return the percentage that the worst-served of the others got of what it had alone."""
+        others = [name for name in self.asked if name != _BURST]
+        return min(100 * self.served[name] / alone.served[name] for name in others)
+
+
+def _draw_arrivals(count, times):
+    source = random.Random(_SEED)
+    arrivals = []
+    for number in range(count):
+        rate = _USUAL_RATE * (times if number == 0 else 1)
+        at = source.expovariate(rate)
+        while at < _SECONDS:
+            arrivals.append((at, f"o{number}"))
+            at += source.expovariate(rate)
+    return sorted(arrivals)
+
+
+@behave.given("an entry with {places:d} places whose requests take {milliseconds:d} ms")
+def create_entry(context, places, milliseconds):
+    context.entries = {
+        name: Entry(places, milliseconds / 1000, name != "without shares")
+        for name in ("shares", "without shares", "alone")
+    }
+
+
+@behave.when(
+    "{count:d} organisations ask 5 times a second and one of them {times:d} times as often"
+)
+def play_burst(context, count, times):
+    arrivals = _draw_arrivals(count, times)
+    context.entries["shares"].play(arrivals)
+    context.entries["without shares"].play(arrivals)
+    context.entries["alone"].play([item for item in arrivals if item[1] != _BURST])
+
+
+@behave.then(
+    "each of the others is served at least {percent:d} percent of what it is without that one"
+)
+def check_others(context, percent):
+    worst = context.entries["shares"].find_worst(context.entries["alone"])
+    assert worst >= percent, worst
+
+
+@behave.then("without shares some of them are served less than {percent:d} percent of it")
+def check_without(context, percent):
+    worst = context.entries["without shares"].find_worst(context.entries["alone"])
+    assert worst < percent, worst
+
+
+@behave.given("an entry with {places:d} places")
+def create_shares(context, places):
+    context.now = 100.0
+    context.shares = shares.ConcurrencyShares(places, lambda: context.now)
+
+
+@behave.when("the organisations hold {held} of them and {other} have called {seconds:f} s ago")
+def take_places(context, held, other, seconds):
+    counts = {name: int(count) for name, count in (item.split("=") for item in held.split())}
+    context.now -= seconds
+    if other != "none":
+        assert context.shares.try_enter(other)
+        context.shares.leave(other)
+    context.now += seconds
+    for name, count in counts.items():
+        for _ in range(count):
+            context.shares.try_enter(name)
+
+
+@behave.then("one more request of red is {verdict}")
+def check_verdict(context, verdict):
+    assert context.shares.try_enter("red") == (verdict == "let in")
--- /dev/null
+++ b/libs/admission/oleander_admission/shares.py
@@ -0,0 +1,69 @@
+"""How many places of a process one organisation may take while places are short."""
+
+import collections
+import collections.abc
+import threading
+
+from oleander_base import clock
+
+_RESERVED_PART = 4
+"""One place in so many is kept for organisations that hold fewer than the one with the most."""
+_ACTIVE_SECONDS = 5.0
+"""An organisation that called within this time counts among those that share the places."""
+
+
+class ConcurrencyShares:
+    """
+    Keeps one organisation's burst from taking all places; thread-safe.
+
+    Answers the load of an organisation that asks for many times its usual: each request holds a
+    place for as long as it runs, and the others would wait for one until their time is over. Once
+    few places are free, the organisation that holds the most is turned away at once, so that those
+    it gives back go to the others. One that calls alone may take them all.
+    """
+
+    def __init__(
+        self, places: int, read_now: collections.abc.Callable[[], float] = clock.read_now
+    ) -> None:
+        self._places = places
+        self._read_now = read_now
+        self._lock = threading.Lock()
+        self._taken: collections.Counter[str] = collections.Counter()
+        self._called_at: dict[str, float] = {}
+
+    def try_enter(self, organisation: str) -> bool:
+        """Take a place for a request; return whether it may run."""
+        with self._lock:
+            self._note_call(organisation)
+            if self._is_short and self._holds_most(organisation):
+                return False
+            self._taken[organisation] += 1
+            return True
+
+    def leave(self, organisation: str) -> None:
+        """Give a place back."""
+        with self._lock:
+            self._taken[organisation] -= 1
+            if self._taken[organisation] <= 0:
+                del self._taken[organisation]
+
+    @property
+    def _is_short(self) -> bool:
+        free = self._places - self._taken.total()
+        return free * _RESERVED_PART < self._places
+
+    def _holds_most(self, organisation: str) -> bool:
+        """Tell whether it holds more than its even part, and nobody holds more."""
+        if len(self._called_at) == 1:
+            return False
+        own = self._taken[organisation]
+        even = self._places / len(self._called_at)
+        return own > even and own >= max(self._taken.values())
+
+    def _note_call(self, organisation: str) -> None:
+        """Remember who called; those silent for long drop out from the front of the order."""
+        now = self._read_now()
+        self._called_at.pop(organisation, None)
+        self._called_at[organisation] = now
+        while now - next(iter(self._called_at.values())) > _ACTIVE_SECONDS:
+            del self._called_at[next(iter(self._called_at))]
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -7,6 +7,7 @@
 
 import expression
 
+from oleander_admission import shares
 from oleander_base import clock, log, metrics
 from oleander_direct import comeback, directory, routes, servers
 from oleander_duties import usage
@@ -112,8 +113,10 @@
         router_: router.Router,
         caller: servers.ServerCaller,
         counter: usage.UsageCounter | None = None,
+        shared: shares.ConcurrencyShares | None = None,
     ) -> None:
-        """Take what counts the requests that begin, where they are to be counted."""
+        """Take what counts the requests that begin, and what shares places out, if anything."""
+        self._shares = shared
         self._counter = counter
         self._directory = known
         self._router = router_
@@ -132,6 +135,39 @@
         is_windowed: bool = False,
     ) -> CallOutcome:
         """Return what became of a request, at the latest a little before its deadline."""
+        organisation = request.organisation
+        if self._shares is None or not organisation:
+            return self._call(route, request, deadline, is_gone, is_windowed)
+        if not self._shares.try_enter(organisation):
+            return self._refuse_burst(route, request)
+        try:
+            return self._call(route, request, deadline, is_gone, is_windowed)
+        finally:
+            self._shares.leave(organisation)
+
+    def _refuse_burst(self, route: routes.Route, request: servers.CallRequest) -> Refused:
+        """Refuse a request whose organisation has its part of the places, while they are short."""
+        refused = Refused("share-in-use", self._comeback.advise(route.objective_ms))
+        metrics.count(metrics.REQUESTS)
+        metrics.count(metrics.REFUSED)
+        log.logger.bind(
+            event="call",
+            id=request.request_id,
+            route=route.name,
+            organisation=request.organisation,
+            reason=refused.reason,
+            retry_after_ms=refused.retry_after_ms,
+        ).info("refused")
+        return refused
+
+    def _call(
+        self,
+        route: routes.Route,
+        request: servers.CallRequest,
+        deadline: clock.Deadline,
+        is_gone: collections.abc.Callable[[], bool],
+        is_windowed: bool,
+    ) -> CallOutcome:
         remaining = deadline.remaining
         kept = min(_MOST_REPLY_SECONDS, remaining * _REPLY_PART)
         limited = deadline.earlier(max(0.0, min(remaining - kept, route.timeout_ms / 1000)))
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -5,6 +5,7 @@
 import dataclasses
 import threading
 
+from oleander_admission import shares
 from oleander_base import clock, identifiers, log, tasks
 from oleander_batches import journal
 from oleander_direct import calls, directory, servers
@@ -141,7 +142,8 @@
         )
         self._owned = ownership.Ownership(log_service, chosen.name, self._group)
         self._reporter, counter = self._create_reporter(log_service)
-        dispatcher = calls.CallDispatcher(self._known, self._router, caller, counter)
+        shared = shares.ConcurrencyShares(HTTP_THREADS)
+        dispatcher = calls.CallDispatcher(self._known, self._router, caller, counter, shared)
         self._writer = result_writer.ResultWriter(self._journal, self._group)
         items = item_task.ItemRunner(self._known, self._router, caller, dispatcher, self._group)
         self._runner = batch_runner.BatchRunner(
