Write results again after 50 ms where the log turns them away

A write that is turned away is tried each 50 ms. Only processes with results to write try, one call at a time.

The test is red with 200 ms (written 150 ms after the return) and green with 50 ms.

--- a/features/log_return.feature
+++ b/features/log_return.feature
@@ -1,4 +1,10 @@
 Feature: A process is of use again as soon as the platform's log is back
+  Scenario: Results that were made in an outage are written as soon as it ends
+    # Guards against results that are lost with their process, or listed late, after an outage.
+    Given a writer of results whose log refuses for 1.05 s
+    When a result is made meanwhile
+    Then it is written within 0.1 s of the log's return, after at most 25 tries
+
   Scenario Outline: An outage ends while nothing changes
     # A process that has not heard the platform for a while refuses its callers. The log comes back
     # and has nothing new; a read that waits for something new is answered a second later, and all
--- a/features/steps/log_return_steps.py
+++ b/features/steps/log_return_steps.py
@@ -1,12 +1,16 @@
 """Steps for a follower of the platform's log after an outage."""
 
 import time
+import types
 
 import behave
+import expression
 
 from oleander_base import tasks
+from oleander_batches import content, submission
 from oleander_platform import keyed_follower
 from oleander_standins import recordlog
+from oleanderdeal import result_writer
 
 _TOPIC = "keyed.things"
 _PAUSE_SECONDS = 0.05
@@ -86,3 +90,48 @@
     before = context.log_service.reads
     time.sleep(seconds)
     assert context.log_service.reads - before <= most, context.log_service.reads - before
+
+
+class ReturningJournal:
+    """A journal that refuses results until a moment of simulated time."""
+
+    def __init__(self, returns_at):
+        self.now = 0.0
+        self.returns_at = returns_at
+        self.tries = 0
+        self.is_stopping = False
+
+    def find(self, batch_id):
+        return types.SimpleNamespace(finished=set())
+
+    def finish(self, batch_id, results):
+        self.tries += 1
+        if self.now < self.returns_at:
+            return expression.Error(content.NotDone("refused", False))
+        self.is_stopping = True
+        return expression.Ok(None)
+
+    def pause(self, seconds):
+        self.now += seconds
+
+
+@behave.given("a writer of results whose log refuses for {seconds:f} s")
+def create_writer(context, seconds):
+    context.returning = ReturningJournal(seconds)
+    context.writer = result_writer.ResultWriter(context.returning, context.returning)
+
+
+@behave.when("a result is made meanwhile")
+def write_result(context):
+    done = submission.ResultState.DONE
+    context.writer.add("batch", 0, submission.ItemResult("item", done, "text", (1,), "score"))
+    context.writer.write()
+
+
+@behave.then(
+    "it is written within {seconds:f} s of the log's return, after at most {tries:d} tries"
+)
+def check_written(context, seconds, tries):
+    returning = context.returning
+    assert returning.now - returning.returns_at <= seconds, returning.now
+    assert returning.tries <= tries, returning.tries
--- a/programs/oleanderdeal/oleanderdeal/result_writer.py
+++ b/programs/oleanderdeal/oleanderdeal/result_writer.py
@@ -8,8 +8,9 @@
 
 _MOST_RESULTS = 64
 """In one append: half a megabyte of usual texts, a quarter of what a call may have."""
-_WRITE_AGAIN_SECONDS = 0.2
-"""Between tries while the log does not answer."""
+_WRITE_AGAIN_SECONDS = 0.05
+"""Between tries while the log turns writes away; a result is lost with its process until then."""
+_LOOK_SECONDS = 0.2
 _MOST_WAITING_RESULTS = 4096
 """Past this no item is begun: results can't be written, and more would only fill memory."""
 
@@ -56,7 +57,7 @@
         with self._lock:
             if not self._waiting:
                 self._writing = 0
-                self._lock.wait(_WRITE_AGAIN_SECONDS)
+                self._lock.wait(_LOOK_SECONDS)
             if not self._waiting:
                 return []
             batch_id = self._waiting[0][0]
