--- a/features/steps/organisations_steps.py
+++ b/features/steps/organisations_steps.py
@@ -72,7 +72,7 @@
         context.known = directory.Directory(router.Router(1), server_fakes.UnusedCaller())
         if configuration == "a configuration":
             context.known.put_table(routes.RouteTable(1, (), (), _LIMITS, _ring("red")))
-        context.known.note_configuration_heard()
+        context.known.record_configuration_heard()
         context.now += seconds
         context.known.note_heard()
 
--- a/libs/admission/oleander_admission/shares.py
+++ b/libs/admission/oleander_admission/shares.py
@@ -34,7 +34,7 @@
     def try_enter(self, organisation: str) -> bool:
         """Take a place for a request; return whether it may run."""
         with self._lock:
-            self._note_call(organisation)
+            self._record_call(organisation)
             if self._is_short and self._holds_most(organisation):
                 return False
             self._taken[organisation] += 1
@@ -60,7 +60,7 @@
         even = self._places / len(self._called_at)
         return own > even and own >= max(self._taken.values())
 
-    def _note_call(self, organisation: str) -> None:
+    def _record_call(self, organisation: str) -> None:
         """Remember who called; those silent for long drop out from the front of the order."""
         now = self._read_now()
         self._called_at.pop(organisation, None)
--- a/libs/direct/oleander_direct/directory.py
+++ b/libs/direct/oleander_direct/directory.py
@@ -64,7 +64,7 @@
         """As of how long ago the configuration in force is known to be the newest."""
         return clock.read_now() - self._configuration_heard_at
 
-    def note_configuration_heard(self) -> None:
+    def record_configuration_heard(self) -> None:
         """Note that the operator's records were read to their end."""
         self._configuration_heard_at = clock.read_now()
 
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -211,18 +211,18 @@
     ) -> tuple[usage_reporter.UsageReporter | None, usage.UsageCounter | None]:
         """Return what reports use and what counts it, where use is to be reported."""
         chosen = self._chosen.usage
-        reached = self._deployment.create_duties()
-        if chosen is None or reached is None:
+        duty_platform = self._deployment.create_duties()
+        if chosen is None or duty_platform is None:
             return None, None
         counter = usage.UsageCounter(chosen.window_ms)
-        held = lease.FencedLease(
+        duty_lease = lease.FencedLease(
             log_service,
             usage_reporter.LEASE_TOPIC,
             self._chosen.host,
             self._chosen.order_gap_seconds,
         )
         reporter = usage_reporter.UsageReporter(
-            chosen, log_service, held, self._owned, counter, reached, self._group
+            chosen, log_service, duty_lease, self._owned, counter, duty_platform, self._group
         )
         return reporter, counter
 
--- a/programs/oleanderdeal/oleanderdeal/usage_reporter.py
+++ b/programs/oleanderdeal/oleanderdeal/usage_reporter.py
@@ -54,18 +54,18 @@
         self,
         settings: UsageSettings,
         log_service: recordlog.RecordLog,
-        held: lease.FencedLease,
-        owned: ownership.Ownership,
+        duty_lease: lease.FencedLease,
+        ownership_: ownership.Ownership,
         counter: usage.UsageCounter,
-        reached: platform.DutyPlatform,
+        duty_platform: platform.DutyPlatform,
         group: tasks.TaskGroup,
     ) -> None:
         self._settings = settings
         self._log = log_service
-        self._lease = held
-        self._owned = owned
+        self._lease = duty_lease
+        self._ownership = ownership_
         self._counter = counter
-        self._platform = reached
+        self._platform = duty_platform
         self._group = group
         self._source = identifiers.create_incarnation()
         self._flush_lock = threading.Lock()
@@ -108,7 +108,7 @@
     def hold_lease(self) -> float:
         """Claim or renew the lease where it falls to this process; return when to try again."""
         pause = 0.0
-        if self._owned.owns(_PARTITION) or self._lease.find_tenure() is not None:
+        if self._ownership.owns(_PARTITION) or self._lease.find_tenure() is not None:
             pause = self._lease.try_hold(0)
         return pause or _LEASE_LOOK_SECONDS
 
