--- a/features/steps/bursts_steps.py
+++ b/features/steps/bursts_steps.py
@@ -6,7 +6,7 @@
 
 import behave
 
-from oleander_admission import shares
+from oleander_direct import shares
 
 _SECONDS = 10.0
 _USUAL_RATE = 5.0
--- a/libs/admission/oleander_admission/__init__.py
+++ b/libs/admission/oleander_admission/__init__.py
@@ -1,5 +1,5 @@
 """Who goes first at a backend server, and who is refused."""
 
-from oleander_admission import admission, shares, work
+from oleander_admission import admission, work
 
-__all__ = ["admission", "shares", "work"]
+__all__ = ["admission", "work"]
--- a/libs/direct/oleander_direct/__init__.py
+++ b/libs/direct/oleander_direct/__init__.py
@@ -1,5 +1,13 @@
 """Calls to backend servers without a sidecar beside them."""
 
-from oleander_direct import calls, comeback, directory, routes, servers
+from oleander_direct import calls, comeback, directory, organisations, routes, servers, shares
 
-__all__ = ["calls", "comeback", "directory", "routes", "servers"]
+__all__ = [
+    "calls",
+    "comeback",
+    "directory",
+    "organisations",
+    "routes",
+    "servers",
+    "shares",
+]
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -7,9 +7,8 @@
 
 import expression
 
-from oleander_admission import shares
 from oleander_base import clock, log, metrics
-from oleander_direct import comeback, directory, routes, servers
+from oleander_direct import comeback, directory, routes, servers, shares
 from oleander_duties import usage
 from oleander_routing import retries, router
 
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -5,10 +5,9 @@
 import dataclasses
 import threading
 
-from oleander_admission import shares
 from oleander_base import clock, identifiers, log, tasks
 from oleander_batches import journal
-from oleander_direct import calls, directory, servers
+from oleander_direct import calls, directory, servers, shares
 from oleander_duties import platform, usage
 from oleander_leases import lease
 from oleander_orders import rights
