--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -88,6 +88,7 @@
         self.clients = {name: self._log.create_client() for name in names}
         self.told = []
         self.dying, self.stalling, self.stalled = set(), set(), []
+        self.chosen_owner = ""
         self.is_platform_down = False
         self.lost_answers = 0
         self._counted = collections.defaultdict(list)
@@ -102,7 +103,9 @@
             yield
 
     def find_owner(self):
-        """Return to whom the duty falls: the first that runs and reaches the log."""
+        """Return to whom the duty falls: who was chosen, or the first that reaches the log."""
+        if self.chosen_owner:
+            return self.chosen_owner
         reachable = [
             name
             for name, process in self._processes.items()
@@ -124,6 +127,8 @@
         elif word == "garbage":
             deadline = clock.start_deadline(1.0)
             self._log.append(usage_reporter.USAGE_TOPIC, 0, [b"\xff", b""], deadline)
+        elif word.startswith("owner."):
+            self.chosen_owner = word.removeprefix("owner.")
         elif word.startswith("platform."):
             self._change_platform(word.removeprefix("platform."))
         else:
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -34,6 +34,7 @@
       | b.begin=red*3 6s a.leave 20s                                     | red=3         |
       | b.begin=red*3 6s a.down 20s                                      | red=3         |
       | b.begin=red*3 6s a.freeze 9s a.thaw 20s                          | red=3         |
+      | b.begin=red*3 6s a.down b.down c.down 5s owner.b a.up b.up c.up 20s | red=3      |
       | a.dies-sending b.begin=red*3 20s                                 | red=3         |
       | a.stalls-sending b.begin=red*3 8.3s a.freeze 12s a.arrive 20s     | red=3         |
       | b.begin=red*3 1s a.kill b.kill c.kill 2s a.start b.start 20s     | red=3         |
--- a/libs/leases/oleander_leases/lease.py
+++ b/libs/leases/oleander_leases/lease.py
@@ -94,6 +94,12 @@
         """How long nobody holds the lease at most after its holder was lost."""
         return TERM_SECONDS + self._gap_seconds
 
+    @property
+    def was_held_last(self) -> bool:
+        """Whether this host wrote the newest record known here, and did not give the lease up."""
+        newest = self._newest
+        return newest is not None and newest.host == self._host and newest.state == _HELD
+
     @property
     def is_wanted(self) -> bool:
         """Whether it was not given up."""
--- a/programs/oleanderdeal/oleanderdeal/usage_reporter.py
+++ b/programs/oleanderdeal/oleanderdeal/usage_reporter.py
@@ -106,9 +106,14 @@
             self._group.pause(self.hold_lease())
 
     def hold_lease(self) -> float:
-        """Claim or renew the lease where it falls to this process; return when to try again."""
+        """
+        Claim or renew the lease where it falls to this process; return when to try again.
+
+        Who held it last goes on after an outage of the log: it may claim at once, while another
+        process has to wait for the term and the gap, and windows would be late.
+        """
         pause = 0.0
-        if self._ownership.owns(_PARTITION) or self._lease.find_tenure() is not None:
+        if self._ownership.owns(_PARTITION) or self._lease.was_held_last:
             pause = self._lease.try_hold(0)
         return pause or _LEASE_LOOK_SECONDS
 
