Wait for the line that the check of the logs looks for

The program's lines are written by a thread of their own, a moment after the answer; the check read the file at once and the line of the 401 was not there yet (the output kept by the failure ends before it). It now waits for the line, with a deadline, and is as strict as before.

--- a/features/steps/organisations_front_steps.py
+++ b/features/steps/organisations_front_steps.py
@@ -208,8 +208,11 @@
 
 @behave.then("no log line has a key")
 def check_logs(context):
+    front_platform.wait_until(
+        lambda: '"event": "unauthorized"' in context.front.output.read_text(),
+        context.front.describe,
+    )
     text = context.front.output.read_text()
-    assert '"event": "unauthorized"' in text, text
     for key in ("r1", "r2", "b1", _UNKNOWN):
         assert f'"{key}"' not in text, key
         assert f"Bearer {key}" not in text, key
