Begin reports of use at the first window whose counts may still come

The first holder looked at the log before the counts of the calls were appended (up to 0.5 s later) and in a later window, so it began with that one; the earlier window was never reported. Traced by the log's order and shown in simulated time: the new scenario is red (reports begin with window 201, the counts are of 200), then green.

A first holder now begins with the oldest window that is not yet due to be reported. Ruled out: lost appends (none failed) and calls counted twice.

--- a/features/usage.feature
+++ b/features/usage.feature
@@ -25,6 +25,7 @@
       | b.down b.begin=red*3 6s b.up 20s                                 | red=3         |
       | a.down b.down c.down a.begin=red*3 7s a.up b.up c.up 20s         | red=3         |
       | garbage a.begin=red*3 20s                                        | red=3         |
+      | a.down b.down c.down 4.8s c.begin=red*3 0.3s a.up b.up 0.5s c.up 20s | red=3     |
 
     Examples: what happens to the holder
       | script                                                           | counts        |
--- a/programs/oleanderdeal/oleanderdeal/usage_reporter.py
+++ b/programs/oleanderdeal/oleanderdeal/usage_reporter.py
@@ -152,13 +152,20 @@
         return max(left_ms, int(_LEAST_WAIT_SECONDS * 1000))
 
     def _find_first(self) -> int:
-        """Return where a new holder begins: at the first window that anybody counted in."""
+        """
+        Return where a new holder begins: at the first window that is not settled.
+
+        Where nothing was reported before, that is the oldest one whose counts may still come: a
+        process may have counted before there was a holder, and append it a moment later.
+        """
         now = clock.read_wall_ms() // self._settings.window_ms
+        unsettled = (clock.read_wall_ms() - self._wait_ms) // self._settings.window_ms
         reported = self._fold.newest_reported
         if reported is not None:
             return max(now - usage_fold.MOST_WINDOWS, reported + 1 - _REPEATED_WINDOWS)
         counted = self._fold.oldest_counted
-        return now if counted is None else max(now - usage_fold.MOST_WINDOWS, counted)
+        oldest = unsettled if counted is None else min(unsettled, counted)
+        return max(now - usage_fold.MOST_WINDOWS, oldest)
 
     def _report_window(self, window: int) -> bool:
         """Report one window; return whether it is settled."""
