Log how each attempt of a call ended, and what its request is

What was missing for the incident: nothing joined attempts that come with new ids, and no line told that a server had ended under an attempt. Calls that fail and attempts without an answer now carry a digest of organisation, target and body. After a server broke off, one connection to it tells whether it has ended (refused) or lost its answer (opens, and is kept for the next request).

features/http_pool.feature has a row for each. Decisions are unchanged.

--- a/features/http_pool.feature
+++ b/features/http_pool.feature
@@ -81,3 +81,19 @@
     Given a raw server that is silent
     When a request to it is cancelled after 0.2 s
     Then it ends within 1.0 s
+
+  Scenario Outline: A server that broke off is told from one that has ended
+    # Guards against a lost answer that passes for a crash, and a crash that passes for a lost answer.
+    Given a raw server that <does> on a <connection> connection
+    When a request to it fails
+    Then the failure says that the server <state>
+
+    Examples:
+      | does                      | connection | state    |
+      | breaks off                | new        | goes on  |
+      | breaks off                | kept       | goes on  |
+      | cuts its answer           | new        | goes on  |
+      | ends                      | new        | ended    |
+      | ends                      | kept       | ended    |
+      | cuts its answer and ends  | new        | ended    |
+      | is silent                 | new        | goes on  |
--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -6,12 +6,14 @@
 
 import behave
 
+import ending_server
 import raw_server
 from oleander_base import clock, http_pool
 
 _SECONDS = 5.0
 _IDLE_SECONDS = 9.5
 _EXTRA_PAUSE = 0.2
+_FATAL_SECONDS = 1.0
 
 
 def _encode(text):
@@ -119,3 +121,29 @@
 def check_closed(context, count):
     closed = sum(connection.close.called for connection in context.connections)
     assert closed == count, closed
+
+
+@behave.given("a raw server that {does} on a {connection} connection")
+def create_ending(context, does, connection):
+    context.ending = ending_server.EndingServer(does)
+    context.add_cleanup(context.ending.stop)
+    context.pool = http_pool.ConnectionPool()
+    if connection == "kept":
+        assert _ask_ending(context, b"/").is_ok()
+
+
+def _ask_ending(context, path):
+    request = http_pool.PoolRequest(context.ending.address, "GET", path.decode(), (("Host", "h"),))
+    deadline = clock.start_deadline(_FATAL_SECONDS)
+    return context.pool.call(request, deadline, lambda: False)
+
+
+@behave.when("a request to it fails")
+def fail_request(context):
+    context.broken = _ask_ending(context, ending_server.FATAL)
+    assert context.broken.is_error(), context.broken
+
+
+@behave.then("the failure says that the server {state}")
+def check_ended(context, state):
+    assert context.broken.error.peer_ended == (state == "ended"), context.broken.error
--- a/libs/base/oleander_base/http_exchange.py
+++ b/libs/base/oleander_base/http_exchange.py
@@ -56,6 +56,8 @@
 
     detail: str
     reach: Reach
+    peer_ended: bool = False
+    """Whether the peer takes no more connections, after it had broken this one off."""
 
 
 def quote_segment(text: str) -> str:
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -19,10 +19,18 @@
 """Used where a server does not state its own idle timeout."""
 _CONNECT_SECONDS = 0.7
 """A connection opens within some round trips or, if its opening packet was dropped, a second."""
+_PROBE_SECONDS = 0.2
+"""A process that has ended refuses a connection within a round trip."""
 _FAILURES = (OSError, http.client.HTTPException, ValueError)
+_BROKEN_OFF = (ConnectionError, http.client.IncompleteRead)
+"""Failures by which the peer, not a timeout, ended an exchange."""
 _HOP_HEADERS = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
 
 
+def _never() -> bool:
+    return False
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class PoolRequest:
     """One request to the server at an address (IP:port)."""
@@ -86,11 +94,16 @@
         if kept is not None:
             answered = self._send(kept, request, deadline, is_cancelled)
             if answered.is_ok() or not _is_stale(answered.error) or is_cancelled():
-                return answered.map_error(_describe)
+                return answered.map_error(
+                    lambda error: self.describe_loss(request.address, error, is_cancelled)
+                )
         opened = self._connect(request.address, deadline)
         if opened.is_error():
-            return expression.Error(opened.error)
-        return self._send(opened.ok, request, deadline, is_cancelled).map_error(_describe)
+            has_ended = kept is not None and opened.error.reach is http_exchange.Reach.REFUSED
+            return expression.Error(dataclasses.replace(opened.error, peer_ended=has_ended))
+        return self._send(opened.ok, request, deadline, is_cancelled).map_error(
+            lambda error: self.describe_loss(request.address, error, is_cancelled)
+        )
 
     def call(
         self,
@@ -120,6 +133,26 @@
         for item in idle:
             item.connection.close()
 
+    def describe_loss(
+        self,
+        address: str,
+        error: Exception,
+        is_cancelled: collections.abc.Callable[[], bool] = _never,
+    ) -> http_exchange.ExchangeError:
+        """Return a failure as a value; where the peer broke off, with whether it has ended."""
+        described = http_exchange.describe_failure(error)
+        if not isinstance(error, _BROKEN_OFF) or is_cancelled():
+            return described
+        return dataclasses.replace(described, peer_ended=self._has_ended(address))
+
+    def _has_ended(self, address: str) -> bool:
+        """Tell whether nothing listens at an address; a connection that opens is kept."""
+        opened = self._connect(address, clock.start_deadline(_PROBE_SECONDS))
+        if opened.is_error():
+            return opened.error.reach is http_exchange.Reach.REFUSED
+        self.keep(address, opened.ok, _MOST_IDLE_SECONDS)
+        return False
+
     def _take(self, address: str) -> http_connection.Connection | None:
         while True:
             with self._lock:
@@ -170,7 +203,9 @@
         except _FAILURES as error:
             connection.close()
             return expression.Error(error)
-        return expression.Ok(PooledAnswer(self, request.address, connection, response))
+        return expression.Ok(
+            PooledAnswer(self, request.address, connection, response, is_cancelled)
+        )
 
 
 class PooledAnswer:
@@ -182,6 +217,7 @@
         address: str,
         connection: http_connection.Connection,
         response: http.client.HTTPResponse,
+        is_cancelled: collections.abc.Callable[[], bool] = _never,
     ) -> None:
         self._pool = pool
         self._address = address
@@ -191,6 +227,7 @@
         self._keep_seconds = _read_keep_seconds(response)
         self._is_framed = response.chunked or response.length is not None
         self._unread = b""
+        self._is_cancelled = is_cancelled
 
     @property
     def status(self) -> int:
@@ -219,7 +256,7 @@
                 self._unread += piece
         except _FAILURES as error:
             self.close()
-            return expression.Error(_describe(error))
+            return expression.Error(self._describe(error))
         line, end, self._unread = self._unread.partition(b"\n")
         return expression.Ok(line + end)
 
@@ -233,7 +270,7 @@
                     raise ValueError(f"the answer is larger than {MOST_BODY_BYTES} bytes")
         except _FAILURES as error:
             self.close()
-            return expression.Error(_describe(error))
+            return expression.Error(self._describe(error))
         answer = WholeAnswer(self.status, self.headers, bytes(body), self._is_framed)
         self._finish()
         return expression.Ok(answer)
@@ -256,6 +293,9 @@
             raise http.client.IncompleteRead(b"", self._response.length)
         return piece
 
+    def _describe(self, error: Exception) -> http_exchange.ExchangeError:
+        return self._pool.describe_loss(self._address, error, self._is_cancelled)
+
     def _finish(self) -> None:
         if self._is_framed and self._keep_seconds > 0.0 and self._connection.is_open:
             self._response.close()
@@ -284,7 +324,3 @@
 def _is_stale(error: Exception) -> bool:
     """Tell whether a kept connection had been closed before the request could be read."""
     return isinstance(error, ConnectionError)
-
-
-def _describe(error: Exception) -> http_exchange.ExchangeError:
-    return http_exchange.describe_failure(error)
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -66,6 +66,13 @@
     "Requests sent to a second backend server beside a slow first.",
     "A steady rise points to a backend server that is slow or silent.",
 )
+SERVERS_ENDED = _declare(
+    "servers.ended",
+    "counter",
+    "count",
+    "Attempts that a backend server broke off by ending.",
+    "Group the log lines of event attempt by request: one that recurs ends its servers.",
+)
 LOG_OUTAGES = _declare(
     "log.failed_calls",
     "counter",
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -8,7 +8,7 @@
 import expression
 
 from oleander_base import clock, log, metrics
-from oleander_direct import comeback, directory, routes, servers, shares
+from oleander_direct import comeback, directory, fingerprints, routes, servers, shares
 from oleander_duties import usage
 from oleander_routing import retries, router
 
@@ -24,6 +24,8 @@
 """Saved up for a burst: what one slow server gets of a second's calls."""
 _HEDGE_PERCENT = 15
 """Hedges in percent of requests: they cost the servers less than one slow server costs callers."""
+_MOST_LOGGED = 80
+"""Characters of a failure in a log line."""
 _POLL_SECONDS = 0.05
 """How often a waiting request looks whether its caller is still there."""
 _MOST_RUNNING = 64
@@ -197,6 +199,7 @@
         table = self._directory.table
         log.logger.bind(
             **fields,
+            request=fingerprints.compute_fingerprint(progress.request),
             reason=progress.reason,
             configuration=table.version if table else None,
             servers=len(self._directory.list_servers(progress.backend)),
@@ -287,6 +290,8 @@
         answered = self._call_counted(progress, server)
         milliseconds = (clock.read_now() - started_at) * 1000
         outcome = _rate(answered, progress)
+        if answered.is_error() and answered.error.was_sent and not answered.error.was_cancelled:
+            _record_failure(progress.request, server, answered.error, milliseconds)
         if answered.is_ok() and outcome is not router.RouteOutcome.REFUSED:
             self._router.note_accepted(server.server_id, started_at)
         self._router.note_finished(server.server_id, outcome, milliseconds)
@@ -316,6 +321,26 @@
             return expression.Error(servers.CallFailure("internal error", True))
 
 
+def _record_failure(
+    request: servers.CallRequest,
+    server: servers.Server,
+    failure: servers.CallFailure,
+    milliseconds: float,
+) -> None:
+    """Log an attempt that a server may have begun and did not answer."""
+    if failure.server_ended:
+        metrics.count(metrics.SERVERS_ENDED)
+    log.logger.bind(
+        event="attempt",
+        id=request.request_id,
+        request=fingerprints.compute_fingerprint(request),
+        server=server.incarnation,
+        ms=int(milliseconds),
+        server_ended=failure.server_ended,
+        reason=failure.detail[:_MOST_LOGGED],
+    ).info("no answer")
+
+
 def _may_have_begun(answered: _Attempted) -> bool:
     if answered.is_error():
         return answered.error.was_sent
@@ -339,7 +364,7 @@
     """Return the final answer, or nothing where another attempt may do better."""
     if answered.is_error():
         progress.may_have_run = progress.may_have_run or answered.error.was_sent
-        progress.reason = answered.error.detail[:80]
+        progress.reason = answered.error.detail[:_MOST_LOGGED]
         if not answered.error.was_sent:
             progress.sent -= 1
         return None
--- a/libs/direct/oleander_direct/servers.py
+++ b/libs/direct/oleander_direct/servers.py
@@ -87,6 +87,8 @@
     was_sent: bool
     """Whether the server may have run the request."""
     was_cancelled: bool = False
+    server_ended: bool = False
+    """Whether the server broke off and takes no more connections."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -161,6 +161,7 @@
         self.was_refused = False
         self._was_cancelled = False
         self.was_error = False
+        self.server_ended = False
         self.reason = ""
 
     def run(self) -> steps.Sample | submission.ItemResult | None:
@@ -268,6 +269,7 @@
 
     def _break_off(self, failure: servers.CallFailure) -> None:
         self.reason = failure.detail[:80]
+        self.server_ended = failure.server_ended
         self._run.fail(self._item)
 
     def _judge_answer(self, answer: servers.CallAnswer) -> submission.ItemResult | None:
@@ -299,6 +301,8 @@
     metrics.count(metrics.ITEMS_STARTED)
     metrics.record_timing(metrics.ITEM_MS, seconds * 1000)
     if outcome.reason:
+        if outcome.server_ended:
+            metrics.count(metrics.SERVERS_ENDED)
         metrics.count(metrics.ITEMS_REFUSED if outcome.was_refused else metrics.ITEMS_BROKEN)
     log.logger.bind(
         event="item",
@@ -310,5 +314,6 @@
         first_ms=outcome.first_ms,
         events=outcome.events,
         gap_ms=outcome.longest_gap_ms,
+        server_ended=outcome.server_ended,
         reason=outcome.reason,
     ).info("broke off" if outcome.reason else "whole")
