--- a/features/front_site.py
+++ b/features/front_site.py
@@ -12,6 +12,8 @@
 
 _START_SECONDS = 20.0
 _PAUSE_SECONDS = 0.05
+_RESTART_SECONDS = 0.4
+"""From the end of a server under a fatal request to its next start."""
 _INTERPRETER_SECONDS = 0.2
 """Before the interpreter has read the program's first line, no program can take a signal."""
 
@@ -42,14 +44,15 @@
 class FrontSite:
     """The stand-in of the platform, engines, services and programs."""
 
-    def __init__(self, seed, fronts=3):
+    def __init__(self, seed, fronts=3, services=2, engines=2):
         self.random = random.Random(seed)
         self.store = platform_standin.Store()
-        self.engines = [platform_standin.Sampler(f"engine-{n}") for n in range(2)]
-        self.services = [platform_standin.Sampler(f"desk-{n}") for n in range(2)]
+        self.engines = [platform_standin.Sampler(f"engine-{n}") for n in range(engines)]
+        self.services = [platform_standin.Sampler(f"desk-{n}") for n in range(services)]
         self.store.put("keyed.op", "config", platform_standin.describe_configuration(3))
         self._lock = threading.Lock()
         for sampler in (*self.engines, *self.services):
+            sampler.on_ended = self._start_later
             self.register(sampler)
         self._folder = tempfile.TemporaryDirectory()
         names = [f"front-{n}" for n in range(fronts)]
@@ -69,6 +72,15 @@
         sampler.name = f"{sampler.name.split('+')[0]}+{self.random.randrange(10**6)}"
         self.register(sampler)
 
+    def _start_later(self, sampler):
+        timer = threading.Timer(_RESTART_SECONDS, self._start_again, (sampler,))
+        timer.daemon = True
+        timer.start()
+
+    def _start_again(self, sampler):
+        sampler.start_again()
+        self.replace_server(sampler)
+
     def pick_front(self):
         with self._lock:
             return self.random.choice(self.fronts)
--- a/features/http_pool.feature
+++ b/features/http_pool.feature
@@ -97,3 +97,14 @@
       | ends                      | kept       | ended    |
       | cuts its answer and ends  | new        | ended    |
       | is silent                 | new        | goes on  |
+
+  Scenario Outline: A request that reached a server before it ended may have run
+    # Guards against a caller told "not run" of a request that ended its server.
+    Given a raw server that ends on a <connection> connection
+    When a request to it fails
+    Then the server began it, and the failure says that it may have
+
+    Examples:
+      | connection |
+      | new        |
+      | kept       |
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -15,6 +15,8 @@
 _HEAD = struct.Struct(">QQ")
 _HOST = "127.0.0.1"
 EVENTS = 5
+FATAL_BODY = b"fatal"
+"""A request with this body ends each server that runs it."""
 _SILENT_SECONDS = 3.0
 """Longer than the program waits for any answer of the store."""
 
@@ -57,17 +59,33 @@
 class _QuietServer(http.server.ThreadingHTTPServer):
     daemon_threads = True
 
+    def __init__(self, address, handler):
+        self._open = set()
+        super().__init__(address, handler)
+
+    def process_request(self, request, client_address):
+        self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request):
+        self._open.discard(request)
+        super().shutdown_request(request)
+
     def handle_error(self, request, client_address):
         """Say nothing: clients that are killed leave in the middle of answers."""
 
+    def cut_all(self):
+        """Close every connection, whatever is in progress on it."""
+        for request in list(self._open):
+            with contextlib.suppress(OSError):
+                request.shutdown(socket.SHUT_RDWR)
+
 
 class Stand:
     """One HTTP server of the stand-in."""
 
     def __init__(self):
-        self._server = _QuietServer((_HOST, 0), _Handler)
-        self._server.owner = self
-        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+        self._serve(0)
 
     @property
     def address(self):
@@ -77,6 +95,21 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def end(self):
+        """End like a process that is killed: nothing listens, all connections are closed."""
+        self._server.server_close()
+        self._server.cut_all()
+        threading.Thread(target=self._server.shutdown, daemon=True).start()
+
+    def start_again(self):
+        """Listen at the address that it had."""
+        self._serve(self._server.server_address[1])
+
+    def _serve(self, port):
+        self._server = _QuietServer((_HOST, port), _Handler)
+        self._server.owner = self
+        threading.Thread(target=self._server.serve_forever, daemon=True).start()
+
 
 class Store(Stand):
     """The platform's store: partitions of records, newest of keys, one member that gets all."""
@@ -187,6 +220,10 @@
         self.event_seconds = 0.01
         self.lost_answers = 0
         """So many next requests run, and their answers are lost or broken off."""
+        self.ended_at = []
+        """When it ended under a fatal request."""
+        self.on_ended = None
+        """Called after it has ended, to start it again."""
 
     def answer(self, handler, path, query, body):
         if handler.headers.get("X-Oleanderdeal-Expect-Instance") != self.name:
@@ -206,6 +243,12 @@
     def _run(self, handler, path, body):
         request_id = handler.headers["X-Oleanderdeal-Attempt-Id"]
         self.seen.append((request_id, path, body, dict(handler.headers)))
+        if body == FATAL_BODY:
+            time.sleep(self.event_seconds)
+            self.ended_at.append(time.monotonic())
+            self.end()
+            self.on_ended(self)
+            return
         headers = [
             ("X-Oleanderdeal-Attempt-Id", request_id),
             ("X-Oleanderdeal-Server-Stamp", f"stamp-{request_id}"),
--- /dev/null
+++ b/features/steps/crashing_requests_steps.py
@@ -0,0 +1,57 @@
+"""Steps for requests that end the servers that run them."""
+
+import time
+
+import behave
+
+import front_platform
+import front_site
+import platform_standin
+
+_SEED = 5
+_PAUSE_SECONDS = 0.25
+
+
+@behave.given("three programs and {count:d} services that end when they run a fatal request")
+def start_site(context, count):
+    context.site = front_site.FrontSite(_SEED, services=count)
+    context.add_cleanup(context.site.stop)
+
+
+@behave.when(
+    "the fatal {kind} request comes at all programs in turn for {seconds:d} seconds, with new ids"
+)
+def send_fatal(context, kind, seconds):
+    until = time.monotonic() + seconds
+    number = 0
+    while time.monotonic() < until:
+        front = context.site.fronts[number % len(context.site.fronts)]
+        front.try_ask("POST", f"/{kind}/a", platform_standin.FATAL_BODY, f"fatal-{number}")
+        number += 1
+        time.sleep(_PAUSE_SECONDS)
+
+
+def _list_ends(context):
+    servers = (*context.site.services, *context.site.engines)
+    return sorted(ended_at for server in servers for ended_at in server.ended_at)
+
+
+@behave.then(
+    "at most {most:d} servers run it later than {seconds:d} seconds after it ended the third"
+)
+def check_later(context, most, seconds):
+    ends = _list_ends(context)
+    later = [at for at in ends if len(ends) > 2 and at > ends[2] + seconds]
+    assert ends and len(later) <= most, f"{len(ends)} ended, {len(later)} of them later"
+
+
+@behave.then("a sound {kind} request is answered 200")
+def check_sound(context, kind):
+    def is_served():
+        answers = [
+            front.try_ask("POST", f"/{kind}/a", b"sound", f"sound-{front.name}")
+            for front in context.site.fronts
+        ]
+        return all(answer and answer[0] == 200 for answer in answers)
+
+    front_platform.wait_until(is_served, context.site.read_logs)
--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -8,7 +8,7 @@
 
 import ending_server
 import raw_server
-from oleander_base import clock, http_pool
+from oleander_base import clock, http_exchange, http_pool
 
 _SECONDS = 5.0
 _IDLE_SECONDS = 9.5
@@ -147,3 +147,10 @@
 @behave.then("the failure says that the server {state}")
 def check_ended(context, state):
     assert context.broken.error.peer_ended == (state == "ended"), context.broken.error
+
+
+@behave.then("the server began it, and the failure says that it may have")
+def check_reach(context):
+    assert context.ending.runs == 1, context.ending.runs
+    reach = context.broken.error.reach
+    assert reach is http_exchange.Reach.MAY_HAVE_ARRIVED, context.broken.error
