Count a request that broke off on a kept connection as one that may have run

Cause: a kept connection that breaks is replaced by a new one; where the server has ended the new one is refused, and that failure alone was returned. So the attempt counted as not sent: it was given back (a call could go to more servers than its route allows), and the caller was told "not run". Evidence: features/http_pool.feature:110, red before, green now. The failure of the second connection now keeps that the first may have carried the request. Ruled out: requests that must not repeat never use a kept connection.

--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -99,8 +99,7 @@
                 )
         opened = self._connect(request.address, deadline)
         if opened.is_error():
-            has_ended = kept is not None and opened.error.reach is http_exchange.Reach.REFUSED
-            return expression.Error(dataclasses.replace(opened.error, peer_ended=has_ended))
+            return expression.Error(_join_failures(kept, opened.error))
         return self._send(opened.ok, request, deadline, is_cancelled).map_error(
             lambda error: self.describe_loss(request.address, error, is_cancelled)
         )
@@ -321,6 +320,17 @@
     return _MOST_IDLE_SECONDS
 
 
+def _join_failures(
+    kept: http_connection.Connection | None, error: http_exchange.ExchangeError
+) -> http_exchange.ExchangeError:
+    """Return why no second connection opened, and that the first may have carried the request."""
+    if kept is None:
+        return error
+    has_ended = error.reach is http_exchange.Reach.REFUSED
+    reach = http_exchange.Reach.MAY_HAVE_ARRIVED
+    return dataclasses.replace(error, reach=reach, peer_ended=has_ended)
+
+
 def _is_stale(error: Exception) -> bool:
     """Tell whether a kept connection had been closed before the request could be read."""
     return isinstance(error, ConnectionError)
