Tell an append that broke off on a kept connection from one that was never sent

The same cause as with calls to backend servers: the store's client replaced a kept connection that broke by a new one, and where that was refused said that nothing had been done. A batch whose append the store had read before it went away could so be refused as not accepted and run all the same. A connection whose end had already arrived is not used again, so that a store that was gone before still counts as "nothing was done".

--- a/features/ending_server.py
+++ b/features/ending_server.py
@@ -8,14 +8,15 @@
 _ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
 _CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"
 FATAL = b"/fatal"
-"""A request for this path makes it do what it was created for."""
+"""A request whose head has this makes it do what it was created for."""
 
 
 class EndingServer:
     """Answers requests on kept connections; `does` says what a fatal one leads to."""
 
-    def __init__(self, does):
+    def __init__(self, does, fatal=FATAL):
         self._does = does
+        self._fatal = fatal
         self._connections = []
         self._listener = socket.create_server(("127.0.0.1", 0))
         host, port = self._listener.getsockname()
@@ -44,7 +45,7 @@
     def _serve(self, connection):
         with contextlib.suppress(OSError):
             while head := _receive(connection):
-                if FATAL in head:
+                if self._fatal in head:
                     self.runs += 1
                     self._fail(connection)
                 else:
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -138,3 +138,14 @@
 
   Scenario: Nothing outside the platform's folder and its test knows its names
     Then no file of the product, its stand-ins or its bench has a name of the platform
+
+  Scenario Outline: An append that the store may have read before it ended may stand there
+    # Guards against "nothing was done" for a batch that stands in the log and will run.
+    Given a store that ends while it reads an append on a <connection> connection
+    When a record is appended there
+    Then the append says that it may have had effect
+
+    Examples:
+      | connection |
+      | new        |
+      | kept       |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -12,8 +12,9 @@
 import behave
 import expression
 
+import ending_server
 import raw_server
-from oleander_adapter import boot, operator, sampler_calls, samplers
+from oleander_adapter import boot, operator, sampler_calls, samplers, store
 from oleander_base import clock, http_pool
 from oleander_direct import directory, servers
 from oleander_routing import router
@@ -25,6 +26,7 @@
     re.IGNORECASE,
 )
 _CALL_SECONDS = 5.0
+_STORE_SECONDS = 2.0
 _CLOSE_SECONDS = 0.1
 """In which a server that closes its connections has done so."""
 _REGISTRATION = {
@@ -270,3 +272,24 @@
     assert len(context.engine.requests) == requests, context.engine.requests
     assert context.engine.connections == connections, context.engine.connections
     assert context.outcomes == [servers.OrderTaken(True)] * (requests // 2), context.outcomes
+
+
+@behave.given("a store that ends while it reads an append on a {connection} connection")
+def create_ending_store(context, connection):
+    context.ending = ending_server.EndingServer("ends", b"log-append")
+    context.add_cleanup(context.ending.stop)
+    context.record_log = store.StoreRecordLog(context.ending.address)
+    if connection == "kept":
+        context.record_log.read("t", 0, 0, 0, clock.start_deadline(_STORE_SECONDS))
+
+
+@behave.when("a record is appended there")
+def append_there(context):
+    deadline = clock.start_deadline(_STORE_SECONDS)
+    context.appended = context.record_log.append("t", 0, [b"record"], deadline)
+
+
+@behave.then("the append says that it may have had effect")
+def check_append(context):
+    assert context.ending.runs == 1, context.ending.runs
+    assert context.appended.error.may_have_effect, context.appended
--- a/libs/base/oleander_base/http_exchange.py
+++ b/libs/base/oleander_base/http_exchange.py
@@ -204,13 +204,15 @@
     ) -> expression.Result[Answer, ExchangeError]:
         """Send a request on a kept connection; where the peer had closed it, on a new one."""
         connection = self._take_connection()
-        if connection.is_open:
+        was_kept = connection.is_open
+        if was_kept:
             kept = _attempt(connection, request, deadline)
             if kept.is_ok() or not isinstance(kept.error, ConnectionError):
                 return kept.map_error(describe_failure)
         opened = _open(connection, deadline)
         if opened.is_error():
-            return expression.Error(opened.error)
+            reach = Reach.MAY_HAVE_ARRIVED if was_kept else opened.error.reach
+            return expression.Error(dataclasses.replace(opened.error, reach=reach))
         return _attempt(connection, request, deadline).map_error(describe_failure)
 
     def _take_connection(self) -> http_connection.Connection:
@@ -218,6 +220,8 @@
         if connection is None:
             connection = http_connection.Connection(self._host, self._port)
             self._kept.connection = connection
+        if connection.is_open and not connection.is_quiet:
+            connection.close()
         return connection
 
 
