Keep requests from servers once servers ended under them

What callers saw: a request that ends each server which runs it took all three servers of a service within half a second, 13 in a minute, and for 3 to 4 s after each time every other caller of the service was refused. Cause: nothing but the id of an attempt stood for a request. Each attempt may go to as many servers as its route allows, whatever became of those before it, and its return under a new id, at this entry or another, began anew. Each entry counts by content (organisation, target, body) the servers that ended under a request: the connection broke, nothing listens any more, and the list did not say that the server was leaving. Crashes stand in a keyed topic of the log, which every entry follows and reads at its start. After two crashes at which it was alone, or three in all, a request is rejected at once as not run, with when to come back; the quarantine doubles with each further crash. An answer from any server ends it. A suspect is sent to one server at a time. Ruled out: servers that end on their own (a suspect that is answered is cleared, its crashes leave the log); lost answers (the server still listens). Clocks of hosts are not compared.

--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -97,6 +97,7 @@
 
     def end(self):
         """End like a process that is killed: nothing listens, all connections are closed."""
+        self._server.socket.shutdown(socket.SHUT_RDWR)
         self._server.server_close()
         self._server.cut_all()
         threading.Thread(target=self._server.shutdown, daemon=True).start()
--- a/features/server_fakes.py
+++ b/features/server_fakes.py
@@ -37,6 +37,7 @@
     def __init__(self, behaviours):
         self._behaviours = behaviours
         self.ran = []
+        self.on_end = lambda server, behaviour: None
         self.cancelled = threading.Event()
 
     def call(self, server, request, deadline, is_cancelled):
@@ -48,6 +49,9 @@
         self.ran.append(server.server_id)
         if behaviour == "lost":
             return expression.Error(servers.CallFailure("reset", True))
+        if behaviour.startswith("ends"):
+            self.on_end(server, behaviour)
+            return expression.Error(servers.CallFailure("reset", True, server_ended=True))
         if behaviour == "fails":
             return expression.Ok(_answer(500))
         if behaviour == "silent":
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -73,6 +73,20 @@
     "Attempts that a backend server broke off by ending.",
     "Group the log lines of event attempt by request: one that recurs ends its servers.",
 )
+CRASHES = _declare(
+    "crashes.recorded",
+    "counter",
+    "count",
+    "Backend servers that ended under a request that had not been answered before.",
+    "See the log lines of event crash: they name the request and the server.",
+)
+QUARANTINED = _declare(
+    "requests.quarantined",
+    "counter",
+    "count",
+    "Requests kept from backend servers because servers ended under them.",
+    "Find the request by its digest in the log lines of event crash, and whoever sends it.",
+)
 LOG_OUTAGES = _declare(
     "log.failed_calls",
     "counter",
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -8,7 +8,15 @@
 import expression
 
 from oleander_base import clock, log, metrics
-from oleander_direct import comeback, directory, fingerprints, routes, servers, shares
+from oleander_direct import (
+    comeback,
+    crash_guard,
+    directory,
+    fingerprints,
+    routes,
+    servers,
+    shares,
+)
 from oleander_duties import usage
 from oleander_routing import retries, router
 
@@ -28,6 +36,7 @@
 """Characters of a failure in a log line."""
 _POLL_SECONDS = 0.05
 """How often a waiting request looks whether its caller is still there."""
+_QUARANTINED = "quarantined"
 _MOST_RUNNING = 64
 """Attempts of one process that run at once; more wait for a thread."""
 
@@ -115,8 +124,10 @@
         caller: servers.ServerCaller,
         counter: usage.UsageCounter | None = None,
         shared: shares.ConcurrencyShares | None = None,
+        guard: crash_guard.CrashGuard | None = None,
     ) -> None:
-        """Take what counts the requests that begin, and what shares places out, if anything."""
+        """Take what counts requests that begin, shares places out and keeps requests back."""
+        self._guard = guard
         self._shares = shared
         self._counter = counter
         self._directory = known
@@ -239,8 +250,16 @@
     def _hedge(
         self, progress: _Progress, running: dict[concurrent.futures.Future[_Attempted], str]
     ) -> None:
-        """Ask a second server: the first may be slow, silent, or its answer lost."""
-        if progress.request.may_repeat and progress.may_send and self._hedges.try_take():
+        """
+        Ask a second server: the first may be slow, silent, or its answer lost.
+
+        Not for a request that a server ended under: it would end two at once.
+        """
+        if not progress.request.may_repeat or not progress.may_send:
+            return
+        if self._guard is not None and self._guard.is_suspect(progress.request):
+            return
+        if self._hedges.try_take():
             metrics.count(metrics.HEDGES)
             self._start(progress, running)
 
@@ -250,6 +269,10 @@
         if not progress.may_send:
             progress.reason = progress.reason or "attempts-used"
             return False
+        if self._find_quarantine(progress) is not None:
+            progress.reason = _QUARANTINED
+            metrics.count(metrics.QUARANTINED)
+            return False
         chosen = self._choose(progress)
         if chosen is None:
             return False
@@ -261,13 +284,28 @@
         running[self._pool.submit(self._attempt, progress, chosen)] = chosen.server_id
         return True
 
+    def _find_quarantine(self, progress: _Progress) -> clock.Deadline | None:
+        if self._guard is None:
+            return None
+        return self._guard.find_quarantine(progress.request)
+
     def _choose(self, progress: _Progress) -> servers.Server | None:
+        """Return the next server; one without suspects for a suspect, where there is any."""
+        if self._guard is not None and self._guard.is_suspect(progress.request):
+            chosen = self._choose_beside(progress, self._guard.list_suspect_servers())
+            if chosen is not None:
+                return chosen
+        return self._choose_beside(progress, frozenset())
+
+    def _choose_beside(
+        self, progress: _Progress, avoided: frozenset[str]
+    ) -> servers.Server | None:
         wanted = router.RouteRequest(
             backend=progress.backend,
             affinity="",
             priority=progress.priority,
             oldest_version=-1,
-            excluded=frozenset(progress.excluded),
+            excluded=avoided | progress.excluded,
             budget_ms=progress.deadline.remaining_ms,
             may_probe=progress.request.may_repeat,
             is_windowed=progress.is_windowed,
@@ -283,11 +321,17 @@
             return progress.last_failure
         if progress.may_have_run:
             return Unresolved(progress.reason)
+        quarantine = self._find_quarantine(progress)
+        if quarantine is not None:
+            return Refused(_QUARANTINED, quarantine.remaining_ms)
         return Refused(progress.reason, self._comeback.advise(progress.route.objective_ms))
 
     def _attempt(self, progress: _Progress, server: servers.Server) -> _Attempted:
         started_at = clock.read_now()
+        watch = self._guard.begin(progress.request, server) if self._guard is not None else None
         answered = self._call_counted(progress, server)
+        if watch is not None:
+            watch.finish(_has_crashed(answered), answered.is_ok() and _may_have_begun(answered))
         milliseconds = (clock.read_now() - started_at) * 1000
         outcome = _rate(answered, progress)
         if answered.is_error() and answered.error.was_sent and not answered.error.was_cancelled:
@@ -347,6 +391,10 @@
     return not answered.ok.did_not_run and not answered.ok.is_other_server
 
 
+def _has_crashed(answered: _Attempted) -> bool:
+    return answered.is_error() and answered.error.was_sent and answered.error.server_ended
+
+
 def _rate(answered: _Attempted, progress: _Progress) -> router.RouteOutcome:
     """Tell what an attempt says of its server; one that was cancelled says only how long."""
     if answered.is_error():
--- /dev/null
+++ b/libs/direct/oleander_direct/crash_guard.py
@@ -0,0 +1,149 @@
+"""Keeps requests from backend servers that ended under them before."""
+
+import abc
+import collections
+import threading
+
+from oleander_base import clock, log, metrics
+from oleander_direct import directory, fingerprints, servers
+from oleander_quarantine import ledger, records
+
+
+class CrashPublisher(abc.ABC):
+    """Tells the other processes of crashes; returns at once."""
+
+    @abc.abstractmethod
+    def publish(self, crash: records.Crash) -> None:
+        """Tell of a crash."""
+
+    @abc.abstractmethod
+    def withdraw(self, keys: list[records.CrashKey]) -> None:
+        """Tell that crashes no longer count."""
+
+
+class CrashGuard:
+    """Joins what this process sees of its attempts to the crashes that all saw; thread-safe."""
+
+    def __init__(
+        self,
+        known: directory.Directory,
+        crashes: ledger.CrashLedger,
+        publisher: CrashPublisher,
+    ) -> None:
+        self._directory = known
+        self._ledger = crashes
+        self._publisher = publisher
+        self._lock = threading.Lock()
+        self._running: collections.Counter[str] = collections.Counter()
+        self._was_shared: set[str] = set()
+        self._suspects: collections.Counter[str] = collections.Counter()
+
+    def find_quarantine(self, request: servers.CallRequest) -> clock.Deadline | None:
+        """Return until when a request is kept from servers, or nothing where it is not."""
+        if self._ledger.is_empty:
+            return None
+        return self._ledger.find_quarantine(fingerprints.compute_fingerprint(request))
+
+    def is_suspect(self, request: servers.CallRequest) -> bool:
+        """Return whether a server ended under a request that none has answered since."""
+        if self._ledger.is_empty:
+            return False
+        return self._ledger.is_suspect(fingerprints.compute_fingerprint(request))
+
+    def list_suspect_servers(self) -> frozenset[str]:
+        """Return the ids of servers at which this process runs a suspect."""
+        with self._lock:
+            return frozenset(self._suspects)
+
+    def begin(self, request: servers.CallRequest, server: servers.Server) -> "CrashWatch":
+        """Take in that an attempt begins at a server."""
+        watch = CrashWatch(self, request, server, self.is_suspect(request))
+        with self._lock:
+            self._running[server.incarnation] += 1
+            if self._running[server.incarnation] > 1:
+                self._was_shared.add(server.incarnation)
+            if watch.is_suspect:
+                self._suspects[server.server_id] += 1
+        return watch
+
+    def finish(self, watch: "CrashWatch") -> None:
+        """Take in that an attempt is over."""
+        server = watch.server
+        with self._lock:
+            _decrement(self._running, server.incarnation)
+            if server.incarnation not in self._running:
+                self._was_shared.discard(server.incarnation)
+            if watch.is_suspect:
+                _decrement(self._suspects, server.server_id)
+
+    def record_crash(self, watch: "CrashWatch") -> None:
+        """
+        Take in that a server ended under an attempt that is not over yet.
+
+        One that was leaving, or had left the list, ended as planned.
+        """
+        server = watch.server
+        listed = self._directory.find_server(server.server_id)
+        if listed is None or listed.is_leaving:
+            return
+        with self._lock:
+            was_alone = server.incarnation not in self._was_shared
+        fingerprint = fingerprints.compute_fingerprint(watch.request)
+        crash = records.create_crash(fingerprint, server.incarnation, was_alone)
+        if not self._ledger.record_crash(crash.key, was_alone):
+            return
+        metrics.count(metrics.CRASHES)
+        self._publisher.publish(crash)
+        quarantine = self._ledger.find_quarantine(fingerprint)
+        log.logger.bind(
+            event="crash",
+            id=watch.request.request_id,
+            request=fingerprint,
+            server=server.incarnation,
+            was_alone=was_alone,
+            quarantine_s=int(quarantine.remaining) if quarantine else 0,
+        ).info("a server ended under a request")
+
+    def record_answer(self, watch: "CrashWatch") -> None:
+        """Take in that a server answered a request."""
+        fingerprint = fingerprints.compute_fingerprint(watch.request)
+        dropped = self._ledger.record_answer(fingerprint)
+        if not dropped:
+            return
+        self._publisher.withdraw(dropped)
+        log.logger.bind(
+            event="crash-cleared",
+            id=watch.request.request_id,
+            request=fingerprint,
+            crashes=len(dropped),
+        ).info("a server answered the request")
+
+
+class CrashWatch:
+    """One attempt at a server, until it is over."""
+
+    def __init__(
+        self,
+        guard: CrashGuard,
+        request: servers.CallRequest,
+        server: servers.Server,
+        is_suspect: bool,
+    ) -> None:
+        self._guard = guard
+        self.request = request
+        self.server = server
+        self.is_suspect = is_suspect
+
+    def finish(self, has_crashed: bool, was_answered: bool) -> None:
+        """Take in how the attempt ended."""
+        if has_crashed:
+            self._guard.record_crash(self)
+        elif was_answered:
+            self._guard.record_answer(self)
+        self._guard.finish(self)
+
+
+def _decrement(counts: collections.Counter[str], name: str) -> None:
+    counts[name] -= 1
+    if counts[name] <= 0:
+        del counts[name]
--- a/libs/platform/oleander_platform/recordlog.py
+++ b/libs/platform/oleander_platform/recordlog.py
@@ -138,6 +138,12 @@
         """Leave a group, so that others get the partitions at once."""
 
 
+def write_keyed(key: str, value: bytes) -> bytes:
+    """Return a record of a keyed topic; without a value it drops the key."""
+    raw_key = key.encode()
+    return bytes((len(raw_key),)) + raw_key + value
+
+
 def read_keyed(record: RawRecord) -> KeyedRecord | None:
     """Return a record of a keyed topic, or nothing where it is malformed."""
     if not record.content:
--- /dev/null
+++ b/libs/quarantine/oleander_quarantine/ledger.py
@@ -0,0 +1,140 @@
+"""Decides which requests are kept from backend servers, by the servers that ended under them."""
+
+import collections
+import collections.abc
+import dataclasses
+import random
+import threading
+
+from oleander_base import clock
+from oleander_quarantine import records
+
+MOST_CRASHES = 3
+"""Servers that may end under one request, whatever else they ran."""
+MOST_CRASHES_ALONE = 2
+"""Servers that may end under one request while it alone ran there: no other can be the cause."""
+FIRST_QUARANTINE_SECONDS = 60.0
+"""Doubled with each further crash, so that a request which never succeeds is tried ever less."""
+MOST_QUARANTINE_SECONDS = 6 * 3600.0
+_FORGET_FACTOR = 2.0
+"""Crashes are forgotten after this many times the quarantine that they led to."""
+_SPREAD = 0.5
+"""Forgotten up to so much later, so that one process removes the records and not all at once."""
+_MOST_REQUESTS = 4096
+"""Past this the request whose crashes were first recorded is forgotten."""
+_MOST_PROVEN = 1024
+
+
+@dataclasses.dataclass(slots=True)
+class _Suspect:
+    """A request under which servers ended."""
+
+    crashes: dict[str, bool] = dataclasses.field(default_factory=dict)
+    """By run of a server; whether the request was alone there."""
+    released_at: float = 0.0
+    forgotten_at: float = 0.0
+
+    @property
+    def excess(self) -> int:
+        """Crashes beyond those that lead to a quarantine; below zero where they don't."""
+        alone = sum(self.crashes.values())
+        return max(len(self.crashes) - MOST_CRASHES, alone - MOST_CRASHES_ALONE)
+
+
+class CrashLedger:
+    """
+    Crashes by request, and the quarantine that follows from them; thread-safe.
+
+    A server that ends says nothing of which request was the cause. One that recurs in crashes of
+    several servers is the cause, or has shared each server with it. A request that a server
+    answered is not the cause: its crashes are dropped, and for a while further ones don't count,
+    since a request asked for all the time is in progress whenever servers are lost.
+
+    A quarantine ends with a trial: the request may go to servers again, and the next crash leads
+    to a quarantine twice as long.
+    """
+
+    def __init__(
+        self, seed: int, read_now: collections.abc.Callable[[], float] = clock.read_now
+    ) -> None:
+        self._random = random.Random(seed)
+        self._read_now = read_now
+        self._lock = threading.Lock()
+        self._suspects: dict[str, _Suspect] = {}
+        self._proven: collections.OrderedDict[str, float] = collections.OrderedDict()
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether no server ended under any request."""
+        return not self._suspects
+
+    def record_crash(self, key: records.CrashKey, was_alone: bool) -> bool:
+        """Take in a crash; return whether it was not known."""
+        with self._lock:
+            if self._is_proven(key.fingerprint):
+                return False
+            suspect = self._suspects.setdefault(key.fingerprint, _Suspect())
+            if key.run in suspect.crashes:
+                return False
+            suspect.crashes[key.run] = was_alone
+            self._extend(suspect)
+            while len(self._suspects) > _MOST_REQUESTS:
+                del self._suspects[next(iter(self._suspects))]
+            return True
+
+    def record_answer(self, fingerprint: str) -> list[records.CrashKey]:
+        """Take in that a server answered a request; return the crashes that no longer count."""
+        with self._lock:
+            self._proven[fingerprint] = self._read_now() + FIRST_QUARANTINE_SECONDS
+            self._proven.move_to_end(fingerprint)
+            if len(self._proven) > _MOST_PROVEN:
+                self._proven.popitem(last=False)
+            return self._take(fingerprint)
+
+    def remove(self, key: records.CrashKey) -> None:
+        """Take in that another process dropped a crash."""
+        with self._lock:
+            suspect = self._suspects.get(key.fingerprint)
+            if suspect is None:
+                return
+            suspect.crashes.pop(key.run, None)
+            if not suspect.crashes:
+                del self._suspects[key.fingerprint]
+
+    def take_forgotten(self) -> list[records.CrashKey]:
+        """Forget what is long past; return the crashes whose records may go."""
+        with self._lock:
+            now = self._read_now()
+            past = [name for name, item in self._suspects.items() if item.forgotten_at <= now]
+            return [key for name in past for key in self._take(name)]
+
+    def is_suspect(self, fingerprint: str) -> bool:
+        """Return whether a server ended under a request."""
+        return fingerprint in self._suspects
+
+    def find_quarantine(self, fingerprint: str) -> clock.Deadline | None:
+        """Return until when a request is kept from servers, or nothing where it is not."""
+        with self._lock:
+            suspect = self._suspects.get(fingerprint)
+            if suspect is None or suspect.excess < 0:
+                return None
+            if suspect.released_at <= self._read_now():
+                return None
+            return clock.Deadline(suspect.released_at)
+
+    def _is_proven(self, fingerprint: str) -> bool:
+        return self._proven.get(fingerprint, 0.0) > self._read_now()
+
+    def _extend(self, suspect: _Suspect) -> None:
+        now = self._read_now()
+        doublings = max(0, suspect.excess)
+        seconds = min(MOST_QUARANTINE_SECONDS, FIRST_QUARANTINE_SECONDS * 2.0**doublings)
+        spread = 1.0 + self._random.uniform(0.0, _SPREAD)
+        suspect.released_at = now + seconds
+        suspect.forgotten_at = now + seconds * _FORGET_FACTOR * spread
+
+    def _take(self, fingerprint: str) -> list[records.CrashKey]:
+        suspect = self._suspects.pop(fingerprint, None)
+        if suspect is None:
+            return []
+        return [records.CrashKey(fingerprint, run) for run in suspect.crashes]
--- /dev/null
+++ b/programs/oleanderdeal/oleanderdeal/crash_records.py
@@ -0,0 +1,122 @@
+"""Crashes of backend servers under requests, in the platform's log."""
+
+import collections
+import threading
+
+from oleander_base import clock, log, tasks
+from oleander_direct import crash_guard
+from oleander_platform import keyed_follower, recordlog
+from oleander_quarantine import ledger, records
+
+TOPIC = "oleander.crashes"
+_PARTITION = 0
+_APPEND_SECONDS = 1.0
+_AGAIN_SECONDS = 0.2
+_LOOK_SECONDS = 1.0
+"""How often crashes are looked through for those to forget."""
+_MOST_WAITING = 4096
+"""Records that wait for the log; past this the oldest are dropped."""
+_MOST_RECORDS = 256
+"""In one append."""
+
+
+class CrashSink(keyed_follower.KeyedSink):
+    """
+    Takes in the crashes that any process saw.
+
+    What was dropped while records were lost to this process is forgotten by time.
+    """
+
+    def __init__(self, known: ledger.CrashLedger) -> None:
+        self._ledger = known
+
+    def put(self, key: str, value: bytes) -> None:
+        """Take in a crash; a record of another writer changes nothing."""
+        decoded = records.decode_key(key).bind(lambda name: records.decode_crash(name, value))
+        if decoded.is_error():
+            log.warn_bounded("crash-record", str(decoded.error))
+            return
+        crash = decoded.ok
+        if not self._ledger.record_crash(crash.key, crash.was_alone):
+            return
+        quarantine = self._ledger.find_quarantine(crash.key.fingerprint)
+        log.logger.bind(
+            event="crash-heard",
+            request=crash.key.fingerprint,
+            server=crash.incarnation,
+            quarantine_s=int(quarantine.remaining) if quarantine else 0,
+        ).info("another process saw a server end under a request")
+
+    def drop(self, key: str) -> None:
+        """Take in that a crash no longer counts."""
+        decoded = records.decode_key(key)
+        if decoded.is_ok():
+            self._ledger.remove(decoded.ok)
+
+    def keep_only(self, keys: set[str]) -> None:
+        """Keep what is known: crashes of this process may not stand in the log yet."""
+
+    def note_current(self) -> None:
+        """Do nothing: what is known holds whether or not it is the newest."""
+
+
+class CrashWriter(crash_guard.CrashPublisher):
+    """Writes crashes to the log in the order in which they came, until each stands there."""
+
+    def __init__(
+        self,
+        known: ledger.CrashLedger,
+        log_service: recordlog.RecordLog,
+        topic: str,
+        group: tasks.TaskGroup,
+    ) -> None:
+        self._ledger = known
+        self._log = log_service
+        self._topic = topic
+        self._group = group
+        self._changed = threading.Condition()
+        self._waiting: collections.deque[bytes] = collections.deque(maxlen=_MOST_WAITING)
+
+    def publish(self, crash: records.Crash) -> None:
+        """Tell of a crash."""
+        self._add([recordlog.write_keyed(crash.key.text, records.encode_crash(crash))])
+
+    def withdraw(self, keys: list[records.CrashKey]) -> None:
+        """Tell that crashes no longer count."""
+        self._add([recordlog.write_keyed(key.text, b"") for key in keys])
+
+    def write(self) -> None:
+        """Write what waits until the group stops."""
+        while not self._group.is_stopping:
+            self.withdraw(self._ledger.take_forgotten())
+            if not self.write_waiting():
+                self._group.pause(_AGAIN_SECONDS)
+
+    def write_waiting(self) -> bool:
+        """Wait a while for records, and write them; return whether none was turned away."""
+        with self._changed:
+            if not self._waiting:
+                self._changed.wait(_LOOK_SECONDS)
+            taken = [
+                self._waiting.popleft() for _ in range(min(_MOST_RECORDS, len(self._waiting)))
+            ]
+        if not taken:
+            return True
+        deadline = clock.start_deadline(_APPEND_SECONDS)
+        appended = self._log.append(self._topic, _PARTITION, taken, deadline)
+        if appended.is_ok():
+            return True
+        log.warn_bounded("crashes-unwritten", appended.error.detail, records=len(taken))
+        with self._changed:
+            room = _MOST_WAITING - len(self._waiting)
+            self._waiting.extendleft(reversed(taken[-room:] if room else []))
+        return False
+
+    def _add(self, waiting: list[bytes]) -> None:
+        if not waiting:
+            return
+        with self._changed:
+            if len(self._waiting) + len(waiting) > _MOST_WAITING:
+                log.warn_bounded("crashes-dropped", "too many wait for the log")
+            self._waiting.extend(waiting)
+            self._changed.notify()
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -7,16 +7,18 @@
 
 from oleander_base import clock, identifiers, log, tasks
 from oleander_batches import journal
-from oleander_direct import calls, directory, servers, shares
+from oleander_direct import calls, crash_guard, directory, servers, shares
 from oleander_duties import platform, usage
 from oleander_leases import lease
 from oleander_orders import rights
 from oleander_platform import keyed_follower, recordlog
+from oleander_quarantine import ledger
 from oleander_routing import preferred, router
 from oleanderdeal import (
     batch_api,
     batch_runner,
     batch_tenures,
+    crash_records,
     http_server,
     item_task,
     lifecycle,
@@ -48,6 +50,8 @@
 """Configurations are rare and must be in force soon."""
 _SERVERS_PAUSE_SECONDS = 0.25
 """Servers report all the time; a read four times a second takes in what came since."""
+_CRASHES_PAUSE_SECONDS = 0.05
+"""Crashes are rare; a request comes again within some ten milliseconds."""
 _LEAVE_SECONDS = 2.5
 """How long after the readiness check fails clients may still come: two checks and a margin."""
 _STOP_MARGIN_SECONDS = 1.5
@@ -111,6 +115,10 @@
     ) -> tuple[tuple[str, keyed_follower.KeyedSink], tuple[str, keyed_follower.KeyedSink]]:
         """Return topic and sink of the operator's records, then of the servers' records."""
 
+    @abc.abstractmethod
+    def name_keyed_topic(self, name: str) -> str:
+        """Return what a keyed topic of our own is called on the platform."""
+
     @abc.abstractmethod
     def reload(self, was_asked: bool) -> None:
         """Take in settings that changed; called each second, and told of a request to."""
@@ -140,9 +148,24 @@
             log_service, self._group, chosen.partitions, chosen.batch_keep_seconds
         )
         self._owned = ownership.Ownership(log_service, chosen.name, self._group)
+        crashes = ledger.CrashLedger(identifiers.hash_text(chosen.host))
+        topic = deployment.name_keyed_topic(crash_records.TOPIC)
+        self._crashes = crash_records.CrashWriter(crashes, log_service, topic, self._group)
+        self._followers.append(
+            keyed_follower.KeyedFollower(
+                log_service,
+                topic,
+                crash_records.CrashSink(crashes),
+                self._group,
+                _CRASHES_PAUSE_SECONDS,
+            )
+        )
+        guard = crash_guard.CrashGuard(self._known, crashes, self._crashes)
         self._reporter, counter = self._create_reporter(log_service)
         shared = shares.ConcurrencyShares(HTTP_THREADS)
-        dispatcher = calls.CallDispatcher(self._known, self._router, caller, counter, shared)
+        dispatcher = calls.CallDispatcher(
+            self._known, self._router, caller, counter, shared, guard
+        )
         self._writer = result_writer.ResultWriter(self._journal, self._group)
         items = item_task.ItemRunner(self._known, self._router, caller, dispatcher, self._group)
         self._runner = batch_runner.BatchRunner(
@@ -184,6 +207,7 @@
         """Serve until told to stop, then finish what is in progress."""
         for follower in self._followers:
             self._group.keep(follower.follow)
+        self._group.keep(self._crashes.write)
         self._group.keep(self._journal.follow)
         self._group.keep(self._owned.keep)
         self._group.keep(self._writer.write)
