Reproduce engines that end one after the other under one item, in a test that fails

The cause of the incident looked for elsewhere: an item is tried again each second for as long as its batch is open, whatever became of its engines.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -12,3 +12,11 @@
       | kind     |
       | calls    |
       | charges  |
+
+  Scenario: An item that ends its engines is soon kept from them
+    # Guards against one item that ends every engine, again and again, while other texts run there.
+    Given three programs and 4 engines that end when they run a fatal request
+    When a batch of 12 items of which one is fatal is submitted
+    Then within 10 seconds the other 11 items are completed
+    And for 6 seconds at most 3 engines run it later than 3 seconds after it ended the third
+    And the fatal item is not listed while its batch is open
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -346,14 +346,14 @@
     }
 
 
-def describe_batch(item_ids, step=0):
-    """Return the body with which a trainer hands in a batch of scored items."""
+def describe_batch(item_ids, step=0, fatal=()):
+    """Return the body of a batch of scored items; those named as fatal end their engines."""
     items = [
         {
             "id": item_id,
             "path": f"/items/{number}",
             "headers": {"X-Oleanderdeal-Model": "m"},
-            "body": base64.b64encode(b"prompt").decode(),
+            "body": base64.b64encode(FATAL_BODY if item_id in fatal else b"prompt").decode(),
             "tokens": 50,
             "group": "g",
             "scorer": {
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -1,5 +1,6 @@
 """Steps for requests that end the servers that run them."""
 
+import json
 import time
 
 import behave
@@ -55,3 +56,47 @@
         return all(answer and answer[0] == 200 for answer in answers)
 
     front_platform.wait_until(is_served, context.site.read_logs)
+
+
+@behave.given("three programs and {count:d} engines that end when they run a fatal request")
+def start_engines(context, count):
+    context.site = front_site.FrontSite(_SEED, engines=count)
+    context.add_cleanup(context.site.stop)
+
+
+@behave.when("a batch of {count:d} items of which one is fatal is submitted")
+def submit_batch(context, count):
+    names = [f"item-{number}" for number in range(count)]
+    body = platform_standin.describe_batch(names, fatal=names[:1])
+    answer = context.site.fronts[0].try_ask("POST", "/items/batch", body, "batch")
+    assert answer and answer[0] == 202, answer
+
+
+def _read_states(context):
+    answer = context.site.fronts[-1].try_ask("GET", "/api/lots/batch?after=0")
+    if answer is None or answer[0] != 200:
+        return {}
+    return {result["id"]: result["state"] for result in json.loads(answer[2])["results"]}
+
+
+@behave.then("within {seconds:d} seconds the other {count:d} items are completed")
+def check_others(context, seconds, count):
+    until = time.monotonic() + seconds
+    while len(_read_states(context)) < count:
+        assert time.monotonic() < until, (_read_states(context), context.site.read_logs())
+        time.sleep(_PAUSE_SECONDS)
+    assert set(_read_states(context).values()) == {"completed"}, _read_states(context)
+
+
+@behave.then(
+    "for {seconds:d} seconds at most {most:d} engines run it"
+    " later than {after:d} seconds after it ended the third"
+)
+def check_engines(context, seconds, most, after):
+    time.sleep(seconds)
+    check_later(context, most, after)
+
+
+@behave.then("the fatal item is not listed while its batch is open")
+def check_unlisted(context):
+    assert "item-0" not in _read_states(context), _read_states(context)
