Keep items and scorings of batches from servers that ended under them

Now both are held back by the same crashes as calls; an item that is put off is looked at again every five seconds and a scoring every second. Neither is listed as lost before its batch ends, since no server said that it can't be done. Items under which engines ended are kept apart, so that the cause takes none of its neighbours along.

--- a/features/crashing_requests.feature
+++ b/features/crashing_requests.feature
@@ -13,10 +13,15 @@
       | calls    |
       | charges  |
 
-  Scenario: An item that ends its engines is soon kept from them
-    # Guards against one item that ends every engine, again and again, while other texts run there.
-    Given three programs and 4 engines that end when they run a fatal request
-    When a batch of 12 items of which one is fatal is submitted
+  Scenario Outline: An item that ends its servers is soon kept from them
+    # Guards against one item that ends every server, again and again, while its batch is open.
+    Given three programs and 4 <servers> that end when they run a fatal request
+    When a batch of 12 items is submitted of which one has a fatal <part>
     Then within 10 seconds the other 11 items are completed
-    And for 6 seconds at most 3 engines run it later than 3 seconds after it ended the third
+    And for 6 seconds at most 3 servers run it later than 3 seconds after it ended the third
     And the fatal item is not listed while its batch is open
+
+    Examples:
+      | servers  | part    |
+      | engines  | prompt  |
+      | services | scoring |
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -346,8 +346,8 @@
     }
 
 
-def describe_batch(item_ids, step=0, fatal=()):
-    """Return the body of a batch of scored items; those named as fatal end their engines."""
+def describe_batch(item_ids, step=0, fatal=(), fatal_scores=()):
+    """Return the body of a batch of scored items; fatal ones end the servers that run them."""
     items = [
         {
             "id": item_id,
@@ -360,7 +360,9 @@
                 "id": f"score-{item_id}",
                 "host": "h.example",
                 "path": "/calls/score",
-                "body": base64.b64encode(b"score").decode(),
+                "body": base64.b64encode(
+                    FATAL_BODY if item_id in fatal_scores else b"score"
+                ).decode(),
             },
         }
         for number, item_id in enumerate(item_ids)
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -13,9 +13,9 @@
 _PAUSE_SECONDS = 0.25
 
 
-@behave.given("three programs and {count:d} services that end when they run a fatal request")
-def start_site(context, count):
-    context.site = front_site.FrontSite(_SEED, services=count)
+@behave.given("three programs and {count:d} {servers} that end when they run a fatal request")
+def start_site(context, count, servers):
+    context.site = front_site.FrontSite(_SEED, **{servers: count})
     context.add_cleanup(context.site.stop)
 
 
@@ -58,16 +58,11 @@
     front_platform.wait_until(is_served, context.site.read_logs)
 
 
-@behave.given("three programs and {count:d} engines that end when they run a fatal request")
-def start_engines(context, count):
-    context.site = front_site.FrontSite(_SEED, engines=count)
-    context.add_cleanup(context.site.stop)
-
-
-@behave.when("a batch of {count:d} items of which one is fatal is submitted")
-def submit_batch(context, count):
+@behave.when("a batch of {count:d} items is submitted of which one has a fatal {part}")
+def submit_batch(context, count, part):
     names = [f"item-{number}" for number in range(count)]
-    body = platform_standin.describe_batch(names, fatal=names[:1])
+    fatal = {"fatal" if part == "prompt" else "fatal_scores": names[:1]}
+    body = platform_standin.describe_batch(names, **fatal)
     answer = context.site.fronts[0].try_ask("POST", "/items/batch", body, "batch")
     assert answer and answer[0] == 202, answer
 
@@ -89,7 +84,7 @@
 
 
 @behave.then(
-    "for {seconds:d} seconds at most {most:d} engines run it"
+    "for {seconds:d} seconds at most {most:d} servers run it"
     " later than {after:d} seconds after it ended the third"
 )
 def check_engines(context, seconds, most, after):
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -36,7 +36,8 @@
 """Characters of a failure in a log line."""
 _POLL_SECONDS = 0.05
 """How often a waiting request looks whether its caller is still there."""
-_QUARANTINED = "quarantined"
+QUARANTINED = "quarantined"
+"""Why a request is refused under which servers ended."""
 _MOST_RUNNING = 64
 """Attempts of one process that run at once; more wait for a thread."""
 
@@ -270,7 +271,7 @@
             progress.reason = progress.reason or "attempts-used"
             return False
         if self._find_quarantine(progress) is not None:
-            progress.reason = _QUARANTINED
+            progress.reason = QUARANTINED
             metrics.count(metrics.QUARANTINED)
             return False
         chosen = self._choose(progress)
@@ -323,7 +324,7 @@
             return Unresolved(progress.reason)
         quarantine = self._find_quarantine(progress)
         if quarantine is not None:
-            return Refused(_QUARANTINED, quarantine.remaining_ms)
+            return Refused(QUARANTINED, quarantine.remaining_ms)
         return Refused(progress.reason, self._comeback.advise(progress.route.objective_ms))
 
     def _attempt(self, progress: _Progress, server: servers.Server) -> _Attempted:
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -6,6 +6,7 @@
 
 from oleander_base import clock, identifiers
 from oleander_batches import fold, submission
+from oleander_direct import servers
 from oleander_routing import router
 from oleander_samples import hedging, scheduler, steps, work
 from oleanderdeal import item_texts
@@ -46,6 +47,21 @@
     expected_events: float
     """How many are expected to be made yet."""
 
+    @property
+    def call(self) -> servers.CallRequest:
+        """The request that makes it."""
+        submitted = self.run.submitted
+        return servers.CallRequest(
+            request_id=self.item.item_id,
+            host=submitted.host,
+            method="POST",
+            target=self.item.path,
+            headers=self.item.headers,
+            body=self.item.body,
+            may_repeat=True,
+            organisation=submitted.organisation,
+        )
+
 
 class BatchRun:
     """The items of one batch that have no result yet; thread-safe."""
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -2,9 +2,9 @@
 
 import threading
 
-from oleander_base import clock, log, tasks
+from oleander_base import clock, log, metrics, tasks
 from oleander_batches import fold, journal
-from oleander_direct import directory, routes, servers
+from oleander_direct import crash_guard, directory, routes, servers
 from oleander_routing import router
 from oleanderdeal import (
     batch_run,
@@ -27,6 +27,8 @@
 """Between tries to hand over while the log does not answer."""
 _FULL_AGAIN_SECONDS = 0.05
 """After which an item is tried again that may only go to servers that are full."""
+_QUARANTINE_LOOK_SECONDS = 5.0
+"""How often it is looked whether an item is still quarantined: an answer elsewhere ends it."""
 _BATCH_PRIORITY = 0
 
 
@@ -48,7 +50,9 @@
         writer: result_writer.ResultWriter,
         group: tasks.TaskGroup,
         most_items: int,
+        guard: crash_guard.CrashGuard | None = None,
     ) -> None:
+        self._guard = guard
         self._directory = known
         self._journal = kept
         self._tenures = tenures
@@ -215,6 +219,10 @@
         item = run.start_next(clock.read_now(), route.due_ms / 1000, spare)
         if item is None:
             return False
+        quarantine = self._guard.find_quarantine(item.call) if self._guard else None
+        if quarantine is not None:
+            self._put_off(item, quarantine)
+            return True
         server = self._choose_next(run, route, item)
         if server is None:
             run.put_back(item, _FULL_AGAIN_SECONDS)
@@ -227,6 +235,17 @@
         self._group.start(lambda: self._run(item, server))
         return True
 
+    def _put_off(self, item: batch_run.ItemWork, until: clock.Deadline) -> None:
+        """Let an item wait under which engines ended; its batch is done without it."""
+        metrics.count(metrics.QUARANTINED)
+        log.logger.bind(
+            event="item-quarantined",
+            id=item.item.item_id,
+            batch=item.run.submitted.batch_id,
+            wait_s=int(until.remaining),
+        ).info("engines ended under it")
+        item.run.put_back(item, min(until.remaining, _QUARANTINE_LOOK_SECONDS))
+
     def _choose_next(
         self, run: batch_run.BatchRun, route: routes.Route, item: batch_run.ItemWork
     ) -> servers.Server | None:
@@ -234,9 +253,12 @@
         Return the server of an item's next attempt: another one than its last, if there is any.
 
         Nothing where all others are full for the moment: an item that was cancelled at a server
-        is no better off there.
+        is no better off there. Items under which servers ended are kept apart, so that the cause
+        takes none of the others along.
         """
         excluded = run.find_last_server(item.item_number)
+        if self._guard is not None and self._guard.is_suspect(item.call):
+            excluded |= self._guard.list_suspect_servers()
         need = _describe_need(run, route, excluded, item.expected_events)
         chosen = self._router.choose(need)
         if chosen.is_ok():
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -167,7 +167,9 @@
             self._known, self._router, caller, counter, shared, guard
         )
         self._writer = result_writer.ResultWriter(self._journal, self._group)
-        items = item_task.ItemRunner(self._known, self._router, caller, dispatcher, self._group)
+        items = item_task.ItemRunner(
+            self._known, self._router, caller, dispatcher, self._group, guard
+        )
         self._runner = batch_runner.BatchRunner(
             self._known,
             self._journal,
@@ -177,6 +179,7 @@
             self._writer,
             self._group,
             MOST_ITEMS,
+            guard,
         )
         held = rights.OrderRights(
             log_service,
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -4,7 +4,7 @@
 
 from oleander_base import clock, log, metrics, tasks
 from oleander_batches import submission
-from oleander_direct import calls, directory, routes, servers
+from oleander_direct import calls, crash_guard, directory, routes, servers
 from oleander_routing import router
 from oleander_samples import steps
 from oleanderdeal import batch_run
@@ -18,6 +18,8 @@
 """Usual scorings take 0.2 s; one that hangs is asked again while its step can be in time."""
 _SCORING_AGAIN_SECONDS = 0.05
 """Between tries of a scoring that was refused: a quarter of a usual one's time."""
+_QUARANTINE_LOOK_SECONDS = 1.0
+"""Between looks whether a scoring is still quarantined."""
 _RATED_EVENTS = 5
 """Events from one report of a server's rate to the next."""
 _BAD_ITEM = 422
@@ -33,7 +35,9 @@
         caller: servers.ServerCaller,
         dispatcher: calls.CallDispatcher,
         group: tasks.TaskGroup,
+        guard: crash_guard.CrashGuard | None = None,
     ) -> None:
+        self._guard = guard
         self._directory = known
         self._router = router_
         self._caller = caller
@@ -71,6 +75,7 @@
         """
         started_at = clock.read_now()
         ended = None
+        watch = self._guard.begin(item.call, server) if self._guard is not None else None
         try:
             ended = outcome.run()
         except Exception:
@@ -79,6 +84,8 @@
             item.run.fail(item)
         finally:
             outcome.leave_queue()
+            if watch is not None:
+                watch.finish(outcome.server_ended, isinstance(ended, steps.Sample))
         seconds = clock.read_now() - started_at
         rated, milliseconds = outcome.rate(seconds)
         self._router.note_finished(server.server_id, rated, milliseconds)
@@ -108,6 +115,7 @@
         if scoring is None:
             return _complete(item.item, sample, "")
         errors = 0
+        pause = _SCORING_AGAIN_SECONDS
         while item.run.is_wanted and not self._group.is_stopping:
             table = self._directory.table
             route = table.match(scoring.host, scoring.path) if table else None
@@ -119,7 +127,8 @@
                     errors += outcome.errors
                     if errors >= route.most_servers:
                         return _lose(item.item)
-            self._group.pause(_SCORING_AGAIN_SECONDS)
+                pause = _choose_pause(outcome)
+            self._group.pause(pause)
         return None
 
     def _ask_score(
@@ -166,16 +175,7 @@
 
     def run(self) -> steps.Sample | submission.ItemResult | None:
         """Return the whole text, a final result, or nothing where the item goes back."""
-        call = servers.CallRequest(
-            request_id=self._item.item.item_id,
-            host=self._run.submitted.host,
-            method="POST",
-            target=self._item.item.path,
-            headers=self._item.item.headers,
-            body=self._item.item.body,
-            may_repeat=True,
-            organisation=self._run.submitted.organisation,
-        )
+        call = self._item.call
         request = servers.GenerateRequest(call, self._item.resumed_events, self._item.urgency)
         deadline = clock.start_deadline(_STREAM_SECONDS)
         opened = self._caller.generate(self._server, request, deadline, self._is_unwanted)
@@ -285,6 +285,13 @@
         return None
 
 
+def _choose_pause(outcome: calls.CallOutcome) -> float:
+    """Return how long to wait before a scoring is asked for again."""
+    if isinstance(outcome, calls.Refused) and outcome.reason == calls.QUARANTINED:
+        return _QUARANTINE_LOOK_SECONDS
+    return _SCORING_AGAIN_SECONDS
+
+
 def _complete(item: submission.Item, sample: steps.Sample, score: str) -> submission.ItemResult:
     versions = tuple(sorted({part.version for part in sample.label}))
     state = submission.ResultState.DONE
