Leave room for the tasks of crashes, and probe a lost server for 100 ms at most

With reports of use an entry has 16 lasting tasks, as many as its pool had beside items and partitions; the pool now has 20. A server that resets and is then cut off holds up the next attempt for the time of the probe, so this is kept within the objective of usual calls.

--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -19,7 +19,7 @@
 """Used where a server does not state its own idle timeout."""
 _CONNECT_SECONDS = 0.7
 """A connection opens within some round trips or, if its opening packet was dropped, a second."""
-_PROBE_SECONDS = 0.2
+_PROBE_SECONDS = 0.1
 """A process that has ended refuses a connection within a round trip."""
 _FAILURES = (OSError, http.client.HTTPException, ValueError)
 _BROKEN_OFF = (ConnectionError, http.client.IncompleteRead)
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -41,7 +41,7 @@
 MOST_PREFERRED = 6
 """Servers of a backend that an entry keeps to with calls: two for each that one call may try, and
 enough that the loads of servers differ by a fifth or so when some forty entries choose."""
-_OTHER_TASKS = 16
+_OTHER_TASKS = 20
 """Followers, servers, writer, runner, keeper and room for a few more."""
 _SILENT_SECONDS = 2.5
 """After such a silence of the platform an entry reports that it is not ready: others may hear it.
