Send a fatal request all through the soak of front programs

The settle time is longer by 3 s, so that sends can be counted once every program has had the time to read of the crashes.

--- a/features/front_load.py
+++ b/features/front_load.py
@@ -10,6 +10,7 @@
 ITEMS = 4
 _TRIES = 4
 _STEP_SECONDS = 1.5
+_FATAL_PAUSE_SECONDS = 0.4
 
 
 class Callers(threading.Thread):
@@ -38,6 +39,22 @@
                 time.sleep(float(answer[1].get("Retry-After", "0")))
 
 
+class FatalCaller(threading.Thread):
+    """Sends one request that ends its servers, again and again, each time with a new id."""
+
+    def __init__(self, site):
+        super().__init__(daemon=True)
+        self._site = site
+        self.stopping = threading.Event()
+
+    def run(self):
+        number = 0
+        while not self.stopping.wait(_FATAL_PAUSE_SECONDS):
+            body = platform_standin.FATAL_BODY
+            self._site.pick_front().try_ask("POST", "/calls/a", body, f"fatal-{number}")
+            number += 1
+
+
 class Trainer(threading.Thread):
     """Submits batches and reads them from any front."""
 
--- a/features/front_soak.py
+++ b/features/front_soak.py
@@ -12,7 +12,9 @@
 import platform_standin
 
 _CALLERS = 4
-_SETTLE_SECONDS = 4.0
+_SETTLE_SECONDS = 7.0
+_MOST_ENDS = 3
+_CONTACT_SECONDS = 3.0
 _FINISH_SECONDS = 40.0
 
 
@@ -22,21 +24,25 @@
     try:
         callers = [front_load.Callers(site, number) for number in range(_CALLERS)]
         trainer = front_load.Trainer(site)
-        for worker in (*callers, trainer):
+        fatal = front_load.FatalCaller(site)
+        for worker in (*callers, trainer, fatal):
             worker.start()
         faults = front_faults.Faults(site)
         faults.run(seconds)
+        calm_at = time.monotonic()
         time.sleep(_SETTLE_SECONDS)
-        for worker in (*callers, trainer):
+        for worker in (*callers, trainer, fatal):
             worker.stopping.set()
-        for worker in (*callers, trainer):
+        for worker in (*callers, trainer, fatal):
             worker.join()
         problems = faults.problems + _finish(site, trainer)
         problems += _check_charges(site, callers) + _check_orders(site) + _check_logs(site)
+        problems += _check_ends(site, calm_at)
         told = collections.Counter(
             str(statuses[-1]) for caller in callers for statuses in caller.told.values()
         )
-        counts = {"calls": dict(told), "batches": len(trainer.accepted)}
+        ended = sum(len(service.ended_at) for service in site.services)
+        counts = {"calls": dict(told), "batches": len(trainer.accepted), "ended": ended}
         return counts | {"faults": dict(faults.counts)}, problems
     finally:
         site.stop()
@@ -104,6 +110,18 @@
     return problems
 
 
+def _check_ends(site, calm_at):
+    """Look for servers that still end under the fatal request once all programs can know of it."""
+    ends = sorted(at for service in site.services for at in service.ended_at)
+    if len(ends) < _MOST_ENDS:
+        return []
+    known_at = max(ends[_MOST_ENDS - 1], calm_at) + _CONTACT_SECONDS
+    later = [at for at in ends if at > known_at]
+    if len(later) <= _MOST_ENDS:
+        return []
+    return [f"{len(ends)} servers ended under the fatal request, {len(later)} of them late"]
+
+
 def _check_logs(site):
     marks = ("invariant-broken", "task-failed", "Traceback")
     lines = site.read_logs().splitlines()
