Clear a request under which servers ended only by an answer that shows it ran

A server's own 504 or 500 cleared the request and counted as a proof for a minute: a cause sent on with little time left is given up by its server before it can end it, and was set free. Found by reading; features/quarantine.feature fails for both without this.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -74,6 +74,23 @@
       | A=ends-unlisted B=ends-unlisted  | 2        | 2    | unresolved | 0       |
       | A=fails B=fails                  | 2        | 2    | answered   | 0       |
 
+  Scenario Outline: Which answers clear a request under which servers ended
+    # Guards against a cause that is set free because a server gave it up, or turned it away.
+    Given an entry with the servers A=<answer>
+    And a server ended under the request before
+    When a request is called that 1 servers may get
+    Then the entry <belief> it
+
+    Examples:
+      | answer | belief        |
+      | ok     | clears        |
+      | 404    | clears        |
+      | fails  | still suspects |
+      | 504    | still suspects |
+      | full   | still suspects |
+      | other  | still suspects |
+      | lost   | still suspects |
+
   Scenario: A request that is kept back is rejected at once, as not run, with when to come back
     # Guards against a caller that waits, or comes back at once, for what no server will run.
     Given an entry with the servers A=ends B=ends
--- a/features/server_fakes.py
+++ b/features/server_fakes.py
@@ -52,6 +52,8 @@
         if behaviour.startswith("ends"):
             self.on_end(server, behaviour)
             return expression.Error(servers.CallFailure("reset", True, server_ended=True))
+        if behaviour.isdigit():
+            return expression.Ok(_answer(int(behaviour)))
         if behaviour == "fails":
             return expression.Ok(_answer(500))
         if behaviour == "silent":
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -270,3 +270,9 @@
     )
     sink.put(read.key, read.value)
     assert crashes.is_empty
+
+
+@behave.then("the entry {belief} it")
+def check_belief(context, belief):
+    is_suspect = context.ledger.is_suspect(_FINGERPRINT)
+    assert is_suspect == (belief == "still suspects"), context.outcome
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -332,7 +332,7 @@
         watch = self._guard.begin(progress.request, server) if self._guard is not None else None
         answered = self._call_counted(progress, server)
         if watch is not None:
-            watch.finish(_has_crashed(answered), answered.is_ok() and _may_have_begun(answered))
+            watch.finish(_has_crashed(answered), _was_survived(answered))
         milliseconds = (clock.read_now() - started_at) * 1000
         outcome = _rate(answered, progress)
         if answered.is_error() and answered.error.was_sent and not answered.error.was_cancelled:
@@ -396,6 +396,11 @@
     return answered.is_error() and answered.error.was_sent and answered.error.server_ended
 
 
+def _was_survived(answered: _Attempted) -> bool:
+    """Tell whether a server ran the request; one that gave it up may have ended later."""
+    return answered.is_ok() and _may_have_begun(answered) and answered.ok.status < 500
+
+
 def _rate(answered: _Attempted, progress: _Progress) -> router.RouteOutcome:
     """Tell what an attempt says of its server; one that was cancelled says only how long."""
     if answered.is_error():
