Count a server that ended under a request whose caller had left

A caller that leaves early made the attempt count as cancelled, though the connection was closed by the server, which ended: such a request could end servers unseen, again and again. Found by reading; features/http_pool.feature fails without this. An attempt that we cancel ends with an error of our own, so a broken connection is always the server's doing.

--- a/features/http_pool.feature
+++ b/features/http_pool.feature
@@ -108,3 +108,9 @@
       | connection |
       | new        |
       | kept       |
+
+  Scenario: A server that ends under a request whose caller has left counts as ended
+    # Guards against a request that ends servers unseen because its callers leave early.
+    Given a raw server that ends on a kept connection
+    When a request to it fails whose caller left before
+    Then the failure says that the server ended
--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -132,10 +132,10 @@
         assert _ask_ending(context, b"/").is_ok()
 
 
-def _ask_ending(context, path):
+def _ask_ending(context, path, is_cancelled=lambda: False):
     request = http_pool.PoolRequest(context.ending.address, "GET", path.decode(), (("Host", "h"),))
     deadline = clock.start_deadline(_FATAL_SECONDS)
-    return context.pool.call(request, deadline, lambda: False)
+    return context.pool.call(request, deadline, is_cancelled)
 
 
 @behave.when("a request to it fails")
@@ -144,6 +144,12 @@
     assert context.broken.is_error(), context.broken
 
 
+@behave.when("a request to it fails whose caller left before")
+def fail_left(context):
+    context.broken = _ask_ending(context, ending_server.FATAL, lambda: True)
+    assert context.broken.is_error(), context.broken
+
+
 @behave.then("the failure says that the server {state}")
 def check_ended(context, state):
     assert context.broken.error.peer_ended == (state == "ended"), context.broken.error
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -27,10 +27,6 @@
 _HOP_HEADERS = frozenset({"connection", "keep-alive", "transfer-encoding", "content-length"})
 
 
-def _never() -> bool:
-    return False
-
-
 @dataclasses.dataclass(slots=True, frozen=True)
 class PoolRequest:
     """One request to the server at an address (IP:port)."""
@@ -94,14 +90,12 @@
         if kept is not None:
             answered = self._send(kept, request, deadline, is_cancelled)
             if answered.is_ok() or not _is_stale(answered.error) or is_cancelled():
-                return answered.map_error(
-                    lambda error: self.describe_loss(request.address, error, is_cancelled)
-                )
+                return answered.map_error(lambda error: self.describe_loss(request.address, error))
         opened = self._connect(request.address, deadline)
         if opened.is_error():
             return expression.Error(_join_failures(kept, opened.error))
         return self._send(opened.ok, request, deadline, is_cancelled).map_error(
-            lambda error: self.describe_loss(request.address, error, is_cancelled)
+            lambda error: self.describe_loss(request.address, error)
         )
 
     def call(
@@ -132,15 +126,10 @@
         for item in idle:
             item.connection.close()
 
-    def describe_loss(
-        self,
-        address: str,
-        error: Exception,
-        is_cancelled: collections.abc.Callable[[], bool] = _never,
-    ) -> http_exchange.ExchangeError:
+    def describe_loss(self, address: str, error: Exception) -> http_exchange.ExchangeError:
         """Return a failure as a value; where the peer broke off, with whether it has ended."""
         described = http_exchange.describe_failure(error)
-        if not isinstance(error, _BROKEN_OFF) or is_cancelled():
+        if not isinstance(error, _BROKEN_OFF):
             return described
         return dataclasses.replace(described, peer_ended=self._has_ended(address))
 
@@ -202,9 +191,7 @@
         except _FAILURES as error:
             connection.close()
             return expression.Error(error)
-        return expression.Ok(
-            PooledAnswer(self, request.address, connection, response, is_cancelled)
-        )
+        return expression.Ok(PooledAnswer(self, request.address, connection, response))
 
 
 class PooledAnswer:
@@ -216,7 +203,6 @@
         address: str,
         connection: http_connection.Connection,
         response: http.client.HTTPResponse,
-        is_cancelled: collections.abc.Callable[[], bool] = _never,
     ) -> None:
         self._pool = pool
         self._address = address
@@ -226,7 +212,6 @@
         self._keep_seconds = _read_keep_seconds(response)
         self._is_framed = response.chunked or response.length is not None
         self._unread = b""
-        self._is_cancelled = is_cancelled
 
     @property
     def status(self) -> int:
@@ -293,7 +278,7 @@
         return piece
 
     def _describe(self, error: Exception) -> http_exchange.ExchangeError:
-        return self._pool.describe_loss(self._address, error, self._is_cancelled)
+        return self._pool.describe_loss(self._address, error)
 
     def _finish(self) -> None:
         if self._is_framed and self._keep_seconds > 0.0 and self._connection.is_open:
