--- a/features/front_soak.py
+++ b/features/front_soak.py
@@ -18,9 +18,9 @@
 _FINISH_SECONDS = 40.0
 
 
-def run(seed, seconds):
+def run(seed, seconds, fronts=3):
     """Return the counts and the problems of one soak."""
-    site = front_site.FrontSite(seed)
+    site = front_site.FrontSite(seed, fronts)
     try:
         callers = [front_load.Callers(site, number) for number in range(_CALLERS)]
         trainer = front_load.Trainer(site)
@@ -133,10 +133,11 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--count", type=int, default=1)
+    parser.add_argument("--fronts", type=int, default=3)
     options = parser.parse_args()
     broken = 0
     for seed in range(options.seed, options.seed + options.count):
-        counts, problems = run(seed, options.seconds)
+        counts, problems = run(seed, options.seconds, options.fronts)
         broken += bool(problems)
         print(json.dumps({"seed": seed, "problems": len(problems)} | counts), flush=True)
         for problem in problems[:10]:
