--- a/Makefile
+++ b/Makefile
@@ -50,7 +50,7 @@
 	$(PYTHON) features/soak.py --seed $(or $(SEED),1) --minutes $(or $(MINUTES),1)
 
 front-soak: install
-	$(PYTHON) features/front_soak.py --seed $(or $(SEED),1) --count $(or $(COUNT),1) --seconds $(or $(SECONDS),12)
+	$(PYTHON) features/front_soak.py --seed $(or $(SEED),1) --count $(or $(COUNT),1) --seconds $(or $(SECONDS),12) --fronts $(or $(FRONTS),3)
 
 binary: dist/oleanderdeal
 
