Try items and scorings under which servers ended again after 4 s at first

Dozens of items share an engine, so in a series of crashes most that recur are neighbours of the cause; kept back for a minute they would take their step along. Weighed: one length for all (4 s: a caller's request that is the cause ends a server every few seconds at first; 60 s: a step loses items that share engines with the cause). Found by reading.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -43,6 +43,18 @@
       | 61    | 361    | forgotten        |
       | 181   | 0      | suspect          |
 
+  Scenario Outline: What a batch waits for is tried again soon
+    # Guards against a step that is lost for an item which shared its engines with the cause.
+    Given the crashes <crashes> of a request
+    Then as part of a batch it is kept for <seconds> s
+
+    Examples:
+      | crashes                                | seconds |
+      | A shared, B shared                     | 0       |
+      | A shared, B shared, C shared           | 4       |
+      | A shared, B shared, C shared, D        | 8       |
+      | A, B, C, D                             | 16      |
+
   Scenario Outline: What a request is, whatever its ids
     # Guards against a return under a new id that passes for another request, and the reverse.
     Given a request whose <part> differs from another's
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -276,3 +276,10 @@
 def check_belief(context, belief):
     is_suspect = context.ledger.is_suspect(_FINGERPRINT)
     assert is_suspect == (belief == "still suspects"), context.outcome
+
+
+@behave.then("as part of a batch it is kept for {seconds:d} s")
+def check_batch(context, seconds):
+    kept = context.ledger.find_quarantine(_FINGERPRINT, ledger.BATCH_QUARANTINE_SECONDS)
+    seen = round(kept.expires_at - context.now) if kept else 0
+    assert seen == seconds, seen
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -288,7 +288,7 @@
     def _find_quarantine(self, progress: _Progress) -> clock.Deadline | None:
         if self._guard is None:
             return None
-        return self._guard.find_quarantine(progress.request)
+        return self._guard.find_quarantine(progress.request, progress.is_windowed)
 
     def _choose(self, progress: _Progress) -> servers.Server | None:
         """Return the next server; one without suspects for a suspect, where there is any."""
--- a/libs/direct/oleander_direct/crash_guard.py
+++ b/libs/direct/oleander_direct/crash_guard.py
@@ -38,11 +38,14 @@
         self._was_shared: set[str] = set()
         self._suspects: collections.Counter[str] = collections.Counter()
 
-    def find_quarantine(self, request: servers.CallRequest) -> clock.Deadline | None:
+    def find_quarantine(
+        self, request: servers.CallRequest, is_of_batch: bool
+    ) -> clock.Deadline | None:
         """Return until when a request is kept from servers, or nothing where it is not."""
         if self._ledger.is_empty:
             return None
-        return self._ledger.find_quarantine(fingerprints.compute_fingerprint(request))
+        first = ledger.BATCH_QUARANTINE_SECONDS if is_of_batch else ledger.CALL_QUARANTINE_SECONDS
+        return self._ledger.find_quarantine(fingerprints.compute_fingerprint(request), first)
 
     def is_suspect(self, request: servers.CallRequest) -> bool:
         """Return whether a server ended under a request that none has answered since."""
--- a/libs/quarantine/oleander_quarantine/ledger.py
+++ b/libs/quarantine/oleander_quarantine/ledger.py
@@ -13,8 +13,12 @@
 """Servers that may end under one request, whatever else they ran."""
 MOST_CRASHES_ALONE = 2
 """Servers that may end under one request while it alone ran there: no other can be the cause."""
-FIRST_QUARANTINE_SECONDS = 60.0
-"""Doubled with each further crash, so that a request which never succeeds is tried ever less."""
+CALL_QUARANTINE_SECONDS = 60.0
+"""Of a caller's request, at first. Each further crash doubles it, so that a request which never
+succeeds is tried ever less."""
+BATCH_QUARANTINE_SECONDS = 4.0
+"""Of an item or a scoring, at first. Many run at one server, so most that recur in crashes are
+neighbours of the cause, and their batch waits for them."""
 MOST_QUARANTINE_SECONDS = 6 * 3600.0
 _FORGET_FACTOR = 2.0
 """Crashes are forgotten after this many times the quarantine that they led to."""
@@ -23,6 +27,8 @@
 _MOST_REQUESTS = 4096
 """Past this the request whose crashes were first recorded is forgotten."""
 _MOST_PROVEN = 1024
+_PROOF_SECONDS = 60.0
+"""A request that a server answered is not the cause of crashes for so long."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -31,7 +37,7 @@
 
     crashes: dict[str, bool] = dataclasses.field(default_factory=dict)
     """By run of a server; whether the request was alone there."""
-    released_at: float = 0.0
+    crashed_at: float = 0.0
     forgotten_at: float = 0.0
 
     @property
@@ -40,6 +46,11 @@
         alone = sum(self.crashes.values())
         return max(len(self.crashes) - MOST_CRASHES, alone - MOST_CRASHES_ALONE)
 
+    def find_release(self, first_seconds: float) -> float:
+        """Return when a quarantine ends that at first lasts so long."""
+        seconds = first_seconds * 2.0 ** max(0, self.excess)
+        return self.crashed_at + min(MOST_QUARANTINE_SECONDS, seconds)
+
 
 class CrashLedger:
     """
@@ -85,7 +96,7 @@
     def record_answer(self, fingerprint: str) -> list[records.CrashKey]:
         """Take in that a server answered a request; return the crashes that no longer count."""
         with self._lock:
-            self._proven[fingerprint] = self._read_now() + FIRST_QUARANTINE_SECONDS
+            self._proven[fingerprint] = self._read_now() + _PROOF_SECONDS
             self._proven.move_to_end(fingerprint)
             if len(self._proven) > _MOST_PROVEN:
                 self._proven.popitem(last=False)
@@ -112,26 +123,25 @@
         """Return whether a server ended under a request."""
         return fingerprint in self._suspects
 
-    def find_quarantine(self, fingerprint: str) -> clock.Deadline | None:
+    def find_quarantine(
+        self, fingerprint: str, first_seconds: float = CALL_QUARANTINE_SECONDS
+    ) -> clock.Deadline | None:
         """Return until when a request is kept from servers, or nothing where it is not."""
         with self._lock:
             suspect = self._suspects.get(fingerprint)
             if suspect is None or suspect.excess < 0:
                 return None
-            if suspect.released_at <= self._read_now():
-                return None
-            return clock.Deadline(suspect.released_at)
+            released_at = suspect.find_release(first_seconds)
+            return clock.Deadline(released_at) if released_at > self._read_now() else None
 
     def _is_proven(self, fingerprint: str) -> bool:
         return self._proven.get(fingerprint, 0.0) > self._read_now()
 
     def _extend(self, suspect: _Suspect) -> None:
-        now = self._read_now()
-        doublings = max(0, suspect.excess)
-        seconds = min(MOST_QUARANTINE_SECONDS, FIRST_QUARANTINE_SECONDS * 2.0**doublings)
+        suspect.crashed_at = self._read_now()
+        seconds = suspect.find_release(CALL_QUARANTINE_SECONDS) - suspect.crashed_at
         spread = 1.0 + self._random.uniform(0.0, _SPREAD)
-        suspect.released_at = now + seconds
-        suspect.forgotten_at = now + seconds * _FORGET_FACTOR * spread
+        suspect.forgotten_at = suspect.crashed_at + seconds * _FORGET_FACTOR * spread
 
     def _take(self, fingerprint: str) -> list[records.CrashKey]:
         suspect = self._suspects.pop(fingerprint, None)
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -219,7 +219,7 @@
         item = run.start_next(clock.read_now(), route.due_ms / 1000, spare)
         if item is None:
             return False
-        quarantine = self._guard.find_quarantine(item.call) if self._guard else None
+        quarantine = self._guard.find_quarantine(item.call, True) if self._guard else None
         if quarantine is not None:
             self._put_off(item, quarantine)
             return True
