Count a server that is lost without a word as ended under what it did not answer

A crash was seen only where the server broke the connection off and refused a new one. One that falls silent, or whose successor listens a round trip later, ended unseen under each return of the request. An attempt without an answer is now watched for 8 s: if its server is gone from the list or replaced meanwhile, without having said that it leaves and without having answered anything since, it ended under it. A registration that lapses in an outage and comes back is no loss. Found by reading; with the watch taken out the five rows of quarantine.feature fail that expect a crash of a server which did not break off.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -86,6 +86,35 @@
       | A=ends-unlisted B=ends-unlisted  | 2        | 2    | unresolved | 0       |
       | A=fails B=fails                  | 2        | 2    | answered   | 0       |
 
+  Scenario Outline: A server that is lost without a word ended under what it did not answer
+    # Guards against a request whose servers fall silent, or start again too soon to be found gone.
+    Given an entry with the servers A=<behaves>
+    When a request is called that 1 servers may get
+    And <seconds> s later server A <changes>
+    Then the entry published <crashes> crashes
+
+    Examples:
+      | behaves | seconds | changes                        | crashes |
+      | lost    | 0       | is gone from the list          | 1       |
+      | silent  | 0       | is gone from the list          | 1       |
+      | lost    | 7       | is gone from the list          | 1       |
+      | lost    | 9       | is gone from the list          | 0       |
+      | lost    | 0       | starts again under its id      | 1       |
+      | lost    | 0       | has a successor at its address | 1       |
+      | lost    | 0       | leaves and is gone             | 0       |
+      | lost    | 0       | answers another and is gone    | 0       |
+      | refuses | 0       | is gone from the list          | 0       |
+      | ok      | 0       | is gone from the list          | 0       |
+      | ends    | 0       | is gone from the list          | 1       |
+
+  Scenario: A server that left the list in an outage and came back did not end
+    # Guards against crashes counted for servers whose registration lapsed with the platform away.
+    Given an entry with the servers A=lost
+    When 0 s later server A is gone from the list
+    And server A is listed again
+    And a request is called that 1 servers may get
+    Then the entry published 0 crashes
+
   Scenario Outline: Which answers clear a request under which servers ended
     # Guards against a cause that is set free because a server gave it up, or turned it away.
     Given an entry with the servers A=<answer>
--- a/features/server_fakes.py
+++ b/features/server_fakes.py
@@ -35,13 +35,13 @@
     """Answers as each server was told to."""
 
     def __init__(self, behaviours):
-        self._behaviours = behaviours
+        self.behaviours = behaviours
         self.ran = []
         self.on_end = lambda server, behaviour: None
         self.cancelled = threading.Event()
 
     def call(self, server, request, deadline, is_cancelled):
-        behaviour = self._behaviours[server.server_id]
+        behaviour = self.behaviours[server.server_id]
         if behaviour == "refuses":
             return expression.Error(servers.CallFailure("refused", False))
         if behaviour in {"full", "other"}:
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -103,19 +103,25 @@
 def create_entry(context, listed):
     behaviours = dict(item.split("=") for item in listed.split())
     context.caller = server_fakes.FakeCaller(behaviours)
-    context.caller.on_end = lambda server, behaviour: _end(known, server, behaviour)
     chooser = router.Router(7)
-    known = directory.Directory(chooser, context.caller)
+    context.known = known = directory.Directory(chooser, context.caller)
+    context.caller.on_end = lambda server, behaviour: _end(known, server, behaviour)
     for name in behaviours:
         known.put_server(_describe_server(name))
     context.ledger = ledger.CrashLedger(_SEED)
     context.published = Published()
-    guard = crash_guard.CrashGuard(known, context.ledger, context.published)
+    context.later_seconds = 0
+    guard = crash_guard.CrashGuard(
+        known,
+        context.ledger,
+        context.published,
+        lambda: clock.read_now() + context.later_seconds,
+    )
     context.dispatcher = calls.CallDispatcher(known, chooser, context.caller, guard=guard)
 
 
-def _describe_server(name):
-    return servers.Server(name, 1, "desk", "127.0.0.1:1", "z", 6, False, ())
+def _describe_server(name, address=""):
+    return servers.Server(name, 1, "desk", address or f"{name}:1", "z", 6, False, ())
 
 
 def _end(known, server, behaviour):
@@ -196,7 +202,8 @@
 
     def finish(self, server, has_crashed):
         watch = self._guard.begin(_REQUEST, _describe_server(server))
-        watch.finish(has_crashed, not has_crashed)
+        ends = crash_guard.AttemptEnd
+        watch.finish(ends.SERVER_ENDED if has_crashed else ends.ANSWERED)
 
     def keeps_back(self):
         return self.crashes.find_quarantine(_FINGERPRINT) is not None
@@ -283,3 +290,44 @@
     kept = context.ledger.find_quarantine(_FINGERPRINT, ledger.BATCH_QUARANTINE_SECONDS)
     seen = round(kept.expires_at - context.now) if kept else 0
     assert seen == seconds, seen
+
+
+def _answer_another(context):
+    context.caller.behaviours["A"] = "ok"
+    _call(context, dataclasses.replace(_REQUEST, body=b"sound"), 1)
+    context.known.remove_server("A")
+
+
+def _leave(context):
+    context.known.put_server(dataclasses.replace(_describe_server("A"), is_leaving=True))
+    context.known.remove_server("A")
+
+
+_LOSSES = {
+    "is gone from the list": lambda context: context.known.remove_server("A"),
+    "starts again under its id": lambda context: context.known.put_server(
+        dataclasses.replace(_describe_server("A"), born_ms=2)
+    ),
+    "has a successor at its address": lambda context: context.known.put_server(
+        _describe_server("Z", "A:1")
+    ),
+    "leaves and is gone": _leave,
+    "answers another and is gone": _answer_another,
+}
+
+
+@behave.when("{seconds:d} s later server A {changes}")
+def lose_server(context, seconds, changes):
+    context.later_seconds = seconds
+    _LOSSES[changes](context)
+
+
+@behave.then("the entry published {count:d} crashes")
+def check_published(context, count):
+    crashes = context.published.crashes
+    front_platform.wait_until(lambda: len(crashes) == count, lambda: crashes)
+
+
+@behave.when("server A is listed again")
+def list_again(context):
+    context.known.put_server(_describe_server("A"))
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -332,7 +332,7 @@
         watch = self._guard.begin(progress.request, server) if self._guard is not None else None
         answered = self._call_counted(progress, server)
         if watch is not None:
-            watch.finish(_has_crashed(answered), _was_survived(answered))
+            watch.finish(_read_end(answered))
         milliseconds = (clock.read_now() - started_at) * 1000
         outcome = _rate(answered, progress)
         if answered.is_error() and answered.error.was_sent and not answered.error.was_cancelled:
@@ -392,13 +392,16 @@
     return not answered.ok.did_not_run and not answered.ok.is_other_server
 
 
-def _has_crashed(answered: _Attempted) -> bool:
-    return answered.is_error() and answered.error.was_sent and answered.error.server_ended
-
-
-def _was_survived(answered: _Attempted) -> bool:
-    """Tell whether a server ran the request; one that gave it up may have ended later."""
-    return answered.is_ok() and _may_have_begun(answered) and answered.ok.status < 500
+def _read_end(answered: _Attempted) -> crash_guard.AttemptEnd:
+    """Tell how an attempt ended; a server that gave a request up might have ended later."""
+    if answered.is_ok():
+        has_run = _may_have_begun(answered) and answered.ok.status < 500
+        return crash_guard.AttemptEnd.ANSWERED if has_run else crash_guard.AttemptEnd.HEARD
+    if not answered.error.was_sent:
+        return crash_guard.AttemptEnd.NOT_SENT
+    if answered.error.server_ended:
+        return crash_guard.AttemptEnd.SERVER_ENDED
+    return crash_guard.AttemptEnd.NO_ANSWER
 
 
 def _rate(answered: _Attempted, progress: _Progress) -> router.RouteOutcome:
--- a/libs/direct/oleander_direct/crash_guard.py
+++ b/libs/direct/oleander_direct/crash_guard.py
@@ -2,12 +2,17 @@
 
 import abc
 import collections
+import collections.abc
+import enum
 import threading
 
 from oleander_base import clock, log, metrics
-from oleander_direct import directory, fingerprints, servers
+from oleander_direct import directory, fingerprints, servers, unanswered
 from oleander_quarantine import ledger, records
 
+_MOST_LOST = 256
+"""Lost servers remembered for attempts that have not ended yet."""
+
 
 class CrashPublisher(abc.ABC):
     """Tells the other processes of crashes; returns at once."""
@@ -21,6 +26,19 @@
         """Tell that crashes no longer count."""
 
 
+class AttemptEnd(enum.Enum):
+    """How an attempt at a server ended."""
+
+    NOT_SENT = "not-sent"
+    ANSWERED = "answered"
+    """The server ran the request and says so."""
+    HEARD = "heard"
+    """The server said that it did not run the request, or failed."""
+    NO_ANSWER = "no-answer"
+    SERVER_ENDED = "server-ended"
+    """The server broke off and takes no more connections."""
+
+
 class CrashGuard:
     """Joins what this process sees of its attempts to the crashes that all saw; thread-safe."""
 
@@ -29,6 +47,7 @@
         known: directory.Directory,
         crashes: ledger.CrashLedger,
         publisher: CrashPublisher,
+        read_now: collections.abc.Callable[[], float] = clock.read_now,
     ) -> None:
         self._directory = known
         self._ledger = crashes
@@ -37,6 +56,9 @@
         self._running: collections.Counter[str] = collections.Counter()
         self._was_shared: set[str] = set()
         self._suspects: collections.Counter[str] = collections.Counter()
+        self._unanswered = unanswered.UnansweredAttempts(read_now)
+        self._lost: collections.deque[str] = collections.deque(maxlen=_MOST_LOST)
+        known.watch_lost(self.record_loss)
 
     def find_quarantine(
         self, request: servers.CallRequest, is_of_batch: bool
@@ -89,21 +111,55 @@
         listed = self._directory.find_server(server.server_id)
         if listed is None or listed.is_leaving:
             return
-        with self._lock:
-            was_alone = server.incarnation not in self._was_shared
         fingerprint = fingerprints.compute_fingerprint(watch.request)
-        crash = records.create_crash(fingerprint, server.incarnation, was_alone)
-        if not self._ledger.record_crash(crash.key, was_alone):
+        crash = records.create_crash(fingerprint, server.incarnation, self._was_alone(server))
+        self._record(crash, watch.request.request_id)
+
+    def record_silence(self, watch: "CrashWatch") -> None:
+        """Take in that a server did not answer an attempt that is not over yet."""
+        incarnation = watch.server.incarnation
+        fingerprint = fingerprints.compute_fingerprint(watch.request)
+        was_alone = self._was_alone(watch.server)
+        listed = self._directory.find_server(watch.server.server_id)
+        is_listed = listed is not None and listed.incarnation == incarnation
+        with self._lock:
+            is_lost = incarnation in self._lost and not is_listed
+            if not is_lost:
+                self._unanswered.add(watch.request.request_id, fingerprint, incarnation, was_alone)
+        if is_lost:
+            crash = records.create_crash(fingerprint, incarnation, was_alone)
+            self._record(crash, watch.request.request_id)
+
+    def record_heard(self, server: servers.Server) -> None:
+        """Take in that a server said something: it did not end under what came before."""
+        with self._lock:
+            self._unanswered.take(server.incarnation)
+
+    def record_loss(self, server: servers.Server) -> None:
+        """Take in that a server is gone which had not said that it leaves."""
+        with self._lock:
+            self._lost.append(server.incarnation)
+            attempts = self._unanswered.take(server.incarnation)
+        for item in attempts:
+            crash = records.create_crash(item.fingerprint, item.incarnation, item.was_alone)
+            self._record(crash, item.request_id)
+
+    def _was_alone(self, server: servers.Server) -> bool:
+        with self._lock:
+            return server.incarnation not in self._was_shared
+
+    def _record(self, crash: records.Crash, request_id: str) -> None:
+        if not self._ledger.record_crash(crash.key, crash.was_alone):
             return
         metrics.count(metrics.CRASHES)
         self._publisher.publish(crash)
-        quarantine = self._ledger.find_quarantine(fingerprint)
+        quarantine = self._ledger.find_quarantine(crash.key.fingerprint)
         log.logger.bind(
             event="crash",
-            id=watch.request.request_id,
-            request=fingerprint,
-            server=server.incarnation,
-            was_alone=was_alone,
+            id=request_id,
+            request=crash.key.fingerprint,
+            server=crash.incarnation,
+            was_alone=crash.was_alone,
             quarantine_s=int(quarantine.remaining) if quarantine else 0,
         ).info("a server ended under a request")
 
@@ -137,11 +193,15 @@
         self.server = server
         self.is_suspect = is_suspect
 
-    def finish(self, has_crashed: bool, was_answered: bool) -> None:
+    def finish(self, end: AttemptEnd) -> None:
         """Take in how the attempt ended."""
-        if has_crashed:
+        if end is AttemptEnd.SERVER_ENDED:
             self._guard.record_crash(self)
-        elif was_answered:
+        elif end is AttemptEnd.NO_ANSWER:
+            self._guard.record_silence(self)
+        elif end is not AttemptEnd.NOT_SENT:
+            self._guard.record_heard(self.server)
+        if end is AttemptEnd.ANSWERED:
             self._guard.record_answer(self)
         self._guard.finish(self)
 
--- a/libs/direct/oleander_direct/directory.py
+++ b/libs/direct/oleander_direct/directory.py
@@ -1,5 +1,6 @@
 """The backend servers known now, and the configuration in force; followed from the platform."""
 
+import collections.abc
 import dataclasses
 import threading
 
@@ -43,6 +44,7 @@
         self._configuration_heard_at = clock.read_now()
         self._outage_ended_at = 0.0
         self._named: dict[str, NamedVersion] = {}
+        self._on_lost: collections.abc.Callable[[servers.Server], None] = _ignore
 
     @property
     def table(self) -> routes.RouteTable | None:
@@ -80,6 +82,10 @@
         self._is_listed = True
         self._drop_doubted(now)
 
+    def watch_lost(self, on_lost: collections.abc.Callable[[servers.Server], None]) -> None:
+        """Have it called with each server that is gone without having said that it leaves."""
+        self._on_lost = on_lost
+
     def put_table(self, table: routes.RouteTable) -> None:
         """Put a configuration in force; an older one changes nothing."""
         with self._lock:
@@ -117,6 +123,7 @@
             log.logger.bind(
                 event="server-seen", server=server.incarnation, backend=server.backend
             ).info("in rotation")
+            self._report_replaced(known, server)
         if known is not None and known.is_leaving != server.is_leaving:
             log.logger.bind(event="server-leaving", server=server.incarnation).info("no new work")
         self._router.update(server.server_id, _describe(server))
@@ -152,6 +159,18 @@
             found = [item for item in self._servers.values() if item.backend == backend]
         return [item for item in found if not item.is_leaving]
 
+    def _report_replaced(self, known: servers.Server | None, server: servers.Server) -> None:
+        """Report the runs that a new one shows to have ended: of its id, or at its address."""
+        with self._lock:
+            replaced = [
+                item
+                for item in self._servers.values()
+                if item.address == server.address and item.server_id != server.server_id
+            ]
+        for item in [*replaced, *([known] if known is not None else [])]:
+            if not item.is_leaving:
+                self._on_lost(item)
+
     def _drop_doubted(self, now: float) -> None:
         with self._lock:
             expired = [name for name, until in self._doubted.items() if until <= now]
@@ -168,6 +187,12 @@
         self._router.remove(server_id)
         self._caller.forget(server.address)
         log.logger.bind(event="server-gone", server=server.incarnation).info("out of rotation")
+        if not server.is_leaving:
+            self._on_lost(server)
+
+
+def _ignore(server: servers.Server) -> None:
+    """Take in a loss that nobody watches for."""
 
 
 def _describe(server: servers.Server) -> peers.PeerReport:
--- /dev/null
+++ b/libs/direct/oleander_direct/unanswered.py
@@ -0,0 +1,55 @@
+"""Attempts at servers that were not heard from since."""
+
+import collections
+import collections.abc
+import dataclasses
+
+from oleander_base import clock
+
+WATCHED_SECONDS = 8.0
+"""A lost server leaves the list within a few heartbeats, or is replaced at its address."""
+_MOST_ATTEMPTS = 1024
+"""Past this the attempt that ended first is no longer watched."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class UnansweredAttempt:
+    """An attempt that a server may have begun and did not answer."""
+
+    request_id: str
+    fingerprint: str
+    incarnation: str
+    was_alone: bool
+    expires_at: float
+    """When the loss of its server says nothing of it any more."""
+
+
+class UnansweredAttempts:
+    """
+    Keeps attempts until their server is heard from, is lost, or their time is over.
+
+    Not safe to use from several threads.
+    """
+
+    def __init__(self, read_now: collections.abc.Callable[[], float] = clock.read_now) -> None:
+        self._read_now = read_now
+        self._attempts: collections.deque[UnansweredAttempt] = collections.deque(
+            maxlen=_MOST_ATTEMPTS
+        )
+
+    def add(self, request_id: str, fingerprint: str, incarnation: str, was_alone: bool) -> None:
+        """Watch an attempt whose server did not answer."""
+        expires_at = self._read_now() + WATCHED_SECONDS
+        self._attempts.append(
+            UnansweredAttempt(request_id, fingerprint, incarnation, was_alone, expires_at)
+        )
+
+    def take(self, incarnation: str) -> list[UnansweredAttempt]:
+        """Watch the attempts at a server no longer; return those whose time is not over."""
+        if not self._attempts:
+            return []
+        now = self._read_now()
+        current = [item for item in self._attempts if item.expires_at > now]
+        self._attempts.clear()
+        self._attempts.extend(item for item in current if item.incarnation != incarnation)
+        return [item for item in current if item.incarnation == incarnation]
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -85,7 +85,7 @@
         finally:
             outcome.leave_queue()
             if watch is not None:
-                watch.finish(outcome.server_ended, isinstance(ended, steps.Sample))
+                watch.finish(outcome.read_end(ended))
         seconds = clock.read_now() - started_at
         rated, milliseconds = outcome.rate(seconds)
         self._router.note_finished(server.server_id, rated, milliseconds)
@@ -171,6 +171,7 @@
         self._was_cancelled = False
         self.was_error = False
         self.server_ended = False
+        self.was_sent = True
         self.reason = ""
 
     def run(self) -> steps.Sample | submission.ItemResult | None:
@@ -205,6 +206,20 @@
             return router.RouteOutcome.FAILED, milliseconds
         return router.RouteOutcome.OK, milliseconds
 
+    def read_end(
+        self, ended: steps.Sample | submission.ItemResult | None
+    ) -> crash_guard.AttemptEnd:
+        """Tell how the attempt ended; only a whole text shows that its server survives it."""
+        if self.server_ended:
+            return crash_guard.AttemptEnd.SERVER_ENDED
+        if isinstance(ended, steps.Sample):
+            return crash_guard.AttemptEnd.ANSWERED
+        if self.was_refused or self.was_error or ended is not None:
+            return crash_guard.AttemptEnd.HEARD
+        return (
+            crash_guard.AttemptEnd.NO_ANSWER if self.was_sent else crash_guard.AttemptEnd.NOT_SENT
+        )
+
     @property
     def events(self) -> int:
         """How many events it received."""
@@ -270,6 +285,7 @@
     def _break_off(self, failure: servers.CallFailure) -> None:
         self.reason = failure.detail[:80]
         self.server_ended = failure.server_ended
+        self.was_sent = failure.was_sent
         self._run.fail(self._item)
 
     def _judge_answer(self, answer: servers.CallAnswer) -> submission.ItemResult | None:
