Send no second server after a call that began as a suspect

Traced: the first server's answer clears the request before the waiting thread sees the answer, and in between it looked like a request that may have a second server. A call now keeps what it was when its attempt began; the third row fails without this in every run. The rest is wording of docstrings, and one name (_defer).

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -148,9 +148,10 @@
     Then <sent> servers got it, the caller gets answered, and the entry published 0 crashes
 
     Examples:
-      | before                | sent |
-      | no server ended       | 2    |
-      | a server ended        | 1    |
+      | before                                            | sent |
+      | no server ended                                   | 2    |
+      | a server ended                                    | 1    |
+      | a server ended, and its answer is on its way back | 1    |
 
   Scenario Outline: Crashes reach every entry, and a new one reads those of before
     # Guards against a request that ends servers anew at each entry, and after each restart.
--- a/features/server_fakes.py
+++ b/features/server_fakes.py
@@ -37,6 +37,7 @@
     def __init__(self, behaviours):
         self.behaviours = behaviours
         self.ran = []
+        self.on_begin = lambda: None
         self.on_end = lambda server, behaviour: None
         self.cancelled = threading.Event()
 
@@ -47,6 +48,7 @@
         if behaviour in {"full", "other"}:
             return expression.Ok(_answer(503, behaviour == "full", behaviour == "other"))
         self.ran.append(server.server_id)
+        self.on_begin()
         if behaviour == "lost":
             return expression.Error(servers.CallFailure("reset", True))
         if behaviour.startswith("ends"):
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -134,8 +134,10 @@
 
 @behave.given("{before} under the request before")
 def end_before(context, before):
-    if before == "a server ended":
+    if before.startswith("a server ended"):
         _apply(context.ledger, "X")
+    if before.endswith("on its way back"):
+        context.caller.on_begin = lambda: context.ledger.record_answer(_FINGERPRINT)
 
 
 def _call(context, request, most):
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -37,7 +37,7 @@
 _POLL_SECONDS = 0.05
 """How often a waiting request looks whether its caller is still there."""
 QUARANTINED = "quarantined"
-"""Why a request is refused under which servers ended."""
+"""The reason of a refusal while a request is in quarantine."""
 _MOST_RUNNING = 64
 """Attempts of one process that run at once; more wait for a thread."""
 
@@ -91,6 +91,8 @@
     may_have_run: bool = False
     last_failure: Answered | None = None
     reason: str = ""
+    was_suspect: bool = False
+    """Whether servers had ended under it when an attempt began."""
     is_over: bool = False
     """Attempts that are still running are no longer wanted."""
 
@@ -254,13 +256,11 @@
         """
         Ask a second server: the first may be slow, silent, or its answer lost.
 
-        Not for a request that a server ended under: it would end two at once.
+        A suspect gets no second server: it could crash both.
         """
         if not progress.request.may_repeat or not progress.may_send:
             return
-        if self._guard is not None and self._guard.is_suspect(progress.request):
-            return
-        if self._hedges.try_take():
+        if not progress.was_suspect and self._hedges.try_take():
             metrics.count(metrics.HEDGES)
             self._start(progress, running)
 
@@ -291,8 +291,9 @@
         return self._guard.find_quarantine(progress.request, progress.is_windowed)
 
     def _choose(self, progress: _Progress) -> servers.Server | None:
-        """Return the next server; one without suspects for a suspect, where there is any."""
+        """Return the next server; suspects are kept apart where another server can be had."""
         if self._guard is not None and self._guard.is_suspect(progress.request):
+            progress.was_suspect = True
             chosen = self._choose_beside(progress, self._guard.list_suspect_servers())
             if chosen is not None:
                 return chosen
--- a/libs/direct/oleander_direct/crash_guard.py
+++ b/libs/direct/oleander_direct/crash_guard.py
@@ -15,15 +15,15 @@
 
 
 class CrashPublisher(abc.ABC):
-    """Tells the other processes of crashes; returns at once."""
+    """Notifies the other processes of crashes without blocking."""
 
     @abc.abstractmethod
     def publish(self, crash: records.Crash) -> None:
-        """Tell of a crash."""
+        """Announce a crash."""
 
     @abc.abstractmethod
     def withdraw(self, keys: list[records.CrashKey]) -> None:
-        """Tell that crashes no longer count."""
+        """Announce that crashes no longer count."""
 
 
 class AttemptEnd(enum.Enum):
@@ -40,7 +40,7 @@
 
 
 class CrashGuard:
-    """Joins what this process sees of its attempts to the crashes that all saw; thread-safe."""
+    """Feeds the attempts of this process into the crash ledger; thread-safe."""
 
     def __init__(
         self,
@@ -63,7 +63,7 @@
     def find_quarantine(
         self, request: servers.CallRequest, is_of_batch: bool
     ) -> clock.Deadline | None:
-        """Return until when a request is kept from servers, or nothing where it is not."""
+        """Return the end of a request's quarantine, or nothing where there is none."""
         if self._ledger.is_empty:
             return None
         first = ledger.BATCH_QUARANTINE_SECONDS if is_of_batch else ledger.CALL_QUARANTINE_SECONDS
@@ -81,7 +81,7 @@
             return frozenset(self._suspects)
 
     def begin(self, request: servers.CallRequest, server: servers.Server) -> "CrashWatch":
-        """Take in that an attempt begins at a server."""
+        """Register an attempt at a server; the caller finishes it."""
         watch = CrashWatch(self, request, server, self.is_suspect(request))
         with self._lock:
             self._running[server.incarnation] += 1
@@ -92,7 +92,7 @@
         return watch
 
     def finish(self, watch: "CrashWatch") -> None:
-        """Take in that an attempt is over."""
+        """Unregister an attempt."""
         server = watch.server
         with self._lock:
             _decrement(self._running, server.incarnation)
@@ -103,9 +103,9 @@
 
     def record_crash(self, watch: "CrashWatch") -> None:
         """
-        Take in that a server ended under an attempt that is not over yet.
+        Record that a server ended under an attempt that is still registered.
 
-        One that was leaving, or had left the list, ended as planned.
+        A server that was leaving, or had left the list, ended as planned.
         """
         server = watch.server
         listed = self._directory.find_server(server.server_id)
@@ -116,7 +116,7 @@
         self._record(crash, watch.request.request_id)
 
     def record_silence(self, watch: "CrashWatch") -> None:
-        """Take in that a server did not answer an attempt that is not over yet."""
+        """Record that a server did not answer an attempt that is still registered."""
         incarnation = watch.server.incarnation
         fingerprint = fingerprints.compute_fingerprint(watch.request)
         was_alone = self._was_alone(watch.server)
@@ -131,12 +131,12 @@
             self._record(crash, watch.request.request_id)
 
     def record_heard(self, server: servers.Server) -> None:
-        """Take in that a server said something: it did not end under what came before."""
+        """Record a sign of life: the server did not end under earlier attempts."""
         with self._lock:
             self._unanswered.take(server.incarnation)
 
     def record_loss(self, server: servers.Server) -> None:
-        """Take in that a server is gone which had not said that it leaves."""
+        """Record the loss of a server that had not announced that it leaves."""
         with self._lock:
             self._lost.append(server.incarnation)
             attempts = self._unanswered.take(server.incarnation)
@@ -164,7 +164,7 @@
         ).info("a server ended under a request")
 
     def record_answer(self, watch: "CrashWatch") -> None:
-        """Take in that a server answered a request."""
+        """Record that a server ran a request and answered it."""
         fingerprint = fingerprints.compute_fingerprint(watch.request)
         dropped = self._ledger.record_answer(fingerprint)
         if not dropped:
@@ -194,7 +194,7 @@
         self.is_suspect = is_suspect
 
     def finish(self, end: AttemptEnd) -> None:
-        """Take in how the attempt ended."""
+        """Record how the attempt ended."""
         if end is AttemptEnd.SERVER_ENDED:
             self._guard.record_crash(self)
         elif end is AttemptEnd.NO_ANSWER:
--- a/libs/direct/oleander_direct/directory.py
+++ b/libs/direct/oleander_direct/directory.py
@@ -83,7 +83,7 @@
         self._drop_doubted(now)
 
     def watch_lost(self, on_lost: collections.abc.Callable[[servers.Server], None]) -> None:
-        """Have it called with each server that is gone without having said that it leaves."""
+        """Set the callback for servers that are gone without having announced it."""
         self._on_lost = on_lost
 
     def put_table(self, table: routes.RouteTable) -> None:
@@ -160,7 +160,7 @@
         return [item for item in found if not item.is_leaving]
 
     def _report_replaced(self, known: servers.Server | None, server: servers.Server) -> None:
-        """Report the runs that a new one shows to have ended: of its id, or at its address."""
+        """Report the earlier incarnations that a new one replaces, by id or by address."""
         with self._lock:
             replaced = [
                 item
@@ -192,7 +192,7 @@
 
 
 def _ignore(server: servers.Server) -> None:
-    """Take in a loss that nobody watches for."""
+    """Ignore a lost server."""
 
 
 def _describe(server: servers.Server) -> peers.PeerReport:
--- a/libs/direct/oleander_direct/unanswered.py
+++ b/libs/direct/oleander_direct/unanswered.py
@@ -1,4 +1,4 @@
-"""Attempts at servers that were not heard from since."""
+"""Attempts whose servers have shown no sign of life since."""
 
 import collections
 import collections.abc
@@ -21,12 +21,12 @@
     incarnation: str
     was_alone: bool
     expires_at: float
-    """When the loss of its server says nothing of it any more."""
+    """After this the loss of its server is not attributed to it."""
 
 
 class UnansweredAttempts:
     """
-    Keeps attempts until their server is heard from, is lost, or their time is over.
+    Keeps attempts until their server shows a sign of life, is lost, or they expire.
 
     Not safe to use from several threads.
     """
@@ -38,14 +38,14 @@
         )
 
     def add(self, request_id: str, fingerprint: str, incarnation: str, was_alone: bool) -> None:
-        """Watch an attempt whose server did not answer."""
+        """Keep an attempt that its server did not answer."""
         expires_at = self._read_now() + WATCHED_SECONDS
         self._attempts.append(
             UnansweredAttempt(request_id, fingerprint, incarnation, was_alone, expires_at)
         )
 
     def take(self, incarnation: str) -> list[UnansweredAttempt]:
-        """Watch the attempts at a server no longer; return those whose time is not over."""
+        """Remove the attempts at a server; return those that have not expired."""
         if not self._attempts:
             return []
         now = self._read_now()
--- a/libs/quarantine/oleander_quarantine/ledger.py
+++ b/libs/quarantine/oleander_quarantine/ledger.py
@@ -1,4 +1,4 @@
-"""Decides which requests are kept from backend servers, by the servers that ended under them."""
+"""Quarantines requests that crash the backend servers that run them."""
 
 import collections
 import collections.abc
@@ -10,9 +10,9 @@
 from oleander_quarantine import records
 
 MOST_CRASHES = 3
-"""Servers that may end under one request, whatever else they ran."""
+"""Crashes that lead to a quarantine, whatever else the servers ran."""
 MOST_CRASHES_ALONE = 2
-"""Servers that may end under one request while it alone ran there: no other can be the cause."""
+"""Crashes that lead to a quarantine where the request ran alone, so nothing else is the cause."""
 CALL_QUARANTINE_SECONDS = 60.0
 """Of a caller's request, at first. Each further crash doubles it, so that a request which never
 succeeds is tried ever less."""
@@ -80,7 +80,7 @@
         return not self._suspects
 
     def record_crash(self, key: records.CrashKey, was_alone: bool) -> bool:
-        """Take in a crash; return whether it was not known."""
+        """Record a crash; return whether it is new."""
         with self._lock:
             if self._is_proven(key.fingerprint):
                 return False
@@ -94,7 +94,7 @@
             return True
 
     def record_answer(self, fingerprint: str) -> list[records.CrashKey]:
-        """Take in that a server answered a request; return the crashes that no longer count."""
+        """Record that a server answered a request; return the crashes that no longer count."""
         with self._lock:
             self._proven[fingerprint] = self._read_now() + _PROOF_SECONDS
             self._proven.move_to_end(fingerprint)
@@ -103,7 +103,7 @@
             return self._take(fingerprint)
 
     def remove(self, key: records.CrashKey) -> None:
-        """Take in that another process dropped a crash."""
+        """Remove a crash that no longer counts."""
         with self._lock:
             suspect = self._suspects.get(key.fingerprint)
             if suspect is None:
@@ -113,7 +113,7 @@
                 del self._suspects[key.fingerprint]
 
     def take_forgotten(self) -> list[records.CrashKey]:
-        """Forget what is long past; return the crashes whose records may go."""
+        """Evict requests whose crashes are long past; return the crashes that were removed."""
         with self._lock:
             now = self._read_now()
             past = [name for name, item in self._suspects.items() if item.forgotten_at <= now]
@@ -126,7 +126,7 @@
     def find_quarantine(
         self, fingerprint: str, first_seconds: float = CALL_QUARANTINE_SECONDS
     ) -> clock.Deadline | None:
-        """Return until when a request is kept from servers, or nothing where it is not."""
+        """Return the end of a request's quarantine, or nothing where there is none."""
         with self._lock:
             suspect = self._suspects.get(fingerprint)
             if suspect is None or suspect.excess < 0:
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -28,7 +28,7 @@
 _FULL_AGAIN_SECONDS = 0.05
 """After which an item is tried again that may only go to servers that are full."""
 _QUARANTINE_LOOK_SECONDS = 5.0
-"""How often it is looked whether an item is still quarantined: an answer elsewhere ends it."""
+"""The longest deferral: a quarantine may end early, by an answer elsewhere."""
 _BATCH_PRIORITY = 0
 
 
@@ -221,7 +221,7 @@
             return False
         quarantine = self._guard.find_quarantine(item.call, True) if self._guard else None
         if quarantine is not None:
-            self._put_off(item, quarantine)
+            self._defer(item, quarantine)
             return True
         server = self._choose_next(run, route, item)
         if server is None:
@@ -235,8 +235,8 @@
         self._group.start(lambda: self._run(item, server))
         return True
 
-    def _put_off(self, item: batch_run.ItemWork, until: clock.Deadline) -> None:
-        """Let an item wait under which engines ended; its batch is done without it."""
+    def _defer(self, item: batch_run.ItemWork, until: clock.Deadline) -> None:
+        """Defer a quarantined item; the rest of its batch goes on."""
         metrics.count(metrics.QUARANTINED)
         log.logger.bind(
             event="item-quarantined",
--- a/programs/oleanderdeal/oleanderdeal/crash_records.py
+++ b/programs/oleanderdeal/oleanderdeal/crash_records.py
@@ -13,25 +13,25 @@
 _APPEND_SECONDS = 1.0
 _AGAIN_SECONDS = 0.2
 _LOOK_SECONDS = 1.0
-"""How often crashes are looked through for those to forget."""
+"""How often the ledger is scanned for crashes to evict."""
 _MOST_WAITING = 4096
-"""Records that wait for the log; past this the oldest are dropped."""
+"""Queued records; past this the oldest are dropped."""
 _MOST_RECORDS = 256
 """In one append."""
 
 
 class CrashSink(keyed_follower.KeyedSink):
     """
-    Takes in the crashes that any process saw.
+    Records the crashes that any process saw.
 
-    What was dropped while records were lost to this process is forgotten by time.
+    A withdrawal that this process missed is made up for by the ledger's eviction.
     """
 
     def __init__(self, known: ledger.CrashLedger) -> None:
         self._ledger = known
 
     def put(self, key: str, value: bytes) -> None:
-        """Take in a crash; a record of another writer changes nothing."""
+        """Record a crash; a malformed record changes nothing."""
         decoded = records.decode_key(key).bind(lambda name: records.decode_crash(name, value))
         if decoded.is_error():
             log.warn_bounded("crash-record", str(decoded.error))
@@ -48,7 +48,7 @@
         ).info("another process saw a server end under a request")
 
     def drop(self, key: str) -> None:
-        """Take in that a crash no longer counts."""
+        """Remove a crash that no longer counts."""
         decoded = records.decode_key(key)
         if decoded.is_ok():
             self._ledger.remove(decoded.ok)
@@ -57,11 +57,11 @@
         """Keep what is known: crashes of this process may not stand in the log yet."""
 
     def note_current(self) -> None:
-        """Do nothing: what is known holds whether or not it is the newest."""
+        """Do nothing: crashes count whether or not the topic was read to its end."""
 
 
 class CrashWriter(crash_guard.CrashPublisher):
-    """Writes crashes to the log in the order in which they came, until each stands there."""
+    """Appends crashes to the log in order, and retries until each is acknowledged."""
 
     def __init__(
         self,
@@ -78,22 +78,22 @@
         self._waiting: collections.deque[bytes] = collections.deque(maxlen=_MOST_WAITING)
 
     def publish(self, crash: records.Crash) -> None:
-        """Tell of a crash."""
+        """Queue the record of a crash."""
         self._add([recordlog.write_keyed(crash.key.text, records.encode_crash(crash))])
 
     def withdraw(self, keys: list[records.CrashKey]) -> None:
-        """Tell that crashes no longer count."""
+        """Queue the removal of crashes."""
         self._add([recordlog.write_keyed(key.text, b"") for key in keys])
 
     def write(self) -> None:
-        """Write what waits until the group stops."""
+        """Append queued records until the group stops."""
         while not self._group.is_stopping:
             self.withdraw(self._ledger.take_forgotten())
             if not self.write_waiting():
                 self._group.pause(_AGAIN_SECONDS)
 
     def write_waiting(self) -> bool:
-        """Wait a while for records, and write them; return whether none was turned away."""
+        """Append queued records, waiting a while for the first; return whether it succeeded."""
         with self._changed:
             if not self._waiting:
                 self._changed.wait(_LOOK_SECONDS)
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -19,7 +19,7 @@
 _SCORING_AGAIN_SECONDS = 0.05
 """Between tries of a scoring that was refused: a quarter of a usual one's time."""
 _QUARANTINE_LOOK_SECONDS = 1.0
-"""Between looks whether a scoring is still quarantined."""
+"""Between tries of a quarantined scoring: its quarantine may end early."""
 _RATED_EVENTS = 5
 """Events from one report of a server's rate to the next."""
 _BAD_ITEM = 422
