--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -69,6 +69,7 @@
       | method       | two     |
       | target       | two     |
       | body         | two     |
+      | surrogate    | two     |
 
   Scenario Outline: Which ends of servers count against a request
     # Guards against crashes counted for planned ends, lost answers and requests that never arrived.
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -28,6 +28,7 @@
     "method": {"method": "PUT"},
     "target": {"target": "/b"},
     "body": {"body": b"other"},
+    "surrogate": {"target": "/\ud800"},
 }
 
 
