--- a/features/front_soak.py
+++ b/features/front_soak.py
@@ -3,7 +3,9 @@
 import argparse
 import collections
 import json
+import pathlib
 import sys
+import tempfile
 import time
 
 import front_faults
@@ -15,6 +17,8 @@
 _SETTLE_SECONDS = 7.0
 _MOST_ENDS = 3
 _CONTACT_SECONDS = 3.0
+_MOST_LOGGED = 3000
+"""Characters of a line with a traceback."""
 _FINISH_SECONDS = 40.0
 
 
@@ -43,11 +47,21 @@
         )
         ended = sum(len(service.ended_at) for service in site.services)
         counts = {"calls": dict(told), "batches": len(trainer.accepted), "ended": ended}
+        if problems:
+            problems.append(f"logs: {_keep_logs(site, seed)}")
         return counts | {"faults": dict(faults.counts)}, problems
     finally:
         site.stop()
 
 
+def _keep_logs(site, seed):
+    """Write the logs of all programs to a file that stays; return its path."""
+    folder = pathlib.Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    path = folder / "logs"
+    path.write_text(site.read_logs())
+    return path
+
+
 def _finish(site, trainer):
     """Read every accepted batch at every front, from the start."""
     until = time.monotonic() + _FINISH_SECONDS
@@ -125,7 +139,7 @@
 def _check_logs(site):
     marks = ("invariant-broken", "task-failed", "Traceback")
     lines = site.read_logs().splitlines()
-    return [line[:300] for line in lines if any(mark in line for mark in marks)]
+    return [line[:_MOST_LOGGED] for line in lines if any(mark in line for mark in marks)]
 
 
 def main():
@@ -140,7 +154,7 @@
         counts, problems = run(seed, options.seconds, options.fronts)
         broken += bool(problems)
         print(json.dumps({"seed": seed, "problems": len(problems)} | counts), flush=True)
-        for problem in problems[:10]:
+        for problem in [*problems[:10], *problems[10:][-1:]]:
             print(f"VIOLATION {problem}", flush=True)
     print(f"seeds with a broken promise: {broken} of {options.count}")
     sys.exit(1 if broken else 0)
