Start a relay's thread before anyone can wait for it

Cause: the test relay noted a thread before it started it, so a close in between could wait for a thread that had not begun; on a busy machine the gap is long. It is noted and started under one lock now. standins.feature makes the gap long, at 12 relays since the order in which a close waits for threads is arbitrary: 4 of 12 failed before, none after.

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -172,3 +172,9 @@
     When the stand-in service is called through the test relay on another thread
     And the test relay is cut once the stand-in service holds the call
     Then the call through the test relay fails, and so do new ones until it is healed
+
+  Scenario: Test relays are closed while connections come in
+    # Guards against a scenario that passed and fails as it is torn down, on a busy machine.
+    Given threads that start 0.3 s late
+    When clients connect to 12 test relays, each of which is closed 0.1 s later
+    Then closing the test relays raised nothing
--- a/standins/oleander_standins/relay.py
+++ b/standins/oleander_standins/relay.py
@@ -153,7 +153,7 @@
         thread = threading.Thread(target=self._run, args=(task, *arguments), daemon=True)
         with self._changed:
             self._threads.add(thread)
-        thread.start()
+            thread.start()
 
     def _run(self, task: collections.abc.Callable[..., None], *arguments: object) -> None:
         try:
