Create what shares crashes in a method of its own

The entry's constructor built the ledger's follower, sink and writer inline and named its topic; a reader met four modules before the dispatcher they serve. It is one step now, as for reports of use.

--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -51,7 +51,7 @@
 _SERVERS_PAUSE_SECONDS = 0.25
 """Servers report all the time; a read four times a second takes in what came since."""
 _CRASHES_PAUSE_SECONDS = 0.05
-"""Crashes are rare; a request comes again within some ten milliseconds."""
+"""Crashes are rare, and a request may come again at once."""
 _LEAVE_SECONDS = 2.5
 """How long after the readiness check fails clients may still come: two checks and a margin."""
 _STOP_MARGIN_SECONDS = 1.5
@@ -149,17 +149,7 @@
         )
         self._owned = ownership.Ownership(log_service, chosen.name, self._group)
         crashes = ledger.CrashLedger(identifiers.hash_text(chosen.host))
-        topic = deployment.name_keyed_topic(crash_records.TOPIC)
-        self._crashes = crash_records.CrashWriter(crashes, log_service, topic, self._group)
-        self._followers.append(
-            keyed_follower.KeyedFollower(
-                log_service,
-                topic,
-                crash_records.CrashSink(crashes),
-                self._group,
-                _CRASHES_PAUSE_SECONDS,
-            )
-        )
+        self._crashes = self._share_crashes(crashes, log_service)
         guard = crash_guard.CrashGuard(self._known, crashes, self._crashes)
         self._reporter, counter = self._create_reporter(log_service)
         shared = shares.ConcurrencyShares(HTTP_THREADS)
@@ -232,6 +222,19 @@
         self._drain()
         log.logger.bind(event="stopped").info("nothing is in progress")
 
+    def _share_crashes(
+        self, crashes: ledger.CrashLedger, log_service: recordlog.RecordLog
+    ) -> crash_records.CrashWriter:
+        """Follow the crashes that others record; return what records those seen here."""
+        topic = self._deployment.name_keyed_topic(crash_records.TOPIC)
+        sink = crash_records.CrashSink(crashes)
+        self._followers.append(
+            keyed_follower.KeyedFollower(
+                log_service, topic, sink, self._group, _CRASHES_PAUSE_SECONDS
+            )
+        )
+        return crash_records.CrashWriter(crashes, log_service, topic, self._group)
+
     def _create_reporter(
         self, log_service: recordlog.RecordLog
     ) -> tuple[usage_reporter.UsageReporter | None, usage.UsageCounter | None]:
