--- a/features/deployments.py
+++ b/features/deployments.py
@@ -290,54 +290,6 @@
             future.result()
 
 
-class DeploymentPool:
-    """
-    Keeps deployments that scenarios left whole, and starts one ahead when none is left.
-
-    Starting takes a second, most of it spent on importing in each process, which is as long as
-    many a scenario. A scenario that ended a process, or failed, gives nothing back.
-    """
-
-    def __init__(self):
-        self._starter = concurrent.futures.ThreadPoolExecutor(1)
-        self._relays = ()
-        self._kept = []
-
-    def take(self, relays):
-        """Return a deployment with these relays whose faults are all over."""
-        if self._relays != relays:
-            self.stop()
-        self._relays = relays
-        taken = self._kept.pop().result() if self._kept else _start_fresh(relays)
-        if not self._kept:
-            self._kept.append(self._starter.submit(_start_fresh, relays))
-        return taken
-
-    def give_back(self, deployment):
-        """Keep a deployment for the next scenario, which must use other keys."""
-        kept = concurrent.futures.Future()
-        kept.set_result(deployment)
-        self._kept.append(kept)
-
-    def stop(self):
-        """End all that are kept."""
-        while self._kept:
-            self._kept.pop().result().cluster.stop()
-
-
-POOL = DeploymentPool()
-
-
-def _start_fresh(relays):
-    started = SmallDeployment(support.Cluster(), relays)
-    try:
-        started.start()
-    except BaseException:
-        started.cluster.stop()
-        raise
-    return started
-
-
 def read_contracts(more=()) -> list[contract.Contract]:
     """Return the example contracts, one with long timeouts, and more given as texts."""
     texts = [path.read_text() for path in sorted(EXAMPLES.glob("*.yaml"))]
--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,6 @@
 """Behave hooks: nothing that a scenario starts outlives it, or its feature."""
 
-import deployments
+import deployment_pool
 
 
 def after_scenario(context, scenario):
@@ -13,4 +13,4 @@
 
 
 def after_feature(context, feature):
-    deployments.POOL.stop()
+    deployment_pool.POOL.stop()
--- a/features/front_faults.py
+++ b/features/front_faults.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-import platform_standin
+import platform_messages
 
 _MOST_PAUSE_SECONDS = 1.2
 _LONGEST_FAULT_SECONDS = 2.5
@@ -129,5 +129,5 @@
 
     def _publish(self, front, seconds):
         self._configuration += 1
-        content = platform_standin.describe_configuration(self._configuration)
+        content = platform_messages.describe_configuration(self._configuration)
         self._site.store.put("keyed.op", "config", content)
--- a/features/front_load.py
+++ b/features/front_load.py
@@ -5,6 +5,7 @@
 import threading
 import time
 
+import platform_messages
 import platform_standin
 
 ITEMS = 4
@@ -123,4 +124,4 @@
 
 def describe_batch(name, step):
     """Return the body of a batch."""
-    return platform_standin.describe_batch(list_items(name), step)
+    return platform_messages.describe_batch(list_items(name), step)
--- a/features/front_platform.py
+++ b/features/front_platform.py
@@ -4,6 +4,7 @@
 import time
 
 import front_programs
+import platform_messages
 import platform_standin
 
 _WAIT_SECONDS = 15.0
@@ -18,9 +19,9 @@
         self.store = platform_standin.Store()
         self.engine = platform_standin.Sampler("engine-1")
         self.service = platform_standin.Sampler("desk-1")
-        self.store.put("keyed.op", "config", platform_standin.describe_configuration(3))
+        self.store.put("keyed.op", "config", platform_messages.describe_configuration(3))
         for sampler, service in ((self.engine, "engines"), (self.service, "desk")):
-            content = platform_standin.describe_server(sampler, service)
+            content = platform_messages.describe_server(sampler, service)
             self.store.put("keyed.servers", sampler.name, content)
         self._temporary = tempfile.TemporaryDirectory()
         self.duties = platform_standin.Duties()
--- a/features/front_site.py
+++ b/features/front_site.py
@@ -7,6 +7,7 @@
 import time
 
 import front_programs
+import platform_messages
 import platform_standin
 from oleander_standins import relay
 
@@ -49,7 +50,7 @@
         self.store = platform_standin.Store()
         self.engines = [platform_standin.Sampler(f"engine-{n}") for n in range(engines)]
         self.services = [platform_standin.Sampler(f"desk-{n}") for n in range(services)]
-        self.store.put("keyed.op", "config", platform_standin.describe_configuration(3))
+        self.store.put("keyed.op", "config", platform_messages.describe_configuration(3))
         self._lock = threading.Lock()
         for sampler in (*self.engines, *self.services):
             sampler.on_ended = self._start_later
@@ -63,7 +64,7 @@
 
     def register(self, sampler):
         service = "engines" if sampler in self.engines else "desk"
-        content = platform_standin.describe_server(sampler, service)
+        content = platform_messages.describe_server(sampler, service)
         self.store.put("keyed.servers", sampler.name, content)
 
     def replace_server(self, sampler):
--- a/features/steps/admission_steps.py
+++ b/features/steps/admission_steps.py
@@ -2,65 +2,16 @@
 
 import collections
 import concurrent.futures
-import heapq
 import itertools
 import random
 
 import behave
 
+import admission_trials
 from oleander_admission import admission, work
 from oleander_base import clock
 from oleander_contracts import contract
 
-_SHARES = {"a": 50, "b": 30, "c": 20, "d": 1}
-_SEED = 20
-
-
-class _Server:
-    """A queue and the slots behind it, in simulated time."""
-
-    def __init__(self, slots, places):
-        self.now = 1000.0
-        self.slots = slots
-        self.places = places
-        self.queue = admission.AdmissionQueue(
-            slots, places, lambda: self.now, random.Random(_SEED)
-        )
-        self.answers = []
-        self.service_ms = collections.Counter()
-        self.ended_at = {}
-        self._ends = []
-        self._numbers = itertools.count()
-
-    def submit(self, work_id, priority, cost_ms, budget_ms=1e9):
-        deadline = clock.Deadline(self.now + budget_ms / 1000)
-        customer = work_id[0]
-        item = work.Work(work_id, customer, priority, _SHARES[customer], cost_ms, deadline)
-        result = self.queue.submit(item)
-        self.answers.append(result.error if result.is_error() else None)
-
-    def start_all(self, factors=None):
-        while (item := self.queue.take(0)) is not None:
-            service_ms = item.cost_ms * (factors or {}).get(item.customer, 1.0)
-            end = (self.now + service_ms / 1000, next(self._numbers), item, service_ms)
-            heapq.heappush(self._ends, end)
-
-    def run_until(self, moment, factors=None):
-        self.start_all(factors)
-        while self._ends and self._ends[0][0] <= moment:
-            self.now, _, item, service_ms = heapq.heappop(self._ends)
-            self.queue.finish(item.work_id, service_ms)
-            self.service_ms[item.customer, item.priority] += service_ms
-            self.ended_at[item.work_id] = self.now
-            self.start_all(factors)
-            self.queue.take_dropped()
-        self.now = moment
-
-    def give_up(self, work_id):
-        self._ends = [end for end in self._ends if end[2].work_id != work_id]
-        heapq.heapify(self._ends)
-        self.queue.finish(work_id, 0.0, completed=False)
-
 
 def _read_priority(text):
     return int(text) if text.lstrip("-").isdigit() else int(contract.Priority[text.upper()])
@@ -72,7 +23,7 @@
 
 @behave.given("an admission queue with {slots:d} slots and {places:d} places")
 def create_queue(context, slots, places):
-    context.server = _Server(slots, places)
+    context.server = admission_trials.Server(slots, places)
 
 
 @behave.when("admission is asked for {works}")
@@ -177,7 +128,7 @@
     " and service factors {factors}"
 )
 def simulate_customers(context, seconds, arrivals, factors):
-    source = random.Random(_SEED)
+    source = random.Random(admission_trials.SEED)
     factors = _read_numbers(factors)
     events = []
     for customer, rate in _read_numbers(arrivals).items():
@@ -201,7 +152,7 @@
 
 @behave.when("admission is simulated with urgent work at {load:g} times what the slots can do")
 def simulate_urgent(context, load):
-    source = random.Random(_SEED)
+    source = random.Random(admission_trials.SEED)
     server = context.server
     until = server.now + 160 / server.slots
     for number in itertools.count():
@@ -225,7 +176,7 @@
 
 @behave.when("admission replays {count:d} arrivals of {customers} one by one")
 def replay_arrivals(context, count, customers):
-    source = random.Random(_SEED)
+    source = random.Random(admission_trials.SEED)
     slots = context.server.slots
     events = [
         (
@@ -236,31 +187,14 @@
         )
         for number in range(count)
     ]
-    answers = _replay(slots, events).answers
+    answers = admission_trials.replay(slots, events).answers
     assert 10 < sum(1 for answer in answers if answer is None) < count - 10
     context.errors = [
-        _measure_error(slots, events[: number + 1], answers[number]) for number in range(count)
+        admission_trials.measure_error(slots, events[: number + 1], answers[number])
+        for number in range(count)
     ]
 
 
-def _replay(slots, events, is_last_endless=False):
-    server = _Server(slots, 1000)
-    for number, (gap, work_id, cost_ms, budget_ms) in enumerate(events, start=1):
-        server.run_until(server.now + gap)
-        is_endless = is_last_endless and number == len(events)
-        server.submit(work_id, 1, cost_ms, 1e9 if is_endless else budget_ms)
-    return server
-
-
-def _measure_error(slots, events, answer):
-    """Return by how many ms the answer to the last event was wrong, if it was."""
-    server = _replay(slots, events, is_last_endless=True)
-    arrived_at = server.now
-    server.run_until(arrived_at + 100)
-    late_ms = (server.ended_at[events[-1][1]] - arrived_at) * 1000 - events[-1][3]
-    return max(0.0, late_ms if answer is None else -late_ms)
-
-
 @behave.then("admission was never wrong by more than {grain:g} ms")
 def check_errors(context, grain):
     assert max(context.errors) <= grain, max(context.errors)
@@ -308,7 +242,7 @@
 
 @behave.when("admission gets {count:d} random calls from seed {seed:d}")
 def call_randomly(context, count, seed):
-    context.calls = _RandomCalls(context.server, random.Random(seed))
+    context.calls = admission_trials.RandomCalls(context.server, random.Random(seed))
     for number in range(count):
         context.calls.call(number)
         context.server.now += 0.005
@@ -316,63 +250,6 @@
     context.calls.drain()
 
 
-class _RandomCalls:
-    """Calls a queue at random and counts how each work ended."""
-
-    def __init__(self, server, source):
-        self.server = server
-        self.accepted = set()
-        self.ends = collections.Counter()
-        self.most_queued = 0
-        self.most_running = 0
-        self._source = source
-        self._running = []
-
-    def call(self, number):
-        choices = [self._submit] * 4 + [self._take] * 2 + [self._finish, self._cancel]
-        self._source.choice(choices)(number)
-        if number % 20 == 0:
-            self._collect()
-        queue = self.server.queue
-        self.most_queued = max(self.most_queued, queue.queued)
-        self.most_running = max(self.most_running, queue.running)
-
-    def drain(self):
-        self.server.queue.close()
-        while self._running:
-            self._finish(0)
-        assert self.server.queue.take(0) is None
-        self._collect()
-
-    def _submit(self, number):
-        name = f"{self._source.choice('abcd')}{number}"
-        cost_ms = self._source.uniform(1, 50)
-        budget_ms = self._source.uniform(1, 400)
-        self.server.submit(name, self._source.randrange(4), cost_ms, budget_ms)
-        if self.server.answers[-1] is None:
-            self.accepted.add(name)
-
-    def _take(self, _):
-        item = self.server.queue.take(0)
-        if item is not None:
-            self.ends[item.work_id] += 1
-            self._running.append(item)
-
-    def _finish(self, _):
-        if self._running:
-            item = self._running.pop(self._source.randrange(len(self._running)))
-            self.server.queue.finish(item.work_id, item.cost_ms * self._source.uniform(0.2, 3))
-
-    def _cancel(self, _):
-        name = self._source.choice(sorted(self.accepted) or ["nothing"])
-        if self.server.queue.cancel(name):
-            self.ends[name] += 1
-
-    def _collect(self):
-        for item in self.server.queue.take_dropped():
-            self.ends[item.work.work_id] += 1
-
-
 @behave.then("admission ended each accepted work once and kept its bounds")
 def check_ends(context):
     calls = context.calls
--- a/features/steps/crashing_requests_steps.py
+++ b/features/steps/crashing_requests_steps.py
@@ -7,6 +7,7 @@
 
 import front_platform
 import front_site
+import platform_messages
 import platform_standin
 
 _SEED = 5
@@ -62,7 +63,7 @@
 def submit_batch(context, count, part):
     names = [f"item-{number}" for number in range(count)]
     fatal = {"fatal" if part == "prompt" else "fatal_scores": names[:1]}
-    body = platform_standin.describe_batch(names, **fatal)
+    body = platform_messages.describe_batch(names, **fatal)
     answer = context.site.fronts[0].try_ask("POST", "/items/batch", body, "batch")
     assert answer and answer[0] == 202, answer
 
--- a/features/steps/once_steps.py
+++ b/features/steps/once_steps.py
@@ -4,6 +4,7 @@
 
 import behave
 
+import deployment_pool
 import deployments
 import once_trial
 import support
@@ -119,14 +120,14 @@
 
 @behave.given("a deployment in which every connection of a once request can fail")
 def start(context):
-    _begin(context, deployments.POOL.take(once_trial.RELAYS))
+    _begin(context, deployment_pool.POOL.take(once_trial.RELAYS))
 
 
 @behave.given(
     "a deployment in which every connection of a once request can fail but those to the services"
 )
 def start_with_direct_services(context):
-    _begin(context, deployments.POOL.take(once_trial.LINK_AND_LOG_RELAYS))
+    _begin(context, deployment_pool.POOL.take(once_trial.LINK_AND_LOG_RELAYS))
 
 
 @behave.given("a deployment whose entries have {setting} set to {value} for a once request")
@@ -200,5 +201,5 @@
     found = trial.check_answers()
     assert found == runs, trial.describe()
     if context.deployment.is_whole and not context.deployment.has_own_settings:
-        deployments.POOL.give_back(context.deployment)
+        deployment_pool.POOL.give_back(context.deployment)
         context.cluster = None
--- a/features/steps/organisations_front_steps.py
+++ b/features/steps/organisations_front_steps.py
@@ -7,7 +7,7 @@
 import behave
 
 import front_platform
-import platform_standin
+import platform_messages
 
 _UNKNOWN = "unheard-of-key"
 _IN_FORCE_SECONDS = 3.0
@@ -28,9 +28,9 @@
 
 
 def _publish(context, version, **keys):
-    content = platform_standin.describe_configuration(version)
+    content = platform_messages.describe_configuration(version)
     content["routes"].append(
-        platform_standin.describe_route("open", "/open/", "idempotent", "desk", public=True)
+        platform_messages.describe_route("open", "/open/", "idempotent", "desk", public=True)
     )
     for route in content["routes"]:
         route.setdefault("public", False)
@@ -79,7 +79,7 @@
 
 
 def _submit(context, key, batch_id, items):
-    body = platform_standin.describe_batch([f"{batch_id}-{n}" for n in range(items)])
+    body = platform_messages.describe_batch([f"{batch_id}-{n}" for n in range(items)])
     sent = [("Authorization", f"Bearer {key}")]
     return context.front.ask("POST", "/items/batch", body, batch_id, headers=sent)[0]
 
--- a/features/steps/platform_front_steps.py
+++ b/features/steps/platform_front_steps.py
@@ -11,6 +11,7 @@
 
 import front_platform
 import front_programs
+import platform_messages
 import platform_standin
 
 _WAIT_SECONDS = 15.0
@@ -35,7 +36,7 @@
 
 
 def _build_batch(items):
-    return platform_standin.describe_batch([f"item-{number}" for number in range(items)])
+    return platform_messages.describe_batch([f"item-{number}" for number in range(items)])
 
 
 @behave.then("a batch of {items:d} items is accepted, listed with scores, read again, ended")
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -4,16 +4,11 @@
 import hashlib
 import http.client
 import json
-import socket
-import threading
-import time
-import unittest.mock
 
 import behave
 
-import fake_entry
 import support
-from oleander_standins import relay, tokens
+from oleander_standins import tokens
 
 _SECONDS = 10.0
 _STREAM = "/streams/s/records"
@@ -300,59 +295,6 @@
     assert _call(context, "GET", "/v1/load").read_json()["running"] == running
 
 
-@behave.given("a fake entry for the stand-in trainer with the fault {fault}")
-def start_entry(context, fault):
-    context.entry = fake_entry.FakeEntry(fault)
-    context.add_cleanup(context.entry.stop)
-
-
-@behave.when(
-    "the stand-in trainer takes {steps:d} steps of {groups:d} groups of {samples:d} samples"
-)
-def run_trainer(context, steps, groups, samples):
-    flags = {
-        "entry": context.entry.url,
-        "customer": "c",
-        "trainer": "t",
-        "model": "m",
-        "token": "s",
-        "steps": steps,
-        "groups": groups,
-        "samples": samples,
-        "max-tokens": 8,
-        "version-start": 5,
-        "step-seconds": 20,
-    }
-    arguments = [item for name, value in flags.items() for item in (f"--{name}", value)]
-    cluster = support.get_cluster(context)
-    process = cluster.start("trainer", "oleander_standins.trainer", *arguments, ready=False)
-    context.code = process.wait_exit(60.0)
-    context.printed = [json.loads(line) for line in process.wait_lines()]
-
-
-@behave.then("the stand-in trainer ends with {code:d} and names {problem}")
-def check_trainer(context, code, problem):
-    problems = context.printed[-1]["problems"]
-    assert context.code == code, (context.code, problems)
-    if problem == "nothing":
-        assert not problems, problems
-    else:
-        assert any(problem in item for item in problems), problems
-
-
-@behave.then(
-    "the stand-in trainer printed {samples:d} samples of {count:d} tokens a step, "
-    "{staleness:d} version old at most"
-)
-def check_printed(context, samples, count, staleness):
-    *steps, summary = context.printed
-    for line in steps:
-        assert (line["samples"], line["tokens"]) == (samples, count), line
-        assert (line["staleness_max"], line["staleness_mean"]) == (staleness, staleness), line
-        assert (line["duplicates"], line["stale"]) == (0, 0), line
-    assert summary["samples"] == samples * len(steps), summary
-
-
 @behave.given("a test relay before the stand-in service that blocks {direction}")
 def start_blocking_relay(context, direction):
     start_relay(context)
@@ -402,41 +344,3 @@
         raise AssertionError("a call passed the relay that was cut")
     context.relay.heal()
     assert _call_service(context, "k", "b", context.relay.url).status == 200
-
-
-@behave.given("threads that start {seconds:f} s late")
-def delay_threads(context, seconds):
-    start = threading.Thread.start
-
-    def start_late(thread):
-        time.sleep(seconds)
-        start(thread)
-
-    patched = unittest.mock.patch.object(threading.Thread, "start", start_late)
-    patched.start()
-    context.add_cleanup(patched.stop)
-
-
-def _close_relay(seconds):
-    late = relay.Relay("127.0.0.1:1")
-    host, _, port = late.address.rpartition(":")
-    with socket.create_connection((host, int(port))):
-        time.sleep(seconds)
-        late.close()
-
-
-@behave.when(
-    "clients connect to {count:d} test relays, each of which is closed {seconds:f} s later"
-)
-def close_relays(context, count, seconds):
-    context.raised = []
-    for _ in range(count):
-        try:
-            _close_relay(seconds)
-        except RuntimeError as error:
-            context.raised.append(error)
-
-
-@behave.then("closing the test relays raised nothing")
-def check_closed(context):
-    assert not context.raised, context.raised
--- a/features/steps/usage_front_steps.py
+++ b/features/steps/usage_front_steps.py
@@ -3,7 +3,7 @@
 import behave
 
 import front_platform
-import platform_standin
+import platform_messages
 
 
 @behave.given(
@@ -12,7 +12,7 @@
 def start_reporting_front(context, seconds):
     context.front = front_platform.Front(window_seconds=seconds)
     context.add_cleanup(context.front.stop)
-    content = platform_standin.describe_configuration(4)
+    content = platform_messages.describe_configuration(4)
     content["tenants"] = [
         {"name": "red", "api_keys": ["r1"]},
         {"name": "blue", "api_keys": ["b1"]},
