--- a/features/batch_processes.py
+++ b/features/batch_processes.py
@@ -147,7 +147,7 @@
             self._known, self.journal, tenures, chooser, items, writer, self.group, 32
         )
         for task in (
-            self.journal.follow,
+            self.journal.index.follow,
             self.owned.keep,
             writer.write,
             self.runner.feed,
--- a/features/steps/batch_items_steps.py
+++ b/features/steps/batch_items_steps.py
@@ -47,7 +47,7 @@
 
 
 def _read_results(context):
-    batch = context.process.journal.find("batch")
+    batch = context.process.journal.index.find("batch")
     results = []
     while batch is not None and len(results) < len(batch.listed):
         read = context.process.journal.read_results(batch, len(results), clock.start_deadline(1.0))
--- a/features/steps/batch_tenures_steps.py
+++ b/features/steps/batch_tenures_steps.py
@@ -23,7 +23,7 @@
     for process in context.processes.values():
         context.add_cleanup(process.stop)
     batch_processes.wait_until(
-        2, lambda: all(p.journal.is_caught_up for p in context.processes.values()), str
+        2, lambda: all(p.journal.index.is_caught_up for p in context.processes.values()), str
     )
 
 
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -6,7 +6,7 @@
 import behave
 
 from oleander_base import clock, tasks
-from oleander_batches import journal, submission
+from oleander_batches import index_reader, journal, submission
 from oleander_standins import recordlog
 from oleanderdeal import batch_api
 
@@ -35,10 +35,10 @@
 
     def refresh(self):
         for kept in self.journals.values():
-            assert kept.refresh(clock.read_now(), clock.start_deadline(_SECONDS))
+            assert kept.index.refresh(clock.read_now(), clock.start_deadline(_SECONDS))
 
     def find(self, name, batch_id="batch"):
-        return self.journals[name].find(batch_id)
+        return self.journals[name].index.find(batch_id)
 
     def write(self, word, is_read=True):
         if word == "late":
@@ -46,7 +46,7 @@
                 client.apply_late()
         elif word == "garbage":
             for content in (b"\xff", b"", b"\x83\x01\x02\x03"):
-                self.log.append(journal.INDEX_TOPIC, 0, [content], clock.start_deadline(_SECONDS))
+                self.log.append(index_reader.TOPIC, 0, [content], clock.start_deadline(_SECONDS))
         else:
             self._write_at(*word.split(":"))
         if is_read and not word.endswith("hollow"):
@@ -141,7 +141,7 @@
     left = [times]
 
     def append(topic, partition, records, deadline):
-        if topic == journal.INDEX_TOPIC and left[0]:
+        if topic == index_reader.TOPIC and left[0]:
             left[0] -= 1
             setattr(client.faults, fault, 1)
         return original(topic, partition, records, deadline)
@@ -181,7 +181,7 @@
 @behave.then("the batch is open for neither entry")
 def check_closed(context):
     for kept in context.shared.journals.values():
-        assert not kept.list_open()
+        assert not kept.index.list_open()
 
 
 @behave.when('entry {name} keeps the start "{text}" of item {number:d} with {events:d} events')
@@ -212,7 +212,7 @@
 def cut_entry(context, name):
     context.shared.clients[name].faults.is_silent = True
     kept = context.shared.journals[name]
-    assert not kept.refresh(clock.read_now(), clock.start_deadline(0.1))
+    assert not kept.index.refresh(clock.read_now(), clock.start_deadline(0.1))
 
 
 def _ask(context, call):
@@ -243,7 +243,7 @@
     shared = context.shared
     shared.clients["a"].faults.is_silent = True
     reader = threading.Thread(
-        target=shared.journals["a"].refresh,
+        target=shared.journals["a"].index.refresh,
         args=(clock.read_now(), clock.start_deadline(1.0)),
     )
     reader.start()
@@ -274,7 +274,7 @@
     faults = context.shared.clients[name].faults
     faults.is_down = True
     kept = context.shared.journals[name]
-    assert not kept.refresh(clock.read_now(), clock.start_deadline(0.1))
+    assert not kept.index.refresh(clock.read_now(), clock.start_deadline(0.1))
     faults.is_down = False
 
 
@@ -286,24 +286,24 @@
 @behave.given("entry b follows the log and {what}")
 def follow_log(context, what):
     kept = context.shared.journals["b"]
-    context.shared.group.keep(kept.follow)
+    context.shared.group.keep(kept.index.follow)
     context.add_cleanup(context.shared.group.stop)
     context.has_trainer = what == "has a trainer that waits"
-    kept.expect_updates(not context.has_trainer)
+    kept.index.expect_updates(not context.has_trainer)
 
 
 @behave.when("entry a writes {count:d} results, each once entry b knows the one before")
 def write_in_turn(context, count):
     kept = context.shared.journals["b"]
-    batch = kept.find("batch")
+    batch = kept.index.find("batch")
     context.deadline = clock.start_deadline(_FOLLOW_SECONDS)
     for number in range(count):
         context.shared.write(f"a:{number}=x", is_read=False)
         while len(batch.listed) <= number and not context.deadline.is_past:
             if context.has_trainer:
-                kept.wait_longer(batch, number, context.deadline)
+                kept.index.wait_longer(batch, number, context.deadline)
             else:
-                kept.wait_change(_FOLLOW_SECONDS)
+                kept.index.wait_change(_FOLLOW_SECONDS)
 
 
 @behave.then("entry b knows all of them within {seconds:g} s")
--- a/features/steps/log_return_steps.py
+++ b/features/steps/log_return_steps.py
@@ -100,9 +100,8 @@
         self.returns_at = returns_at
         self.tries = 0
         self.is_stopping = False
-
-    def find(self, batch_id):
-        return types.SimpleNamespace(finished=set())
+        batch = types.SimpleNamespace(finished=set())
+        self.index = types.SimpleNamespace(find=lambda batch_id: batch)
 
     def finish(self, batch_id, results):
         self.tries += 1
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -56,12 +56,12 @@
         self, submitted: submission.Submission, deadline: clock.Deadline
     ) -> expression.Result[None, BatchProblem]:
         """Accept a batch; one that is known already is accepted again."""
-        known = self._journal.find(submitted.batch_id)
+        known = self._journal.index.find(submitted.batch_id)
         if known is not None:
             if not _may_use(known, submitted.organisation):
                 return _reject(BatchFault.MISSING, "the batch is not of this organisation")
             return expression.Ok(None)
-        if self._journal.is_cut:
+        if self._journal.index.is_cut:
             return self._refuse_cut(submitted.batch_id, "submission")
         accepted = self._journal.accept(submitted, deadline.earlier(_ACCEPT_SECONDS))
         if accepted.is_ok():
@@ -78,7 +78,7 @@
 
     def needs_key(self, batch_id: str) -> bool:
         """Tell whether calls about a batch need a key; so does one that is not known here."""
-        batch = self._journal.find(batch_id)
+        batch = self._journal.index.find(batch_id)
         return batch is None or bool(batch.accepted.organisation)
 
     def list_results(
@@ -90,10 +90,10 @@
             return expression.Error(found.error)
         batch = found.ok
         if len(batch.listed) <= after:
-            self._journal.wait_longer(batch, after, wait)
+            self._journal.index.wait_longer(batch, after, wait)
         if len(batch.listed) <= after and not self._refresh(clock.read_now() - _FRESH_SECONDS):
             return _reject(BatchFault.UNSURE, "the index can't be read")
-        if self._journal.is_cut:
+        if self._journal.index.is_cut:
             return _reject(BatchFault.UNSURE, "the log does not answer here")
         listing = self._journal.read_results(batch, after, clock.start_deadline(_READ_SECONDS))
         if listing.is_error():
@@ -123,7 +123,7 @@
             return expression.Error(found.error)
         if found.ok.is_ended:
             return expression.Ok(None)
-        if self._journal.is_cut:
+        if self._journal.index.is_cut:
             return self._refuse_cut(batch_id, "end")
         ended = self._journal.end(batch_id, clock.start_deadline(_END_SECONDS))
         log.logger.bind(
@@ -146,10 +146,10 @@
         A trainer that was told that its batch is accepted must never be told that there is none,
         also not by the same entry a moment later.
         """
-        batch = self._journal.find(batch_id)
+        batch = self._journal.index.find(batch_id)
         if batch is None and not self._refresh(clock.read_now()):
             return _reject(BatchFault.UNSURE, "the index can't be read")
-        batch = batch or self._journal.find(batch_id)
+        batch = batch or self._journal.index.find(batch_id)
         if batch is None or not _may_use(batch, organisation):
             return _reject(BatchFault.MISSING, "no such batch")
         return expression.Ok(batch)
@@ -161,9 +161,9 @@
         return _reject(BatchFault.REFUSED, "the log does not answer here")
 
     def _refresh(self, since: float) -> bool:
-        if self._journal.is_cut:
+        if self._journal.index.is_cut:
             return False
-        return self._journal.refresh(since, clock.start_deadline(_READ_SECONDS))
+        return self._journal.index.refresh(since, clock.start_deadline(_READ_SECONDS))
 
 
 def _may_use(batch: fold.Batch, organisation: str) -> bool:
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -81,7 +81,7 @@
             self._give_up_overdue()
             while self._start_one():
                 pass
-            self._journal.wait_change(_IDLE_SECONDS)
+            self._journal.index.wait_change(_IDLE_SECONDS)
 
     def drain(self) -> None:
         """
@@ -117,7 +117,7 @@
         return [run.batch for run in list(self._runs.values()) if run.batch.is_open]
 
     def _update_runs(self) -> None:
-        open_batches = {batch.batch_id: batch for batch in self._journal.list_open()}
+        open_batches = {batch.batch_id: batch for batch in self._journal.index.list_open()}
         for batch_id, run in list(self._runs.items()):
             if batch_id not in open_batches:
                 self._drop(batch_id)
@@ -126,7 +126,7 @@
                 self._drop(batch_id)
             else:
                 run.note_listed()
-        self._journal.expect_updates(bool(self._runs))
+        self._journal.index.expect_updates(bool(self._runs))
         if self._is_draining:
             return
         for batch_id, batch in open_batches.items():
@@ -275,7 +275,7 @@
 
     def _run(self, item: batch_run.ItemWork, server: servers.Server) -> None:
         try:
-            result = self._items.run_item(item, server, self._journal.wake)
+            result = self._items.run_item(item, server, self._journal.index.wake)
             if result is not None:
                 item.run.note_result(item.item_number, result)
                 self._writer.add(item.run.batch.batch_id, item.item_number, result)
--- a/programs/oleanderdeal/oleanderdeal/batch_tenures.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_tenures.py
@@ -98,7 +98,7 @@
         if not self._journal.was_accepted_here(batch.batch_id):
             return False
         orphan_at = max(batch.seen_at, batch.heard_at) + _ORPHAN_SECONDS
-        return self._journal.complete_at >= orphan_at
+        return self._journal.index.complete_at >= orphan_at
 
     def _is_doubtful(self, batch: fold.Batch) -> bool:
         was_heard = clock.read_now() < batch.heard_at + _HEARD_SECONDS
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -201,7 +201,7 @@
         for follower in self._followers:
             self._group.keep(follower.follow)
         self._group.keep(self._crashes.write)
-        self._group.keep(self._journal.follow)
+        self._group.keep(self._journal.index.follow)
         self._group.keep(self._owned.keep)
         self._group.keep(self._writer.write)
         self._group.keep(self._runner.feed)
@@ -277,7 +277,7 @@
     def _is_ready(self) -> bool:
         if self._leaving.is_set() or self._is_silent():
             return False
-        return self._known.table is not None and self._journal.is_caught_up
+        return self._known.table is not None and self._journal.index.is_caught_up
 
     def _is_silent(self) -> bool:
         return not self._known.is_listed or self._known.silent_seconds > _SILENT_SECONDS
--- a/programs/oleanderdeal/oleanderdeal/result_writer.py
+++ b/programs/oleanderdeal/oleanderdeal/result_writer.py
@@ -69,7 +69,7 @@
 
     def _write_all(self, taken: list[tuple[str, int, submission.ItemResult]]) -> bool:
         batch_id = taken[0][0]
-        batch = self._journal.find(batch_id)
+        batch = self._journal.index.find(batch_id)
         if batch is None:
             log.warn_bounded("results-dropped", "the batch is forgotten", batch=batch_id)
             return True
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -66,7 +66,7 @@
         self._crowd.forget_gone(every)
         self._rights.want([server.server_id for server in every], self._owned.partitions)
         metrics.record_gauge(metrics.ORDERS_HELD, self._rights.held)
-        for batch in self._journal.list_open():
+        for batch in self._journal.index.list_open():
             if batch.allowed_lag is not None:
                 self._plan.note_lag(batch.accepted.model, batch.allowed_lag)
         self._check_taken()
