Let the ablation find its mechanisms again, and check that it does

The guard against crashes rewrote the line that the ablation takes out for hedges, so it would have stopped there. Two mechanisms are new in the table, the quarantine and suspects kept apart; neither has been played.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -24,12 +24,22 @@
 _ORDERS = "libs/orders/oleander_orders"
 _SAMPLES = "libs/samples/oleander_samples"
 _PROGRAM = "programs/oleanderdeal/oleanderdeal"
-_OFF = {
+MECHANISMS = {
     "hedges": (
         f"{_DIRECT}/calls.py",
-        "progress.request.may_repeat and progress.may_send and self._hedges.try_take()",
+        "not progress.was_suspect and self._hedges.try_take()",
         "False",
     ),
+    "quarantine": (
+        "libs/quarantine/oleander_quarantine/ledger.py",
+        "if suspect is None or suspect.excess < 0:",
+        "if suspect is None or suspect:",
+    ),
+    "suspects-apart": (
+        f"{_DIRECT}/crash_guard.py",
+        "return frozenset(self._suspects)",
+        "return frozenset()",
+    ),
     "comeback-advice": (
         f"{_DIRECT}/comeback.py",
         "_LEAST_MS * max(1.0, ratio)",
@@ -126,7 +136,7 @@
     """Clone the checkout, take one mechanism out, and build it."""
     subprocess.run(["git", "clone", "--quiet", str(source), str(folder)], check=True)
     if name != _WHOLE:
-        path, text, replacement = _OFF[name]
+        path, text, replacement = MECHANISMS[name]
         changed = folder / path
         before = changed.read_text()
         if before.count(text) != 1:
@@ -153,7 +163,7 @@
     parser.add_argument("bench")
     parser.add_argument("site", type=pathlib.Path)
     parser.add_argument("folder", type=pathlib.Path)
-    parser.add_argument("--off", default=",".join(_OFF))
+    parser.add_argument("--off", default=",".join(MECHANISMS))
     parser.add_argument("--days", default=_DAYS)
     parser.add_argument("--seeds", type=int, default=4)
     parser.add_argument("--first-seed", type=int, default=1)
