--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -12,9 +12,8 @@
 MOST_BODY_BYTES = http_exchange.MOST_BODY_BYTES
 _MOST_ADDRESSES = 4096
 _MOST_IDLE = 36
-"""Idle connections kept for each address: what a runner may have in flight at an engine of twelve
-slots. With 16, 80 to 110 of 400 connections of a day were closed after a step and opened anew for
-the next. Servers take some hundred from all callers; more idle than were used at once can't be."""
+"""Idle connections kept for each address: what a runner may have in flight at one server, so that
+the connections of a step are there for the next."""
 _MOST_IDLE_SECONDS = 20.0
 """Used where a server does not state its own idle timeout."""
 _CONNECT_SECONDS = 0.7
--- a/libs/batches/oleander_batches/index_reader.py
+++ b/libs/batches/oleander_batches/index_reader.py
@@ -8,23 +8,22 @@
 
 TOPIC = "oleander.index"
 PARTITION = 0
-"""All of the index is one partition: its order is the order of the results in each batch. A record
-has some 80 bytes; a partition of 20 MB/s carries a hundred times the results aimed at."""
+"""All of the index is one partition: its order is the order of the results in each batch."""
 _READ_SECONDS = 1.5
-"""Half a second above the wait: round trips take some ms, a slow store a quarter second."""
+"""Above the wait by the answer of a slow store."""
 _WAIT_MS = 1000
 """Below the configuration's bound, so that a connection gone silent is noticed in time."""
 _PROBE_SECONDS = 0.6
-"""For a read while the log does not answer; it waits for no record, and a slow store takes a
-quarter second. So an entry that was cut off is of use again within a second."""
+"""For a read while the log does not answer; it waits for no record, so that an entry which was cut
+off is soon of use again."""
 _PAUSE_SECONDS = 0.2
 """Between reads of the index: results of the same moment come in one read."""
 _WANTED_PAUSE_SECONDS = 0.02
 """The same while a caller or a run of this process waits for the next records."""
 _AGAIN_SECONDS = 0.2
-"""Between tries while the log does not answer: five calls a second from each entry."""
+"""Between tries while the log does not answer."""
 _FORGET_EVERY_SECONDS = 5.0
-"""Batches are kept for minutes; looking each few seconds costs nothing."""
+"""Between evictions of batches that are no longer kept."""
 
 
 class IndexReader:
@@ -177,7 +176,7 @@
         return True
 
     def _note_cut(self, was_silent: bool) -> None:
-        """Take in a failed read; a log that turned it away at once may be tried: nobody waits."""
+        """Record a failed read; a log that turned it away at once may be tried: nobody waits."""
         with self._changed:
             self._is_cut = was_silent
             self._changed.notify_all()
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -10,7 +10,7 @@
 from oleander_platform import recordlog
 
 _AGAIN_SECONDS = 0.2
-"""Between tries while the log does not answer: five calls a second from each entry."""
+"""Between tries while the log does not answer."""
 _MOST_ACCEPTED = 256
 """Batches remembered as accepted by this process; it matters for seconds."""
 
--- a/libs/direct/oleander_direct/comeback.py
+++ b/libs/direct/oleander_direct/comeback.py
@@ -20,9 +20,8 @@
     """
     Tells refused callers to wait the longer, the more of them there are for each one served.
 
-    With the same short time for all, those refused in a crowd came back six times a second each.
-    At 1.5 times what servers can do these turned away 3,274 attempts in place of 2,542, and nobody
-    was served for it (loads played in memory, 12 places). Thread-safe.
+    With the same short time for all, those refused in a crowd come back together, are turned away
+    again, and nobody is served for it. Thread-safe.
     """
 
     def __init__(
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -10,7 +10,7 @@
 from oleander_batches import content, fold, journal, submission
 
 _READ_SECONDS = 1.0
-"""Trainers wait 1.5 s longer than they allow."""
+"""Trainers wait a little longer than they allow, so that an answer at the end still counts."""
 _ACCEPT_SECONDS = 2.0
 """One append to the content and one to the index, of a second at most each."""
 _END_SECONDS = 2.0
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -16,13 +16,13 @@
 )
 
 _IDLE_SECONDS = 0.05
-"""How soon a free place at an engine is used; a tenth of a short text's time."""
+"""How soon a free place at an engine is used."""
 _LOAD_SECONDS = 1.0
 """For reading a submission; the items of other batches wait meanwhile."""
 _KEEP_SECONDS = 0.8
-"""What texts lose at most when their process is killed; the longest usual ones take 5 s."""
+"""What texts lose at most when their process is killed."""
 _LEAST_KEPT_EVENTS = 12
-"""A start that is kept costs two small appends; below half of a usual text it isn't worth them."""
+"""A start that is kept costs two appends; a short one is sooner made anew."""
 _HAND_OVER_AGAIN_SECONDS = 0.1
 """Between tries to hand over while the log does not answer."""
 _FULL_AGAIN_SECONDS = 0.05
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -31,25 +31,23 @@
 )
 
 HTTP_THREADS = 24
-"""Requests that one entry answers at once. Trainers' reads wait up to a second each; at the rates
-of the aim an entry has about ten calls and a few reads in progress."""
+"""Requests that one entry answers at once; the reads of trainers hold one while they wait."""
 READY_THREADS = 2
 """The platform asks once a second; the second thread is for a check that hangs."""
 MOST_ITEMS = 96
 """Items that one entry generates at once: all that a few dozen engines can run, should the
 entry be the only one left."""
 MOST_PREFERRED = 6
-"""Servers of a backend that an entry keeps to with calls: two for each that one call may try, and
-enough that the loads of servers differ by a fifth or so when some forty entries choose."""
+"""Servers of a backend that an entry keeps to with calls: more than one call may try, and enough
+that the choices of many entries even out."""
 _OTHER_TASKS = 20
 """Followers, servers, writer, runner, keeper and room for a few more."""
 _SILENT_SECONDS = 2.5
-"""After such a silence of the platform an entry reports that it is not ready: others may hear it.
-Two missed polls of a second."""
+"""After such a silence of the platform an entry is not ready: others may hear it."""
 _CONFIGURATION_PAUSE_SECONDS = 0.05
 """Configurations are rare and must be in force soon."""
 _SERVERS_PAUSE_SECONDS = 0.25
-"""Servers report all the time; a read four times a second takes in what came since."""
+"""Servers report all the time, so several reports are read together."""
 _CRASHES_PAUSE_SECONDS = 0.05
 """Crashes are rare, and a request may come again at once."""
 _LEAVE_SECONDS = 2.5
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -12,12 +12,11 @@
 _STREAM_SECONDS = 30.0
 """Far above the longest text; a stream that stands still is noticed by its silence."""
 _SILENCE_SECONDS = 2.5
-"""Without an event for so long an engine counts as silent. A change of weights takes 0.9 s and
-some more when several load, and a waiting request starts within a second."""
+"""Without an event for so long an engine counts as silent: longer than a change of weights."""
 _SCORING_SECONDS = 3.0
-"""Usual scorings take 0.2 s; one that hangs is asked again while its step can be in time."""
+"""A scoring that hangs is asked again after this, while its step can be in time."""
 _SCORING_AGAIN_SECONDS = 0.05
-"""Between tries of a scoring that was refused: a quarter of a usual one's time."""
+"""Between tries of a scoring that was refused."""
 _QUARANTINE_LOOK_SECONDS = 1.0
 """Between tries of a quarantined scoring: its quarantine may end early."""
 _RATED_EVENTS = 5
