Name the argument that says an item is part of a batch

`find_quarantine(item.call, True)` told a reader nothing; it names is_of_batch now. No decision changes; crashing_requests (4 scenarios, whole programs) passes.

--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -219,7 +219,9 @@
         item = run.start_next(clock.read_now(), route.due_ms / 1000, spare)
         if item is None:
             return False
-        quarantine = self._guard.find_quarantine(item.call, True) if self._guard else None
+        quarantine = (
+            self._guard.find_quarantine(item.call, is_of_batch=True) if self._guard else None
+        )
         if quarantine is not None:
             self._defer(item, quarantine)
             return True
