--- a/features/steps/order_crowd_steps.py
+++ b/features/steps/order_crowd_steps.py
@@ -114,7 +114,7 @@
             find_right=lambda server_id: self._find_right(name, server_id),
         )
         owned = types.SimpleNamespace(partitions=frozenset())
-        kept = types.SimpleNamespace(list_open=list)
+        kept = types.SimpleNamespace(index=types.SimpleNamespace(list_open=list))
         return version_keeper.VersionKeeper(known, held, owned, kept, self, None)
 
     def _find_right(self, name, server_id):
