Print the errors of steps, which the report of behave leaves out

The runner's output for the nine failures of order_crowd named the steps and nothing else: behave's JSON report carries messages of failed steps only, and an exception other than AssertionError makes a step an error.

With the fault of the last commit put back, the AttributeError of each of the nine is now in the output; before, none was.

--- a/features/environment.py
+++ b/features/environment.py
@@ -1,8 +1,14 @@
-"""Behave hooks: nothing that a scenario starts outlives it, or its feature."""
+"""Behave hooks: nothing that a scenario starts outlives it, and errors are printed."""
 
+import behave.model
 import deployment_pool
 
 
+def after_step(context, step):
+    if step.status is behave.model.Status.error:
+        print(step.error_message)
+
+
 def after_scenario(context, scenario):
     cleanup = getattr(context, "cluster", None)
     if cleanup is not None:
