--- a/features/environment.py
+++ b/features/environment.py
@@ -1,6 +1,7 @@
 """Behave hooks: nothing that a scenario starts outlives it, and errors are printed."""
 
 import behave.model
+
 import deployment_pool
 
 
--- /dev/null
+++ b/features/steps/crashing_versions_steps.py
@@ -0,0 +1,205 @@
+"""Steps for weights that end the servers that load them; time is simulated."""
+
+import dataclasses
+import unittest.mock
+
+import behave
+import expression
+
+import keeper_fakes
+import server_fakes
+from oleander_base import clock
+from oleander_direct import directory, routes, servers
+from oleander_routing import router
+
+_BACKEND = "engines"
+_MODEL = "m"
+_FIRST_VERSION = 1
+_START_SECONDS = 1000.0
+_TICK_SECONDS = 0.1
+_LOAD_SECONDS = 0.9
+_RETURN_SECONDS = 3.0
+_CONTACT_SECONDS = 3.0
+_CRASHES_KNOWN = 3
+_BURST_SECONDS = 4.0
+_TABLE = routes.RouteTable(
+    1, (), (routes.Backend(_BACKEND, (_MODEL,), 1),), routes.Limits(1, 1, 1)
+)
+
+
+@dataclasses.dataclass(slots=True)
+class LoadingEngine:
+    """A server that loads when it is ordered to; without an end it runs."""
+
+    name: str
+    version: int = _FIRST_VERSION
+    born: int = 1
+    accepted: int = 0
+    loading: int | None = None
+    loaded_at: float = 0.0
+    ends_at: float = float("inf")
+    back_at: float | None = None
+
+    def lose(self, now):
+        self.version, self.loading, self.accepted = _FIRST_VERSION, None, 0
+        self.ends_at, self.back_at = float("inf"), now + _RETURN_SECONDS
+
+
+class Fleet(server_fakes.UnusedCaller):
+    """The servers, and the two processes that order them."""
+
+    def __init__(self, count):
+        self.now = _START_SECONDS
+        self.fatal_seconds = None
+        self.engines = {f"s{n}": LoadingEngine(f"s{n}") for n in range(count)}
+        self.ordered_at = []
+        self.ended_at = []
+        with self.patch_clock():
+            names = list(self.engines)
+            self.processes = [self._create_process(set(names[n::2])) for n in range(2)]
+
+    def patch_clock(self):
+        return unittest.mock.patch.object(clock, "read_now", lambda: self.now)
+
+    def read_state(self, server, deadline):
+        engine = self._find(server)
+        if engine is None:
+            return expression.Error(servers.CallFailure("refused", False))
+        models = (servers.ModelVersion(_MODEL, engine.version),)
+        is_loading = engine.loading is not None
+        return expression.Ok(servers.EngineState(models, is_loading, engine.accepted))
+
+    def order(self, server, order, deadline):
+        engine = self._find(server)
+        if engine is None:
+            return servers.OrderUnknown("refused")
+        self.ordered_at.append(self.now)
+        engine.loading, engine.loaded_at = order.version, self.now + _LOAD_SECONDS
+        engine.accepted += 1
+        if self.fatal_seconds is not None:
+            engine.ends_at = self.now + self.fatal_seconds
+        if self.fatal_seconds == 0.0:
+            self._end(engine)
+            return servers.OrderUnknown("reset")
+        return servers.OrderTaken(is_done=False)
+
+    def run(self, version, seconds, fatal_seconds):
+        self.fatal_seconds = fatal_seconds
+        with self.patch_clock():
+            for known, _ in self.processes:
+                known.put_named(_MODEL, version)
+            until = self.now + seconds
+            while self.now < until:
+                self.now += _TICK_SECONDS
+                self._advance()
+                for known, keeper in self.processes:
+                    known.note_heard()
+                    keeper.order_due()
+
+    def lose(self, names):
+        with self.patch_clock():
+            for name in names:
+                self._end(self.engines[name])
+
+    def list_engine(self, engine):
+        for known, _ in self.processes:
+            known.put_server(self._describe(engine))
+
+    def _advance(self):
+        for engine in self.engines.values():
+            if engine.back_at is not None:
+                self._restart(engine)
+            elif engine.ends_at <= self.now:
+                self._end(engine)
+            elif engine.loading is not None and engine.loaded_at <= self.now:
+                engine.version, engine.loading = engine.loading, None
+                self.list_engine(engine)
+
+    def _end(self, engine):
+        self.ended_at.append(self.now)
+        engine.lose(self.now)
+        for known, _ in self.processes:
+            known.remove_server(engine.name)
+
+    def _restart(self, engine):
+        if engine.back_at <= self.now:
+            engine.back_at = None
+            engine.born += 1
+            self.list_engine(engine)
+
+    def _find(self, server):
+        engine = self.engines[server.server_id]
+        is_there = engine.back_at is None and engine.born == server.born_ms
+        return engine if is_there else None
+
+    def _describe(self, engine):
+        models = (servers.ModelVersion(_MODEL, engine.version),)
+        return servers.Server(
+            engine.name, engine.born, _BACKEND, f"{engine.name}:1", "z", 8, False, models
+        )
+
+    def _create_process(self, owned_ids):
+        known = directory.Directory(router.Router(7), self)
+        known.put_table(_TABLE)
+        known.note_heard()
+        for engine in self.engines.values():
+            known.put_server(self._describe(engine))
+        return known, keeper_fakes.create_keeper(known, owned_ids, self)
+
+
+@behave.given("{count:d} servers that two processes order")
+def create_fleet(context, count):
+    context.fleet = Fleet(count)
+
+
+@behave.given("{count:d} servers that two processes order, of which {done:d} runs version 2")
+def create_begun_fleet(context, count, done):
+    context.fleet = Fleet(count)
+    with context.fleet.patch_clock():
+        for engine in list(context.fleet.engines.values())[:done]:
+            engine.version = 2
+            context.fleet.list_engine(engine)
+
+
+@behave.when(
+    "version {version:d}, which ends a server {fatal:g} s into a load, is named for {length:g} s"
+)
+def name_fatal(context, version, fatal, length):
+    context.fleet.run(version, length, fatal)
+
+
+@behave.when("version {version:d}, which ends no server, is named for {length:g} s")
+def name_sound(context, version, length):
+    context.fleet.run(version, length, None)
+
+
+@behave.when("the other servers are lost")
+def lose_others(context):
+    fleet = context.fleet
+    fleet.lose([item.name for item in fleet.engines.values() if item.version == _FIRST_VERSION])
+
+
+@behave.then(
+    "at most {most:d} servers were ordered to load it later than 3 s after it ended the third"
+)
+def check_orders(context, most):
+    fleet = context.fleet
+    assert len(fleet.ended_at) >= _CRASHES_KNOWN, fleet.ended_at
+    known_at = fleet.ended_at[_CRASHES_KNOWN - 1] + _CONTACT_SECONDS
+    later = [at for at in fleet.ordered_at if at > known_at]
+    assert len(later) <= most, f"{len(later)} later, {len(fleet.ended_at)} ended in all"
+
+
+@behave.then("never more than {most:d} servers ended within 4 s, but at first")
+def check_bursts(context, most):
+    ended = context.fleet.ended_at
+    later = [at for at in ended if at > ended[_CRASHES_KNOWN - 1] + _CONTACT_SECONDS]
+    for begin in later:
+        burst = [at for at in later if begin <= at < begin + _BURST_SECONDS]
+        assert len(burst) <= most, burst
+
+
+@behave.then("every server runs version {version:d}")
+def check_versions(context, version):
+    has = {name: engine.version for name, engine in context.fleet.engines.items()}
+    assert set(has.values()) == {version}, has
--- a/features/steps/order_crowd_steps.py
+++ b/features/steps/order_crowd_steps.py
@@ -7,11 +7,10 @@
 import behave
 import expression
 
+import keeper_fakes
 import server_fakes
 from oleander_base import clock
 from oleander_direct import directory, routes, servers
-from oleander_leases import lease
-from oleanderdeal import version_keeper
 
 _MODEL = "m"
 _TICK_SECONDS = 0.1
@@ -108,20 +107,7 @@
         known = types.SimpleNamespace(
             table=table, list_servers=self.list_servers, list_named=lambda: self.named
         )
-        held = types.SimpleNamespace(
-            want=lambda ids, dealt: None,
-            held=1,
-            find_right=lambda server_id: self._find_right(name, server_id),
-        )
-        owned = types.SimpleNamespace(partitions=frozenset())
-        kept = types.SimpleNamespace(index=types.SimpleNamespace(list_open=list))
-        return version_keeper.VersionKeeper(known, held, owned, kept, self, None)
-
-    def _find_right(self, name, server_id):
-        if name != server_id:
-            return None
-        tenure = lease.Tenure(1, clock.start_deadline(5.0))
-        return types.SimpleNamespace(name=name, find_tenure=lambda: tenure)
+        return keeper_fakes.create_keeper(known, {name}, self)
 
 
 @behave.given("{count:d} servers, each ordered by its own process, whose loads take {seconds:g} s")
