Keep weights from servers once servers ended while they loaded them

What an operator saw: a version that ends the servers that load it takes each of them down again every few seconds, as long as it is the newest.

Cause: a server that restarts has its first weights, so the plan orders the version again; nothing remembered what had become of the servers before.

Change: a server lost within 8 s of an order, before it is known to run the version, counts as a crash of the version, in the ledger and the topic that hold the crashes of requests. After three, no server is ordered to load it for 4 s, doubled with each crash; then one server alone, chosen alike by all processes from the list. A server that runs the version frees it. It works since the count outlives the server and the process.

Rows that pass before and after guard against sound versions held back; new rows say which losses do not count (planned, refused, loaded, 9 s later).

Ruled out: one crash as the limit (a lost host would delay the others), a trial at every server that is due (each process loses its own; the row of bursts fails).

--- a/features/crashing_versions.feature
+++ b/features/crashing_versions.feature
@@ -36,3 +36,19 @@
     And the other servers are lost
     And version 2, which ends no server, is named for 8 s
     Then every server runs version 2
+
+  Scenario Outline: Losses that say nothing of a version don't count against it
+    # Guards against a sound version that is kept back because servers ended for other reasons.
+    Given 4 servers that two processes order
+    When each server was ordered to load version 2 and <end>
+    Then version 2 is <state>
+
+    Examples:
+      | end                         | state       |
+      | is lost                     | quarantined |
+      | is replaced at its address  | quarantined |
+      | leaves and is gone          | allowed     |
+      | refuses, and is lost        | allowed     |
+      | has loaded it, and is lost  | allowed     |
+      | lists it, and is lost       | allowed     |
+      | is lost 9 s later           | allowed     |
--- a/features/keeper_fakes.py
+++ b/features/keeper_fakes.py
@@ -3,14 +3,37 @@
 import types
 
 from oleander_base import clock
+from oleander_direct import crash_guard
 from oleander_leases import lease
+from oleander_orders import load_guard
+from oleander_quarantine import ledger
 from oleanderdeal import version_keeper
 
+_SEED = 3
 _TENURE_SECONDS = 5.0
 
 
-def create_keeper(known, owned_ids, caller):
+class SharedCrashes(crash_guard.CrashPublisher):
+    """Passes crashes on to the ledgers of all processes at once."""
+
+    def __init__(self):
+        self.ledgers = []
+
+    def publish(self, crash):
+        for item in self.ledgers:
+            item.record_crash(crash.key, crash.was_alone)
+
+    def withdraw(self, keys):
+        for item in self.ledgers:
+            for key in keys:
+                item.remove(key)
+
+
+def create_keeper(known, owned_ids, caller, shared):
     """Return a keeper that has the right to order some servers and knows of no batches."""
+    crashes = ledger.CrashLedger(_SEED, lambda: clock.read_now())
+    shared.ledgers.append(crashes)
+    loads = load_guard.LoadGuard(known, crashes, shared, lambda: clock.read_now())
     held = types.SimpleNamespace(
         want=lambda ids, dealt: None,
         held=len(owned_ids),
@@ -18,7 +41,7 @@
     )
     owned = types.SimpleNamespace(partitions=frozenset())
     kept = types.SimpleNamespace(index=types.SimpleNamespace(list_open=list))
-    return version_keeper.VersionKeeper(known, held, owned, kept, caller, None)
+    return version_keeper.VersionKeeper(known, held, owned, kept, caller, None, loads)
 
 
 def _find_right(owned_ids, server_id):
--- a/features/steps/crashing_versions_steps.py
+++ b/features/steps/crashing_versions_steps.py
@@ -10,6 +10,7 @@
 import server_fakes
 from oleander_base import clock
 from oleander_direct import directory, routes, servers
+from oleander_orders import load_guard
 from oleander_routing import router
 
 _BACKEND = "engines"
@@ -22,6 +23,7 @@
 _CONTACT_SECONDS = 3.0
 _CRASHES_KNOWN = 3
 _BURST_SECONDS = 4.0
+_LATE_SECONDS = 9.0
 _TABLE = routes.RouteTable(
     1, (), (routes.Backend(_BACKEND, (_MODEL,), 1),), routes.Limits(1, 1, 1)
 )
@@ -54,6 +56,7 @@
         self.engines = {f"s{n}": LoadingEngine(f"s{n}") for n in range(count)}
         self.ordered_at = []
         self.ended_at = []
+        self.shared = keeper_fakes.SharedCrashes()
         with self.patch_clock():
             names = list(self.engines)
             self.processes = [self._create_process(set(names[n::2])) for n in range(2)]
@@ -96,6 +99,11 @@
                     known.note_heard()
                     keeper.order_due()
 
+    def restart_all(self):
+        for engine in self.engines.values():
+            engine.born += 2
+            self.list_engine(engine)
+
     def lose(self, names):
         with self.patch_clock():
             for name in names:
@@ -144,7 +152,7 @@
         known.note_heard()
         for engine in self.engines.values():
             known.put_server(self._describe(engine))
-        return known, keeper_fakes.create_keeper(known, owned_ids, self)
+        return known, keeper_fakes.create_keeper(known, owned_ids, self, self.shared)
 
 
 @behave.given("{count:d} servers that two processes order")
@@ -203,3 +211,71 @@
 def check_versions(context, version):
     has = {name: engine.version for name, engine in context.fleet.engines.items()}
     assert set(has.values()) == {version}, has
+
+
+@behave.when("each server was ordered to load version {version:d} and {end}")
+def order_and_end(context, version, end):
+    fleet = context.fleet
+    known, _ = fleet.processes[0]
+    crashes = fleet.shared.ledgers[0]
+    with fleet.patch_clock():
+        guard = load_guard.LoadGuard(known, crashes, fleet.shared, lambda: fleet.now)
+        for server in known.list_servers(_BACKEND):
+            guard.begin(server, _MODEL, version)
+            _LOAD_ENDS[end](fleet, guard, server, version)
+        fleet.restart_all()
+        context.may_load = [
+            guard.may_load(server, _MODEL, version) for server in known.list_servers(_BACKEND)
+        ]
+
+
+def _lose(fleet, guard, server, version):
+    fleet.processes[0][0].remove_server(server.server_id)
+
+
+def _replace(fleet, guard, server, version):
+    fleet.processes[0][0].put_server(dataclasses.replace(server, born_ms=server.born_ms + 1))
+
+
+def _leave(fleet, guard, server, version):
+    fleet.processes[0][0].put_server(dataclasses.replace(server, is_leaving=True))
+    _lose(fleet, guard, server, version)
+
+
+def _refuse(fleet, guard, server, version):
+    guard.record_refused(server)
+    _lose(fleet, guard, server, version)
+
+
+def _load(fleet, guard, server, version):
+    guard.record_loaded(server, _MODEL, version)
+    _lose(fleet, guard, server, version)
+
+
+def _list_loaded(fleet, guard, server, version):
+    models = (servers.ModelVersion(_MODEL, version),)
+    fleet.processes[0][0].put_server(dataclasses.replace(server, models=models))
+    _lose(fleet, guard, server, version)
+
+
+def _lose_late(fleet, guard, server, version):
+    fleet.now += _LATE_SECONDS
+    fleet.processes[0][0].note_heard()
+    _lose(fleet, guard, server, version)
+
+
+_LOAD_ENDS = {
+    "is lost": _lose,
+    "is replaced at its address": _replace,
+    "leaves and is gone": _leave,
+    "refuses, and is lost": _refuse,
+    "has loaded it, and is lost": _load,
+    "lists it, and is lost": _list_loaded,
+    "is lost 9 s later": _lose_late,
+}
+
+
+@behave.then("version 2 is {state}")
+def check_quarantine(context, state):
+    expected = {"quarantined": False, "allowed": True}[state]
+    assert set(context.may_load) == {expected}, context.may_load
--- a/features/steps/order_crowd_steps.py
+++ b/features/steps/order_crowd_steps.py
@@ -48,6 +48,7 @@
         self.most_loading = 0
         self.asked = 0
         self.ordering = ""
+        self.shared = keeper_fakes.SharedCrashes()
         self.keepers = {name: self._create_keeper(name) for name in self.engines}
 
     def read_state(self, server, deadline):
@@ -105,9 +106,12 @@
             1, (), (routes.Backend("engines", (_MODEL,), 1),), routes.Limits(1, 1, 1)
         )
         known = types.SimpleNamespace(
-            table=table, list_servers=self.list_servers, list_named=lambda: self.named
+            table=table,
+            list_servers=self.list_servers,
+            list_named=lambda: self.named,
+            watch_lost=lambda on_lost: None,
         )
-        return keeper_fakes.create_keeper(known, {name}, self)
+        return keeper_fakes.create_keeper(known, {name}, self, self.shared)
 
 
 @behave.given("{count:d} servers, each ordered by its own process, whose loads take {seconds:g} s")
--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -44,7 +44,7 @@
             context.engines,
             context.named,
             ("m",),
-            lambda server: ids == "all" or server.server_id in ids.split(),
+            lambda order: ids == "all" or order.server.server_id in ids.split(),
         )
         for order in chosen:
             context.planned.append(order)
@@ -86,7 +86,7 @@
 def check_first(context, model):
     with unittest.mock.patch.object(clock, "read_now", lambda: 1100.0):
         orders = plan.OrderPlan().choose(
-            [context.engine], context.named, tuple("abc"), lambda server: True
+            [context.engine], context.named, tuple("abc"), lambda order: True
         )
     assert [order.model for order in orders] == [model], orders
 
@@ -144,7 +144,7 @@
 
 def _load_planned(context, named):
     orders = context.planner.choose(
-        _list_engines(context), named, tuple("abc"), lambda server: True
+        _list_engines(context), named, tuple("abc"), lambda order: True
     )
     for order in orders:
         context.planner.note(order, 0, servers.OrderTaken(is_done=False))
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -80,6 +80,13 @@
     "Backend servers that ended under a request that had not been answered before.",
     "See the log lines of event crash: they name the request and the server.",
 )
+LOAD_CRASHES = _declare(
+    "crashes.loads",
+    "counter",
+    "count",
+    "Backend servers that ended while they loaded weights that no server was known to run.",
+    "See the log lines of event load-crash: they name the model, the version and the server.",
+)
 QUARANTINED = _declare(
     "requests.quarantined",
     "counter",
--- a/libs/direct/oleander_direct/directory.py
+++ b/libs/direct/oleander_direct/directory.py
@@ -44,7 +44,7 @@
         self._configuration_heard_at = clock.read_now()
         self._outage_ended_at = 0.0
         self._named: dict[str, NamedVersion] = {}
-        self._on_lost: collections.abc.Callable[[servers.Server], None] = _ignore
+        self._on_lost: list[collections.abc.Callable[[servers.Server], None]] = []
 
     @property
     def table(self) -> routes.RouteTable | None:
@@ -83,8 +83,8 @@
         self._drop_doubted(now)
 
     def watch_lost(self, on_lost: collections.abc.Callable[[servers.Server], None]) -> None:
-        """Set the callback for servers that are gone without having announced it."""
-        self._on_lost = on_lost
+        """Add a callback for servers that are gone without having announced it."""
+        self._on_lost.append(on_lost)
 
     def put_table(self, table: routes.RouteTable) -> None:
         """Put a configuration in force; an older one changes nothing."""
@@ -168,8 +168,13 @@
                 if item.address == server.address and item.server_id != server.server_id
             ]
         for item in [*replaced, *([known] if known is not None else [])]:
-            if not item.is_leaving:
-                self._on_lost(item)
+            self._report_lost(item)
+
+    def _report_lost(self, server: servers.Server) -> None:
+        if server.is_leaving:
+            return
+        for on_lost in self._on_lost:
+            on_lost(server)
 
     def _drop_doubted(self, now: float) -> None:
         with self._lock:
@@ -187,12 +192,7 @@
         self._router.remove(server_id)
         self._caller.forget(server.address)
         log.logger.bind(event="server-gone", server=server.incarnation).info("out of rotation")
-        if not server.is_leaving:
-            self._on_lost(server)
-
-
-def _ignore(server: servers.Server) -> None:
-    """Ignore a lost server."""
+        self._report_lost(server)
 
 
 def _describe(server: servers.Server) -> peers.PeerReport:
--- /dev/null
+++ b/libs/orders/oleander_orders/load_guard.py
@@ -0,0 +1,132 @@
+"""Keeps weights from backend servers once servers ended while they loaded them."""
+
+import collections.abc
+import dataclasses
+import threading
+
+from oleander_base import clock, identifiers, log, metrics
+from oleander_direct import crash_guard, directory, servers
+from oleander_quarantine import ledger, records
+
+_WATCHED_SECONDS = 8.0
+"""A lost server leaves the list within a few heartbeats, or is replaced at its address."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class _Load:
+    """The newest load that a server was ordered and is not known to have done."""
+
+    model: str
+    version: int
+    expires_at: float
+    """After this the loss of its server is not attributed to it."""
+
+
+class LoadGuard:
+    """
+    Feeds loads of weights into the crash ledger; thread-safe.
+
+    Weights that recur in crashes are in quarantine until some server runs them. After it a single
+    server loads them, which all processes choose alike from the list.
+    """
+
+    def __init__(
+        self,
+        known: directory.Directory,
+        crashes: ledger.CrashLedger,
+        publisher: crash_guard.CrashPublisher,
+        read_now: collections.abc.Callable[[], float] = clock.read_now,
+    ) -> None:
+        self._directory = known
+        self._ledger = crashes
+        self._publisher = publisher
+        self._read_now = read_now
+        self._lock = threading.Lock()
+        self._loads: dict[str, _Load] = {}
+        known.watch_lost(self.record_loss)
+
+    def may_load(self, server: servers.Server, model: str, version: int) -> bool:
+        """Return whether a server may be ordered to load a version now."""
+        fingerprint = _compute_fingerprint(model, version)
+        if not self._ledger.is_recurrent(fingerprint):
+            return True
+        listed = self._directory.list_servers(server.backend)
+        if any((item.find_version(model) or 0) >= version for item in listed):
+            return True
+        first_seconds = ledger.BATCH_QUARANTINE_SECONDS
+        quarantine = self._ledger.find_quarantine(fingerprint, first_seconds)
+        if quarantine is None:
+            return server.server_id == _choose_trial(listed, model, fingerprint)
+        log.warn_bounded(
+            "load-quarantined",
+            "servers ended while they loaded it",
+            model=model,
+            version=version,
+            quarantine_s=int(quarantine.remaining),
+        )
+        return False
+
+    def begin(self, server: servers.Server, model: str, version: int) -> None:
+        """Register a load before it is ordered."""
+        now = self._read_now()
+        with self._lock:
+            for incarnation in [
+                name for name, item in self._loads.items() if item.expires_at < now
+            ]:
+                del self._loads[incarnation]
+            self._loads[server.incarnation] = _Load(model, version, now + _WATCHED_SECONDS)
+
+    def record_refused(self, server: servers.Server) -> None:
+        """Record that a server does not carry out its order."""
+        with self._lock:
+            self._loads.pop(server.incarnation, None)
+
+    def record_loaded(self, server: servers.Server, model: str, version: int) -> None:
+        """Record that a server runs a version."""
+        with self._lock:
+            self._loads.pop(server.incarnation, None)
+        dropped = self._ledger.record_answer(_compute_fingerprint(model, version))
+        if not dropped:
+            return
+        self._publisher.withdraw(dropped)
+        log.logger.bind(
+            event="load-crash-cleared", model=model, version=version, crashes=len(dropped)
+        ).info("a server loaded it")
+
+    def record_loss(self, server: servers.Server) -> None:
+        """Record the loss of a server that had not announced that it leaves."""
+        with self._lock:
+            load = self._loads.pop(server.incarnation, None)
+        if load is None or load.expires_at < self._read_now():
+            return
+        if (server.find_version(load.model) or 0) < load.version:
+            self._record_crash(server, load)
+
+    def _record_crash(self, server: servers.Server, load: _Load) -> None:
+        fingerprint = _compute_fingerprint(load.model, load.version)
+        crash = records.create_crash(fingerprint, server.incarnation, was_alone=False)
+        if not self._ledger.record_crash(crash.key, crash.was_alone):
+            return
+        metrics.count(metrics.LOAD_CRASHES)
+        self._publisher.publish(crash)
+        quarantine = self._ledger.find_quarantine(fingerprint, ledger.BATCH_QUARANTINE_SECONDS)
+        log.logger.bind(
+            event="load-crash",
+            request=fingerprint,
+            model=load.model,
+            version=load.version,
+            server=server.incarnation,
+            quarantine_s=int(quarantine.remaining) if quarantine else 0,
+        ).info("a server ended while it loaded weights")
+
+
+def _compute_fingerprint(model: str, version: int) -> str:
+    return f"load-{identifiers.hash_text(model):016x}-{version}"
+
+
+def _choose_trial(listed: list[servers.Server], model: str, fingerprint: str) -> str | None:
+    """Return the id of the server that loads suspect weights first."""
+    able = [item.server_id for item in listed if item.find_version(model) is not None]
+    return min(
+        able, key=lambda name: identifiers.hash_text(f"{fingerprint}\n{name}"), default=None
+    )
--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -81,7 +81,7 @@
         listed: list[servers.Server],
         named: dict[str, directory.NamedVersion],
         models: tuple[str, ...],
-        may_order: collections.abc.Callable[[servers.Server], bool],
+        may_order: collections.abc.Callable[[PlannedOrder], bool],
     ) -> list[PlannedOrder]:
         """
         Return the orders to give now to the servers of one backend, one for each server.
@@ -105,7 +105,7 @@
         busy = {incarnation for incarnation, _ in self._pending}
         planned: list[PlannedOrder] = []
         for order in due:
-            if order.server.incarnation not in busy and may_order(order.server):
+            if order.server.incarnation not in busy and may_order(order):
                 busy.add(order.server.incarnation)
                 planned.append(order)
         return planned
@@ -143,15 +143,17 @@
             item.check_at = now + _CHECK_SECONDS
         return [item.order for item in due]
 
-    def note_state(self, order: PlannedOrder, state: servers.EngineState) -> None:
-        """Take in what a server says of itself after an order."""
+    def note_state(self, order: PlannedOrder, state: servers.EngineState) -> bool:
+        """Take in what a server says of itself after an order; return whether it has loaded."""
         version = state.find_version(order.model) or 0
-        if not state.is_loading and version >= order.version:
+        is_loaded = not state.is_loading and version >= order.version
+        if is_loaded:
             key = (order.server.incarnation, order.model)
             self._loaded[key] = version
             pending = self._pending.pop(key, None)
             if pending is not None and pending.is_taken:
                 self._pace.note_load(clock.read_now() - pending.given_at)
+        return is_loaded
 
     @property
     def may_overlap(self) -> bool:
--- a/libs/quarantine/oleander_quarantine/ledger.py
+++ b/libs/quarantine/oleander_quarantine/ledger.py
@@ -123,6 +123,12 @@
         """Return whether a server ended under a request."""
         return fingerprint in self._suspects
 
+    def is_recurrent(self, fingerprint: str) -> bool:
+        """Return whether a request recurs in crashes, in quarantine or after it."""
+        with self._lock:
+            suspect = self._suspects.get(fingerprint)
+            return suspect is not None and suspect.excess >= 0
+
     def find_quarantine(
         self, fingerprint: str, first_seconds: float = CALL_QUARANTINE_SECONDS
     ) -> clock.Deadline | None:
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -10,7 +10,7 @@
 from oleander_direct import calls, crash_guard, directory, servers, shares
 from oleander_duties import platform, usage
 from oleander_leases import lease
-from oleander_orders import rights
+from oleander_orders import load_guard, rights
 from oleander_platform import keyed_follower, recordlog
 from oleander_quarantine import ledger
 from oleander_routing import preferred, router
@@ -177,7 +177,13 @@
             self._group,
         )
         self._keeper = version_keeper.VersionKeeper(
-            self._known, held, self._owned, self._journal, caller, self._group
+            self._known,
+            held,
+            self._owned,
+            self._journal,
+            caller,
+            self._group,
+            load_guard.LoadGuard(self._known, crashes, self._crashes),
         )
         operations = Operations(
             route_lookup.RouteLookup(self._known, self._is_outdated),
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -6,7 +6,7 @@
 from oleander_batches import journal
 from oleander_direct import directory, servers
 from oleander_leases import lease
-from oleander_orders import crowd, plan, rights
+from oleander_orders import crowd, load_guard, plan, rights
 from oleanderdeal import ownership
 
 _ORDER_SECONDS = 0.8
@@ -32,6 +32,7 @@
         kept: journal.BatchJournal,
         caller: servers.ServerCaller,
         group: tasks.TaskGroup,
+        loads: load_guard.LoadGuard,
     ) -> None:
         self._directory = known
         self._rights = held
@@ -39,6 +40,7 @@
         self._journal = kept
         self._caller = caller
         self._group = group
+        self._loads = loads
         self._plan = plan.OrderPlan()
         self._crowd = crowd.LoadCrowd(identifiers.hash_text(identifiers.create_nonce()))
         self._loading: dict[str, bool] = {}
@@ -78,8 +80,10 @@
             for order in self._plan.choose(servers_of, named, backend.models, self._may_order):
                 self._give(order, servers_of, keeps_running)
 
-    def _may_order(self, server: servers.Server) -> bool:
-        return self._find_tenure(server) is not None
+    def _may_order(self, order: plan.PlannedOrder) -> bool:
+        if self._find_tenure(order.server) is None:
+            return False
+        return self._loads.may_load(order.server, order.model, order.version)
 
     def _find_tenure(self, server: servers.Server) -> lease.Tenure | None:
         held = self._rights.find_right(server.server_id)
@@ -93,7 +97,11 @@
         for order in self._plan.list_unseen():
             state = self._read_state(order.server)
             if state.is_ok():
-                self._plan.note_state(order, state.ok)
+                self._record_state(order, state.ok)
+
+    def _record_state(self, order: plan.PlannedOrder, state: servers.EngineState) -> None:
+        if self._plan.note_state(order, state):
+            self._loads.record_loaded(order.server, order.model, order.version)
 
     def _read_state(
         self, server: servers.Server
@@ -121,7 +129,7 @@
         if state.is_error() or state.ok.is_loading:
             self._plan.put_off(order)
         elif (state.ok.find_version(order.model) or 0) >= order.version:
-            self._plan.note_state(order, state.ok)
+            self._record_state(order, state.ok)
         elif self._must_wait(order, listed):
             self._plan.put_off(order)
         else:
@@ -162,7 +170,10 @@
             accepted_orders=accepted,
         )
         deadline = tenure.deadline.earlier(_ORDER_SECONDS)
+        self._loads.begin(order.server, order.model, order.version)
         outcome = self._caller.order(order.server, sent, deadline)
+        if isinstance(outcome, servers.OrderRefused):
+            self._loads.record_refused(order.server)
         metrics.count(metrics.ORDERS)
         self._plan.note(order, accepted, outcome)
         self._loading[order.server.incarnation] = True
