--- a/features/steps/orders_steps.py
+++ b/features/steps/orders_steps.py
@@ -7,7 +7,7 @@
 
 from oleander_base import clock
 from oleander_direct import directory, servers
-from oleander_orders import homes, pace, plan
+from oleander_orders import pace, placement, plan
 
 _LOOK_SECONDS = 0.05
 _SEEN_VERSIONS = 4
@@ -48,15 +48,15 @@
         )
         for order in chosen:
             context.planned.append(order)
-            context.planner.note(order, 0, servers.OrderTaken(is_done=False))
+            context.planner.record_outcome(order, 0, servers.OrderTaken(is_done=False))
 
 
 @behave.when("{name} says that it has version {version:d} of m")
-def note_state(context, name, version):
+def record_state(context, name, version):
     order = next(item for item in context.planned if item.server.server_id == name)
     state = servers.EngineState((servers.ModelVersion("m", version),), False, 1)
     with unittest.mock.patch.object(clock, "read_now", lambda: context.now):
-        context.planner.note_state(order, state)
+        context.planner.record_state(order, state)
 
 
 @behave.when("the engines are named version {version:d}")
@@ -110,7 +110,7 @@
     now = [1000.0]
     with unittest.mock.patch.object(clock, "read_now", lambda: now[0]):
         for model in "abc":
-            planner.note_lag(model, context.lag)
+            planner.record_lag(model, context.lag)
         for version in range(2, versions + 2):
             named = {model: directory.NamedVersion(version, now[0]) for model in "abc"}
             has = [context.versions[key] for key in context.versions if key[1] == "a"]
@@ -147,7 +147,7 @@
         _list_engines(context), named, tuple("abc"), lambda order: True
     )
     for order in orders:
-        context.planner.note(order, 0, servers.OrderTaken(is_done=False))
+        context.planner.record_outcome(order, 0, servers.OrderTaken(is_done=False))
     return orders
 
 
@@ -160,17 +160,17 @@
 def share_servers(context, servers_, models):
     context.server_ids = [f"i-{number}" for number in range(servers_)]
     context.models = [f"m{number}" for number in range(models)]
-    context.homes = homes.choose_homes(context.server_ids, context.models)
+    context.placement = placement.choose_placement(context.server_ids, context.models)
 
 
 @behave.then(
     "each model has {least:d} to {most:d} servers, and each server {room:d} models at most"
 )
 def check_shares(context, least, most, room):
-    sizes = [len(found) for found in context.homes.values()]
+    sizes = [len(found) for found in context.placement.values()]
     assert len(sizes) == len(context.models)
     assert least == min(sizes) and max(sizes) == most, sizes
-    of_server = collections.Counter(name for found in context.homes.values() for name in found)
+    of_server = collections.Counter(name for found in context.placement.values() for name in found)
     assert max(of_server.values()) <= room, of_server
 
 
@@ -178,8 +178,8 @@
 def check_moved(context, count):
     for lost in context.server_ids:
         staying = [name for name in context.server_ids if name != lost]
-        after = homes.choose_homes(staying, context.models)
-        moved = sum(len(after[model] - context.homes[model]) for model in context.models)
+        after = placement.choose_placement(staying, context.models)
+        moved = sum(len(after[model] - context.placement[model]) for model in context.models)
         assert moved <= count, (lost, moved)
 
 
@@ -205,7 +205,7 @@
     context.planner = plan.OrderPlan()
     order = plan.PlannedOrder(context.server, "m", 2)
     accepted = context.planner.count_accepted(context.server, context.state)
-    context.planner.note(order, accepted, outcomes[outcome])
+    context.planner.record_outcome(order, accepted, outcomes[outcome])
 
 
 @behave.then("the next order to it states {count:d} accepted orders")
@@ -219,13 +219,13 @@
     context.pace = pace.LoadPace()
     for _ in range(3):
         context.now += seconds
-        context.pace.note_named("m", context.now)
+        context.pace.record_named("m", context.now)
 
 
 @behave.when("{count:d} loads of {seconds:g} s each were seen")
-def note_loads(context, count, seconds):
+def record_loads(context, count, seconds):
     for _ in range(count):
-        context.pace.note_load(seconds)
+        context.pace.record_load(seconds)
 
 
 @behave.then("{count:d} servers of which {at_once:d} load at once {state}")
@@ -263,13 +263,13 @@
 
 def _say_loaded(context, order):
     has = (servers.ModelVersion(order.model, order.version),)
-    context.planner.note_state(order, servers.EngineState(has, False, 1))
+    context.planner.record_state(order, servers.EngineState(has, False, 1))
 
 
 @behave.then("{most:d} models share a server at most")
 def check_shared(context, most):
     shares = [
-        sum(context.planner.is_home(server, model) for model in "abc")
+        sum(context.planner.is_placed(server, model) for model in "abc")
         for server in _list_engines(context)
     ]
     assert max(shares) == most, shares
--- a/libs/orders/oleander_orders/crowd.py
+++ b/libs/orders/oleander_orders/load_throttle.py
@@ -15,7 +15,7 @@
 and servers that say for ever that they load must not keep the others from it."""
 
 
-class LoadCrowd:
+class LoadThrottle:
     """
     Keeps servers from loading weights all at once; used by one thread.
 
@@ -32,12 +32,12 @@
     def must_wait(
         self,
         order: plan.PlannedOrder,
-        homes: list[servers.Server],
+        placed: list[servers.Server],
         most_loading: int,
         is_loading: collections.abc.Callable[[servers.Server], bool],
     ) -> bool:
         """Ask some of the model's servers that do not show the version yet; too many may load."""
-        lacking = _list_lacking(order, homes)
+        lacking = _list_lacking(order, placed)
         asked = self._random.sample(lacking, min(_MOST_ASKED, len(lacking)))
         loading = sum(map(is_loading, asked))
         is_crowded = loading * len(lacking) >= most_loading * len(asked)
--- a/libs/orders/oleander_orders/pace.py
+++ b/libs/orders/oleander_orders/pace.py
@@ -1,7 +1,7 @@
 """Whether every server can load every version, measured from names and loads as they come."""
 
 from oleander_base import clock
-from oleander_orders import homes
+from oleander_orders import placement
 
 _NEWEST_WEIGHT = 0.3
 """Follows a change within about three values."""
@@ -29,9 +29,9 @@
         self._load_seconds: float | None = None
         self._named_at: dict[str, float] = {}
         self._intervals: dict[str, float] = {}
-        self._models_each = homes.MOST_MODELS_EACH
+        self._models_each = placement.MOST_MODELS_EACH
 
-    def note_named(self, model: str, seen_at: float) -> None:
+    def record_named(self, model: str, seen_at: float) -> None:
         """Take in when a version of a model was named; repeated calls change nothing."""
         before = self._named_at.get(model)
         if before == seen_at:
@@ -42,7 +42,7 @@
             known = self._intervals.get(model, interval)
             self._intervals[model] = known + _NEWEST_WEIGHT * (interval - known)
 
-    def note_load(self, seconds: float) -> None:
+    def record_load(self, seconds: float) -> None:
         """Take in how long a load took."""
         known = seconds if self._load_seconds is None else self._load_seconds
         self._load_seconds = known + _NEWEST_WEIGHT * (seconds - known)
@@ -69,7 +69,7 @@
         if possible < _LEAST_SHARE:
             self._models_each = 1
         elif possible > _ENOUGH_SHARE:
-            self._models_each = homes.MOST_MODELS_EACH
+            self._models_each = placement.MOST_MODELS_EACH
         return self._models_each
 
     @property
--- a/libs/orders/oleander_orders/homes.py
+++ b/libs/orders/oleander_orders/placement.py
@@ -8,12 +8,12 @@
 MOST_MODELS_EACH = 2
 """Models that share a server at most. Each leaves out every second version, so that a version is
 loaded by as many servers as there are for one model."""
-_LEAST_HOMES = 4
+_LEAST_SERVERS = 4
 """Servers a model has at least: half of them leave out a version while the others load it, and
 two are left to serve even then."""
 
 
-def choose_homes(
+def choose_placement(
     server_ids: collections.abc.Iterable[str],
     models: collections.abc.Iterable[str],
     models_each: int = MOST_MODELS_EACH,
@@ -28,22 +28,22 @@
     """
     servers = sorted(set(server_ids))
     ordered = sorted(set(models))
-    wanted = _count_homes(len(servers), len(ordered), models_each)
+    wanted = _count_servers(len(servers), len(ordered), models_each)
     taken: collections.Counter[str] = collections.Counter()
-    homes = {}
+    placement = {}
     for model, count in zip(ordered, wanted, strict=True):
         ranked = _rank_servers(servers, model)
         ranked.sort(key=lambda name: taken[name])
-        homes[model] = frozenset(ranked[:count])
-        taken.update(homes[model])
-    return homes
+        placement[model] = frozenset(ranked[:count])
+        taken.update(placement[model])
+    return placement
 
 
-def _count_homes(servers: int, models: int, models_each: int) -> list[int]:
+def _count_servers(servers: int, models: int, models_each: int) -> list[int]:
     """Return how many servers each model gets; what is left over goes to the first ones."""
     places = servers * models_each
     return [
-        min(servers, max(_LEAST_HOMES, places // models + (index < places % models)))
+        min(servers, max(_LEAST_SERVERS, places // models + (index < places % models)))
         for index in range(models)
     ]
 
--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -5,7 +5,7 @@
 
 from oleander_base import clock, identifiers
 from oleander_direct import directory, servers
-from oleander_orders import homes, pace
+from oleander_orders import pace, placement
 
 _WAVE_PART = 3
 """One server in so many loads a model at once, so that the others serve it meanwhile."""
@@ -72,9 +72,9 @@
         self._pending: dict[tuple[str, str], _Pending] = {}
         self._accepted: dict[str, int] = {}
         self._loaded: dict[tuple[str, str], int] = {}
-        self._homes: dict[str, frozenset[str]] = {}
-        self._shared_among: tuple[frozenset[str], frozenset[str], int] | None = None
-        """The servers and models that the homes were chosen for, and how many share a server."""
+        self._placement: dict[str, frozenset[str]] = {}
+        self._placed_among: tuple[frozenset[str], frozenset[str], int] | None = None
+        """The servers and models of the placement, and how many share a server."""
 
     def choose(
         self,
@@ -93,8 +93,8 @@
         now = clock.read_now()
         self._forget(listed, now)
         for model, target in named.items():
-            self._pace.note_named(model, target.seen_at)
-        self._share_out(listed, frozenset(model for model in models if model in named))
+            self._pace.record_named(model, target.seen_at)
+        self._update_placement(listed, frozenset(model for model in models if model in named))
         due = [
             PlannedOrder(server, model, named[model].version)
             for model in models
@@ -110,30 +110,30 @@
                 planned.append(order)
         return planned
 
-    def is_home(self, server: servers.Server, model: str) -> bool:
+    def is_placed(self, server: servers.Server, model: str) -> bool:
         """Tell whether a server is to load a model, as of the last orders that were chosen."""
-        return model not in self._homes or server.server_id in self._homes[model]
+        return model not in self._placement or server.server_id in self._placement[model]
 
     def count_accepted(self, server: servers.Server, state: servers.EngineState) -> int:
         """Return how many orders a server has accepted by now."""
         return max(state.accepted_orders, self._accepted.get(server.incarnation, 0))
 
-    def put_off(self, order: PlannedOrder) -> None:
+    def defer(self, order: PlannedOrder) -> None:
         """Leave an order for later: its server could not be asked, or is loading."""
-        self._note(order, False, _BUSY_SECONDS)
+        self._add_pending(order, False, _BUSY_SECONDS)
 
-    def note(
+    def record_outcome(
         self, order: PlannedOrder, accepted_orders: int, outcome: servers.OrderOutcome
     ) -> None:
         """Take in what became of an order."""
         if isinstance(outcome, servers.OrderTaken):
             if not outcome.is_done:
                 self._accepted[order.server.incarnation] = accepted_orders + 1
-            self._note(order, True, _TAKEN_SECONDS)
+            self._add_pending(order, True, _TAKEN_SECONDS)
             return
         if isinstance(outcome, servers.OrderRefused):
             self._accepted.pop(order.server.incarnation, None)
-        self._note(order, False, _DOUBT_SECONDS)
+        self._add_pending(order, False, _DOUBT_SECONDS)
 
     def list_unseen(self) -> list[PlannedOrder]:
         """Return taken orders whose servers should be asked now whether they have loaded."""
@@ -143,7 +143,7 @@
             item.check_at = now + _CHECK_SECONDS
         return [item.order for item in due]
 
-    def note_state(self, order: PlannedOrder, state: servers.EngineState) -> bool:
+    def record_state(self, order: PlannedOrder, state: servers.EngineState) -> bool:
         """Take in what a server says of itself after an order; return whether it has loaded."""
         version = state.find_version(order.model) or 0
         is_loaded = not state.is_loading and version >= order.version
@@ -152,7 +152,7 @@
             self._loaded[key] = version
             pending = self._pending.pop(key, None)
             if pending is not None and pending.is_taken:
-                self._pace.note_load(clock.read_now() - pending.given_at)
+                self._pace.record_load(clock.read_now() - pending.given_at)
         return is_loaded
 
     @property
@@ -160,7 +160,7 @@
         """Whether a wave may begin while the one before it still loads, as far as was seen."""
         return not self._pace.fits_turn(_SHORT_LOAD_SECONDS)
 
-    def note_lag(self, model: str, lag: int) -> None:
+    def record_lag(self, model: str, lag: int) -> None:
         """Take in how many versions behind the newest a trainer's steps allow."""
         self._lags[model] = lag
 
@@ -185,7 +185,7 @@
             (
                 item
                 for item in listed
-                if item.find_version(model) is not None and self.is_home(item, model)
+                if item.find_version(model) is not None and self.is_placed(item, model)
             ),
             key=lambda item: identifiers.hash_text(f"{model}\n{item.server_id}"),
         )
@@ -201,7 +201,7 @@
         due = set(map(id, ranked[:reached]))
         return [item for item in missing if id(item) in due]
 
-    def _share_out(self, listed: list[servers.Server], models: frozenset[str]) -> None:
+    def _update_placement(self, listed: list[servers.Server], models: frozenset[str]) -> None:
         """
         Choose the servers of each model, unless all load every version.
 
@@ -209,12 +209,12 @@
         of them spend most of their time on it and stand still meanwhile.
         """
         if not self._must_leave_out(len(listed)):
-            self._homes, self._shared_among = {}, None
+            self._placement, self._placed_among = {}, None
             return
         models_each = self._pace.count_models_each(len(listed), count_at_once(len(listed)))
         among = (frozenset(item.server_id for item in listed), models, models_each)
-        if among != self._shared_among:
-            self._homes, self._shared_among = homes.choose_homes(*among), among
+        if among != self._placed_among:
+            self._placement, self._placed_among = placement.choose_placement(*among), among
 
     def _must_leave_out(self, count: int) -> bool:
         """Tell whether so many servers can't load every version."""
@@ -232,7 +232,7 @@
         listed = server.find_version(model) or 0
         return max(listed, self._loaded.get((server.incarnation, model), 0))
 
-    def _note(self, order: PlannedOrder, is_taken: bool, seconds: float) -> None:
+    def _add_pending(self, order: PlannedOrder, is_taken: bool, seconds: float) -> None:
         now = clock.read_now()
         key = (order.server.incarnation, order.model)
         self._pending[key] = _Pending(
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -6,7 +6,7 @@
 from oleander_batches import journal
 from oleander_direct import directory, servers
 from oleander_leases import lease
-from oleander_orders import crowd, load_guard, plan, rights
+from oleander_orders import load_guard, load_throttle, plan, rights
 from oleanderdeal import ownership
 
 _ORDER_SECONDS = 0.8
@@ -42,7 +42,9 @@
         self._group = group
         self._loads = loads
         self._plan = plan.OrderPlan()
-        self._crowd = crowd.LoadCrowd(identifiers.hash_text(identifiers.create_nonce()))
+        self._throttle = load_throttle.LoadThrottle(
+            identifiers.hash_text(identifiers.create_nonce())
+        )
         self._loading: dict[str, bool] = {}
         self._is_wanted = True
 
@@ -65,12 +67,12 @@
         engines = [backend for backend in table.backends if backend.models]
         listed = {item.name: self._directory.list_servers(item.name) for item in engines}
         every = [server for found in listed.values() for server in found]
-        self._crowd.forget_gone(every)
+        self._throttle.forget_gone(every)
         self._rights.want([server.server_id for server in every], self._owned.partitions)
         metrics.record_gauge(metrics.ORDERS_HELD, self._rights.held)
         for batch in self._journal.index.list_open():
             if batch.allowed_lag is not None:
-                self._plan.note_lag(batch.accepted.model, batch.allowed_lag)
+                self._plan.record_lag(batch.accepted.model, batch.allowed_lag)
         self._check_taken()
         self._loading.clear()
         named = self._directory.list_named()
@@ -100,7 +102,7 @@
                 self._record_state(order, state.ok)
 
     def _record_state(self, order: plan.PlannedOrder, state: servers.EngineState) -> None:
-        if self._plan.note_state(order, state):
+        if self._plan.record_state(order, state):
             self._loads.record_loaded(order.server, order.model, order.version)
 
     def _read_state(
@@ -127,11 +129,11 @@
         """Give one order, unless the server has the version or it is not the time."""
         state = self._read_state(order.server)
         if state.is_error() or state.ok.is_loading:
-            self._plan.put_off(order)
+            self._plan.defer(order)
         elif (state.ok.find_version(order.model) or 0) >= order.version:
             self._record_state(order, state.ok)
         elif self._must_wait(order, listed):
-            self._plan.put_off(order)
+            self._plan.defer(order)
         else:
             accepted = self._plan.count_accepted(order.server, state.ok)
             self._send(order, accepted, keeps_running)
@@ -146,9 +148,9 @@
         """
         if not self._plan.may_overlap:
             return False
-        homes = [server for server in listed if self._plan.is_home(server, order.model)]
+        placed = [server for server in listed if self._plan.is_placed(server, order.model)]
         most_loading = plan.count_at_once(len(listed))
-        return self._crowd.must_wait(order, homes, most_loading, self._is_loading)
+        return self._throttle.must_wait(order, placed, most_loading, self._is_loading)
 
     def _send(self, order: plan.PlannedOrder, accepted: int, keeps_running: bool) -> None:
         """
@@ -175,7 +177,7 @@
         if isinstance(outcome, servers.OrderRefused):
             self._loads.record_refused(order.server)
         metrics.count(metrics.ORDERS)
-        self._plan.note(order, accepted, outcome)
+        self._plan.record_outcome(order, accepted, outcome)
         self._loading[order.server.incarnation] = True
         log.logger.bind(
             event="order",
