--- a/libs/orders/oleander_orders/load_throttle.py
+++ b/libs/orders/oleander_orders/load_throttle.py
@@ -8,11 +8,10 @@
 from oleander_orders import plan
 
 _MOST_ASKED = 12
-"""Servers that are asked before an order; in a large fleet they stand for the others. Of 4 out of
-11, which cost less, too many are sometimes found idle: 9 of 12 servers loaded at once."""
+"""Servers that are asked before an order; in a large fleet they are a sample of the others."""
 _MOST_WAIT_SECONDS = 8.0
-"""After waiting so long an order is given all the same: weights are to be everywhere within 10 s,
-and servers that say for ever that they load must not keep the others from it."""
+"""After this an order is given all the same: servers that say for ever that they load must not
+keep the others from new weights."""
 
 
 class LoadThrottle:
@@ -20,9 +19,8 @@
     Keeps servers from loading weights all at once; used by one thread.
 
     Processes with rights to different servers order them in turns, by the time since a version was
-    named. Turns that are shorter than a load overlap: with loads of 2.8 s all four servers of a
-    fleet loaded at once, nothing could begin anywhere for seconds, and the weight store became
-    slower still. How long a load takes is not known beforehand, so the servers are asked.
+    named. Turns that are shorter than a load overlap, until all servers load at once and none
+    takes work. How long a load takes is not known beforehand, so the servers are asked.
     """
 
     def __init__(self, seed: int) -> None:
--- a/libs/orders/oleander_orders/pace.py
+++ b/libs/orders/oleander_orders/pace.py
@@ -4,25 +4,23 @@
 from oleander_orders import placement
 
 _NEWEST_WEIGHT = 0.3
-"""Follows a change within about three values."""
+"""Of the newest value in a moving average."""
 _UNKNOWN_LOAD_SECONDS = 1.0
-"""Taken for a load until the first one was seen; a guess, and of no effect after that. Averaged
-with what was seen, it hid for five versions that loads of 2.8 s can't keep up."""
+"""Used until the first load was seen, and not averaged with it."""
 _MOST_USED = 0.8
 """The part of the weight store's pace that loads may need before some are left out."""
 _LEAST_SHARE = 1.25
-"""With loads for fewer models than this a server is left to one model."""
+"""With time for the loads of fewer models a server is left to one model."""
 _ENOUGH_SHARE = 1.8
-"""With loads for more models than this it is shared again; in between nothing changes."""
+"""With time for the loads of more models it is shared again; in between nothing changes."""
 
 
 class LoadPace:
     """
     Compares the loads that are wanted with those that can run; used by one thread.
 
-    A weight store slows down when more than a few servers load at once. Where three trainers name
-    a version every four seconds, five servers want 3.8 loads a second of which 2.2 are possible;
-    servers then lag by two versions, and steps wait for one that is new enough.
+    A weight store slows down when more than a few servers load at once. Where more loads are
+    wanted than can run, servers lag, and steps wait for one that is new enough.
     """
 
     def __init__(self) -> None:
@@ -32,7 +30,7 @@
         self._models_each = placement.MOST_MODELS_EACH
 
     def record_named(self, model: str, seen_at: float) -> None:
-        """Take in when a version of a model was named; repeated calls change nothing."""
+        """Record when a version of a model was named; repeated calls change nothing."""
         before = self._named_at.get(model)
         if before == seen_at:
             return
@@ -43,16 +41,16 @@
             self._intervals[model] = known + _NEWEST_WEIGHT * (interval - known)
 
     def record_load(self, seconds: float) -> None:
-        """Take in how long a load took."""
+        """Record how long a load took."""
         known = seconds if self._load_seconds is None else self._load_seconds
         self._load_seconds = known + _NEWEST_WEIGHT * (seconds - known)
 
     def fits_turn(self, turn_seconds: float) -> bool:
-        """Tell whether loads are known to end within a turn."""
+        """Return whether loads are known to end within a turn."""
         return self._load_seconds is not None and self._load_seconds <= turn_seconds
 
     def is_crowded(self, servers: int, at_once: int) -> bool:
-        """Tell whether so many servers can't load each version, so many of them at once."""
+        """Return whether so many servers can't load each version, so many of them at once."""
         wanted = servers * self._count_named() * self._typical_load_seconds
         return wanted > _MOST_USED * at_once
 
--- a/libs/orders/oleander_orders/placement.py
+++ b/libs/orders/oleander_orders/placement.py
@@ -6,11 +6,9 @@
 from oleander_base import identifiers
 
 MOST_MODELS_EACH = 2
-"""Models that share a server at most. Each leaves out every second version, so that a version is
-loaded by as many servers as there are for one model."""
+"""Models that share a server at most."""
 _LEAST_SERVERS = 4
-"""Servers a model has at least: half of them leave out a version while the others load it, and
-two are left to serve even then."""
+"""Of a model; half of them skip a version, and so serve while the others load it."""
 
 
 def choose_placement(
--- a/libs/orders/oleander_orders/plan.py
+++ b/libs/orders/oleander_orders/plan.py
@@ -10,19 +10,19 @@
 _WAVE_PART = 3
 """One server in so many loads a model at once, so that the others serve it meanwhile."""
 _LEAST_WAVE = 2
-"""Small fleets: a weight store takes two at once without slowing down."""
+"""The same where there are few servers."""
 _WAVE_SECONDS = 1.2
-"""The next wave follows after a load of 0.9 s and a margin, unless the last is seen to be done."""
+"""After this the next wave begins, also where the last is not seen to be done."""
 _SHORT_LOAD_SECONDS = 1.5
-"""A load that was seen to end by then fits a wave: ends are seen a quarter second late."""
+"""A load seen to end by then fits a wave; ends are seen up to `_CHECK_SECONDS` late."""
 _FIRST_CHECK_SECONDS = 0.8
-"""Shortly before a load of 0.9 s can be done."""
+"""From an order to the first question whether the server has loaded."""
 _CHECK_SECONDS = 0.25
-"""How often a server is asked whether it has loaded; the list tells a heartbeat later."""
+"""Between further such questions; the list tells a heartbeat later."""
 _TAKEN_SECONDS = 4.0
-"""An order that does not show for so long is given again: several loads, or a restart."""
+"""An accepted order whose version does not show for so long is given again."""
 _BUSY_SECONDS = 0.3
-"""A server that is loading is asked again after a third of a load."""
+"""A server that is loading is asked again after this."""
 _DOUBT_SECONDS = 2.0
 """An order without an answer, or a refused one, is given again after this time."""
 
@@ -111,7 +111,7 @@
         return planned
 
     def is_placed(self, server: servers.Server, model: str) -> bool:
-        """Tell whether a server is to load a model, as of the last orders that were chosen."""
+        """Return whether a server is to load a model, as of the last orders that were chosen."""
         return model not in self._placement or server.server_id in self._placement[model]
 
     def count_accepted(self, server: servers.Server, state: servers.EngineState) -> int:
@@ -119,13 +119,13 @@
         return max(state.accepted_orders, self._accepted.get(server.incarnation, 0))
 
     def defer(self, order: PlannedOrder) -> None:
-        """Leave an order for later: its server could not be asked, or is loading."""
+        """Defer an order: its server could not be asked, or is loading."""
         self._add_pending(order, False, _BUSY_SECONDS)
 
     def record_outcome(
         self, order: PlannedOrder, accepted_orders: int, outcome: servers.OrderOutcome
     ) -> None:
-        """Take in what became of an order."""
+        """Record what became of an order."""
         if isinstance(outcome, servers.OrderTaken):
             if not outcome.is_done:
                 self._accepted[order.server.incarnation] = accepted_orders + 1
@@ -144,7 +144,7 @@
         return [item.order for item in due]
 
     def record_state(self, order: PlannedOrder, state: servers.EngineState) -> bool:
-        """Take in what a server says of itself after an order; return whether it has loaded."""
+        """Record what a server says of itself after an order; return whether it has loaded."""
         version = state.find_version(order.model) or 0
         is_loaded = not state.is_loading and version >= order.version
         if is_loaded:
@@ -161,7 +161,7 @@
         return not self._pace.fits_turn(_SHORT_LOAD_SECONDS)
 
     def record_lag(self, model: str, lag: int) -> None:
-        """Take in how many versions behind the newest a trainer's steps allow."""
+        """Record how many versions behind the newest a trainer's steps allow."""
         self._lags[model] = lag
 
     def _list_due(
@@ -174,10 +174,9 @@
         """
         Return the servers that should load the target now, in the waves' order.
 
-        Where not every server can load every version, the servers are shared out among the
-        models, and each leaves out every second version, those of odd and of even rank in turns,
-        as long as its trainer allows what it has. So at each new version half of the servers go
-        on at once, and the others load.
+        Where not every server can load every version, each model has a placement, and its servers
+        skip every second version, those of odd and of even rank in turns, as long as its trainer
+        allows what they have. So at each new version half of them go on at once.
         """
         size = count_at_once(len(listed))
         leaves_out = self._must_leave_out(len(listed))
@@ -205,8 +204,8 @@
         """
         Choose the servers of each model, unless all load every version.
 
-        With three trainers that each name a version every four seconds, servers that load for all
-        of them spend most of their time on it and stand still meanwhile.
+        Servers that load for all trainers would spend most of their time on it, and take no work
+        meanwhile.
         """
         if not self._must_leave_out(len(listed)):
             self._placement, self._placed_among = {}, None
@@ -217,7 +216,7 @@
             self._placement, self._placed_among = placement.choose_placement(*among), among
 
     def _must_leave_out(self, count: int) -> bool:
-        """Tell whether so many servers can't load every version."""
+        """Return whether so many servers can't load every version."""
         return self._pace.is_crowded(count, count_at_once(count))
 
     def _may_skip(self, server: servers.Server, rank: int, model: str, version: int) -> bool:
--- a/libs/orders/oleander_orders/rights.py
+++ b/libs/orders/oleander_orders/rights.py
@@ -9,16 +9,15 @@
 
 TOPIC = "oleander.orders"
 _LOOK_SECONDS = 0.5
-"""How soon a free right is seen; a successor waits six seconds in any case."""
+"""Between looks for free rights."""
 
 
 class OrderRights:
     """
     One right for each partition that has servers; safe to use from several threads.
 
-    With a single right for all servers, the loss of its holder leaves every server without new
-    weights for the term and the gap, some six seconds, and a trainer whose steps take four runs
-    out of servers that are new enough. Spread, a loss concerns the servers of one holder.
+    With a single right for all servers, the loss of its holder would leave every server without
+    new weights for the term and the gap. Spread, a loss concerns the servers of one holder.
 
     The platform's dealing of partitions says who should claim which; it may change at any time,
     so a holder keeps what it holds as long as it lives.
--- a/programs/oleanderdeal/oleanderdeal/version_keeper.py
+++ b/programs/oleanderdeal/oleanderdeal/version_keeper.py
@@ -18,7 +18,7 @@
 _LEAST_TENURE_SECONDS = 1.0
 """With less of the right left no order is begun: it could arrive when a successor may order."""
 _PAUSE_SECONDS = 0.1
-"""A tenth of a load."""
+"""Between rounds of orders."""
 
 
 class VersionKeeper:
@@ -112,7 +112,7 @@
 
     def _is_loading(self, server: servers.Server) -> bool:
         """
-        Tell whether a server says that it loads; asked once for all orders that are due now.
+        Return whether a server says that it loads; asked once for all orders that are due now.
 
         One that says nothing is taken not to load: it may be gone.
         """
@@ -140,11 +140,10 @@
 
     def _must_wait(self, order: plan.PlannedOrder, listed: list[servers.Server]) -> bool:
         """
-        Tell whether too many servers load just now.
+        Return whether too many servers load just now.
 
-        Nobody is asked where loads are seen to end within their turn: each question may open a
-        connection. With 23 servers prices of a quiet day were 0.199 with questions before each
-        order and 0.183 with these (one play each).
+        Nobody is asked where loads are seen to end within their wave: each question may open a
+        connection.
         """
         if not self._plan.may_overlap:
             return False
