--- a/libs/base/oleander_base/http_connection.py
+++ b/libs/base/oleander_base/http_connection.py
@@ -9,7 +9,7 @@
 from oleander_base import clock
 
 _TICK_SECONDS = 0.1
-"""How often a waiting reader looks whether it was cancelled; a tenth of the shortest timeout."""
+"""How often a waiting reader looks whether it was cancelled."""
 
 
 def _never() -> bool:
--- a/libs/base/oleander_base/log.py
+++ b/libs/base/oleander_base/log.py
@@ -17,7 +17,7 @@
 _REPEAT_SECONDS = 10.0
 _MOST_EVENTS = 1000
 _MOST_WAITING = 2000
-"""Lines that wait to be written, some 400 KB."""
+"""Lines that wait to be written; past this further ones are dropped and counted."""
 _MOST_TRACEBACK = 2000
 
 
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -198,7 +198,7 @@
 )
 
 BUCKETS_MS = (5, 10, 25, 50, 100, 250, 500, 1000, 2500, 5000, 10000)
-"""Upper bounds of the histograms' buckets; callers' objectives lie between 100 ms and 10 s."""
+"""Upper bounds of the histograms' buckets."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/libs/batches/oleander_batches/content.py
+++ b/libs/batches/oleander_batches/content.py
@@ -12,13 +12,13 @@
 
 CONTENT_TOPIC = "oleander.content"
 APPEND_SECONDS = 1.0
-"""A slow store answers in a quarter second; past a second another try is worth more."""
+"""After this another append is tried."""
 _RECORD_BYTES = 128 * 1024
-"""A submission is spread over records of this size: half of what a record may have here."""
+"""A submission is spread over records of this size, below what the log takes."""
 MOST_SUBMISSION_BYTES = 1536 * 1024
-"""All its records are appended in one call, which may have two megabytes."""
+"""All its records are appended in one call, which the log bounds."""
 _MOST_CACHED = 8
-"""Submissions kept after they were read; each has some tens of kilobytes."""
+"""Submissions kept after they were read."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/libs/direct/oleander_direct/comeback.py
+++ b/libs/direct/oleander_direct/comeback.py
@@ -11,7 +11,7 @@
 _MOST_PART = 0.4
 """Of the objective: a caller that comes back once can still be served in its time."""
 _WINDOW_SECONDS = 1.0
-"""Answers and refusals of the last second or two are counted: shorter than any usual burst."""
+"""Answers and refusals of the last one or two windows are counted."""
 _SPREAD = 0.25
 """Up to so much more or less, so that those refused together don't come back together."""
 
--- a/libs/leases/oleander_leases/lease.py
+++ b/libs/leases/oleander_leases/lease.py
@@ -9,10 +9,10 @@
 from oleander_platform import recordlog
 
 TERM_SECONDS = 2.5
-"""How long a confirmed record lets its writer act. Renewed three times in it, so that one lost
-answer or a pause of half a second does not end it."""
+"""How long a confirmed record lets its writer act; longer than several renewals, so that a lost
+answer does not end it."""
 _RENEW_SECONDS = 0.8
-"""A third of the term."""
+"""Between renewals."""
 _GAP_MARGIN_SECONDS = 0.5
 """On top of the required gap, for calls on their way when the term ended."""
 _READ_SECONDS = 1.4
--- a/libs/orders/oleander_orders/placement.py
+++ b/libs/orders/oleander_orders/placement.py
@@ -8,7 +8,7 @@
 MOST_MODELS_EACH = 2
 """Models that share a server at most."""
 _LEAST_SERVERS = 4
-"""Of a model; half of them skip a version, and so serve while the others load it."""
+"""Of a model; some skip a version, and so serve while the others load it."""
 
 
 def choose_placement(
--- a/libs/platform/oleander_platform/keyed_follower.py
+++ b/libs/platform/oleander_platform/keyed_follower.py
@@ -10,7 +10,7 @@
 _READ_SECONDS = 1.4
 """Above the wait by a slow store's answer."""
 _PROBE_SECONDS = 0.6
-"""For a read while the log is away, which waits for nothing; a slow log takes a quarter second."""
+"""For a read while the log is away, which waits for no record."""
 _AGAIN_SECONDS = 0.2
 """Between tries while the log does not answer: five calls a second."""
 _PARTITION = 0
--- a/libs/routing/oleander_routing/windows.py
+++ b/libs/routing/oleander_routing/windows.py
@@ -3,26 +3,24 @@
 import dataclasses
 
 FIRST_WINDOW = 2.0
-"""Requests in flight at first, in multiples of a server's slots: one batch runs, one waits. Long
-texts decide when a step is whole, so they have to be handed over at its start; with windows of
-half a batch the longest began seconds late and steps took 5 to 12 s."""
+"""Requests in flight at first, in multiples of a server's slots: one batch runs, one waits, so
+that long texts are handed over at the start of a step."""
 _MOST_WINDOW = 3.0
 """What is above it waits at the server, where it can't go elsewhere any more."""
 _LEAST_WINDOW = 1.0
 """A refusal says that a server was full or is loading weights, not that it is slow."""
 _TRIAL_PART = 0.25
-"""The next trial follows after this part of the time for which a server has refused."""
+"""Of the time for which a server has refused, until the next trial."""
 _LEAST_TRIAL_SECONDS = 0.1
 """Between two trials; some round trips, and a small part of a short load."""
 _MOST_TRIAL_SECONDS = 0.4
-"""Between two trials at a server that refuses for long. A tenth of the time in which the steps of
-a trainer follow one another: a server that stands idle for longer after each load is missed."""
+"""Between two trials at a server that refuses for long; a server that takes work again stands idle
+until then."""
 _LEAST_DOUBT_SECONDS = 1.0
 """A server that refused is believed to refuse for so long at least without another refusal."""
 _REFUSAL_SECONDS = 0.06
-"""A server that refuses does so at once: of 453 refusals seen 440 came within 60 ms, the
-others, of 0.1 to 0.8 s, had been queued when a load began. A trial that is not refused for so
-long is queued or running."""
+"""A server that refuses does so at once: a trial that is not refused by then is queued or
+running."""
 
 
 @dataclasses.dataclass(slots=True)
--- a/libs/samples/oleander_samples/hedging.py
+++ b/libs/samples/oleander_samples/hedging.py
@@ -8,10 +8,10 @@
 _FAR_OVER = 2.0
 """A straggler needs this times what another engine would."""
 _START_TOKENS = 32
-"""What starting elsewhere costs, in tokens at the usual rate."""
+"""What starting elsewhere costs, in tokens at the typical rate."""
 _LEAST_GAIN_SECONDS = 0.5
-"""By so much sooner a sample has to end on a faster engine to be moved there: moving has its text
-read again, and how long it will be is a guess."""
+"""By so much sooner a sample has to end on a faster engine to be moved there: its text is read
+again, and its length is predicted."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/libs/samples/oleander_samples/readers.py
+++ b/libs/samples/oleander_samples/readers.py
@@ -11,7 +11,7 @@
 MOST_PULL_BYTES = 256 * 1024
 MOST_GROUPS = 4096
 MOST_SAMPLES = 2 * 8192
-"""Samples of one step: twice the largest step that is planned for."""
+"""Samples of one step."""
 MOST_PROMPT_BYTES = 256 * 1024
 MOST_PREFIX_BYTES = 64 * 1024
 MOST_TOKENS = 128 * 1024
--- a/libs/samples/oleander_samples/work.py
+++ b/libs/samples/oleander_samples/work.py
@@ -10,10 +10,10 @@
 from oleander_samples import labels, steps
 
 _PRIOR_TOKENS = 128
-"""How many tokens at the usual rate an attempt is credited with before it has shown its own."""
+"""How many tokens at the typical rate an attempt is credited with before it has shown its own."""
 
 _WINDOW_TOKENS = 512
-"""A rate is measured over the time in which an engine usually makes so many, or twice as many."""
+"""A rate is averaged over the time in which an engine typically makes so many."""
 _MOST_WINDOW_SECONDS = 5.0
 """Longer, and a slow engine keeps its text for most of the time in which its step is due."""
 _LEAST_WINDOW_SECONDS = 1.5
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -14,10 +14,10 @@
 _ACCEPT_SECONDS = 2.0
 """One append to the content and one to the index, of a second at most each."""
 _END_SECONDS = 2.0
-"""Half of the time in which an end must be acknowledged here."""
+"""Of the time in which an end must be acknowledged, so that its client can try another entry."""
 _FRESH_SECONDS = 0.4
-"""That there is no further result is said as of so long ago: half of the second within which
-every entry must know what one has said."""
+"""Age of the index up to which "no further result" may be said; within the bound by which every
+entry must know what one has said."""
 _RETRY_AFTER_MS = 200
 """Soon: a refusal is of one entry, and the next try goes to another."""
 
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -19,13 +19,10 @@
     retry_seconds=1.0,
     scan_seconds=0.4,
 )
-"""
-A straggler is cancelled before it goes on elsewhere, never raced: two engines that go on with one
-request at once are forbidden where this runs. Moving costs an engine a few ms to read the text in
-again, so it begins early (a tenth of the step whole) and is looked for often; an attempt without a
-token may be waiting for a place for a second. An item that fails at once is tried each second at
-the least: a step counts one that is nowhere for five as forgotten.
-"""
+"""A straggler is cancelled before it goes on elsewhere, never raced: two engines that go on with
+one request at once are forbidden where this runs. Moving is cheap, so it begins early and is
+looked for often. An attempt without a token may be waiting for a place. A failed item is tried
+again before its step counts it as forgotten."""
 _MILLISECONDS = 1000
 _LEAST_URGENT = 5
 _MOST_URGENT = 1
--- a/programs/oleanderdeal/oleanderdeal/batch_tenures.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_tenures.py
@@ -5,16 +5,16 @@
 from oleanderdeal import ownership
 
 _SILENT_SECONDS = 1.6
-"""A runner that was not heard for so long is replaced: twice the time between two of its records
-(`batch_runner` says that it is there each 0.8 s)."""
+"""A runner that was not heard for so long is replaced; longer than the time between two of its
+records, see `batch_runner`."""
 _HEARD_SECONDS = 0.5
 """A runner whose last record is younger says nothing: the next turn comes in time."""
 _ORPHAN_SECONDS = 0.6
 """A batch that nobody has said to run for so long is run by the process that accepted it. Whoever
-its partition is dealt to reads of it within 0.2 s and says so within some round trips."""
+its partition is assigned to says so sooner."""
 _LISTEN_SECONDS = 1.0
-"""For so long a process that knows a runner from history alone listens before it replaces it: a
-runner without the partition speaks each 0.8 s, and the index is read each 0.2 s."""
+"""For so long a process that knows a runner from history alone listens before it replaces it;
+longer than the time between two records of a runner."""
 
 
 class BatchTenures:
--- a/programs/oleanderdeal/oleanderdeal/executor.py
+++ b/programs/oleanderdeal/oleanderdeal/executor.py
@@ -11,8 +11,8 @@
 _TAKE_SECONDS = 0.2
 _SERVICE_COST_MS = 20.0
 _TOKEN_COST_MS = 1.0
-"""A first guess, low on purpose: work predicted to take longer than its budget is refused even
-when nothing else waits; what the backend server really takes is learned from what it did."""
+"""The prediction before any work was done, low on purpose: work predicted to take longer than its
+budget is refused even when nothing else waits."""
 
 
 class Executor:
--- a/programs/oleanderdeal/oleanderdeal/item_texts.py
+++ b/programs/oleanderdeal/oleanderdeal/item_texts.py
@@ -6,7 +6,7 @@
 from oleander_batches import submission
 
 _MOST_TEXTS = 256
-"""Some two megabytes; past this the text kept first is forgotten and made again if asked for."""
+"""Past this the text kept first is forgotten and made again if asked for."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/programs/oleanderdeal/oleanderdeal/ownership.py
+++ b/programs/oleanderdeal/oleanderdeal/ownership.py
@@ -11,7 +11,7 @@
 """For so long after the last answer a process goes on with its batches; outages last seconds,
 and a batch has little more time than this."""
 _JOIN_SECONDS = 0.6
-"""Three times within the time to live; such a call costs a tenth of another."""
+"""Between heartbeats; several fit into the time to live."""
 _LEAVE_AGAIN_SECONDS = 0.2
 _JOIN_DEADLINE_SECONDS = 1.0
 """Half the time to live, so that another try comes in time."""
--- a/programs/oleanderdeal/oleanderdeal/result_writer.py
+++ b/programs/oleanderdeal/oleanderdeal/result_writer.py
@@ -7,7 +7,7 @@
 from oleander_batches import journal, submission
 
 _MOST_RESULTS = 64
-"""In one append: half a megabyte of usual texts, a quarter of what a call may have."""
+"""In one append, which the log bounds."""
 _WRITE_AGAIN_SECONDS = 0.05
 """Between tries while the log turns writes away; a result is lost with its process until then."""
 _LOOK_SECONDS = 0.2
