Split the steps of orders and of quarantines by subject

The fleet of three models stands in model_fleet_steps, crashes shared through the log in shared_crashes_steps, what both need in keeper_fakes and crash_fakes.

--- /dev/null
+++ b/features/crash_fakes.py
@@ -0,0 +1,12 @@
+"""A request under which servers end, and a server, for tests of crashes."""
+
+from oleander_direct import fingerprints, servers
+
+REQUEST = servers.CallRequest("id", "h", "POST", "/a", (), b"body", True, "red")
+FINGERPRINT = fingerprints.compute_fingerprint(REQUEST)
+SEED = 3
+
+
+def describe_server(name, address=""):
+    """Return a server as the list describes it."""
+    return servers.Server(name, 1, "desk", address or f"{name}:1", "z", 6, False, ())
--- a/features/keeper_fakes.py
+++ b/features/keeper_fakes.py
@@ -49,3 +49,12 @@
         return None
     tenure = lease.Tenure(1, clock.start_deadline(_TENURE_SECONDS))
     return types.SimpleNamespace(name=server_id, find_tenure=lambda: tenure)
+
+
+def any_server(server):
+    """Allow orders to a server."""
+    return True
+
+
+def any_number(listed, model, version):
+    """Limit nothing."""
