Close the sockets of a stopping server on the thread that waits for them

Cause: stop() closed the listening socket and the trigger's pipe from the main thread, while the serving thread may be between listing its sockets and waiting for them. That thread then ends by an exception; answers that were still to be flushed are lost with it, and a descriptor number that is used again could be waited for in its place.

Change: stop() asks the serving thread to do it. The loop ends once no connection is open. The trigger's pipe is not closed, since answers that end later on other threads write to it.

--- a/features/http_drain.feature
+++ b/features/http_drain.feature
@@ -20,3 +20,9 @@
     Given a draining server with 1 kept connections
     When a client sends half a request, the server closes what is idle, and the rest follows
     Then 1 whole answers arrive that close their connections
+
+  Scenario: A stop takes no socket from under the thread that serves
+    # Guards against a serving thread that fails on a closed socket when its process stops.
+    Given a draining server with 0 kept connections
+    When it is stopped right before its thread waits for its sockets
+    Then its thread ends without an error within 5 s
--- a/features/steps/http_drain_steps.py
+++ b/features/steps/http_drain_steps.py
@@ -1,10 +1,14 @@
 """Steps for an HTTP server that stops."""
 
+import select
 import socket
 import threading
 import time
+import types
+import unittest.mock
 
 import behave
+import waitress.wasyncore
 
 from oleanderdeal import http_messages, http_server
 
@@ -34,7 +38,9 @@
 def create_server(context, count):
     leaving = threading.Event()
     context.server = http_server.HttpServer(SlowHandler(), "127.0.0.1", 0, 1, leaving.is_set)
-    threading.Thread(target=context.server.serve, daemon=True).start()
+    context.errors = []
+    context.serving = threading.Thread(target=_serve, args=(context,), daemon=True)
+    context.serving.start()
     context.add_cleanup(context.server.stop)
     context.clients = []
     for _ in range(count):
@@ -47,6 +53,37 @@
     leaving.set()
 
 
+def _serve(context):
+    try:
+        context.server.serve()
+    except Exception as error:
+        context.errors.append(error)
+
+
+@behave.when("it is stopped right before its thread waits for its sockets")
+def stop_before_wait(context):
+    held, stopped = threading.Event(), threading.Event()
+
+    def select_late(*sockets):
+        if threading.current_thread() is context.serving:
+            held.set()
+            stopped.wait(_READ_SECONDS)
+        return select.select(*sockets)
+
+    patched = types.SimpleNamespace(select=select_late)
+    with unittest.mock.patch.object(waitress.wasyncore, "select", patched):
+        assert held.wait(_READ_SECONDS), "the server's thread doesn't wait"
+        context.server.stop()
+        stopped.set()
+        context.serving.join(_READ_SECONDS)
+
+
+@behave.then("its thread ends without an error within {seconds:d} s")
+def check_serving(context, seconds):
+    context.serving.join(seconds)
+    assert not context.serving.is_alive() and not context.errors, context.errors
+
+
 @behave.when("{sends:d} of the clients send a request and the server is told to close idle ones")
 def send_and_close(context, sends):
     for client in context.clients[:sends]:
--- a/programs/oleanderdeal/oleanderdeal/http_server.py
+++ b/programs/oleanderdeal/oleanderdeal/http_server.py
@@ -129,9 +129,7 @@
         self._server.trigger.pull_trigger(self._close_idle_channels)
 
     def _close_idle_channels(self) -> None:
-        if self._server.accepting:
-            self._server.accepting = False
-            waitress.wasyncore.dispatcher.close(self._server)
+        self._stop_listening()
         for channel in list(self._server.active_channels.values()):
             is_busy = channel.requests or channel.request is not None
             if not is_busy and not channel.total_outbufs_len:
@@ -145,10 +143,24 @@
         return self._in_progress == 0
 
     def stop(self) -> None:
-        """Stop listening and end the threads."""
-        self._server.close()
+        """
+        Stop listening and end the threads; the serving one once no connection is open.
+
+        The serving thread closes the socket itself: it may be about to wait for it.
+        """
+        self._server.trigger.pull_trigger(self._end_loop)
         self._server.task_dispatcher.shutdown()
 
+    def _stop_listening(self) -> None:
+        if self._server.accepting:
+            self._server.accepting = False
+            waitress.wasyncore.dispatcher.close(self._server)
+
+    def _end_loop(self) -> None:
+        """Let the loop end; the trigger stays open for answers that still end on other threads."""
+        self._stop_listening()
+        self._server.trigger.del_channel()
+
     def _serve(
         self, environ: _Environ, start_response: collections.abc.Callable[..., typing.Any]
     ) -> collections.abc.Iterable[bytes]:
