Give items and scorings up after answers of 500 alone

Tests, batch_items: an engine and a scorer that answer 504 three times, then as they should, where the route allows three. An item's answer of any kind now also counts as a sign of life of its server.

--- a/features/batch_items.feature
+++ b/features/batch_items.feature
@@ -1,7 +1,7 @@
 Feature: Items of a batch at engines that fail
   A batch of 4 items runs in one process, its log in memory. The whole text of item n is n.1 n.2 ... n.6.
   Engines e1 and e2 do what is said of them: whole sends all, cut breaks off after 3 events once an item,
-  full refuses the first 3 attempts, stuck sends one event and no more, fails answers 500,
+  full refuses the first 3 attempts, stuck sends one event and no more, fails answers 500, late answers 504 to the first 3 attempts at an item,
   raises fails in our own code, bad answers 422, old makes events with version 1, other is another server now, gone refuses to connect.
 
   Scenario Outline: Each item gets its whole text once, whatever its engine does
@@ -22,6 +22,7 @@
       | e1=stuck e2=whole | 1     | done    |
       | e1=fails         | 1      | lost    |
       | e1=bad           | 1      | lost    |
+      | e1=late          | 1      | done    |
       | e1=old e2=whole  | 2      | done    |
       | e1=other e2=whole | 1     | done    |
       | e1=gone e2=whole | 1      | done    |
@@ -40,6 +41,7 @@
       | is full at first | done    |
       | fails once       | done    |
       | always fails     | lost    |
+      | is late 3 times  | done    |
 
   Scenario: An ended batch stops its engines
     # The trainer has what it needs; engines at work on the rest take places from the next step.
--- a/features/batch_processes.py
+++ b/features/batch_processes.py
@@ -92,6 +92,9 @@
         if behaviour == "full" and self._refused[server.server_id] < 3:
             self._refused[server.server_id] += 1
             return expression.Ok(_answer(503, did_not_run=True))
+        if behaviour == "late" and self._refused[request.call.request_id] < 3:
+            self._refused[request.call.request_id] += 1
+            return expression.Ok(_answer(504))
         if behaviour in {"fails", "bad"}:
             return expression.Ok(_answer(500 if behaviour == "fails" else 422))
         return expression.Ok(FakeStream(self, behaviour, request, is_cancelled))
@@ -101,6 +104,8 @@
         first = self._scored[request.request_id] == 1
         if self._scorer == "is full at first" and first:
             return expression.Ok(_answer(503, did_not_run=True))
+        if self._scorer == "is late 3 times" and self._scored[request.request_id] <= 3:
+            return expression.Ok(_answer(504))
         if self._scorer == "always fails" or (self._scorer == "fails once" and first):
             return expression.Ok(_answer(500))
         return expression.Ok(_answer(200, stamp=f"score-{request.request_id}"))
--- a/libs/direct/oleander_direct/call_outcomes.py
+++ b/libs/direct/oleander_direct/call_outcomes.py
@@ -15,7 +15,7 @@
     answer: servers.CallAnswer
     server_id: str
     errors: int = 0
-    """How many servers ran the request and failed."""
+    """How many servers ran the request and answered `servers.FAILED_STATUS`."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/libs/direct/oleander_direct/call_progress.py
+++ b/libs/direct/oleander_direct/call_progress.py
@@ -60,7 +60,8 @@
         self.may_have_run = True
         if answer.status < attempts.FIRST_FAILURE_STATUS:
             return call_outcomes.Answered(answer, server_id)
-        self.errors += 1
+        if answer.status == servers.FAILED_STATUS:
+            self.errors += 1
         self.last_failure = call_outcomes.Answered(answer, server_id, self.errors)
         self.reason = f"status-{answer.status}"
         return None
--- a/libs/direct/oleander_direct/servers.py
+++ b/libs/direct/oleander_direct/servers.py
@@ -8,6 +8,9 @@
 
 from oleander_base import clock
 
+FAILED_STATUS = 500
+"""Of a server that ran a request and failed; other errors tell of the way to it or of its time."""
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class ModelVersion:
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -168,6 +168,7 @@
         self._longest_gap = 0.0
         self.was_refused = False
         self._was_cancelled = False
+        self.was_answered = False
         self.was_error = False
         self.server_ended = False
         self.was_sent = True
@@ -213,7 +214,7 @@
             return crash_guard.AttemptEnd.SERVER_ENDED
         if isinstance(ended, steps.Sample):
             return crash_guard.AttemptEnd.ANSWERED
-        if self.was_refused or self.was_error or ended is not None:
+        if self.was_answered or ended is not None:
             return crash_guard.AttemptEnd.HEARD
         return (
             crash_guard.AttemptEnd.NO_ANSWER if self.was_sent else crash_guard.AttemptEnd.NOT_SENT
@@ -288,6 +289,7 @@
         self._run.fail(self._item)
 
     def _judge_answer(self, answer: servers.CallAnswer) -> submission.ItemResult | None:
+        self.was_answered = True
         self.reason = f"status-{answer.status}"
         if answer.did_not_run or answer.is_other_server:
             self.was_refused = True
@@ -296,7 +298,7 @@
         self._run.fail(self._item)
         if answer.status == _BAD_ITEM:
             return _lose(self._item.item)
-        self.was_error = answer.status >= 500
+        self.was_error = answer.status == servers.FAILED_STATUS
         return None
 
 
