Log which entry collects a step and what its pulls are answered

step-registered: customer, trainer, step, incarnation, version, samples, held, and whether this entry opened or updated the step or refused it. pull: what the trainer held, what it got, how many attempts this entry started by then. A pull without a sample writes no line, since a waiting trainer sends several a second.

--- a/libs/samples/oleander_samples/collector.py
+++ b/libs/samples/oleander_samples/collector.py
@@ -62,6 +62,7 @@
         self._has_stated_held = False
         self._is_closed = False
         self._latest_pull_number = 0
+        self._started_attempts = 0
         self._raise_version(step.version)
         if step.held is not None:
             self._set_held(step.held)
@@ -83,6 +84,12 @@
             waiting = self._scheduler.waiting if self._can_start() else 0
             return self._scheduler.in_flight + waiting
 
+    @property
+    def started_attempts(self) -> int:
+        """The number of attempts started so far; above the sample count, work was repeated."""
+        with self._changed:
+            return self._started_attempts
+
     @property
     def is_complete(self) -> bool:
         """Whether every sample is held by the trainer or pending delivery."""
@@ -119,6 +126,7 @@
                 return None
             started = self._scheduler.start_next(self._read_now())
             if started is not None:
+                self._started_attempts += 1
                 invariants.require(
                     not self._inventory.is_finished(started.number),
                     "work-is-missing",
--- a/programs/oleanderdeal/oleanderdeal/trainer_api.py
+++ b/programs/oleanderdeal/oleanderdeal/trainer_api.py
@@ -6,9 +6,9 @@
 
 import expression
 
-from oleander_base import clock, findings
+from oleander_base import clock, findings, log
 from oleander_contracts import contract, fold
-from oleander_samples import collector, pulls, readers, registry
+from oleander_samples import collector, pulls, readers, registry, steps
 from oleanderdeal import (
     customer_metrics,
     gates,
@@ -87,10 +87,12 @@
         if step.is_error():
             return http_messages.answer_findings(step.error)
         if self._incarnations.is_superseded(customer, trainer, step.ok.incarnation):
-            return _refuse_step(registry.RefusalReason.SUPERSEDED)
+            return _refuse_step(step.ok, registry.RefusalReason.SUPERSEDED)
         registered = self._steps.register(step.ok, terms)
         if registered.is_error():
-            return _refuse_step(registered.error.reason)
+            return _refuse_step(step.ok, registered.error.reason)
+        is_opened = registered.ok.step is step.ok
+        _log_registration(step.ok, "opened" if is_opened else "updated")
         return http_messages.answer_json(
             {
                 "step": step.ok.step,
@@ -115,6 +117,7 @@
         pulled = self._pull(step_collector, parsed.ok)
         waited_ms = int((clock.read_now() - started_at) * 1000)
         customer_metrics.count_samples(customer, trainer, "idle_ms", waited_ms)
+        _log_pull(step_collector, parsed.ok, pulled, waited_ms)
         if pulled.is_error():
             return _refuse_pull(pulled.error)
         encoded = pulls.encode_answer(pulled.ok)
@@ -147,7 +150,46 @@
         return terms.find_trainer(trainer) if terms else None
 
 
-def _refuse_step(reason: registry.RefusalReason) -> http_messages.HttpAnswer:
+def _log_registration(step: steps.Step, outcome: str) -> None:
+    log.logger.bind(
+        event="step-registered",
+        customer=step.customer,
+        trainer=step.trainer,
+        step=step.step,
+        incarnation=step.incarnation,
+        version=step.version,
+        samples=step.sample_count,
+        held=None if step.held is None else len(step.held),
+    ).info(outcome)
+
+
+def _log_pull(
+    step_collector: collector.StepCollector,
+    pull: pulls.Pull,
+    pulled: expression.Result[pulls.PullAnswer, pulls.PullRefusal],
+    waited_ms: int,
+) -> None:
+    """Log a pull, unless it ended without a sample because none was finished in time."""
+    if pulled.is_ok() and not pulled.ok.samples and not pulled.ok.complete:
+        return
+    step = step_collector.step
+    outcome = pulled.error.reason.value if pulled.is_error() else "answered"
+    log.logger.bind(
+        event="pull",
+        customer=step.customer,
+        trainer=step.trainer,
+        step=step.step,
+        incarnation=pull.incarnation,
+        version=pull.version,
+        held=len(pull.held),
+        samples=len(pulled.ok.samples) if pulled.is_ok() else 0,
+        started=step_collector.started_attempts,
+        waited_ms=waited_ms,
+    ).info(outcome)
+
+
+def _refuse_step(step: steps.Step, reason: registry.RefusalReason) -> http_messages.HttpAnswer:
+    _log_registration(step, reason.value)
     if reason is registry.RefusalReason.TOO_MANY:
         return http_messages.answer_problem(
             http_messages.Problem(
