Send the head and the body of a request in one write

Cause: http.client writes the head and the body in two system calls. A sidecar that is killed between them leaves a request without a body. A process that is suspended there sends the body, the order itself, after it wakes, although its right to order was checked before the head.

Ruled out: time limits of the relay and the stand-in (300 s and more), a second order of the same sidecar (its log).

Now a request of at most 64 KiB leaves in one write, so that a process sends all of it or nothing. Two rows of the new outline in http_pool failed before.

--- a/features/http_pool.feature
+++ b/features/http_pool.feature
@@ -115,3 +115,17 @@
     Given a raw server that ends on a kept connection
     When a request to it fails whose caller left before
     Then the failure says that the server ended
+
+  Scenario Outline: A request leaves in as few writes as possible
+    # Guards against half a request, such as an order without its body, from a process that is killed
+    # or suspended between two writes.
+    Given a raw server that answers HTTP/1.1 200 OK~Content-Length: 0~~
+    When a request with a body of <bytes> bytes is made by the <client>
+    Then it leaves in <writes> writes
+
+    Examples:
+      | bytes  | client   | writes |
+      | 0      | pool     | 1      |
+      | 100    | pool     | 1      |
+      | 100    | caller   | 1      |
+      | 200000 | pool     | 2      |
--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -1,5 +1,6 @@
 """Steps for the pool of persistent connections."""
 
+import socket
 import threading
 import time
 import unittest.mock
@@ -8,7 +9,7 @@
 
 import ending_server
 import raw_server
-from oleander_base import clock, http_exchange, http_pool
+from oleander_base import clock, http_connection, http_exchange, http_pool
 
 _SECONDS = 5.0
 _IDLE_SECONDS = 9.5
@@ -160,3 +161,28 @@
     assert context.ending.runs == 1, context.ending.runs
     reach = context.broken.error.reach
     assert reach is http_exchange.Reach.MAY_HAVE_ARRIVED, context.broken.error
+
+
+@behave.when("a request with a body of {size:d} bytes is made by the {client}")
+def make_counted(context, size, client):
+    context.writes = []
+
+    def count_write(sender, data, flags=0):
+        context.writes.append(len(data))
+        return socket.socket.sendall(sender, data, flags)
+
+    body = b"b" * size
+    deadline = clock.start_deadline(_SECONDS)
+    with unittest.mock.patch.object(http_connection.DeadlineSocket, "sendall", count_write):
+        if client == "pool":
+            address = context.raw.url.removeprefix("http://")
+            request = http_pool.PoolRequest(address, "POST", "/", (), body)
+            context.pool.open(request, deadline, lambda: False)
+        else:
+            caller = http_exchange.HttpCaller(context.raw.url)
+            caller.call_once(http_exchange.Request("POST", "/", body), deadline)
+
+
+@behave.then("it leaves in {count:d} writes")
+def check_writes(context, count):
+    assert len(context.writes) == count, context.writes
--- a/libs/base/oleander_base/http_connection.py
+++ b/libs/base/oleander_base/http_connection.py
@@ -10,6 +10,8 @@
 
 _CANCELLATION_POLL_SECONDS = 0.1
 """The interval at which a blocked read checks for cancellation."""
+_MAX_JOINED_BYTES = 64 * 1024
+"""A larger body is sent on its own, because joining it to the head would copy it."""
 
 
 def _never_cancelled() -> bool:
@@ -20,7 +22,7 @@
     """Raised by a read whose request was cancelled by the caller."""
 
 
-class _DeadlineSocket(socket.socket):
+class DeadlineSocket(socket.socket):
     """
     Applies one deadline to every send and receive.
 
@@ -53,6 +55,7 @@
     def __init__(self, host: str, port: int) -> None:
         super().__init__(host, port)
         self._deadline = clock.Deadline(0.0)
+        self._unsent: list[bytes] | None = None
         self._is_cancelled: collections.abc.Callable[[], bool] = _never_cancelled
 
     @property
@@ -89,11 +92,37 @@
         remaining = _read_remaining(self._deadline)
         plain = socket.create_connection((self.host, self.port), remaining)
         plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock = _DeadlineSocket(fileno=plain.detach())
+        self.sock = DeadlineSocket(fileno=plain.detach())
         self._apply_deadline()
 
+    def endheaders(self, message_body: typing.Any = None, *, encode_chunked: bool = False) -> None:
+        """
+        Send the head and a body of at most 64 KiB in one write.
+
+        A process that is killed or suspended between two writes leaves half a request at the
+        server. After a suspension the rest of an order would follow, although the right to give
+        it was checked before the first write and may have passed to another process.
+        """
+        self._unsent = []
+        try:
+            super().endheaders(message_body, encode_chunked=encode_chunked)
+            pieces = self._unsent
+        finally:
+            self._unsent = None
+        if sum(len(piece) for piece in pieces) <= _MAX_JOINED_BYTES:
+            pieces = [b"".join(pieces)]
+        for piece in pieces:
+            self.send(piece)
+
+    def send(self, data: typing.Any) -> None:
+        """Send data, or collect it while `endheaders` builds a request."""
+        if self._unsent is None:
+            super().send(data)
+        else:
+            self._unsent.append(data)
+
     def _apply_deadline(self) -> None:
-        if isinstance(self.sock, _DeadlineSocket):
+        if isinstance(self.sock, DeadlineSocket):
             self.sock.deadline = self._deadline
             self.sock.is_cancelled = self._is_cancelled
 
