Put the byte code of all modules into the one-file program

A host that comes back is missing for as long as its start takes.

Ruled out: waiting for the log or the host list (the sidecar's log is empty, it had not begun).

The byte code is tied to the interpreter's version; another one uses the sources, which stay.

The new scenario of walk.feature failed before.

--- a/features/steps/walk_steps.py
+++ b/features/steps/walk_steps.py
@@ -1,11 +1,13 @@
 """Steps that run the quick start with the one-file program."""
 
 import concurrent.futures
+import importlib.util
 import os
 import pathlib
 import subprocess
 import sys
 import tempfile
+import zipfile
 
 import behave
 
@@ -144,3 +146,14 @@
     output = context.ended.stdout + context.ended.stderr
     assert context.ended.returncode == code, f"{context.ended.returncode}: {output}"
     assert one in output and two in output, output
+
+
+@behave.then("the binary holds the byte code of each of its modules for this interpreter")
+def check_byte_code(context):
+    with zipfile.ZipFile(_BINARY) as archive:
+        names = set(archive.namelist())
+        sources = [name for name in names if name.endswith(".py") and name != "__main__.py"]
+        assert sources
+        assert not [name for name in sources if f"{name}c" not in names]
+        for name in sources:
+            assert archive.read(f"{name}c").startswith(importlib.util.MAGIC_NUMBER), name
--- a/features/walk.feature
+++ b/features/walk.feature
@@ -32,3 +32,8 @@
       | pubish                        | 2    | did you mean     | publish            |
       | entry --adress=127.0.0.1:1    | 2    | --adress         | --address          |
       | entry --peer_limit=0 --name=? | 2    | --peer_limit     | --name             |
+
+  Scenario: The binary compiles no module when it starts
+    # Guards against hosts that take seconds of processor time to start, as each start compiles all modules.
+    Given the binary in an empty environment
+    Then the binary holds the byte code of each of its modules for this interpreter
--- a/programs/build_binary.py
+++ b/programs/build_binary.py
@@ -1,6 +1,8 @@
 """Build the single-file program: a zipapp of pure Python that needs no writable disk."""
 
+import compileall
 import pathlib
+import py_compile
 import shutil
 import subprocess
 import sys
@@ -69,6 +71,21 @@
                 path.unlink()
 
 
+def compile_sources() -> None:
+    """
+    Add each module's byte code; an interpreter of another version uses the sources.
+
+    Byte code can't be written to an archive, so without it every start compiles all modules.
+    """
+    compileall.compile_dir(
+        _STAGING,
+        quiet=1,
+        legacy=True,
+        stripdir=str(_STAGING),
+        invalidation_mode=py_compile.PycInvalidationMode.UNCHECKED_HASH,
+    )
+
+
 def main() -> None:
     """Build the executable archive dist/oleanderdeal."""
     shutil.rmtree(_STAGING, ignore_errors=True)
@@ -78,6 +95,7 @@
     shutil.copytree(_PACKAGES, _STAGING)
     copy_sources()
     remove_unused_files()
+    compile_sources()
     zipapp.create_archive(
         _STAGING, _TARGET, "/usr/bin/env python3", "oleanderdeal.main:main", compressed=True
     )
