List results in one page whose texts two runners stored in another order

An entry listed one of eleven finished results for ten seconds, in each first page.

Cause: a page is read from the text of its first result on. If a second runner stores and lists a text between the two appends of the first runner, the result that is listed first has the later text; the next one's is not in that read and ends the page. Nothing is lost, the next page begins there, but a trainer needs a call for each such result.

The new scenario of batches.feature brings about that order: ['1=y'] before, all three now.

The read now begins at the first text that the next 64 results need.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -91,6 +91,13 @@
     And the entries write b:hollow a:1=y b:2=z
     Then both entries list 0=x 1=y 2=z
 
+  Scenario: One page lists results whose texts two entries wrote in another order
+    # Guards against a page that ends after one result, so that a trainer asks once for each result.
+    Given two entries on one log and a batch of 3 items
+    When entry b writes 1=y while entry a, which has stored its text, writes 0=x
+    And the entries write a:2=z
+    Then a single page of both entries lists 1=y 0=x 2=z
+
   Scenario: An ended batch stays readable and is no longer run
     Given two entries on one log and a batch of 3 items
     When the entries write a:0=x a:end b:1=y
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -108,6 +108,30 @@
         context.shared.write(word)
 
 
+@behave.step("entry b writes {second} while entry a, which has stored its text, writes {first}")
+def write_overtaken(context, second, first):
+    client = context.shared.clients["a"]
+    append = client.append
+
+    def append_late(topic, *arguments):
+        if topic == index_reader.TOPIC:
+            client.append = append
+            context.shared.write(f"b:{second}", is_read=False)
+        return append(topic, *arguments)
+
+    client.append = append_late
+    context.shared.write(f"a:{first}")
+
+
+@behave.then("a single page of both entries lists {listed}")
+def check_page(context, listed):
+    for name, kept in context.shared.journals.items():
+        deadline = clock.start_deadline(_SECONDS)
+        page = kept.read_results(context.shared.find(name), 0, deadline).ok
+        texts = [f"{item.item_id.removeprefix('item-')}={item.text}" for item in page.results]
+        assert " ".join(texts) == listed, (name, texts)
+
+
 @behave.then("both entries list {listed}")
 def check_listed(context, listed):
     for name, kept in context.shared.journals.items():
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -11,6 +11,8 @@
 
 _RETRY_SECONDS = 0.2
 """The least time left to repeat an append to the index; the pause before it is half of this."""
+_MAX_REORDERED_RESULTS = 64
+"""Results among which the first stored text is searched: as many as one append may contain."""
 _MAX_ACCEPTED_HERE = 256
 """Maximum number of batches remembered as accepted by this process; the information is needed only
 for some seconds."""
@@ -147,13 +149,18 @@
         """
         Return the results from position `after` on, as many as one read of the log returns.
 
-        The page is empty only if there is no result at that position.
+        The page is empty only if there is no result at that position. Two processes that write
+        at the same time may store texts in another order than the index lists them, so the read
+        begins at the first text that the next results need.
         """
         locations = self._index.list_result_locations(batch, after)
         if not locations:
             return expression.Ok(ResultPage(batch.total, ()))
         first = locations[0].content_offset
-        contents = self._content.read(batch.batch_id, first, deadline)
+        start = min(item.content_offset for item in locations[:_MAX_REORDERED_RESULTS])
+        contents = self._content.read(batch.batch_id, start, deadline)
+        if contents.is_ok() and first not in contents.ok:
+            contents = self._content.read(batch.batch_id, first, deadline)
         if contents.is_error():
             return expression.Error(contents.error)
         results = []
