Answer requests that have arrived when a stopping server closes idle connections

Cause: a connection counted as idle when nothing was read from it. A busy process reads late, and closing a socket with unread input resets it, so that the client can't know whether its request ran.

Ruled out: a request that was read (the reading thread itself checks that), the end of the process.

A connection with unread input now stays open; its request is read next and its answer closes the connection.

--- a/features/http_drain.feature
+++ b/features/http_drain.feature
@@ -26,3 +26,9 @@
     Given a draining server with 0 kept connections
     When it is stopped right before its thread waits for its sockets
     Then its thread ends without an error within 5 s
+
+  Scenario: A request that arrived but was not read yet is answered
+    # Guards against a reset connection whose request had arrived when a busy process closed idle ones.
+    Given a draining server with 1 kept connections
+    When a client's request arrives just before the server's thread closes idle connections
+    Then 1 whole answers arrive that close their connections
--- a/features/steps/http_drain_steps.py
+++ b/features/steps/http_drain_steps.py
@@ -78,6 +78,25 @@
         context.serving.join(_READ_SECONDS)
 
 
+@behave.when("a client's request arrives just before the server's thread closes idle connections")
+def send_before_close(context):
+    held, released = threading.Event(), threading.Event()
+
+    def select_late(*sockets):
+        if threading.current_thread() is context.serving and not released.is_set():
+            held.set()
+            released.wait(_READ_SECONDS)
+        return select.select(*sockets)
+
+    patched = types.SimpleNamespace(select=select_late)
+    with unittest.mock.patch.object(waitress.wasyncore, "select", patched):
+        assert held.wait(_READ_SECONDS), "the server's thread doesn't wait"
+        context.server.close_idle()
+        context.clients[0].sendall(_REQUEST)
+        released.set()
+        _close_idle(context)
+
+
 @behave.then("its thread ends without an error within {seconds:d} s")
 def check_serving(context, seconds):
     context.serving.join(seconds)
--- a/programs/oleanderdeal/oleanderdeal/http_server.py
+++ b/programs/oleanderdeal/oleanderdeal/http_server.py
@@ -3,6 +3,7 @@
 import abc
 import collections.abc
 import http
+import select
 import threading
 import typing
 
@@ -130,14 +131,16 @@
         Clients keep using keep-alive connections until they are closed. Checking from another
         thread whether a request is in progress would race with the thread that reads requests,
         and the process could end with a request that was just read. So the reading thread closes
-        the connections itself, and one on which it has read anything stays open.
+        the connections itself, and one on which anything has arrived stays open. Closing a
+        connection with unread input would reset it, and its client could not know whether the
+        request ran.
         """
         self._server.trigger.pull_trigger(self._close_idle_channels)
 
     def _close_idle_channels(self) -> None:
         self._stop_listening()
         for channel in list(self._server.active_channels.values()):
-            is_busy = channel.requests or channel.request is not None
+            is_busy = channel.requests or channel.request is not None or _has_input(channel)
             if not is_busy and not channel.total_outbufs_len:
                 channel.handle_close()
 
@@ -205,6 +208,13 @@
             self._in_progress += change
 
 
+def _has_input(channel: waitress.channel.HTTPChannel) -> bool:
+    """Return whether a connection has unread input, which its thread will read next."""
+    poller = select.poll()
+    poller.register(channel.socket, select.POLLIN)
+    return bool(poller.poll(0))
+
+
 class _TrackedParts:
     """
     Body of an answer that reports when it is finished.
