Take over the samples of a step whose trainer gave up on another entry

A trainer that gives up on a slow, living entry registers its step at the next one, which generated the whole step again, for up to 120 s: an overload feeds itself.

An entry that begins to collect a step now asks the engines' sidecars (TakeStep) what they generate or finished lately, and joins that. A sidecar sends the tokens from the start, ends the earlier entry's request, and refuses to start samples of the step for it; that entry suspends the step until its trainer is back. A field with a default may be missing in a message, so that processes of the release before can be linked; they are not asked.

--- a/features/steps/moved_trainers_steps.py
+++ b/features/steps/moved_trainers_steps.py
@@ -4,6 +4,12 @@
 
 import behave
 
+from oleander_base import clock
+from oleander_wire import messages
+from oleanderdeal import shared_samples
+
+_BUDGET_MS = 20000
+
 
 def _find_lines(context, entry, event, trainer):
     """Return an entry's log lines of an event of a trainer as maps of their fields."""
@@ -28,3 +34,105 @@
     lines = _find_lines(context, entry, "pull", trainer)
     answered = [int(item["samples"]) for item in lines if item["line"].endswith("answered")]
     assert sum(answered) == count, lines
+
+
+class FakeExecutor:
+    """Records submitted requests, which the scenario drives, and cancelled ones."""
+
+    def __init__(self):
+        self.submitted = []
+        self.cancelled = []
+
+    def submit(self, pending):
+        self.submitted.append(pending)
+
+    def cancel(self, work_id):
+        self.cancelled.append(work_id)
+
+
+class FakeEntry:
+    """Records what a sidecar sends for one request of an entry."""
+
+    def __init__(self, name, step=1, joins=False, version=1, prompt="prompt", number=0):
+        self.tokens = []
+        self.answers = []
+        self.moves = []
+        sample = messages.SampleId("near", 1, step, number, joins)
+        terms = messages.GenerationTerms("m", "", 8, "", 0, version, sample)
+        run = messages.Run(
+            *(f"{name}-{number}", "trace", "i1", "lab", "op", "", "", 1, 0, -1, True, 1, 100),
+            *(_BUDGET_MS, prompt.encode(), terms),
+        )
+        self.subscriber = shared_samples.Subscriber(
+            run=run,
+            sample=sample,
+            entry=name,
+            deadline=clock.start_deadline_ms(_BUDGET_MS),
+            send=self.tokens.append,
+            answer=self.answers.append,
+            move=lambda: self.moves.append(run),
+            is_abandoned=lambda: False,
+        )
+
+
+_TOKENS = messages.Tokens("", "ab", 2, 1)
+_DONE = messages.Answer("", messages.Outcome.DONE, 200, "", 0, b"", 0)
+_ASKED = {
+    "to join it": {"joins": True},
+    "anew": {},
+    "to join, of a newer version": {"joins": True, "version": 2},
+    "to join, of another prompt": {"joins": True, "prompt": "other"},
+}
+
+
+@behave.given("a sidecar that has {made} for entry a")
+def make_sample(context, made):
+    context.executor = FakeExecutor()
+    context.samples = shared_samples.SharedSamples(context.executor)
+    context.first = FakeEntry("a")
+    context.samples.run(context.first.subscriber)
+    context.executor.submitted[0].send(_TOKENS)
+    if made == "a finished sample":
+        context.executor.submitted[0].answer(_DONE)
+
+
+@behave.when("entry b takes step {step:d} and asks for the sample {asked}")
+def take_and_ask(context, step, asked):
+    take = messages.TakeStep("take", "lab", "near", 1, step)
+    context.numbers = context.samples.take_step(take, "b")
+    context.second = FakeEntry("b", step, **_ASKED[asked])
+    context.samples.run(context.second.subscriber)
+
+
+@behave.then("entry b gets {received}")
+def check_received(context, received):
+    submitted = len(context.executor.submitted)
+    texts = [item.text for item in context.second.tokens]
+    if received == "a new generation":
+        assert submitted == 2 and not texts, (submitted, texts)
+        return
+    assert submitted == 1 and context.numbers == [0], (submitted, context.numbers)
+    assert {item.request_id for item in context.second.tokens} == {"b-0"}
+    if received == "a whole sample":
+        assert texts == ["ab"] and context.second.answers == [_DONE], texts
+        return
+    context.executor.submitted[0].send(_TOKENS)
+    context.executor.submitted[0].answer(_DONE)
+    assert [item.text for item in context.second.tokens] == ["ab", "ab"]
+    assert context.second.answers == [_DONE] and not context.first.answers
+
+
+@behave.then("entry a {told}, and a later sample of step 1 for it is {later}")
+def check_told(context, told, later):
+    assert len(context.first.moves) == (told == "is told it moved")
+    assert len(context.first.answers) == (told == "has the whole sample")
+    context.samples.cancel(context.first.subscriber)
+    has_lost_it = told != "is told nothing" or context.second.subscriber.sample.step == 1
+    assert bool(context.executor.cancelled) != has_lost_it, context.executor.cancelled
+    before = len(context.executor.submitted)
+    third = FakeEntry("a", number=1)
+    context.samples.run(third.subscriber)
+    if later == "refused":
+        assert [item.reason for item in third.answers] == [messages.REASON_STEP_MOVED]
+        assert third.answers[0].outcome is messages.Outcome.NOT_RUN
+    assert len(context.executor.submitted) == before + (later == "started")
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -114,6 +114,13 @@
 SAMPLES_REMADE = _declare(
     "samples.remade", "counter", "count", "Samples generated anew.", "As for samples.stale."
 )
+SAMPLES_JOINED = _declare(
+    "samples.joined",
+    "counter",
+    "count",
+    "Samples that an entry took over from another entry, which a trainer had given up on.",
+    "A steady rise points to entries that answer trainers late.",
+)
 QUEUE_DEPTH = _declare(
     "queue.depth", "gauge", "requests", "Requests waiting at a sidecar.", "Add servers."
 )
--- a/libs/samples/oleander_samples/collector.py
+++ b/libs/samples/oleander_samples/collector.py
@@ -63,6 +63,8 @@
         self._is_closed = False
         self._latest_pull_number = 0
         self._started_attempts = 0
+        self._is_suspended = False
+        self._takeover_count = 0
         self._raise_version(step.version)
         if step.held is not None:
             self._set_held(step.held)
@@ -90,6 +92,12 @@
         with self._changed:
             return self._started_attempts
 
+    @property
+    def takeover_count(self) -> int:
+        """How often this entry has taken the step back from another one."""
+        with self._changed:
+            return self._takeover_count
+
     @property
     def is_complete(self) -> bool:
         """Whether every sample is held by the trainer or pending delivery."""
@@ -160,6 +168,12 @@
             self._scheduler.fail(work_id, self._read_now())
             self._check_sample_counts()
 
+    def hand_over_work(self, work_id: str) -> None:
+        """Requeue a sample whose generation another entry receives from now on."""
+        with self._changed:
+            self._scheduler.hand_over(work_id, self._read_now())
+            self._check_sample_counts()
+
     def record_held(self, numbers: collections.abc.Iterable[int], version: int) -> None:
         """Add the held samples that a repeated registration lists; from then on work may start."""
         with self._changed:
@@ -173,6 +187,24 @@
         with self._changed:
             self._record_contact(version)
 
+    def suspend(self, takeover_count: int) -> None:
+        """
+        Start no work until `resume`, because another entry collects the step now.
+
+        Ignored if this entry has taken the step back after `takeover_count` was read.
+        """
+        with self._changed:
+            if takeover_count == self._takeover_count:
+                self._is_suspended = True
+
+    def resume(self) -> bool:
+        """Allow work again when the trainer is back; return whether the step was suspended."""
+        with self._changed:
+            was_suspended = self._is_suspended
+            self._takeover_count += was_suspended
+            self._is_suspended = False
+            return was_suspended
+
     def take_cancellations(self) -> list[str]:
         """Return and clear the IDs of work that must be cancelled at its engines."""
         with self._changed:
@@ -262,7 +294,7 @@
         No work may start before the trainer has stated which samples it holds, while the trainer
         is silent, or while too much text is pending delivery.
         """
-        if not self._has_stated_held or self._is_closed:
+        if not self._has_stated_held or self._is_closed or self._is_suspended:
             return False
         max_silence_seconds = (
             MAX_SILENCE_SECONDS if self._latest_pull_number else ABANDONED_AFTER_SECONDS
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -184,6 +184,17 @@
         if not self._attempts.find_all(attempt.work.number):
             self._backlog.add_retry(attempt.work.number, now)
 
+    def hand_over(self, work_id: str, now: float) -> None:
+        """
+        Requeue a sample whose generation another entry receives from now on.
+
+        Its partial text is discarded: if the trainer comes back, the generation is joined again,
+        which takes less work than to resume from the text.
+        """
+        attempt = self._remove(work_id)
+        if attempt is not None and not self._attempts.find_all(attempt.work.number):
+            self._backlog.add_retry(attempt.work.number, now)
+
     def add_partial(self, number: int, partial: work.Partial) -> None:
         """Save a partial text, possibly of another process, unless a longer one is known."""
         known = self._partials.get(number)
--- a/libs/wire/oleander_wire/codec.py
+++ b/libs/wire/oleander_wire/codec.py
@@ -20,26 +20,29 @@
     name: str
     value_type: type
     is_optional: bool
+    has_default: bool
+    """Whether the field may be missing, since earlier releases don't send it."""
 
 
 def _read_fields(message_type: type) -> tuple[_Field, ...]:
     hints = typing.get_type_hints(message_type)
     return tuple(
-        _describe_field(field.name, hints[field.name])
-        for field in dataclasses.fields(message_type)
+        _describe_field(field, hints[field.name]) for field in dataclasses.fields(message_type)
     )
 
 
-def _describe_field(name: str, hint: typing.Any) -> _Field:
+def _describe_field(field: "dataclasses.Field[typing.Any]", hint: typing.Any) -> _Field:
+    has_default = field.default is not dataclasses.MISSING
     if isinstance(hint, types.UnionType):
         inner = next(item for item in typing.get_args(hint) if item is not type(None))
-        return _Field(name, typing.get_origin(inner) or inner, True)
-    return _Field(name, typing.get_origin(hint) or hint, False)
+        return _Field(field.name, typing.get_origin(inner) or inner, True, has_default)
+    return _Field(field.name, typing.get_origin(hint) or hint, False, has_default)
 
 
 _TYPES: dict[str, type] = {item.__name__: item for item in typing.get_args(messages.Message)}
 _FIELDS: dict[type, tuple[_Field, ...]] = {
-    item: _read_fields(item) for item in (*_TYPES.values(), messages.GenerationTerms)
+    item: _read_fields(item)
+    for item in (*_TYPES.values(), messages.GenerationTerms, messages.SampleId)
 }
 
 
@@ -101,6 +104,8 @@
     before = len(found)
     for field in _FIELDS[message_type]:
         if field.name not in content:
+            if field.has_default:
+                continue
             found.append(findings.Finding(f"{place}.{field.name}", "is missing"))
             continue
         values[field.name] = _decode_value(field, content[field.name], place, found)
--- a/libs/wire/oleander_wire/messages.py
+++ b/libs/wire/oleander_wire/messages.py
@@ -20,6 +20,9 @@
 REASON_OTHER_BODY = "key-used-for-another-body"
 """The reason of an answer for a key that was used before with a different body."""
 
+REASON_STEP_MOVED = "step-moved"
+"""The reason of an answer to a sample whose step another entry collects by now."""
+
 TICKET_SHARD = -1
 """The `shard` of a request whose key is a ticket; its `claim_offset` is the ticket's epoch."""
 
@@ -70,6 +73,8 @@
     configuration_offset: int
     ticket_epoch: int
     """The epoch to put into new tickets for this sidecar; it shows a ticket's age later."""
+    shares_samples: bool | None = None
+    """Whether the sidecar answers `TakeStep`; None if its release does not know the message."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -124,6 +129,36 @@
     resumed_tokens: int
     oldest_version: int
     """The oldest weight version whose output the sender accepts."""
+    sample: "SampleId | None" = None
+    """The sample to generate; None for a caller's request."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class SampleId:
+    """Identifies a sample of a trainer's step."""
+
+    trainer: str
+    incarnation: int
+    step: int
+    number: int
+    joins: bool
+    """Whether the sender wants the tokens that the sidecar already has of this sample."""
+
+
+@dataclasses.dataclass(slots=True, frozen=True)
+class TakeStep:
+    """
+    Ask a sidecar which samples of a step it generates or keeps; sent by the step's new collector.
+
+    The answer's body is a set of numbers such as `0-5,9`. From then on the sidecar refuses to
+    start samples of the step for other entries.
+    """
+
+    request_id: str
+    customer: str
+    trainer: str
+    incarnation: int
+    step: int
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -199,6 +234,7 @@
     | Run
     | Join
     | Find
+    | TakeStep
     | Cancel
     | Tokens
     | Answer
--- a/programs/oleanderdeal/oleanderdeal/dispatch.py
+++ b/programs/oleanderdeal/oleanderdeal/dispatch.py
@@ -19,6 +19,8 @@
 """Attempts for one job, including the first; refusals by sidecars that are leaving don't count."""
 _CANCELLED = "cancelled"
 _TOO_LATE = "too-late"
+_NO_FAILURES = frozenset((_CANCELLED, messages.REASON_STEP_MOVED))
+"""Reasons of answers that say nothing about the health of a sidecar."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -115,13 +117,21 @@
         yield _apply_earlier_attempts(result, may_have_run)
 
     def run_once(
-        self, job: Job, deadline: clock.Deadline, observer: JobObserver, avoided: frozenset[str]
+        self,
+        job: Job,
+        deadline: clock.Deadline,
+        observer: JobObserver,
+        avoided: frozenset[str],
+        peer: str = "",
     ) -> JobResult:
         """
         Return the result of a single attempt, for callers that do their own retries.
 
-        A sidecar in `avoided` is still chosen if there are no others.
+        A sidecar in `avoided` is still chosen if there are no others. `peer` names the sidecar
+        that already has the job; empty to choose one.
         """
+        if peer:
+            return self._run_at(job, peer, deadline, observer)
         result = self._run_attempt(job, deadline, observer, avoided)
         if avoided and not result.peer:
             return self._run_attempt(job, deadline, observer, frozenset())
@@ -130,12 +140,12 @@
     def _run_attempt(
         self, job: Job, deadline: clock.Deadline, observer: JobObserver, avoided: frozenset[str]
     ) -> JobResult:
-        events = self._stream_attempt(job, 1, avoided, deadline, observer)
-        while True:
-            try:
-                next(events)
-            except StopIteration as stop:
-                return typing.cast(JobResult, stop.value)
+        return _drain_events(self._stream_attempt(job, 1, avoided, deadline, observer))
+
+    def _run_at(
+        self, job: Job, peer: str, deadline: clock.Deadline, observer: JobObserver
+    ) -> JobResult:
+        return _drain_events(self._stream_at(job, peer, 1, deadline, observer))
 
     def _stream_attempt(
         self,
@@ -148,20 +158,30 @@
         chosen = self._router.choose(_build_route_request(job, excluded, deadline))
         if chosen.is_error():
             return JobResult(_build_not_run(chosen.error.reason, chosen.error.retry_after_ms), "")
-        link = self._links.find(chosen.ok)
+        return (yield from self._stream_at(job, chosen.ok, attempt, deadline, observer))
+
+    def _stream_at(
+        self,
+        job: Job,
+        peer: str,
+        attempt: int,
+        deadline: clock.Deadline,
+        observer: JobObserver,
+    ) -> collections.abc.Generator[messages.Tokens, None, JobResult]:
+        link = self._links.find(peer)
         if link is None:
-            return JobResult(_build_not_run("link-lost", 200), chosen.ok)
+            return JobResult(_build_not_run("link-lost", 200), peer)
         started_at = clock.read_now()
         outcome = router.RouteOutcome.OK
-        self._router.record_started(chosen.ok)
-        observer.on_peer_chosen(chosen.ok)
+        self._router.record_started(peer)
+        observer.on_peer_chosen(peer)
         try:
             answer = yield from self._call(link, job, attempt, deadline, observer)
             outcome = _classify_outcome(answer, observer)
         finally:
             service_ms = (clock.read_now() - started_at) * 1000
-            self._router.record_finished(chosen.ok, outcome, service_ms)
-        return JobResult(answer, chosen.ok)
+            self._router.record_finished(peer, outcome, service_ms)
+        return JobResult(answer, peer)
 
     def _call(
         self,
@@ -187,6 +207,17 @@
                 link.send(messages.Cancel(call.request_id))
 
 
+def _drain_events(
+    events: collections.abc.Generator[messages.Tokens, None, JobResult],
+) -> JobResult:
+    """Pass all events of an attempt to its observer, and return its result."""
+    while True:
+        try:
+            next(events)
+        except StopIteration as stop:
+            return typing.cast(JobResult, stop.value)
+
+
 def _stream_call(
     call: calls.Call, deadline: clock.Deadline, observer: JobObserver
 ) -> collections.abc.Generator[messages.Tokens, None, messages.Answer | None]:
@@ -246,7 +277,7 @@
 def _classify_outcome(answer: messages.Answer, observer: JobObserver) -> router.RouteOutcome:
     if answer.outcome is messages.Outcome.DONE or observer.is_gone():
         return router.RouteOutcome.OK
-    if answer.outcome is messages.Outcome.NOT_RUN or answer.reason == _CANCELLED:
+    if answer.outcome is messages.Outcome.NOT_RUN or answer.reason in _NO_FAILURES:
         return router.RouteOutcome.REFUSED
     if answer.reason == _TOO_LATE:
         return router.RouteOutcome.TIMED_OUT
--- a/programs/oleanderdeal/oleanderdeal/entry.py
+++ b/programs/oleanderdeal/oleanderdeal/entry.py
@@ -26,6 +26,7 @@
     sampling,
     settings,
     snapshots,
+    step_takeover,
     ticket_dispatch,
     tickets,
     trainer_api,
@@ -70,8 +71,14 @@
         dispatcher = dispatch.Dispatcher(
             self._router, self._links, retries.RetryBudgets(_MAX_SAVED_RETRIES)
         )
+        takeover = step_takeover.StepTakeover(self._links)
         self._sampling = sampling.SamplingPool(
-            self._steps, dispatcher, self._configuration, self._group, entry_settings.sample_tasks
+            self._steps,
+            dispatcher,
+            self._configuration,
+            self._group,
+            entry_settings.sample_tasks,
+            takeover,
         )
         self._host_follower = hosts.HostFollower(
             entry_settings.name,
@@ -104,6 +111,7 @@
                 self._steps,
                 versions,
                 self._trainer_incarnations,
+                takeover,
                 self._find_own_url,
                 self._leaving.is_set,
                 threads,
--- a/programs/oleanderdeal/oleanderdeal/peer_link.py
+++ b/programs/oleanderdeal/oleanderdeal/peer_link.py
@@ -59,6 +59,7 @@
         self._link: link.Link | None = None
         self._incarnation = ""
         self._ticket_epoch = 0
+        self._shares_samples = False
         self._calls: dict[str, calls.Call] = {}
         self._stopped = threading.Event()
         self._failures = 0
@@ -87,6 +88,11 @@
         """The ticket epoch in the sidecar's last heartbeat."""
         return self._ticket_epoch
 
+    @property
+    def shares_samples(self) -> bool:
+        """Whether the sidecar's last heartbeat says that it answers `TakeStep`."""
+        return self._shares_samples
+
     @property
     def is_open(self) -> bool:
         """Whether the link is connected, so that requests can be sent."""
@@ -243,6 +249,7 @@
                     call.put(message)
             case messages.Heartbeat():
                 self._ticket_epoch = message.ticket_epoch
+                self._shares_samples = bool(message.shares_samples)
                 self._update_router(message)
                 self._synchronizer.synchronize(message.configuration_offset, opened)
             case messages.RecordsOffer() | messages.Records():
--- a/programs/oleanderdeal/oleanderdeal/sampling.py
+++ b/programs/oleanderdeal/oleanderdeal/sampling.py
@@ -13,7 +13,7 @@
 from oleander_samples import steps as sample_steps
 from oleander_samples import work as sample_work
 from oleander_wire import messages
-from oleanderdeal import dispatch
+from oleanderdeal import dispatch, step_takeover
 
 _POLL_SECONDS = 0.05
 _SAMPLE_TIMEOUT_SECONDS = 600.0
@@ -106,11 +106,13 @@
         configuration: fold.ConfigurationFold,
         group: tasks.TaskGroup,
         max_samples: int,
+        takeover: step_takeover.StepTakeover,
     ) -> None:
         self._steps = steps
         self._dispatcher = dispatcher
         self._configuration = configuration
         self._group = group
+        self._takeover = takeover
         self._slots = threading.BoundedSemaphore(max_samples)
         self._lock = threading.Lock()
         self._observers: dict[str, SampleObserver] = {}
@@ -180,7 +182,20 @@
             )
             self._group.pause(_MAX_RETRY_PAUSE_SECONDS)
             return
-        self._dispatch_sample(step_collector, work, _create_job(work, terms, trainer), observer)
+        peer = self._find_joined_peer(step_collector, work)
+        job = _create_job(step_collector.step, work, terms, trainer, bool(peer))
+        self._dispatch_sample(step_collector, work, job, observer, peer)
+
+    def _find_joined_peer(
+        self, step_collector: collector.StepCollector, work: sample_work.SampleWork
+    ) -> str:
+        """Return the sidecar that has a sample that this entry takes over, or an empty name."""
+        if work.resumed_tokens:
+            return ""
+        peer = self._takeover.pop_peer(step_collector.step, work.number)
+        if peer:
+            metrics.count(metrics.SAMPLES_JOINED)
+        return peer
 
     def _dispatch_sample(
         self,
@@ -188,13 +203,21 @@
         work: sample_work.SampleWork,
         job: dispatch.Job,
         observer: SampleObserver,
+        peer: str,
     ) -> None:
         deadline = clock.start_deadline(_SAMPLE_TIMEOUT_SECONDS)
         excluded_peers = self._last_peers.find(step_collector.step, work.number)
-        result = self._dispatcher.run_once(job, deadline, observer, excluded_peers)
+        takeover_count = step_collector.takeover_count
+        result = self._dispatcher.run_once(job, deadline, observer, excluded_peers, peer)
         if result.answer.outcome is messages.Outcome.DONE:
             self._cancel_all(step_collector.finish_work(work.work_id).redundant_work_ids)
             return
+        is_moved = result.answer.reason == messages.REASON_STEP_MOVED
+        if is_moved:
+            _suspend_step(step_collector, takeover_count)
+        if is_moved and result.answer.outcome is messages.Outcome.FAILED:
+            step_collector.hand_over_work(work.work_id)
+            return
         step_collector.fail_work(work.work_id)
         pause = result.answer.retry_after_ms / 1000
         self._group.pause(min(_MAX_RETRY_PAUSE_SECONDS, max(_MIN_RETRY_PAUSE_SECONDS, pause)))
@@ -207,8 +230,21 @@
                 observer.cancel()
 
 
+def _suspend_step(step_collector: collector.StepCollector, takeover_count: int) -> None:
+    step_collector.suspend(takeover_count)
+    step = step_collector.step
+    log.warn_bounded(
+        f"step-moved-{step.customer}-{step.trainer}-{step.step}",
+        "another entry collects the step; it is suspended here until its trainer is back",
+    )
+
+
 def _create_job(
-    work: sample_work.SampleWork, terms: contract.Contract, trainer: contract.TrainerTerms
+    step: sample_steps.Step,
+    work: sample_work.SampleWork,
+    terms: contract.Contract,
+    trainer: contract.TrainerTerms,
+    joins: bool,
 ) -> dispatch.Job:
     return dispatch.Job(
         customer=terms.customer,
@@ -227,5 +263,8 @@
             resumed_text=work.resumed_text,
             resumed_tokens=work.resumed_tokens,
             oldest_version=work.oldest_version,
+            sample=messages.SampleId(
+                step.trainer, step.incarnation, step.step, work.number, joins
+            ),
         ),
     )
--- a/programs/oleanderdeal/oleanderdeal/sidecar.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar.py
@@ -148,6 +148,7 @@
             leaving=self._leaving.is_set(),
             configuration_offset=self._configuration.applied_offset,
             ticket_epoch=self._key_ledger.ticket_epoch,
+            shares_samples=self._weight_reconciler is not None,
         )
 
     def _drain(self) -> bool:
--- a/programs/oleanderdeal/oleanderdeal/sidecar_links.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar_links.py
@@ -2,12 +2,21 @@
 
 import collections.abc
 import hmac
+import queue
 import threading
 import uuid
 
 from oleander_base import clock, invariants, log
+from oleander_samples import number_sets
 from oleander_wire import link, messages
-from oleanderdeal import configuration_sync, executor, key_ledger, lost_answers, pending_runs
+from oleanderdeal import (
+    configuration_sync,
+    executor,
+    key_ledger,
+    lost_answers,
+    pending_runs,
+    shared_samples,
+)
 
 _HELLO_TIMEOUT_SECONDS = 5.0
 _MAX_RUNS_PER_LINK = 1024
@@ -37,6 +46,7 @@
         self._lock = threading.Lock()
         self._open_links: set[link.Link] = set()
         self._lost_answers = lost_answers.LostAnswers()
+        self._samples = shared_samples.SharedSamples(run_executor)
         self._stopping = threading.Event()
 
     @property
@@ -51,12 +61,15 @@
 
     def serve(self, opened: link.Link) -> None:
         """Serve one link until it closes."""
-        if not self._exchange_hellos(opened):
+        entry = self._exchange_hellos(opened)
+        if entry is None:
             opened.close(CLOSE_POLICY_VIOLATION, "hello refused")
             return
         with self._lock:
             self._open_links.add(opened)
-        served = _LinkRequests(opened, self._executor, self._key_ledger, self._lost_answers)
+        served = _LinkRequests(
+            opened, entry, self._executor, self._samples, self._key_ledger, self._lost_answers
+        )
         try:
             self._receive_all(opened, served)
         finally:
@@ -92,20 +105,21 @@
         for item in links:
             item.abort()
 
-    def _exchange_hellos(self, opened: link.Link) -> bool:
+    def _exchange_hellos(self, opened: link.Link) -> str | None:
+        """Return the entry's name, or None if it is refused or the link broke."""
         received = opened.receive(clock.start_deadline(_HELLO_TIMEOUT_SECONDS))
         if received.is_error() or not isinstance(received.ok, messages.Hello):
-            return False
+            return None
         hello = received.ok
         if hello.protocol != messages.PROTOCOL:
             log.warn_bounded("other-protocol", f"{hello.name} speaks protocol {hello.protocol}")
-            return False
+            return None
         if not hmac.compare_digest(hello.token.encode(), self._hello.token.encode()):
             log.warn_bounded("wrong-token", f"{hello.name} has another process token")
-            return False
-        return bool(
-            opened.send(self._hello).is_ok() and opened.send(self._read_heartbeat()).is_ok()
-        )
+            return None
+        if opened.send(self._hello).is_error() or opened.send(self._read_heartbeat()).is_error():
+            return None
+        return hello.name
 
     def _receive_all(self, opened: link.Link, served: "_LinkRequests") -> None:
         next_heartbeat = clock.start_deadline_ms(self._heartbeat_ms)
@@ -115,6 +129,7 @@
                 return
             if received.ok is not None:
                 self._handle(opened, served, received.ok)
+            served.end_moved()
             if next_heartbeat.is_past:
                 opened.send(self._read_heartbeat())
                 next_heartbeat = clock.start_deadline_ms(self._heartbeat_ms)
@@ -129,6 +144,8 @@
                 served.join(message)
             case messages.Find():
                 served.find(message)
+            case messages.TakeStep():
+                served.take_step(message)
             case messages.Cancel():
                 served.cancel(message.request_id)
             case messages.RecordsOffer() | messages.Records():
@@ -143,23 +160,30 @@
     def __init__(
         self,
         opened: link.Link,
+        entry: str,
         run_executor: executor.Executor,
+        samples: shared_samples.SharedSamples,
         key_ledger: key_ledger.KeyLedger,
         undelivered: lost_answers.LostAnswers,
     ) -> None:
         self._link = opened
+        self._entry = entry
         self._executor = run_executor
+        self._samples = samples
         self._key_ledger = key_ledger
         self._lost_answers = undelivered
         self._lock = threading.Lock()
-        self._work_ids: dict[str, str] = {}
+        self._cancel_functions: dict[str, collections.abc.Callable[[], None]] = {}
+        self._moved: queue.SimpleQueue[messages.Run] = queue.SimpleQueue()
 
     def run(self, run: messages.Run) -> None:
         """Submit a request to the executor, or refuse it immediately."""
         with self._lock:
-            is_full = len(self._work_ids) >= _MAX_RUNS_PER_LINK
+            is_full = len(self._cancel_functions) >= _MAX_RUNS_PER_LINK
         if is_full:
             self._refuse_full(run)
+        elif _find_shared(run) is not None:
+            self._run_sample(run)
         elif run.repeatable:
             self._submit(run, lambda answer: self._end_repeatable(run, answer))
         else:
@@ -177,16 +201,34 @@
     def cancel(self, request_id: str) -> None:
         """Cancel a request whose answer is no longer wanted."""
         with self._lock:
-            work_id = self._work_ids.get(request_id)
-        if work_id is not None:
-            self._executor.cancel(work_id)
+            cancel = self._cancel_functions.get(request_id)
+        if cancel is not None:
+            cancel()
+
+    def take_step(self, take: messages.TakeStep) -> None:
+        """Make this link's entry the collector of a step; answer with the samples here."""
+        numbers = number_sets.format_numbers(self._samples.take_step(take, self._entry))
+        self._answer(
+            take.request_id,
+            messages.Answer("", messages.Outcome.DONE, 200, "", 0, numbers.encode(), 0),
+        )
+
+    def end_moved(self) -> None:
+        """
+        End the requests whose samples another entry has taken over.
+
+        The link's own task calls this, because a send to a suspended entry may block, which must
+        not delay the entry that took over.
+        """
+        while not self._moved.empty():
+            self._end_repeatable(self._moved.get(), shared_samples.build_moved_answer())
 
     def cancel_all(self) -> None:
         """Cancel what can be cancelled of a closed link's requests; answers can't be sent."""
         with self._lock:
-            work_ids = list(self._work_ids.values())
-        for work_id in work_ids:
-            self._executor.cancel(work_id)
+            cancel_functions = list(self._cancel_functions.values())
+        for cancel in cancel_functions:
+            cancel()
 
     def _refuse_full(self, run: messages.Run) -> None:
         """
@@ -201,6 +243,23 @@
         elif self._key_ledger.start(run, lambda answer: self._answer_once(run, answer)):
             self._key_ledger.end(run, refusal)
 
+    def _run_sample(self, run: messages.Run) -> None:
+        sample = _find_shared(run)
+        assert sample is not None
+        subscriber = shared_samples.Subscriber(
+            run=run,
+            sample=sample,
+            entry=self._entry,
+            deadline=clock.start_deadline_ms(run.budget_ms),
+            send=self._send,
+            answer=lambda answer: self._end_repeatable(run, answer),
+            move=lambda: self._moved.put(run),
+            is_abandoned=lambda: self._link.is_closed_by_peer,
+        )
+        with self._lock:
+            self._cancel_functions[run.request_id] = lambda: self._samples.cancel(subscriber)
+        self._samples.run(subscriber)
+
     def _run_once(self, run: messages.Run) -> None:
         if not self._key_ledger.start(run, lambda answer: self._answer_once(run, answer)):
             return
@@ -211,7 +270,7 @@
     ) -> None:
         work_id = uuid.uuid4().hex
         with self._lock:
-            self._work_ids[run.request_id] = work_id
+            self._cancel_functions[run.request_id] = lambda: self._executor.cancel(work_id)
         pending = pending_runs.PendingRun(
             work_id=work_id,
             run=run,
@@ -233,7 +292,7 @@
 
     def _remove_work(self, run: messages.Run) -> None:
         with self._lock:
-            known = self._work_ids.pop(run.request_id, None)
+            known = self._cancel_functions.pop(run.request_id, None)
         invariants.require(known is not None, "answer-once", f"{run.request_id} ended twice")
 
     def _send(self, message: messages.Message) -> None:
@@ -258,5 +317,11 @@
         return bool(sent.is_ok())
 
 
+def _find_shared(run: messages.Run) -> messages.SampleId | None:
+    """Return the sample that a request generates from its start; None for other requests."""
+    terms = run.generation
+    return terms.sample if terms is not None and not terms.resumed_tokens else None
+
+
 def _refuse(reason: str) -> messages.Answer:
     return messages.Answer("", messages.Outcome.NOT_RUN, 0, reason, 500, b"", 0)
--- a/programs/oleanderdeal/oleanderdeal/trainer_api.py
+++ b/programs/oleanderdeal/oleanderdeal/trainer_api.py
@@ -13,6 +13,7 @@
     customer_metrics,
     gates,
     http_messages,
+    step_takeover,
     trainer_incarnations,
     version_publisher,
 )
@@ -32,6 +33,7 @@
         steps: registry.StepRegistry,
         versions: version_publisher.VersionPublisher,
         incarnations: trainer_incarnations.TrainerIncarnations,
+        takeover: step_takeover.StepTakeover,
         find_own_url: collections.abc.Callable[[], str],
         is_draining: collections.abc.Callable[[], bool],
         threads: gates.ThreadLimits,
@@ -40,6 +42,7 @@
         self._steps = steps
         self._versions = versions
         self._incarnations = incarnations
+        self._takeover = takeover
         self._find_own_url = find_own_url
         self._is_draining = is_draining
         self._threads = threads
@@ -88,10 +91,14 @@
             return http_messages.answer_findings(step.error)
         if self._incarnations.is_superseded(customer, trainer, step.ok.incarnation):
             return _refuse_step(step.ok, registry.RefusalReason.SUPERSEDED)
+        if self._steps.find(customer, trainer, step.ok.step) is None:
+            self._takeover.take(step.ok, terms.backend)
         registered = self._steps.register(step.ok, terms)
         if registered.is_error():
             return _refuse_step(step.ok, registered.error.reason)
         is_opened = registered.ok.step is step.ok
+        if not is_opened:
+            self._resume(registered.ok, terms.backend)
         _log_registration(step.ok, "opened" if is_opened else "updated")
         return http_messages.answer_json(
             {
@@ -113,6 +120,9 @@
             step_collector = self._steps.find(customer, trainer, int(step_text))
         if step_collector is None:
             return _answer_not_found("step-unknown")
+        terms = self._find_trainer_terms(customer, trainer)
+        if terms is not None and not request.is_gone():
+            self._resume(step_collector, terms.backend)
         started_at = clock.read_now()
         pulled = self._pull(step_collector, parsed.ok)
         waited_ms = int((clock.read_now() - started_at) * 1000)
@@ -128,6 +138,11 @@
             (("Content-Digest", encoded.digest),),
         )
 
+    def _resume(self, step_collector: collector.StepCollector, backend: str) -> None:
+        """Take a step back from the entry that its trainer had moved to meanwhile."""
+        if step_collector.resume():
+            self._takeover.take(step_collector.step, backend)
+
     def _pull(
         self, step_collector: collector.StepCollector, pull: pulls.Pull
     ) -> expression.Result[pulls.PullAnswer, pulls.PullRefusal]:
