Stop the processes of a spare deployment that does not start

A spare deployment of the samples features that is not ready in time left its eight processes running, and each of them raised the load for the next start: at the end of 72 runs 468 of them were left, load 98, and no run began any more ("entry-a is not ready", then "designs-a is not ready", errors at clean-up).

--- a/features/sample_trials.py
+++ b/features/sample_trials.py
@@ -331,7 +331,11 @@
     deployed = deployments.SmallDeployment(
         support.Cluster(), RELAYS, hosts=create_hosts(), contracts=(_CONTRACT,)
     )
-    deployed.start()
+    try:
+        deployed.start()
+    except BaseException:
+        deployed.cluster.stop()
+        raise
     return deployed
 
 
