Answer the first pull after a takeover with all samples that are ready

The new entry found 16 samples, answered the first pull with the first one that arrived, and the trainer raised its version: 15 samples were made again, 3 of them for nothing. Its lines: step-taken found=16, pull samples=1 started=5.

A sidecar now also says which samples are finished. These arrive within milliseconds, so that pulls wait for them, half a second at most, unless the answer is full. The new scenario brings the state about: 28 samples made, as without the move.

--- a/features/moved_trainers.feature
+++ b/features/moved_trainers.feature
@@ -27,6 +27,15 @@
       | partly held | trainer-entry-a holds-answers, trainer-at entry-b, released                       |
       | streaming   | trainer-entry-a holds-answers, trainer-at entry-b, trainer-entry-a healed, trainer-entry-b holds-answers, trainer-at entry-a, released |
 
+  Scenario: The first answer of the new entry has all samples that are ready
+    # Guards against a trainer that is handed one sample, raises its version, and so makes the other
+    # finished samples stale.
+    Given a samples deployment
+    When trainer fresh starts with --raises 1 and its samples have reached stage finished
+    And these deployment events occur: trainer-at entry-b, released
+    Then trainer process trainer receives every sample of 1 steps once, not stale and correctly labelled
+    And 28 complete samples were generated in total
+
   Scenario Outline: A sidecar hands a sample over only to the entry that collects its step
     # Guards against an entry that goes on with a step after its trainer has moved, and against tokens
     # of other prompts or of weights that are too old.
--- a/features/steps/moved_trainers_steps.py
+++ b/features/steps/moved_trainers_steps.py
@@ -99,7 +99,7 @@
 @behave.when("entry b takes step {step:d} and asks for the sample {asked}")
 def take_and_ask(context, step, asked):
     take = messages.TakeStep("take", "lab", "near", 1, step)
-    context.numbers = context.samples.take_step(take, "b")
+    context.numbers = context.samples.take_step(take, "b").numbers
     context.second = FakeEntry("b", step, **_ASKED[asked])
     context.samples.run(context.second.subscriber)
 
@@ -111,7 +111,7 @@
     if received == "a new generation":
         assert submitted == 2 and not texts, (submitted, texts)
         return
-    assert submitted == 1 and context.numbers == [0], (submitted, context.numbers)
+    assert submitted == 1 and context.numbers == (0,), (submitted, context.numbers)
     assert {item.request_id for item in context.second.tokens} == {"b-0"}
     if received == "a whole sample":
         assert texts == ["ab"] and context.second.answers == [_DONE], texts
--- a/libs/samples/oleander_samples/collector.py
+++ b/libs/samples/oleander_samples/collector.py
@@ -65,6 +65,8 @@
         self._started_attempts = 0
         self._is_suspended = False
         self._takeover_count = 0
+        self._ready_numbers: frozenset[int] = frozenset()
+        self._ready_deadline = clock.Deadline(0.0)
         self._raise_version(step.version)
         if step.held is not None:
             self._set_held(step.held)
@@ -187,6 +189,17 @@
         with self._changed:
             self._record_contact(version)
 
+    def expect_ready(self, numbers: frozenset[int], deadline: clock.Deadline) -> None:
+        """
+        Record samples that are finished elsewhere and arrive at once.
+
+        Until the deadline, pulls wait for them: a trainer that is handed one of them alone may
+        raise its version before it pulls the others, which then are stale.
+        """
+        with self._changed:
+            self._ready_numbers = numbers
+            self._ready_deadline = deadline
+
     def suspend(self, takeover_count: int) -> None:
         """
         Start no work until `resume`, because another entry collects the step now.
@@ -242,12 +255,23 @@
                 if refused is not None:
                     return expression.Error(pulls.PullRefusal(refused))
                 answer = self._build_answer(pull)
+                is_full = len(answer.samples) == pull.max_samples
+                may_wait = seconds > 0.0 and not is_full and not answer.complete
+                if may_wait and self._is_awaiting_ready():
+                    self._changed.wait(self._ready_deadline.remaining)
+                    continue
                 if answer.samples or answer.complete or deadline.is_past:
                     newly_offered = self._inventory.record_offered(answer)
                     steps.count_samples(self._step, metrics.SAMPLES_DELIVERED, newly_offered)
                     return expression.Ok(answer)
                 self._changed.wait(deadline.remaining)
 
+    def _is_awaiting_ready(self) -> bool:
+        """Return whether samples that are finished elsewhere are still to arrive."""
+        if self._ready_deadline.is_past:
+            return False
+        return any(not self._inventory.is_finished(number) for number in self._ready_numbers)
+
     def _check_pull(self, pull: pulls.Pull) -> pulls.PullRefusal | None:
         """Return why a pull must be refused, or None if it is valid for this step."""
         if self._is_closed:
--- a/libs/wire/oleander_wire/messages.py
+++ b/libs/wire/oleander_wire/messages.py
@@ -150,8 +150,9 @@
     """
     Ask a sidecar which samples of a step it generates or keeps; sent by the step's new collector.
 
-    The answer's body is a set of numbers such as `0-5,9`. From then on the sidecar refuses to
-    start samples of the step for other entries.
+    The answer's body has two sets of numbers, such as `0-5,9/9`: those of all samples and those
+    of the finished ones. From then on the sidecar refuses to start samples of the step for other
+    entries.
     """
 
     request_id: str
--- a/programs/oleanderdeal/oleanderdeal/sampling.py
+++ b/programs/oleanderdeal/oleanderdeal/sampling.py
@@ -17,6 +17,8 @@
 
 _POLL_SECONDS = 0.05
 _SAMPLE_TIMEOUT_SECONDS = 600.0
+_READY_TIMEOUT_SECONDS = 0.5
+"""Bound on the arrival of samples that sidecars have finished; pulls wait for them meanwhile."""
 _MIN_RETRY_PAUSE_SECONDS = 0.02
 _MAX_RETRY_PAUSE_SECONDS = 1.0
 _MAX_LAST_PEERS = 32768
@@ -192,6 +194,9 @@
         """Return the sidecar that has a sample that this entry takes over, or an empty name."""
         if work.resumed_tokens:
             return ""
+        ready = self._takeover.pop_finished(step_collector.step)
+        if ready:
+            step_collector.expect_ready(ready, clock.start_deadline(_READY_TIMEOUT_SECONDS))
         peer = self._takeover.pop_peer(step_collector.step, work.number)
         if peer:
             metrics.count(metrics.SAMPLES_JOINED)
--- a/programs/oleanderdeal/oleanderdeal/shared_samples.py
+++ b/programs/oleanderdeal/oleanderdeal/shared_samples.py
@@ -147,6 +147,15 @@
     entry: str
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class FoundSamples:
+    """The numbers of a step's samples at this sidecar."""
+
+    numbers: tuple[int, ...] = ()
+    finished: tuple[int, ...] = ()
+    """Those that are complete."""
+
+
 class SharedSamples:
     """
     Runs samples, and hands them over to the entry that takes their step; thread-safe.
@@ -194,20 +203,21 @@
         if generation is not None and generation.subscriber is subscriber:
             self._executor.cancel(generation.work_id)
 
-    def take_step(self, take: messages.TakeStep, entry: str) -> list[int]:
-        """Make an entry the collector of a step; return the numbers of the samples here."""
+    def take_step(self, take: messages.TakeStep, entry: str) -> FoundSamples:
+        """Make an entry the collector of a step; return which samples are here."""
         trainer = (take.customer, take.trainer)
         wanted = (*trainer, take.incarnation, take.step)
         with self._lock:
             known = self._collectors.pop(trainer, None)
             if known is not None and (known.incarnation, known.step) > wanted[2:]:
                 self._collectors[trainer] = known
-                return []
+                return FoundSamples()
             self._collectors[trainer] = _Collector(take.incarnation, take.step, entry)
             while len(self._collectors) > _MAX_TRAINERS:
                 self._collectors.pop(next(iter(self._collectors)))
             self._evict()
-            numbers = [key[4] for key in self._generations if key[:4] == wanted]
+            found = {key[4]: item for key, item in self._generations.items() if key[:4] == wanted}
+            finished = [number for number, item in found.items() if item.is_finished]
         log.logger.bind(
             event="step-taken",
             customer=take.customer,
@@ -215,9 +225,10 @@
             step=take.step,
             entry=entry,
             before=known.entry if known else "",
-            samples=len(numbers),
+            samples=len(found),
+            finished=len(finished),
         ).debug("another entry collects the step")
-        return numbers
+        return FoundSamples(tuple(found), tuple(finished))
 
     def _has_moved(self, subscriber: Subscriber) -> bool:
         with self._lock:
--- a/programs/oleanderdeal/oleanderdeal/sidecar_links.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar_links.py
@@ -207,10 +207,11 @@
 
     def take_step(self, take: messages.TakeStep) -> None:
         """Make this link's entry the collector of a step; answer with the samples here."""
-        numbers = number_sets.format_numbers(self._samples.take_step(take, self._entry))
+        found = self._samples.take_step(take, self._entry)
+        parts = (number_sets.format_numbers(part) for part in (found.numbers, found.finished))
+        body = "/".join(parts).encode()
         self._answer(
-            take.request_id,
-            messages.Answer("", messages.Outcome.DONE, 200, "", 0, numbers.encode(), 0),
+            take.request_id, messages.Answer("", messages.Outcome.DONE, 200, "", 0, body, 0)
         )
 
     def end_moved(self) -> None:
--- a/programs/oleanderdeal/oleanderdeal/step_takeover.py
+++ b/programs/oleanderdeal/oleanderdeal/step_takeover.py
@@ -5,7 +5,6 @@
 whole step would be generated twice, which slows an overloaded deployment further.
 """
 
-import collections.abc
 import threading
 
 from oleander_base import clock, log
@@ -29,6 +28,16 @@
         self._lock = threading.Lock()
         self._is_collected = False
         self._peer_names: dict[int, str] = {}
+        self._finished: set[int] = set()
+
+    def pop_finished(self) -> frozenset[int]:
+        """Return the finished samples that were found, only once."""
+        with self._lock:
+            if not self._is_collected:
+                self._collect()
+            finished = frozenset(self._finished)
+            self._finished.clear()
+            return finished
 
     def pop_peer(self, number: int) -> str:
         """Return the sidecar that has a sample, only once; empty if there is none."""
@@ -56,8 +65,9 @@
                 answered += isinstance(answer, messages.Answer)
                 continue
             answered += 1
-            for number in _read_numbers(answer, self._step.sample_count):
-                self._peer_names[number] = link.name
+            numbers, finished = _read_found(answer, self._step.sample_count)
+            self._peer_names |= dict.fromkeys(numbers, link.name)
+            self._finished |= finished
         self.close()
         log.logger.bind(
             event="step-taken",
@@ -68,6 +78,7 @@
             asked=len(self._sent),
             answered=answered,
             found=len(self._peer_names),
+            finished=len(self._finished),
         ).info("asked the sidecars for samples of the step")
 
 
@@ -109,11 +120,22 @@
         Blocks until the sidecars have answered, for half a second after `take` at most. A sample
         is found only once, so that one that is discarded is generated again.
         """
+        search = self._find_search(step)
+        return search.pop_peer(number) if search is not None else ""
+
+    def pop_finished(self, step: steps.Step) -> frozenset[int]:
+        """
+        Return the samples of a step that sidecars have finished; empty after the first call.
+
+        Blocks like `pop_peer`.
+        """
+        search = self._find_search(step)
+        return search.pop_finished() if search is not None else frozenset()
+
+    def _find_search(self, step: steps.Step) -> _Search | None:
         with self._lock:
             search = self._searches.get((step.customer, step.trainer))
-        if search is None or not search.is_for(step):
-            return ""
-        return search.pop_peer(number)
+        return search if search is not None and search.is_for(step) else None
 
 
 def _send_take(link: peer_link.PeerLink, step: steps.Step) -> calls.Call:
@@ -126,9 +148,12 @@
     return call
 
 
-def _read_numbers(answer: messages.Answer, total: int) -> collections.abc.Iterable[int]:
-    numbers = number_sets.parse_numbers(answer.body.decode("ascii", "replace"), total)
-    if numbers.is_error():
-        log.warn_bounded("odd-sample-numbers", f"a sidecar's samples: {numbers.error}")
-        return ()
-    return numbers.ok
+def _read_found(answer: messages.Answer, total: int) -> tuple[frozenset[int], frozenset[int]]:
+    """Return the numbers of all samples and of the finished ones; none from a malformed answer."""
+    numbers_text, _, finished_text = answer.body.decode("ascii", "replace").partition("/")
+    numbers = number_sets.parse_numbers(numbers_text, total)
+    finished = number_sets.parse_numbers(finished_text, total)
+    if numbers.is_error() or finished.is_error():
+        log.warn_bounded("odd-sample-numbers", "a sidecar's answer is not a set of samples")
+        return frozenset(), frozenset()
+    return numbers.ok, finished.ok
