Log each caller's request that was not done, with the time it had left

Answers other than done are now logged at level INFO, with reason and remaining time; done ones stay debug output.

--- a/programs/oleanderdeal/oleanderdeal/customer_metrics.py
+++ b/programs/oleanderdeal/oleanderdeal/customer_metrics.py
@@ -6,13 +6,15 @@
 
 
 def count_answer(request: callers.CallerRequest, answer: callers.CallerAnswer) -> None:
-    """Count and log one answer under its customer and operation."""
+    """Count and log one answer; at level DEBUG if the request was done."""
+    is_done = answer.outcome is messages.Outcome.DONE
     log.logger.bind(
         event="request",
         trace=request.trace_id,
         customer=request.customer,
         operation=request.operation.name,
-    ).debug(f"{answer.outcome.value} {answer.reason}")
+        remaining_ms=request.deadline.remaining_ms,
+    ).log("DEBUG" if is_done else "INFO", f"{answer.outcome.value} {answer.reason}")
     name = f"customer.{request.customer}.{request.operation.name}"
     match answer.outcome:
         case messages.Outcome.DONE if request.deadline.is_past:
