Give the tests' servers ports that no outgoing connection can take

once_matrix:120 failed once with "Address already in use" when a killed service was started again on its port. The port came from the range that systems assign to outgoing connections (32768 to 60999 here), and while the service was down any process could be given it.

Evidence: a server's former port, used as the local port of a connection, makes bind fail with just this error, SO_REUSEADDR or not. No product code is involved.

Servers that may be restarted now get a port from 12000 to 19999.

--- a/standins/oleander_standins/deployment.py
+++ b/standins/oleander_standins/deployment.py
@@ -111,6 +111,7 @@
     def start_backend_server(self, name: str, port: int = 0) -> None:
         """Start or restart the backend server of a host; port 0 takes a free port."""
         host = self._hosts[name]
+        port = port or processes.choose_restart_port()
         flags = ["--port", str(port), *host.engine_flags]
         if host.kind == "engine":
             flags.append("--marks-version")
--- a/standins/oleander_standins/processes.py
+++ b/standins/oleander_standins/processes.py
@@ -1,10 +1,13 @@
 """Start child processes, call them and wait for conditions, for tests, demo and benchmarks."""
 
 import collections.abc
+import contextlib
 import json
 import pathlib
 import queue
+import random
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -20,6 +23,10 @@
 _READY_PREFIX = "listening on "
 _MAX_LINES = 100_000
 _MAX_LOG_CHARACTERS = 4000
+_RESTART_PORTS = range(12_000, 20_000)
+"""Ports of servers that may be restarted: below those that systems assign to outgoing connections,
+one of which could hold the port when the server is started on it again."""
+_MAX_PORT_TRIALS = 100
 
 
 def call(
@@ -48,6 +55,15 @@
         time.sleep(0.01)
 
 
+def choose_restart_port() -> int:
+    """Return a free port on which a server can be started again; OSError if there is none."""
+    for _ in range(_MAX_PORT_TRIALS):
+        port = random.choice(_RESTART_PORTS)
+        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
+            return port
+    raise OSError(f"no free port in {_RESTART_PORTS}")
+
+
 class Process:
     """
     A child process.
