Count only data that a test relay holds back as held

The relay counted data in transit as held. Any request of the sidecar, such as a read of the version, counted as the load order, so that the sidecar was killed before it had sent one.

Evidence: the new scenario holds a forwarded request in transit; count_held said 1. The step now waits for what the relay holds back, which is stricter for all its users (weight changes, non-repeatable requests, samples, streams).

--- a/features/standins.feature
+++ b/features/standins.feature
@@ -179,3 +179,13 @@
     Given threads that start 0.3 s late
     When clients connect to 12 test relays, each of which is closed 0.1 s later
     Then closing the test relays raised nothing
+
+  Scenario Outline: Only data that a relay holds back counts as held
+    # Guards against a fault that is injected before its stage, as any data in transit counts as held.
+    Given a test relay whose client's request is <state>
+    Then the test relay says that it holds <count> requests
+
+    Examples:
+      | state         | count |
+      | on its way    | 0     |
+      | held back     | 1     |
--- a/standins/oleander_standins/relay.py
+++ b/standins/oleander_standins/relay.py
@@ -127,14 +127,14 @@
             self._spoils.append(how)
 
     def count_held(self, direction: str) -> int:
-        """Return how many connections have data held in a direction."""
+        """Return how many connections have data held back in a direction."""
         with self._changed:
-            return sum(direction in pair.held for pair in self._pairs)
+            return len(self._list_held(direction))
 
     def holds(self, direction: str, text: str) -> bool:
-        """Return whether data held in a direction contains a text."""
+        """Return whether data held back in a direction contains a text."""
         with self._changed:
-            return any(text.encode() in pair.held.get(direction, b"") for pair in self._pairs)
+            return any(text.encode() in held for held in self._list_held(direction))
 
     def heal(self) -> None:
         """Forward everything again, starting with the data that was held."""
@@ -238,6 +238,14 @@
                 _MAX_HOLD_SECONDS,
             )
 
+    def _list_held(self, direction: str) -> list[bytes]:
+        """Return the data held back in a direction, without what is just being forwarded."""
+        return [
+            pair.held[direction]
+            for pair in self._pairs
+            if direction in pair.held and self._is_blocked(pair, direction)
+        ]
+
     def _is_blocked(self, pair: "_Pair", direction: str) -> bool:
         return direction in self._blocked or direction in pair.blocked
 
