--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -188,3 +188,26 @@
       | f/r   | 81f5   |
       | f     | 826141f5 |
       | /r    | 826141f5 |
+
+  Scenario Outline: A request under which two servers ended is not sent to the last one
+    # Guards against a service that one request, sent again by several callers, leaves without a server.
+    Given an entry with the servers <servers>
+    And the request ran beside others at the servers <crashed> when they ended
+    When a request is called that may be sent to 3 servers
+    Then <sent> servers got it, the caller gets <outcome>, and the entry published 0 crashes
+
+    Examples:
+      | servers             | crashed | sent | outcome  |
+      | A=ok B=ok C=ok      | A B     | 0    | refused  |
+      | A=ok B=ok C=ok      | A       | 1    | answered |
+      | A=ok B=ok C=ok D=ok | A B     | 1    | answered |
+      | B=ok                | A X     | 0    | refused  |
+      | B=ok                | A       | 1    | answered |
+
+  Scenario: A request that is kept from the last server is told to come back soon
+    # Guards against a caller that is kept waiting although only its own request may be the cause.
+    Given an entry with the servers A=ok B=ok C=ok
+    And the request ran beside others at the servers A B when they ended
+    When it is called again with a new id
+    Then it is refused with a retry time of 0 to 1 s, and no server got it
+    And a request with another body goes to servers
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -131,6 +131,14 @@
         context.caller.on_start = lambda: context.ledger.record_answer(crash_fakes.FINGERPRINT)
 
 
+@behave.given("the request ran beside others at the servers {names} when they ended")
+def crash_beside_others(context, names):
+    for name in names.split():
+        incarnation = crash_fakes.build_server(name).incarnation
+        crash = records.create_crash(crash_fakes.FINGERPRINT, incarnation, False)
+        context.ledger.record_crash(crash.key, False)
+
+
 def _call(context, request, most):
     deadline = clock.start_deadline(_DEADLINE_SECONDS)
     route = server_fakes.build_route("idempotent", most)
