Make an entry the collector of a step at each registration

Found by reading the takeover: an entry that had nothing refused since its trainer left was not suspended, so that it did not ask for the step back when the trainer registered it there again. Its next samples were refused as step-moved, and the step rested until the trainer's next pull, which may wait for a minute.

Each registration now takes the step. The new scenario of moved_trainers failed before.

--- a/features/moved_trainers.feature
+++ b/features/moved_trainers.feature
@@ -36,6 +36,13 @@
     Then trainer process trainer receives every sample of 1 steps once, not stale and correctly labelled
     And 28 complete samples were generated in total
 
+  Scenario: Each registration of a step makes its entry the collector
+    # Guards against an entry whose samples are refused after the trainer came back to it, until the
+    # trainer's next pull, which may be a minute later.
+    Given an entry's API for trainers
+    When the same step is registered 2 times
+    Then the entry has taken the step 2 times
+
   Scenario Outline: A sidecar hands a sample over only to the entry that collects its step
     # Guards against an entry that goes on with a step after its trainer has moved, and against tokens
     # of other prompts or of weights that are too old.
--- a/features/sample_trials.py
+++ b/features/sample_trials.py
@@ -13,7 +13,7 @@
 BOUNDS = {"fresh": 0, "near": 1, "far": 2, "current": 2}
 """The trainers of the contract and their staleness bounds."""
 OBJECTIVES = {"current": "staleness"}
-_CONTRACT = """
+CONTRACT = """
 customer: lab
 share_percent: 50
 retry_percent: 100
@@ -329,7 +329,7 @@
 
 def _create_deployment():
     deployed = deployments.SmallDeployment(
-        support.Cluster(), RELAYS, hosts=create_hosts(), contracts=(_CONTRACT,)
+        support.Cluster(), RELAYS, hosts=create_hosts(), contracts=(CONTRACT,)
     )
     try:
         deployed.start()
--- a/features/steps/moved_trainers_steps.py
+++ b/features/steps/moved_trainers_steps.py
@@ -1,12 +1,17 @@
 """Steps for trainers that move between entries."""
 
+import json
 import re
+import unittest.mock
 
 import behave
 
+import sample_trials
 from oleander_base import clock
+from oleander_contracts import readers
+from oleander_samples import registry
 from oleander_wire import messages
-from oleanderdeal import shared_samples
+from oleanderdeal import gates, http_messages, shared_samples, trainer_api
 
 _BUDGET_MS = 20000
 
@@ -136,3 +141,34 @@
         assert [item.reason for item in third.answers] == [messages.REASON_STEP_MOVED]
         assert third.answers[0].outcome is messages.Outcome.NOT_RUN
     assert len(context.executor.submitted) == before + (later == "started")
+
+
+@behave.given("an entry's API for trainers")
+def create_api(context):
+    terms = readers.read_contract(sample_trials.CONTRACT, "scenario").ok
+    context.takeover = unittest.mock.Mock()
+    context.api = trainer_api.TrainerApi(
+        unittest.mock.Mock(find_contract=lambda customer: terms),
+        registry.StepRegistry(),
+        unittest.mock.Mock(),
+        unittest.mock.Mock(is_superseded=lambda *names: False),
+        context.takeover,
+        lambda: "http://entry",
+        lambda: False,
+        gates.ThreadLimits(8),
+    )
+
+
+@behave.when("the same step is registered {count:d} times")
+def register_step(context, count):
+    groups = [{"prompt": "p", "prefix": "", "samples": 1, "max_tokens": 1}]
+    body = json.dumps({"incarnation": 1, "version": 1, "groups": groups}).encode()
+    request = http_messages.HttpRequest("PUT", "/", (), {}, body, lambda: False)
+    for _ in range(count):
+        answer = context.api.put_step(request, sample_trials.CUSTOMER, "near", "1")
+        assert answer.status == 200, answer
+
+
+@behave.then("the entry has taken the step {count:d} times")
+def check_takes(context, count):
+    assert context.takeover.take.call_count == count, context.takeover.take.call_args_list
--- a/programs/oleanderdeal/oleanderdeal/trainer_api.py
+++ b/programs/oleanderdeal/oleanderdeal/trainer_api.py
@@ -98,7 +98,8 @@
             return _refuse_step(step.ok, registered.error.reason)
         is_opened = registered.ok.step is step.ok
         if not is_opened:
-            self._resume(registered.ok, terms.backend)
+            registered.ok.resume()
+            self._takeover.take(step.ok, terms.backend)
         _log_registration(step.ok, "opened" if is_opened else "updated")
         return http_messages.answer_json(
             {
