Cancel the attempt that was asked for, also if its sample was started again

Where the same sample had been started again there, as after stale weights, the first attempt was not found and went on, and its text was thrown away.

A request now keeps the generation that it receives. The new scenario failed before: nothing was cancelled. Also a sample's request is passed on instead of read twice.

--- a/features/moved_trainers.feature
+++ b/features/moved_trainers.feature
@@ -36,6 +36,12 @@
     Then trainer process trainer receives every sample of 1 steps once, not stale and correctly labelled
     And 28 complete samples were generated in total
 
+  Scenario: An attempt that was started again at the same sidecar can still be cancelled
+    # Guards against an engine that goes on with a text that its entry has discarded.
+    Given a sidecar that has 2 tokens for entry a
+    When entry a starts the sample again and cancels its first attempt
+    Then only the first attempt is cancelled
+
   Scenario: Each registration of a step makes its entry the collector
     # Guards against an entry whose samples are refused after the trainer came back to it, until the
     # trainer's next pull, which may be a minute later.
--- a/features/steps/moved_trainers_steps.py
+++ b/features/steps/moved_trainers_steps.py
@@ -109,6 +109,17 @@
     context.samples.run(context.second.subscriber)
 
 
+@behave.when("entry a starts the sample again and cancels its first attempt")
+def start_again(context):
+    context.samples.run(FakeEntry("a").subscriber)
+    context.samples.cancel(context.first.subscriber)
+
+
+@behave.then("only the first attempt is cancelled")
+def check_cancelled(context):
+    assert context.executor.cancelled == [context.executor.submitted[0].work_id]
+
+
 @behave.then("entry b gets {received}")
 def check_received(context, received):
     submitted = len(context.executor.submitted)
--- a/programs/oleanderdeal/oleanderdeal/shared_samples.py
+++ b/programs/oleanderdeal/oleanderdeal/shared_samples.py
@@ -42,6 +42,8 @@
     is_abandoned: collections.abc.Callable[[], bool]
     lock: threading.Lock = dataclasses.field(default_factory=threading.Lock)
     """Held while messages are sent, so that those from before the request joined come first."""
+    generation: "_Generation | None" = None
+    """What the request receives, once it was started or joined."""
 
     @property
     def trainer_key(self) -> _TrainerKey:
@@ -179,9 +181,10 @@
         joined = self._find_fitting(subscriber) if subscriber.sample.joins else None
         if joined is not None:
             _log_joined(subscriber, joined)
+            subscriber.generation = joined
             joined.join(subscriber)
             return
-        generation = _Generation(subscriber)
+        generation = subscriber.generation = _Generation(subscriber)
         with self._lock:
             self._generations[subscriber.key] = generation
         self._executor.submit(
@@ -198,8 +201,7 @@
 
     def cancel(self, subscriber: Subscriber) -> None:
         """Cancel a sample, unless another request receives it by now."""
-        with self._lock:
-            generation = self._generations.get(subscriber.key)
+        generation = subscriber.generation
         if generation is not None and generation.subscriber is subscriber:
             self._executor.cancel(generation.work_id)
 
--- a/programs/oleanderdeal/oleanderdeal/sidecar_links.py
+++ b/programs/oleanderdeal/oleanderdeal/sidecar_links.py
@@ -178,12 +178,13 @@
 
     def run(self, run: messages.Run) -> None:
         """Submit a request to the executor, or refuse it immediately."""
+        sample = _find_shared(run)
         with self._lock:
             is_full = len(self._cancel_functions) >= _MAX_RUNS_PER_LINK
         if is_full:
             self._refuse_full(run)
-        elif _find_shared(run) is not None:
-            self._run_sample(run)
+        elif sample is not None:
+            self._run_sample(run, sample)
         elif run.repeatable:
             self._submit(run, lambda answer: self._end_repeatable(run, answer))
         else:
@@ -244,9 +245,7 @@
         elif self._key_ledger.start(run, lambda answer: self._answer_once(run, answer)):
             self._key_ledger.end(run, refusal)
 
-    def _run_sample(self, run: messages.Run) -> None:
-        sample = _find_shared(run)
-        assert sample is not None
+    def _run_sample(self, run: messages.Run, sample: messages.SampleId) -> None:
         subscriber = shared_samples.Subscriber(
             run=run,
             sample=sample,
