Continue a text only with its weight version where the route requires one

Cause: the flag single_version of a route only chose the mode of orders.

Change: an item whose text has a version asks the router for a server with exactly that version. If there is none, or none continues it within 0.5 s, the item is generated from the start (log line item-restarted, counter items.restarted). An event of another version ends the attempt, because the list of servers is some hundred milliseconds old. A straggler is moved only to a server with its version. Other routes are served as before.

--- a/features/batch_processes.py
+++ b/features/batch_processes.py
@@ -24,8 +24,11 @@
 class FakeStream(servers.EventStream):
     """Sends the events of one item according to its engine's behaviour."""
 
-    def __init__(self, engines, behaviour, request, is_cancelled):
+    def __init__(self, engines, name, request, is_cancelled):
+        behaviour = engines.behaviours[name]
         self._engines = engines
+        self._name = name
+        self._version = engines.versions.get(name, 1 if behaviour == "old" else 2)
         self._behaviour = behaviour
         self._item_id = request.call.request_id
         self._next = request.resumed_events + 1
@@ -52,9 +55,8 @@
             return expression.Ok(servers.GeneratedEvent("", None, is_end=True))
         number, self._next = self._next, self._next + 1
         self._sent += 1
-        version = 1 if self._behaviour == "old" else 2
-        self._engines.generated[self._item_id, number, version] += 1
-        return expression.Ok(servers.GeneratedEvent(f"{self._item_id}.{number}", version))
+        self._engines.generated[self._item_id, number, self._version] += 1
+        return expression.Ok(servers.GeneratedEvent(f"{self._item_id}.{number}", self._version))
 
     def close(self):
         if self._is_open:
@@ -62,6 +64,8 @@
             self._engines.running -= 1
 
     def _breaks(self):
+        if self._name in self._engines.crashed:
+            return True
         if self._behaviour != "cut" or self._sent < 3:
             return False
         self._engines.cuts[self._item_id] += 1
@@ -72,7 +76,11 @@
     """Fake engines and a fake scorer, which count events, attempts and running streams."""
 
     def __init__(self, behaviours, scorer="answers"):
-        self._behaviours = behaviours
+        self.behaviours = behaviours
+        self.versions = {}
+        """The weight version that an engine generates with, if not that of its behaviour."""
+        self.crashed = set()
+        """The names of the engines that break off their streams and refuse connections."""
         self._scorer = scorer
         self._refused = collections.Counter()
         self._scored = collections.Counter()
@@ -82,14 +90,14 @@
         self.attempts = 0
 
     def generate(self, server, request, deadline, is_cancelled):
-        behaviour = self._behaviours[server.server_id]
-        if behaviour == "gone":
+        behaviour = self.behaviours[server.server_id]
+        if behaviour == "gone" or server.server_id in self.crashed:
             return expression.Error(servers.CallFailure("refused", False))
         if behaviour == "raises":
             raise RuntimeError("a fault of our own")
         if behaviour == "other":
             return expression.Ok(_answer(421, is_other=True))
-        if behaviour == "full" and self._refused[server.server_id] < 3:
+        if behaviour == "busy" or (behaviour == "full" and self._refused[server.server_id] < 3):
             self._refused[server.server_id] += 1
             return expression.Ok(_answer(503, did_not_run=True))
         if behaviour == "late" and self._refused[request.call.request_id] < 3:
@@ -97,7 +105,7 @@
             return expression.Ok(_answer(504))
         if behaviour in {"fails", "bad"}:
             return expression.Ok(_answer(500 if behaviour == "fails" else 422))
-        return expression.Ok(FakeStream(self, behaviour, request, is_cancelled))
+        return expression.Ok(FakeStream(self, server.server_id, request, is_cancelled))
 
     def call(self, server, request, deadline, is_cancelled):
         self._scored[request.request_id] += 1
@@ -115,15 +123,18 @@
     return servers.CallAnswer(status, (), b"", did_not_run, is_other, stamp)
 
 
-def _route(name, path, kind, backend):
+def _route(name, path, kind, backend, is_single_version=False):
     share = (routes.Share(backend, 1),)
-    return routes.Route(name, "h", path, kind, 3000, 400, 0, share, 3, False, False, 7500, 60000)
+    return routes.Route(
+        name, "h", path, kind, 3000, 400, 0, share, 3, False, is_single_version, 7500, 60000
+    )
 
 
 _TABLE = routes.RouteTable(
     1,
     (
         _route("batches", "/b/", routes.RouteKind.BATCH, "engines"),
+        _route("single", "/u/", routes.RouteKind.BATCH, "engines", is_single_version=True),
         _route("scores", "/s/", routes.RouteKind.IDEMPOTENT, "scorers"),
     ),
     (routes.Backend("engines", (MODEL,), 1), routes.Backend("scorers", (), 1)),
@@ -134,13 +145,13 @@
 class RunnerProcess:
     """The parts of a process that run batches, connected to a log in memory and fake engines."""
 
-    def __init__(self, log_service, engines, names, member="runner"):
+    def __init__(self, log_service, engines, names, member="runner", listed_versions=None):
         self.group = tasks.TaskGroup("runner", 64)
         self.router = chooser = router.Router(3)
         self._known = directory.Directory(chooser, engines)
         self._known.update_table(_TABLE)
         for name in names:
-            self._put_server(name, "engines", (servers.ModelVersion(MODEL, 2),))
+            self.put_engine(name, (listed_versions or {}).get(name, 2))
         self._put_server("s1", "scorers", ())
         self.journal = journal.BatchJournal(log_service, self.group, 4, 100.0)
         self.owned = ownership.PartitionOwnership(log_service, member, self.group)
@@ -160,6 +171,9 @@
         ):
             self.group.supervise(task)
 
+    def put_engine(self, name, version):
+        self._put_server(name, "engines", (servers.ModelVersion(MODEL, version),))
+
     def _put_server(self, name, backend, models):
         self._known.update_server(
             servers.Server(name, 1, backend, "127.0.0.1:1", "z", 8, False, models)
--- a/features/steps/batch_items_steps.py
+++ b/features/steps/batch_items_steps.py
@@ -116,7 +116,7 @@
     stopper = threading.Thread(target=old.stop)
     stopper.start()
     behaviours = dict(item.split("=") for item in listed.split())
-    context.engines._behaviours = behaviours
+    context.engines.behaviours = behaviours
     context.process = batch_processes.RunnerProcess(
         context.log_service, context.engines, list(behaviours)
     )
--- a/features/steps/stragglers_steps.py
+++ b/features/steps/stragglers_steps.py
@@ -15,14 +15,17 @@
 class SimulatedStep:
     """A step of finished short texts and one long text that is still being generated."""
 
-    def __init__(self, gap_ms, wait_ms):
+    def __init__(self, gap_ms, wait_ms, requires_single_version=False):
+        self.gap_ms = gap_ms
+        self.wait_ms = wait_ms
+        self.free_slot_version = 1
         self._piece_seconds = gap_ms / 1000
         self.free_slot_rate = None
         policy = batch_run.STRAGGLER_POLICY
         assert isinstance(policy, hedging.StragglerPolicy)
         groups = tuple(steps.Group("", "", 1, 10_000) for _ in range(_SHORT_TEXTS + 1))
         self._scheduler = scheduler.WorkScheduler(
-            steps.Step("c", "t", 1, 0, 1, groups), policy, 11
+            steps.Step("c", "t", 1, 0, 1, groups), policy, 11, 0, requires_single_version
         )
         works = [self._scheduler.start_next(0.0) for _ in groups]
         self._long, *shorts = works
@@ -40,7 +43,7 @@
                 count += 1
             if now < self._shorts_finished_at:
                 continue
-            if self._scheduler.start_next(now, free_slot_rate=self.free_slot_rate) is not None:
+            if self._start_next(now) is not None:
                 return count
         return None
 
@@ -59,6 +62,11 @@
         """Offer a free slot on an engine that is `slower` times slower than a normal one."""
         self.free_slot_rate = _PIECE_TOKENS / (self._piece_seconds * slower)
 
+    def _start_next(self, now):
+        return self._scheduler.start_next(
+            now, free_slot_rate=self.free_slot_rate, free_slot_version=self.free_slot_version
+        )
+
     def _finish_short(self, work, wait):
         for number in range(_SHORT_PIECES):
             self._shorts_finished_at = wait + (number + 1) * self._piece_seconds
@@ -98,6 +106,20 @@
     context.step.open_free_slot(slower)
 
 
+@behave.given("texts of one weight version, which is 1")
+def require_single_version(context):
+    context.step = SimulatedStep(context.step.gap_ms, context.step.wait_ms, True)
+
+
+@behave.given(
+    "an engine with a free slot and version {version:d} that is {slower:g} times slower than the "
+    "normal one"
+)
+def open_free_slot_of_version(context, version, slower):
+    context.step.open_free_slot(slower)
+    context.step.free_slot_version = version
+
+
 @behave.given("a text of {count:d} pieces at an engine that is {slower:g} times slower")
 def start_at_slower(context, count, slower):
     context.pieces = context.step.list_pieces(count, slow_after=1, slower=slower)
--- a/features/stragglers.feature
+++ b/features/stragglers.feature
@@ -66,3 +66,17 @@
       | 37  | 160   | 1.3  | 1.3   |
       | 37  | 160   | 1    | 1.3   |
       | 12  | 60    | 1.3  | 1     |
+
+  Scenario Outline: A text of one weight version is moved only to an engine with this version
+    # Guards against results with several versions where the route allows only one, and against a move
+    # that loses the text so far.
+    Given engines that generate a piece in 37 ms, and 20 texts of 10 pieces that waited 0 ms
+    And texts of one weight version, which is 1
+    And a text of 160 pieces at an engine that is 1.6 times slower
+    And an engine with a free slot and version <version> that is 1 times slower than the normal one
+    Then the text <moves>
+
+    Examples:
+      | version | moves                             |
+      | 1       | is moved before it has 80 pieces  |
+      | 2       | is not moved                      |
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -174,6 +174,13 @@
     "Attempts that broke off or failed.",
     "Look for the engine in the log lines of event item.",
 )
+ITEMS_RESTARTED = _declare(
+    "items.restarted",
+    "counter",
+    "count",
+    "Items begun again because no engine had the weight version of their text any more.",
+    "Only on routes with a single version; a steady rise: engines fail while weights change.",
+)
 ITEM_MS = _declare(
     "items.ms", "timer", "ms", "How long an attempt at an item took.", "Compare with due times."
 )
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -70,6 +70,9 @@
     """Whether the request is deferrable: sent only to a peer whose request window is open."""
     expected_events: float = 0.0
     """Expected number of events in its stream; 0 if unknown."""
+    exact_version: int | None = None
+    """The only acceptable weight version, of a text that must not have several; None if any from
+    `oldest_version` on will do."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -79,6 +82,8 @@
     name: str
     event_interval_ms: float
     """Average time between two events of a stream; 0 if unknown."""
+    version: int | None = None
+    """The weight version that it has loaded, of the model in question; None if unknown."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -231,7 +236,7 @@
         with self._lock:
             now = self._read_now()
             free = [
-                FreePeer(peer.name, peer.event_interval_ms)
+                FreePeer(peer.name, peer.event_interval_ms, _find_version(peer, request))
                 for peer in self._peers.values()
                 if peer.backend == request.backend
                 and peer.is_usable
@@ -349,11 +354,17 @@
         return NoPeer(reason, int(retry_after_ms))
 
 
+def _find_version(peer: peers.Peer, request: RouteRequest) -> int | None:
+    return peer.models.get(request.model) if request.model else peer.version
+
+
 def _has_version(peer: peers.Peer, request: RouteRequest) -> bool:
-    if request.oldest_version < 0:
+    if request.oldest_version < 0 and request.exact_version is None:
         return True
-    version = peer.models.get(request.model) if request.model else peer.version
-    return version is not None and version >= request.oldest_version
+    version = _find_version(peer, request)
+    if version is None or version < request.oldest_version:
+        return False
+    return request.exact_version is None or version == request.exact_version
 
 
 def _can_take_windowed(peer: peers.Peer, now: float) -> bool:
--- a/libs/samples/oleander_samples/labels.py
+++ b/libs/samples/oleander_samples/labels.py
@@ -64,6 +64,13 @@
         known += [version for version, _ in self._pieces if version is not None]
         return min(known, default=None)
 
+    @property
+    def versions(self) -> frozenset[int]:
+        """All versions stated so far."""
+        known = [part.version for part in self._resumed]
+        known += [version for version, _ in self._pieces if version is not None]
+        return frozenset(known)
+
     @property
     def outdated_tokens(self) -> int:
         """The number of tokens of older versions than the newest one stated so far."""
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -1,6 +1,7 @@
 """Schedules the work of a step: which samples to start, cancel, resume and restart."""
 
 import collections
+import collections.abc
 import math
 import random
 
@@ -30,7 +31,8 @@
     An unfinished sample either waits in the backlog or has one or two running attempts. If an
     attempt fails, the sample is resumed from its partial text. If the label of the text can't be
     determined, or the oldest version in it is too old to be delivered, the sample is generated
-    from the start.
+    from the start. Where a text must have a single weight version, so is a sample whose text would
+    get a second one.
     """
 
     def __init__(
@@ -39,12 +41,14 @@
         policy: hedging.StragglerPolicy,
         random_seed: int,
         max_discarded_percent: int = 0,
+        requires_single_version: bool = False,
     ) -> None:
         """
         Create a scheduler with all samples of the step in its backlog.
 
         A sample is restarted when its engine's weights change if at most `max_discarded_percent`
-        of its expected length was generated with older weights.
+        of its expected length was generated with older weights. With `requires_single_version`
+        no text has tokens of several weight versions.
         """
         self._step = step
         self._random = random.Random(random_seed)
@@ -62,6 +66,7 @@
         self._backlog = backlog.Backlog(self._group_of, self._lengths)
         self._policy = policy
         self._max_discarded_percent = max_discarded_percent
+        self._requires_single_version = requires_single_version
         self._attempts = attempts.AttemptTable()
         self._hedges = hedging.HedgePlanner(policy, step.sample_count, self._lengths, self._rates)
         self._stragglers: collections.deque[int] = collections.deque()
@@ -92,21 +97,26 @@
         return self._hedges.spent_tokens
 
     def start_next(
-        self, now: float, has_free_slot: bool = True, free_slot_rate: float | None = None
+        self,
+        now: float,
+        has_free_slot: bool = True,
+        free_slot_rate: float | None = None,
+        free_slot_version: int | None = None,
     ) -> work.SampleWork | None:
         """
         Return the next work to start: a waiting sample, or else another attempt at a straggler.
 
         No attempt at a straggler is started while no engine has a free slot, since the attempt
         would only wait for one. `free_slot_rate` is the rate at which the fastest engine with a
-        free slot generates one sample, in tokens per second; None if unknown.
+        free slot generates one sample, in tokens per second, and `free_slot_version` its weight
+        version; None if unknown.
         """
         number = self._backlog.pop(now)
         if number is not None:
             return self._start(number, self._partials.pop(number, None), now, is_hedge=False)
         if self._backlog or not has_free_slot:
             return None
-        return self._start_straggler(now, free_slot_rate)
+        return self._start_straggler(now, free_slot_rate, free_slot_version)
 
     def record_progress(
         self, work_id: str, text: str, tokens: int, version: int | None, now: float
@@ -119,7 +129,7 @@
         self._hedges.record_tokens(work_id, tokens)
         if self._is_stale(attempt.oldest_version):
             self._cancel_stale(attempt, now)
-        elif self._is_worth_restarting(attempt):
+        elif self._is_worth_restarting(attempt) or self._has_excess_version(attempt):
             self._cancel(attempt)
             self._restart_discarded(attempt, now)
         elif attempt.characters > MAX_TEXT_CHARACTERS:
@@ -184,6 +194,13 @@
         if not self._attempts.find_all(attempt.work.number):
             self._backlog.add_retry(attempt.work.number, now)
 
+    def restart(self, work_id: str, now: float) -> None:
+        """Requeue a sample whose attempt was not sent, to be generated from the start."""
+        attempt = self._remove(work_id)
+        if attempt is not None:
+            self._partials.pop(attempt.work.number, None)
+            self._restart_discarded(attempt, now)
+
     def hand_over(self, work_id: str, now: float) -> None:
         """
         Requeue a sample whose generation another entry receives from now on.
@@ -196,7 +213,13 @@
             self._backlog.add_retry(attempt.work.number, now)
 
     def add_partial(self, number: int, partial: work.Partial) -> None:
-        """Save a partial text, possibly of another process, unless a longer one is known."""
+        """
+        Save a partial text, possibly of another process, unless a longer one is known.
+
+        A text that already has an excess weight version is ignored.
+        """
+        if self._has_excess_version(partial):
+            return
         known = self._partials.get(number)
         if known is None or known.tokens < partial.tokens:
             self._partials[number] = partial
@@ -295,7 +318,9 @@
         self._attempts.add(work.Attempt(started, now))
         return started
 
-    def _start_straggler(self, now: float, free_slot_rate: float | None) -> work.SampleWork | None:
+    def _start_straggler(
+        self, now: float, free_slot_rate: float | None, free_slot_version: int | None
+    ) -> work.SampleWork | None:
         """Scan for stragglers if due, and hedge or migrate the first one that allows it."""
         finished_count = self._step.sample_count - self.waiting - self.running
         if self._hedges.is_scan_due(finished_count, now):
@@ -305,6 +330,8 @@
         while self._stragglers:
             number = self._stragglers.popleft()
             same = self._attempts.find_all(number)
+            if not self._can_continue_with(same, free_slot_version):
+                continue
             started = self._hedge(same[0], now) if len(same) == 1 else None
             if started is None:
                 started = self._migrate(number, now)
@@ -360,6 +387,17 @@
         expected = self._lengths.predict_unstarted(attempt.work.group)
         return 0 < outdated * 100 <= expected * self._max_discarded_percent
 
+    def _has_excess_version(self, text: work.Attempt | work.Partial) -> bool:
+        return self._requires_single_version and len(text.versions) > 1
+
+    def _can_continue_with(
+        self, same: collections.abc.Iterable[work.Attempt], version: int | None
+    ) -> bool:
+        """Return whether the texts of a sample's attempts may go on with a weight version."""
+        if not self._requires_single_version:
+            return True
+        return all(attempt.versions <= {version} for attempt in same)
+
     def _is_stale(self, oldest_version: int | None) -> bool:
         return oldest_version is not None and oldest_version < self._oldest_version
 
--- a/libs/samples/oleander_samples/work.py
+++ b/libs/samples/oleander_samples/work.py
@@ -91,6 +91,11 @@
         """The oldest weight version in the label; it decides whether the text is stale."""
         return steps.find_oldest_version(self.label)
 
+    @property
+    def versions(self) -> frozenset[int]:
+        """All weight versions in the label."""
+        return frozenset(part.version for part in self.label)
+
 
 class Attempt:
     """A running attempt with its text, label and rate so far; not thread-safe."""
@@ -135,6 +140,11 @@
         """The oldest weight version stated for a token of the text; None if none was stated."""
         return self._label.oldest_version
 
+    @property
+    def versions(self) -> frozenset[int]:
+        """All weight versions stated for tokens of the text."""
+        return self._label.versions
+
     @property
     def outdated_tokens(self) -> int:
         """The number of tokens generated with older weight versions than the text's newest one."""
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -4,7 +4,7 @@
 import dataclasses
 import threading
 
-from oleander_base import clock, identifiers
+from oleander_base import clock, identifiers, log, metrics
 from oleander_batches import batch_table, submission
 from oleander_direct import servers
 from oleander_routing import router
@@ -24,6 +24,9 @@
 stragglers begins early in a step and is frequent. An attempt without a token counts as a straggler
 only after a delay, because it may still be queued at its engine. The pause before a failed item is
 tried again is short enough that the item's step does not give the item up first."""
+_MAX_VERSION_WAIT_SECONDS = 0.5
+"""How long servers with the weight version of a text are tried where the version must stay.
+Loading weights takes longer, and so does generating a long text anew."""
 _MILLISECONDS = 1000
 _LEAST_URGENT = 5
 """Urgency of the items of a new batch. Engines accept urgencies from this to `_MOST_URGENT`."""
@@ -48,6 +51,8 @@
     """From 1, the most urgent, to 5."""
     expected_events: float
     """Number of events that the attempt is expected to produce."""
+    text_version: int | None = None
+    """The only weight version with which the text may be continued; None if others will do."""
 
     @property
     def call(self) -> servers.CallRequest:
@@ -77,19 +82,26 @@
         batch: batch_table.Batch,
         submitted: submission.Submission,
         event_tokens: int,
+        is_single_version: bool = False,
     ) -> None:
+        """Create a run; with `is_single_version` each text is made by one weight version."""
         self._batch = batch
         self._submitted = submitted
         self._event_tokens = event_tokens
+        self._is_single_version = is_single_version
         self._lock = threading.Lock()
         self._attempt_ended = threading.Condition(self._lock)
         step = _build_step(submitted, event_tokens)
         seed = identifiers.hash_text(submitted.batch_id)
-        self._scheduler = scheduler.WorkScheduler(step, STRAGGLER_POLICY, seed)
+        self._scheduler = scheduler.WorkScheduler(
+            step, STRAGGLER_POLICY, seed, requires_single_version=is_single_version
+        )
         self._scheduler.raise_oldest_version(submitted.oldest_version, clock.read_now())
         self._errors: collections.Counter[int] = collections.Counter()
         self._cancelled: set[str] = set()
         self._last_servers: dict[int, str] = {}
+        self._version_waits: dict[int, clock.Deadline] = {}
+        """Until when each item's text waits to be continued with its weight version."""
         self._is_stopped = False
         self._received_events: dict[str, int] = {}
         """Events of each attempt in flight, by work id."""
@@ -242,6 +254,7 @@
         self, now: float, due_seconds: float, spare: router.FreePeer | None
     ) -> ItemWork | None:
         """Return the next item to generate, or a straggler to move to the spare server."""
+        spare_version = spare.version if spare is not None else None
         spare_rate = (
             self._event_tokens * _MILLISECONDS / spare.event_interval_ms
             if spare is not None and spare.event_interval_ms
@@ -250,7 +263,7 @@
         with self._lock:
             if self._is_stopped or self._batch.is_ended:
                 return None
-            started = self._scheduler.start_next(now, spare is not None, spare_rate)
+            started = self._scheduler.start_next(now, spare is not None, spare_rate, spare_version)
             self._cancelled.update(self._scheduler.take_cancellations())
         if started is None:
             return None
@@ -258,8 +271,17 @@
         item = self._submitted.items[started.number]
         urgency = self.compute_urgency(due_seconds)
         expected_events = started.expected_tokens / self._event_tokens
+        label = started.resumed_label if self._is_single_version else ()
+        text_version = label[0].version if label else None
         return ItemWork(
-            self, started, item, started.number, resumed_events, urgency, expected_events
+            self,
+            started,
+            item,
+            started.number,
+            resumed_events,
+            urgency,
+            expected_events,
+            text_version,
         )
 
     def is_cancelled(self, item: ItemWork) -> bool:
@@ -275,6 +297,25 @@
         """Record the server that an item's attempt is sent to."""
         self._last_servers[item_number] = server_id
 
+    def must_keep_version(self, item: ItemWork) -> bool:
+        """
+        Return whether an item's text is still to be continued with its weight version.
+
+        This is given up once no server has continued it for some time: those that have the version
+        refuse it, or have ended and are still listed.
+        """
+        if item.text_version is None:
+            return False
+        until = self._version_waits.setdefault(
+            item.item_number, clock.start_deadline(_MAX_VERSION_WAIT_SECONDS)
+        )
+        return not until.is_past
+
+    def may_continue_at(self, item: ItemWork, server: servers.Server) -> bool:
+        """Return whether the text of an item may be continued with a server's weights."""
+        version = server.find_version(self._submitted.model)
+        return item.text_version is None or item.text_version == version
+
     def record_event(self, item: ItemWork, text: str, version: int | None) -> None:
         """Append the next event of a text; events are joined by line feeds."""
         with self._lock:
@@ -284,6 +325,7 @@
                 item.work.work_id, joined, self._event_tokens, version, now
             )
             self._cancelled.update(self._scheduler.take_cancellations())
+            self._version_waits.pop(item.item_number, None)
             self._received_events[item.work.work_id] = (
                 self._received_events.get(item.work.work_id, 0) + 1
             )
@@ -307,6 +349,20 @@
             self._clear_attempt(item)
             self._scheduler.requeue_refused(item.work.work_id, clock.read_now() + delay_seconds)
 
+    def restart(self, item: ItemWork) -> None:
+        """Queue an item whose attempt was not sent, to be generated from the start."""
+        with self._lock:
+            self._clear_attempt(item)
+            self._scheduler.restart(item.work.work_id, clock.read_now())
+        metrics.count(metrics.ITEMS_RESTARTED)
+        log.logger.bind(
+            event="item-restarted",
+            id=item.item.item_id,
+            batch=self._submitted.batch_id,
+            events=item.resumed_events,
+            version=item.text_version,
+        ).info("no server accepts its text with the version that the text has")
+
     def count_error(self, item_number: int) -> int:
         """Count a server error for an item; return the item's total."""
         with self._lock:
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -1,5 +1,6 @@
 """Runs the items of the batches that this process owns."""
 
+import dataclasses
 import threading
 
 from oleander_base import clock, log, metrics, tasks
@@ -178,7 +179,9 @@
             log.warn_bounded("batch-unread", submitted.error.detail, batch=batch.batch_id)
             return
         backend = table.find_backend(route.pick_backend_by_key(batch.batch_id))
-        run = batch_run.BatchRun(batch, submitted.ok, backend.event_tokens if backend else 1)
+        run = batch_run.BatchRun(
+            batch, submitted.ok, backend.event_tokens if backend else 1, route.is_single_version
+        )
         run.drop_finished_items()
         resumed = self._load_partials(batch, run)
         reused = run.reuse_texts(self._texts)
@@ -236,6 +239,9 @@
         if server is None:
             run.requeue(item, _WINDOWS_FULL_RETRY_SECONDS)
             return True
+        if not run.may_continue_at(item, server):
+            run.restart(item)
+            return True
         run.record_server(item.item_number, server.server_id)
         self._router.record_started(server.server_id, is_windowed=True)
         self._router.add_pending_stream(server.server_id)
@@ -270,6 +276,8 @@
         if self._guard is not None and self._guard.is_suspect(item.call):
             excluded |= self._guard.list_suspect_servers()
         request = _build_route_request(run, route, excluded, item.expected_events)
+        if run.must_keep_version(item):
+            request = self._require_version(item, request)
         chosen = self._router.choose(request)
         if chosen.is_ok():
             return self._directory.find_server(chosen.ok)
@@ -277,6 +285,21 @@
             return None
         return self._choose_server(run, route, frozenset())
 
+    def _require_version(
+        self, item: batch_run.ItemWork, request: router.RouteRequest
+    ) -> router.RouteRequest:
+        """
+        Return the request for exactly the weight version of an item's text.
+
+        If no other server has the version, the request is returned unchanged, and the item is
+        generated from the start.
+        """
+        exact = dataclasses.replace(request, exact_version=item.text_version)
+        chosen = self._router.choose(exact)
+        if chosen.is_ok() or chosen.error.reason == router.WINDOWS_FULL:
+            return exact
+        return request
+
     def _choose_server(
         self, run: batch_run.BatchRun, route: routes.Route, excluded: frozenset[str]
     ) -> servers.Server | None:
