Reuse a result of an earlier step only with one version where the route requires it

Cause: a result that an earlier batch obtained, possibly on a route that allows several weight versions, was listed for a later batch with the same item without a look at the route.

Change: such a result is reused only if it names one version; otherwise the item is generated.

--- a/features/single_versions.feature
+++ b/features/single_versions.feature
@@ -5,8 +5,8 @@
   Scenario Outline: A text is continued after a crash only with the version with which it began
     # Guards against results with several versions, on which the trainer may not train. A text whose version
     # no engine has any more, or only engines that stay full, is generated from the start.
-    Given a runner with the listed engines e1=slow/1/1
-    When a batch for the <route> route is accepted and its items have 2 events of version 1 each
+    Given a runner with the listed engines e1=crawls/1/1
+    When a batch for the <route> route is accepted and its items have 1 event of version 1 each
     And e1 crashes and there are the engines <engines>
     Then within 12 s all items are done with the versions <versions>
 
@@ -20,8 +20,8 @@
 
   Scenario Outline: A text that another process began is continued only with its version
     # Guards against results with several versions after a planned stop while weights are loaded.
-    Given a runner with the listed engines e1=slow/1/1
-    When a batch for the <route> route is accepted and its items have 2 events of version 1 each
+    Given a runner with the listed engines e1=crawls/1/1
+    When a batch for the <route> route is accepted and its items have 1 event of version 1 each
     And the process hands over to one with the engines <engines>
     Then within 12 s all items are done with the versions <versions>
 
@@ -33,10 +33,26 @@
 
   Scenario Outline: The partial texts of an earlier step are continued only with their version
     # Guards against results with several versions where a trainer submits a group again.
-    Given a runner with the listed engines e1=slow/1/1
-    When a batch for the <route> route is accepted and its items have 2 events of version 1 each
+    Given a runner with the listed engines e1=crawls/1/1
+    When a batch for the <route> route is accepted and its items have 1 event of version 1 each
+    And the batch is ended
     And e1 crashes and there are the engines e2=whole/2/2
-    And the batch is ended, and its items are submitted again for the <route> route
+    And its items are submitted again for the <route> route
+    Then within 12 s all items are done with the versions <versions>
+
+    Examples:
+      | route  | versions |
+      | single | 2        |
+      | usual  | 1 2      |
+
+  Scenario Outline: The result of an earlier step is listed again only if it has one version
+    # Guards against results with several versions that an earlier batch obtained on a route that allows
+    # them.
+    Given a runner with the listed engines e1=crawls/1/1
+    When a batch for the usual route is accepted and its items have 1 event of version 1 each
+    And e1 crashes and there are the engines e2=whole/2/2
+    And all items are done with the versions 1 2
+    And its items are submitted again for the <route> route
     Then within 12 s all items are done with the versions <versions>
 
     Examples:
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -221,7 +221,11 @@
     def _is_reusable(self, result: submission.ItemResult) -> bool:
         """Return whether a result is complete and of weight versions that this batch allows."""
         is_done = result.state is submission.ResultState.DONE
-        return is_done and min(result.versions) >= self._submitted.oldest_version
+        is_fresh = is_done and min(result.versions) >= self._submitted.oldest_version
+        return is_fresh and self._has_allowed_versions(result)
+
+    def _has_allowed_versions(self, result: submission.ItemResult) -> bool:
+        return not self._is_single_version or len(set(result.versions)) <= 1
 
     def compute_urgency(self, due_seconds: float) -> int:
         """
