Check the versions of a result before it is listed

Cause: results were listed without a look at the flag single_version of their route, so a fault in any of the ways that join texts reached the trainer.

Change: BatchRun.check_result looks at each result before it is queued for writing. One with several versions is not listed where the route requires one; its item is generated anew, with an error line result-mixed and the counter batches.results_mixed.

--- a/features/batch_processes.py
+++ b/features/batch_processes.py
@@ -81,6 +81,8 @@
         """The weight version that an engine generates with, if not that of its behaviour."""
         self.crashed = set()
         """The names of the engines that break off their streams and refuse connections."""
+        self.wrap_items = lambda items: items
+        """Replaces the item runner of a process that is started."""
         self._scorer = scorer
         self._refused = collections.Counter()
         self._scored = collections.Counter()
@@ -157,7 +159,9 @@
         self.owned = ownership.PartitionOwnership(log_service, member, self.group)
         tenures = batch_ownership.BatchOwnership(self.journal, self.owned, member)
         dispatcher = calls.CallDispatcher(self._known, chooser, engines)
-        items = item_task.ItemRunner(self._known, chooser, engines, dispatcher, self.group)
+        items = engines.wrap_items(
+            item_task.ItemRunner(self._known, chooser, engines, dispatcher, self.group)
+        )
         writer = result_writer.ResultWriter(self.journal, self.group)
         self.runner = batch_runner.BatchRunner(
             self._known, self.journal, tenures, chooser, items, writer, self.group, 32
--- a/features/single_versions.feature
+++ b/features/single_versions.feature
@@ -59,3 +59,14 @@
       | route  | versions |
       | single | 2        |
       | usual  | 1 2      |
+
+  Scenario Outline: A result with several versions is not listed where one is required
+    # Guards against a fault in any of the ways above: the last check finds the versions themselves.
+    Given a process whose items first result in the versions 1 and 2, with the listed engines e1=whole/2/2
+    When a batch for the <route> route is accepted and its items have 1 event of version 2 each
+    Then within 12 s all items are done with the versions <versions>
+
+    Examples:
+      | route  | versions |
+      | single | 2        |
+      | usual  | 1 2      |
--- a/features/steps/single_versions_steps.py
+++ b/features/steps/single_versions_steps.py
@@ -1,5 +1,6 @@
 """Steps for texts that are generated with one weight version."""
 
+import dataclasses
 import threading
 
 import behave
@@ -46,8 +47,9 @@
 
 
 @behave.given("a runner with the listed engines {listed}")
-def start_runner(context, listed):
+def start_runner(context, listed, wrap_items=None):
     context.engines = batch_processes.FakeEngines({})
+    context.engines.wrap_items = wrap_items or context.engines.wrap_items
     context.log_service = recordlog.MemoryRecordLog()
     _start(context, listed)
     context.add_cleanup(lambda: context.process.stop())
@@ -112,3 +114,25 @@
 @behave.when("all items are done with the versions {versions}")
 def await_versions(context, versions):
     check_versions(context, 12, versions)
+
+
+class MixingItems:
+    """Runs items, but names two versions in the first result of each."""
+
+    def __init__(self, items):
+        self._items = items
+        self._mixed = set()
+
+    def run_item(self, item, server, on_dequeued):
+        result = self._items.run_item(item, server, on_dequeued)
+        if result is None or result.item_id in self._mixed:
+            return result
+        self._mixed.add(result.item_id)
+        return dataclasses.replace(result, versions=(1, 2))
+
+
+@behave.given(
+    "a process whose items first result in the versions 1 and 2, with the listed engines {listed}"
+)
+def start_mixing_runner(context, listed):
+    start_runner(context, listed, MixingItems)
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -190,6 +190,13 @@
 RESULTS_WRITTEN = _declare(
     "batches.results", "counter", "count", "Results that were written to the log.", "None."
 )
+RESULTS_MIXED = _declare(
+    "batches.results_mixed",
+    "counter",
+    "count",
+    "Results with several weight versions that were not listed, as their route allows only one.",
+    "Keep the logs and open an issue: an earlier check should have started the item again.",
+)
 ORDERS = _declare(
     "orders.given", "counter", "count", "Orders to load weights that were given.", "None."
 )
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -224,6 +224,26 @@
         is_fresh = is_done and min(result.versions) >= self._submitted.oldest_version
         return is_fresh and self._has_allowed_versions(result)
 
+    def check_result(self, item_number: int, result: submission.ItemResult) -> bool:
+        """
+        Return whether a result may be listed; otherwise queue its item to be generated anew.
+
+        This is the last check before a result is listed. It fails only if a fault of this program
+        joined texts of several weight versions where the route requires a single one.
+        """
+        if self._has_allowed_versions(result):
+            return True
+        with self._lock:
+            self._scheduler.restart_sample(item_number, clock.read_now())
+        metrics.count(metrics.RESULTS_MIXED)
+        log.logger.bind(
+            event="result-mixed",
+            id=result.item_id,
+            batch=self._submitted.batch_id,
+            versions=result.versions,
+        ).error("a result with several weight versions is not listed")
+        return False
+
     def _has_allowed_versions(self, result: submission.ItemResult) -> bool:
         return not self._is_single_version or len(set(result.versions)) <= 1
 
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -4,7 +4,7 @@
 import threading
 
 from oleander_base import clock, log, metrics, tasks
-from oleander_batches import batch_table, journal
+from oleander_batches import batch_table, journal, submission
 from oleander_direct import crash_guard, directory, routes, servers
 from oleander_routing import router
 from oleanderdeal import (
@@ -156,7 +156,7 @@
                 continue
             lost = run.give_up_unfinished()
             for number, result in lost:
-                self._writer.add(run.batch.batch_id, number, result)
+                self._list_result(run, number, result)
             log.logger.bind(
                 event="batch-given-up", batch=run.batch.batch_id, items=len(lost)
             ).warning("the retention time of the batch is over")
@@ -186,7 +186,7 @@
         resumed = self._load_partials(batch, run)
         reused = run.reuse_texts(self._texts)
         for number, result in reused:
-            self._writer.add(batch.batch_id, number, result)
+            self._list_result(run, number, result)
         self._ownership.record_taken(batch)
         self._runs[batch.batch_id] = run
         self._checkpoint_wanted.set()
@@ -309,13 +309,21 @@
     def _run_item(self, item: batch_run.ItemWork, server: servers.Server) -> None:
         try:
             result = self._items.run_item(item, server, self._journal.index.wake)
-            if result is not None:
+            if result is not None and self._list_result(item.run, item.item_number, result):
                 item.run.record_result(item.item_number, result)
-                self._writer.add(item.run.batch.batch_id, item.item_number, result)
         finally:
             with self._lock:
                 self._running -= 1
 
+    def _list_result(
+        self, run: batch_run.BatchRun, item_number: int, result: submission.ItemResult
+    ) -> bool:
+        """Queue a result for writing, and return True, unless it must not be listed."""
+        is_valid = run.check_result(item_number, result)
+        if is_valid:
+            self._writer.add(run.batch.batch_id, item_number, result)
+        return is_valid
+
 
 def _build_route_request(
     run: batch_run.BatchRun,
