Report a refused append as doubtful if it was sent twice

Cause: HttpCaller.call_idempotent repeats a call after a connection reset and returned only the second answer. A 503, 429 or 412 to the second send was taken as proof that nothing was appended, although the first send may have been carried out.

The response now says whether the request was sent before, and the store's client reports a refusal of such a call as one that may have had an effect.

--- a/features/ending_server.py
+++ b/features/ending_server.py
@@ -12,7 +12,12 @@
 
 
 class EndingServer:
-    """Answers requests on persistent connections; a fatal request triggers the fault `does`."""
+    """
+    Answers requests on persistent connections; a fatal request triggers the fault `does`.
+
+    With the fault "breaks off, then STATUS" only the first fatal request is broken off, and
+    further ones are answered with that status.
+    """
 
     def __init__(self, does, fatal=FATAL):
         self._does = does
@@ -23,6 +28,8 @@
         self.address = f"{host}:{port}"
         self.runs = 0
         """The number of fatal requests received."""
+        self.headers = ""
+        """Header lines, each with its line end, of an answer with a status."""
         threading.Thread(target=self._accept, daemon=True).start()
 
     def stop(self):
@@ -47,10 +54,18 @@
             while head := _receive(connection):
                 if self._fatal in head:
                     self.runs += 1
-                    self._fail(connection)
+                    self._handle_fatal(connection)
                 else:
                     connection.sendall(_ANSWER)
 
+    def _handle_fatal(self, connection):
+        does, _, status = self._does.partition(", then ")
+        if status and self.runs > 1:
+            answer = f"HTTP/1.1 {status} Later\r\nContent-Length: 0\r\n{self.headers}\r\n"
+            connection.sendall(answer.encode())
+        else:
+            self._fail(connection)
+
     def _fail(self, connection):
         if self._does == "is silent":
             return
--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -149,3 +149,30 @@
       | connection |
       | new        |
       | kept       |
+
+  Scenario Outline: A refusal of the second send of an append does not undo the first
+    # Guards against "refused" for a batch that runs: the store carried out an append, the connection
+    # was reset before the answer, and the same call on a new connection is answered with a refusal.
+    Given a store that breaks off, then <status> while it reads an append on a <connection> connection
+    When a record is appended there <how>
+    Then after <sends> sends it is reported as <outcome>
+
+    Examples:
+      | connection | status | how      | sends | outcome   |
+      | kept       | 503    | anywhere | 2     | doubtful  |
+      | kept       | 429    | anywhere | 2     | doubtful  |
+      | kept       | 412    | at 7     | 2     | doubtful  |
+      | kept       | 503    | at 7     | 2     | doubtful  |
+      | new        | 503    | anywhere | 1     | doubtful  |
+
+  Scenario Outline: A refusal of the only send of an append shows that it had no effect
+    Given a store that answers an append on a <connection> connection with <status>
+    When a record is appended there <how>
+    Then after 1 sends it is reported as <outcome>
+
+    Examples:
+      | connection | status | how      | outcome   |
+      | kept       | 503    | anywhere | no effect |
+      | new        | 429    | anywhere | no effect |
+      | kept       | 412    | at 7     | end moved |
+      | kept       | 500    | anywhere | doubtful  |
--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -17,6 +17,7 @@
 from oleander_adapter import boot, operator_records, server_calls, server_records, store
 from oleander_base import clock, http_pool
 from oleander_direct import directory, servers
+from oleander_platform import recordlog
 from oleander_routing import router
 
 _ROOT = pathlib.Path(__file__).resolve().parent.parent.parent
@@ -274,9 +275,9 @@
     assert context.outcomes == [servers.OrderTaken(True)] * (requests // 2), context.outcomes
 
 
-@behave.given("a store that ends while it reads an append on a {connection} connection")
-def create_ending_store(context, connection):
-    context.ending = ending_server.EndingServer("ends", b"log-append")
+@behave.given("a store that {does} while it reads an append on a {connection} connection")
+def create_ending_store(context, does, connection):
+    context.ending = ending_server.EndingServer(does, b"log-append")
     context.add_cleanup(context.ending.stop)
     context.record_log = store.StoreRecordLog(context.ending.address)
     if connection == "kept":
@@ -293,3 +294,31 @@
 def check_append(context):
     assert context.ending.runs == 1, context.ending.runs
     assert context.appended.error.may_have_effect, context.appended
+
+
+@behave.given("a store that answers an append on a {connection} connection with {status}")
+def create_refusing_store(context, connection, status):
+    create_ending_store(context, f"breaks off, then {status}", connection)
+    context.ending.runs = 1
+
+
+@behave.when("a record is appended there {how}")
+def append_how(context, how):
+    context.first_runs = context.ending.runs
+    if how == "anywhere":
+        append_there(context)
+        return
+    end_offset = int(how.removeprefix("at "))
+    deadline = clock.start_deadline(_STORE_SECONDS)
+    context.appended = context.record_log.append_at("t", 0, [b"record"], end_offset, deadline)
+
+
+@behave.then("after {sends:d} sends it is reported as {outcome}")
+def check_sends(context, sends, outcome):
+    assert context.ending.runs - context.first_runs == sends, context.ending.runs
+    error = context.appended.error
+    if isinstance(error, recordlog.EndMoved):
+        seen = "end moved"
+    else:
+        seen = "doubtful" if error.may_have_effect else "no effect"
+    assert seen == outcome, error
--- a/libs/base/oleander_base/http_exchange.py
+++ b/libs/base/oleander_base/http_exchange.py
@@ -48,6 +48,9 @@
     retry_after_ms: int
     """Retry-After in milliseconds, at most one hour; 0 if absent or not a number."""
     body: bytes
+    was_sent_before: bool = False
+    """Whether the request was sent before, on a connection that failed. The server may have
+    executed that copy, whatever it answers to this one."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -202,7 +205,12 @@
     def call_idempotent(
         self, request: Request, deadline: clock.Deadline
     ) -> expression.Result[Response, ExchangeError]:
-        """Send a request on the idle connection; if that was closed, send it on a new one."""
+        """
+        Send a request on the idle connection; if that was closed, send it on a new one.
+
+        The response to a second send has `was_sent_before` set: a refusal in it does not show that
+        the first send had no effect.
+        """
         connection = self._take_connection()
         was_idle = connection.is_open
         if was_idle:
@@ -213,7 +221,8 @@
         if opened.is_error():
             reach = Reach.MAY_HAVE_ARRIVED if was_idle else opened.error.reach
             return expression.Error(dataclasses.replace(opened.error, reach=reach))
-        return _exchange(connection, request, deadline).map_error(describe_failure)
+        answered = _exchange(connection, request, deadline).map_error(describe_failure)
+        return answered.map(lambda answer: dataclasses.replace(answer, was_sent_before=was_idle))
 
     def _take_connection(self) -> http_connection.Connection:
         connection: http_connection.Connection | None = getattr(self._idle, "connection", None)
