Report a refused call, item or order as doubtful if it was sent twice

Cause: ConnectionPool.open repeats a request after a connection reset, and the client of the backend servers judged only the second answer: 'not run', 421 or a refused order counted as proof, although the first send may have been executed.

The pool's response says whether the request was sent before; such a refusal may have run.

--- /dev/null
+++ b/features/steps/server_answers_steps.py
@@ -0,0 +1,71 @@
+"""Steps for what the answers of backend servers prove about their requests."""
+
+import behave
+
+import ending_server
+from oleander_adapter import http_names, server_calls
+from oleander_base import clock, http_pool
+from oleander_direct import servers
+
+_SECONDS = 2.0
+_ID = "r-1"
+_OTHER_ID = "r-0"
+_HEADERS = {
+    "none": "",
+    "not-run": f"{http_names.NOT_RUN}: 1\r\n{http_names.REQUEST_ID}: {_ID}\r\n",
+}
+_CALL = servers.CallRequest(_ID, "h", "POST", ending_server.FATAL.decode(), (), b"b", True)
+_ORDER = servers.VersionOrder("m", 2, True, "holder", 7, 4)
+
+
+def _is_never_cancelled():
+    return False
+
+
+def _send(caller, server, request):
+    deadline = clock.start_deadline(_SECONDS)
+    if request == "a call":
+        return caller.call(server, _CALL, deadline, _is_never_cancelled)
+    if request == "an item":
+        sent = servers.GenerateRequest(_CALL, 0, 5)
+        return caller.generate(server, sent, deadline, _is_never_cancelled)
+    return caller.order(server, _ORDER, deadline)
+
+
+def _describe(outcome):
+    """Return what an outcome says about whether the request ran."""
+    if isinstance(outcome, servers.OrderOutcome):
+        names = {servers.OrderTaken: "ran", servers.OrderRefused: "did not run"}
+        return names.get(type(outcome), "may have run")
+    if outcome.is_error():
+        return "may have run" if outcome.error.was_sent else "did not run"
+    answer = outcome.ok
+    return "did not run" if answer.did_not_run or answer.is_wrong_server else "ran"
+
+
+@behave.given("a backend server that {does} with the headers {headers}")
+def start_server(context, does, headers):
+    is_broken = does.startswith("breaks off")
+    does = does if is_broken else f"breaks off, then {does.removeprefix('answers ')}"
+    context.ending = ending_server.EndingServer(does, b" /")
+    context.add_cleanup(context.ending.stop)
+    context.ending.headers = _HEADERS[headers]
+    context.ending.runs = 0 if is_broken else 1
+    context.first_runs = context.ending.runs
+
+
+@behave.when("an entry sends it {request} on a kept connection")
+def send_request(context, request):
+    pool = http_pool.ConnectionPool()
+    address = context.ending.address
+    context.add_cleanup(pool.close_idle, address)
+    warm_up = http_pool.PoolRequest(address, "GET", "warm-up", (("Host", "h"),))
+    assert pool.call(warm_up, clock.start_deadline(_SECONDS), _is_never_cancelled).is_ok()
+    server = servers.Server("i-1", 1, "desk", address, "z", 8, False, ())
+    context.outcome = _send(server_calls.HttpServerCaller(pool), server, request)
+
+
+@behave.then("after {sends:d} sends the request {outcome}")
+def check_outcome(context, sends, outcome):
+    assert context.ending.runs - context.first_runs == sends, context.ending.runs
+    assert _describe(context.outcome) == outcome, context.outcome
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -53,6 +53,9 @@
     is_framed: bool
     """Whether the body had a stated length or was chunked; otherwise the close of the connection,
     without a reset, ended it."""
+    was_sent_before: bool = False
+    """Whether the request was sent before, on a connection that failed. The server may have
+    executed that copy, whatever it answers to this one."""
 
     def find_header(self, name: str) -> str:
         """Return the value of a header (case-insensitive), or an empty string."""
@@ -100,9 +103,9 @@
         opened = self._connect(request.address, deadline)
         if opened.is_error():
             return expression.Error(_merge_failures(reused, opened.error))
-        return self._send(opened.ok, request, deadline, is_cancelled).map_error(
-            lambda error: self.describe_error(request.address, error)
-        )
+        return self._send(
+            opened.ok, request, deadline, is_cancelled, was_sent_before=reused is not None
+        ).map_error(lambda error: self.describe_error(request.address, error))
 
     def call(
         self,
@@ -188,6 +191,7 @@
         request: PoolRequest,
         deadline: clock.Deadline,
         is_cancelled: collections.abc.Callable[[], bool],
+        was_sent_before: bool = False,
     ) -> expression.Result["PooledResponse", Exception]:
         connection.set_deadline(deadline, is_cancelled)
         try:
@@ -203,7 +207,9 @@
         except _FAILURES as error:
             connection.close()
             return expression.Error(error)
-        return expression.Ok(PooledResponse(self, request.address, connection, response))
+        return expression.Ok(
+            PooledResponse(self, request.address, connection, response, was_sent_before)
+        )
 
 
 class PooledResponse:
@@ -215,7 +221,9 @@
         address: str,
         connection: http_connection.Connection,
         response: http.client.HTTPResponse,
+        was_sent_before: bool = False,
     ) -> None:
+        self._was_sent_before = was_sent_before
         self._pool = pool
         self._address = address
         self._connection = connection
@@ -230,6 +238,11 @@
         """The HTTP status code."""
         return self._response.status
 
+    @property
+    def was_sent_before(self) -> bool:
+        """Whether the request was sent before, on a connection that failed."""
+        return self._was_sent_before
+
     @property
     def headers(self) -> tuple[tuple[str, str], ...]:
         """The end-to-end headers; hop-by-hop headers are left out."""
@@ -267,7 +280,9 @@
         except _FAILURES as error:
             self.close()
             return expression.Error(self._describe(error))
-        answer = Response(self.status, self.headers, bytes(body), self._is_framed)
+        answer = Response(
+            self.status, self.headers, bytes(body), self._is_framed, self._was_sent_before
+        )
         self._finish()
         return expression.Ok(answer)
 
