Take no answer that names another request

Cause: the id of an answer was not compared if it said 'not run' or 421, so the copy of a refusal was taken as the answer to the next request on the connection. The item was sent to another engine while the first still ran it, and the connection went back to the pool with an answer due on it.

Answers to orders and reports, which carry no id, must not name a request that this process sent lately.

--- a/features/server_answers.feature
+++ b/features/server_answers.feature
@@ -30,3 +30,27 @@
       | a call     | 421    | none    | did not run |
       | an item    | 503    | not-run | did not run |
       | an order   | 409    | none    | did not run |
+
+  Scenario Outline: An answer to another request is not taken as the answer to this one
+    # Guards against an item that runs at two engines: a refusal is sent twice, the copy is read in
+    # place of the next answer on the connection, and the item that it refuses is sent elsewhere. The
+    # connection is closed, as the answer that is still due on it would reach a third request.
+    Given a backend server that answers <status> with the headers <headers>
+    When an entry sends it <request> on a kept connection
+    Then after 1 sends the request <outcome>
+    And the connection is <left>
+
+    Examples:
+      | request  | status | headers        | outcome      | left   |
+      | a call   | 503    | another, not-run | may have run | closed |
+      | a call   | 421    | another        | may have run | closed |
+      | a call   | 200    | another        | may have run | closed |
+      | a call   | 500    | none           | may have run | closed |
+      | an item  | 503    | another, not-run | may have run | closed |
+      | an item  | 421    | another        | may have run | closed |
+      | an item  | 200    | another        | may have run | closed |
+      | an order | 503    | another, not-run | may have run | closed |
+      | an order | 200    | another        | may have run | closed |
+      | a report | 200    | another        | may have run | closed |
+      | an order | 503    | unknown        | did not run  | kept   |
+      | a call   | 503    | not-run        | did not run  | kept   |
--- a/features/steps/server_answers_steps.py
+++ b/features/steps/server_answers_steps.py
@@ -1,5 +1,7 @@
 """Steps for what the answers of backend servers prove about their requests."""
 
+import dataclasses
+
 import behave
 
 import ending_server
@@ -13,8 +15,12 @@
 _HEADERS = {
     "none": "",
     "not-run": f"{http_names.NOT_RUN}: 1\r\n{http_names.REQUEST_ID}: {_ID}\r\n",
+    "another": f"{http_names.REQUEST_ID}: {_OTHER_ID}\r\n",
+    "another, not-run": f"{http_names.NOT_RUN}: 1\r\n{http_names.REQUEST_ID}: {_OTHER_ID}\r\n",
+    "unknown": f"{http_names.REQUEST_ID}: never-sent\r\n",
 }
 _CALL = servers.CallRequest(_ID, "h", "POST", ending_server.FATAL.decode(), (), b"b", True)
+_OTHER_CALL = dataclasses.replace(_CALL, request_id=_OTHER_ID, target="other")
 _ORDER = servers.VersionOrder("m", 2, True, "holder", 7, 4)
 
 
@@ -29,6 +35,8 @@
     if request == "an item":
         sent = servers.GenerateRequest(_CALL, 0, 5)
         return caller.generate(server, sent, deadline, _is_never_cancelled)
+    if request == "a report":
+        return caller.read_state(server, deadline)
     return caller.order(server, _ORDER, deadline)
 
 
@@ -59,10 +67,23 @@
     pool = http_pool.ConnectionPool()
     address = context.ending.address
     context.add_cleanup(pool.close_idle, address)
+    server = servers.Server("i-1", 1, "desk", address, "z", 8, False, ())
+    caller = server_calls.HttpServerCaller(pool)
+    caller.call(server, _OTHER_CALL, clock.start_deadline(_SECONDS), _is_never_cancelled)
     warm_up = http_pool.PoolRequest(address, "GET", "warm-up", (("Host", "h"),))
     assert pool.call(warm_up, clock.start_deadline(_SECONDS), _is_never_cancelled).is_ok()
-    server = servers.Server("i-1", 1, "desk", address, "z", 8, False, ())
-    context.outcome = _send(server_calls.HttpServerCaller(pool), server, request)
+    context.opened_before = pool.opened_count
+    context.pool = pool
+    context.warm_up = warm_up
+    context.outcome = _send(caller, server, request)
+
+
+@behave.then("the connection is {left}")
+def check_connection(context, left):
+    deadline = clock.start_deadline(_SECONDS)
+    assert context.pool.call(context.warm_up, deadline, _is_never_cancelled).is_ok()
+    opened = context.pool.opened_count - context.opened_before
+    assert opened == (1 if left == "closed" else 0), opened
 
 
 @behave.then("after {sends:d} sends the request {outcome}")
