Keep every append within the limits of the store

Cause: after an outage the results of a step were appended up to 64 in one call of 2.7 MB. Partial texts were appended the same way.

The client of the store knows call_bytes and record_bytes from the settings, does not send a call beyond them, and reports it, like a 413, as final. Content and index records are divided into calls; a text larger than a record is split and listed by a manifest. The writer takes results of one batch, bounded in number and size, puts a batch that failed behind the others, and lists the item of a result that the log can never accept as lost.

--- a/features/platform_adapter.feature
+++ b/features/platform_adapter.feature
@@ -135,6 +135,11 @@
       | ip=5                             | faulty in ip                       |
       | no listen                        | faulty in listen.front listen.ready |
       | bounds.grace_s="8"               | faulty in bounds.grace_s           |
+      | platform.call_bytes=2097152      | sound                              |
+      | platform.call_bytes="2 MB"       | faulty in platform.call_bytes      |
+      | platform.record_bytes=0          | faulty in platform.record_bytes    |
+      | platform.record_bytes=4095       | faulty in platform.record_bytes    |
+      | platform.record_bytes=4096       | sound                              |
 
   Scenario: No source file outside the adapter contains the platform's wire names
     Then no file of the product, its stand-ins or its bench has a name of the platform
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -197,6 +197,13 @@
     "Results with several weight versions that were not listed, as their route allows only one.",
     "Keep the logs and open an issue: an earlier check should have started the item again.",
 )
+RESULTS_ABANDONED = _declare(
+    "batches.abandoned",
+    "counter",
+    "count",
+    "Results that the log can never accept; their items are listed as lost.",
+    "Find the event `result-abandoned` in the log: it has the size and the log's answer.",
+)
 ORDERS = _declare(
     "orders.given", "counter", "count", "Orders to load weights that were given.", "None."
 )
--- a/libs/batches/oleander_batches/__init__.py
+++ b/libs/batches/oleander_batches/__init__.py
@@ -1,5 +1,23 @@
 """Batches of items to generate, stored in the platform's log from acceptance to results."""
 
-from oleander_batches import batch_table, content, index_reader, journal, records, submission
+from oleander_batches import (
+    batch_table,
+    content,
+    index_reader,
+    journal,
+    manifests,
+    records,
+    result_queue,
+    submission,
+)
 
-__all__ = ["batch_table", "content", "index_reader", "journal", "records", "submission"]
+__all__ = [
+    "batch_table",
+    "content",
+    "index_reader",
+    "journal",
+    "manifests",
+    "records",
+    "result_queue",
+    "submission",
+]
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import itertools
 
 import expression
 
@@ -13,6 +14,8 @@
 """The least time left to repeat an append to the index; the pause before it is half of this."""
 _MAX_REORDERED_RESULTS = 64
 """Results among which the first stored text is searched: as many as one append may contain."""
+MAX_RESULTS_PER_APPEND = _MAX_REORDERED_RESULTS
+"""Number of results that one call of `append_results` should be given at most."""
 _MAX_ACCEPTED_HERE = 256
 """Maximum number of batches remembered as accepted by this process; the information is needed only
 for some seconds."""
@@ -77,13 +80,15 @@
         """
         Append a submission to the content and to the index.
 
-        Only the index record makes the batch run. If its append was not answered, the record may
-        still appear; the failure then has `may_have_effect` set and must not be reported as a
-        refusal.
+        Only the index record makes the batch run, so it is appended last, and not at all if the
+        deadline has passed. If its append was not answered, the record may still appear; the
+        failure then has `may_have_effect` set and must not be reported as a refusal.
         """
         appended = self._content.append_submission(accepted, deadline)
         if appended.is_error():
             return expression.Error(appended.error)
+        if deadline.is_past:
+            return expression.Error(content.JournalFailure("no time is left", False))
         record = records.Accepted(
             accepted.batch_id,
             accepted.host,
@@ -111,31 +116,49 @@
     def append_results(
         self, batch_id: str, results: list[tuple[int, submission.ItemResult]]
     ) -> expression.Result[None, content.JournalFailure]:
-        """Append results, each with its item number; safe to repeat after any failure."""
+        """
+        Append results, each with its item number; safe to repeat after any failure.
+
+        A failure that is final concerns at least one of the results; the others can be appended
+        without it.
+        """
         contents = [submission.encode_result(result) for _, result in results]
         appended = self._content.append(batch_id, contents)
         if appended.is_error():
             return expression.Error(appended.error)
         index: list[records.IndexRecord] = [
-            records.Finished(batch_id, number, appended.ok + position)
-            for position, (number, _) in enumerate(results)
+            records.Finished(batch_id, number, offset)
+            for (number, _), offset in zip(results, appended.ok, strict=True)
         ]
         return self._append_index(index, clock.start_deadline(content.APPEND_TIMEOUT_SECONDS))
 
     def append_partials(
         self, batch_id: str, partials: list[submission.PartialText]
     ) -> expression.Result[None, content.JournalFailure]:
-        """Append partial texts, from which another process can resume the items."""
+        """
+        Append partial texts, from which another process can resume the items.
+
+        Several appends are needed for more than `divide_partials` puts into one portion.
+        """
         contents = [submission.encode_partial(partial) for partial in partials]
         appended = self._content.append(batch_id, contents)
         if appended.is_error():
             return expression.Error(appended.error)
         index: list[records.IndexRecord] = [
-            records.Partial(batch_id, item.item_number, appended.ok + position, item.events)
-            for position, item in enumerate(partials)
+            records.Partial(batch_id, item.item_number, offset, item.events)
+            for item, offset in zip(partials, appended.ok, strict=True)
         ]
         return self._append_index(index, clock.start_deadline(content.APPEND_TIMEOUT_SECONDS))
 
+    def divide_partials(
+        self, partials: list[submission.PartialText]
+    ) -> list[list[submission.PartialText]]:
+        """Divide partial texts into portions, each of which needs one append of content."""
+        sizes = [len(submission.encode_partial(item)) for item in partials]
+        return [
+            [partials[index] for index in portion] for portion in self._log.limits.divide(sizes)
+        ]
+
     def record_runner(
         self, batch_ids: list[str], runner: str
     ) -> expression.Result[None, content.JournalFailure]:
@@ -163,20 +186,36 @@
             contents = self._content.read(batch.batch_id, first, deadline)
         if contents.is_error():
             return expression.Error(contents.error)
-        results = []
-        for location in locations:
-            encoded = contents.ok.get(location.content_offset)
-            if encoded is None:
+        stored = [contents.ok.get(location.content_offset) for location in locations]
+        read = self._decode_results(batch.batch_id, stored, deadline)
+        return read.map(lambda results: ResultPage(batch.total, tuple(results)))
+
+    def _decode_results(
+        self, batch_id: str, stored: list[bytes | None], deadline: clock.Deadline
+    ) -> expression.Result[list[submission.ItemResult], content.JournalFailure]:
+        """
+        Decode records of results up to the first one missing.
+
+        A result that is larger than a record ends the page, which bounds the size of a page.
+        """
+        results: list[submission.ItemResult] = []
+        for record in itertools.takewhile(lambda item: item is not None, stored):
+            encoded = self._content.resolve(batch_id, record or b"", deadline)
+            if encoded.is_error() and results:
                 break
-            decoded = submission.decode_result(encoded)
+            if encoded.is_error():
+                return expression.Error(encoded.error)
+            decoded = submission.decode_result(encoded.ok)
             if decoded.is_error():
                 return expression.Error(content.JournalFailure(str(decoded.error), False))
             results.append(decoded.ok)
+            if encoded.ok is not record:
+                break
         if not results:
             return expression.Error(
                 content.JournalFailure("a result's content is not kept any more", False)
             )
-        return expression.Ok(ResultPage(batch.total, tuple(results)))
+        return expression.Ok(results)
 
     def read_partials(
         self, batch: batch_table.Batch, deadline: clock.Deadline
@@ -197,7 +236,11 @@
                     log.warn_bounded("partials-unread", read.error.detail, batch=batch.batch_id)
                     break
                 contents = read.ok
-            decoded = submission.decode_partial(contents.get(offset, b""))
+            encoded = self._content.resolve(batch.batch_id, contents.get(offset, b""), deadline)
+            if encoded.is_error():
+                log.warn_bounded("partials-unread", encoded.error.detail, batch=batch.batch_id)
+                continue
+            decoded = submission.decode_partial(encoded.ok)
             if decoded.is_ok():
                 partials.append(decoded.ok)
             else:
@@ -214,11 +257,21 @@
         self, items: list[records.IndexRecord], deadline: clock.Deadline
     ) -> expression.Result[None, content.JournalFailure]:
         """
-        Append records to the index, repeating appends that were not answered until the deadline.
+        Append records to the index, in as many calls as the log's limits require.
 
         A record that is appended twice does no harm.
         """
         contents = [records.encode_record(item) for item in items]
+        for call in self._log.limits.divide(map(len, contents)):
+            appended = self._append_index_call([contents[index] for index in call], deadline)
+            if appended.is_error():
+                return appended
+        return expression.Ok(None)
+
+    def _append_index_call(
+        self, contents: list[bytes], deadline: clock.Deadline
+    ) -> expression.Result[None, content.JournalFailure]:
+        """Append records in one call; repeat one that was not answered until the deadline."""
         may_have_effect = False
         while True:
             attempt = deadline.cap(content.APPEND_TIMEOUT_SECONDS)
@@ -228,8 +281,9 @@
             if appended.is_ok():
                 return expression.Ok(None)
             may_have_effect = may_have_effect or appended.error.may_have_effect
-            if not may_have_effect or deadline.remaining < _RETRY_SECONDS:
+            is_final = appended.error.is_final
+            if is_final or not may_have_effect or deadline.remaining < _RETRY_SECONDS:
                 return expression.Error(
-                    content.JournalFailure(appended.error.detail, may_have_effect)
+                    content.JournalFailure(appended.error.detail, may_have_effect, is_final)
                 )
             self._group.pause(_RETRY_SECONDS / 2)
--- a/libs/batches/oleander_batches/submission.py
+++ b/libs/batches/oleander_batches/submission.py
@@ -54,6 +54,14 @@
     organisation: str = ""
     """The organisation that owns the batch for its lifetime; empty if callers need no API key."""
 
+    @property
+    def body_bytes(self) -> int:
+        """The size of all request bodies of the submission."""
+        scorings = [item.scoring for item in self.items if item.scoring is not None]
+        return sum(len(item.body) for item in self.items) + sum(
+            len(scoring.body) for scoring in scorings
+        )
+
     def find_item(self, item_id: str) -> Item | None:
         """Return the item with this ID, or None."""
         return next((item for item in self.items if item.item_id == item_id), None)
@@ -91,6 +99,11 @@
     """Pairs of a weight version and its number of events, in text order."""
 
 
+def build_lost_result(item_id: str) -> ItemResult:
+    """Return the result of an item that was given up."""
+    return ItemResult(item_id, ResultState.LOST, "", (), "")
+
+
 _Decoded = expression.Result[typing.Any, findings.Finding]
 
 
--- a/libs/platform/oleander_platform/__init__.py
+++ b/libs/platform/oleander_platform/__init__.py
@@ -1,6 +1,7 @@
 """Clients of the platform's services: abstract classes for the log and the host list."""
 
 from oleander_platform import (
+    append_limits,
     hostlist,
     http_hostlist,
     http_logservice,
@@ -10,6 +11,7 @@
 )
 
 __all__ = [
+    "append_limits",
     "hostlist",
     "http_hostlist",
     "http_logservice",
--- a/libs/platform/oleander_platform/logservice.py
+++ b/libs/platform/oleander_platform/logservice.py
@@ -38,6 +38,8 @@
     may_have_effect: bool
     """Whether the records of a failed append may be in the log, or appear in it later."""
     retry_after_ms: int
+    is_final: bool = False
+    """Whether the same call can never succeed, so that it must not be repeated."""
 
 
 class LogService(abc.ABC):
--- a/libs/platform/oleander_platform/recordlog.py
+++ b/libs/platform/oleander_platform/recordlog.py
@@ -6,7 +6,7 @@
 import expression
 
 from oleander_base import clock
-from oleander_platform import logservice
+from oleander_platform import append_limits, logservice
 
 LogError = logservice.LogError
 
@@ -96,6 +96,11 @@
 class RecordLog(abc.ABC):
     """Appends to and reads from partitions; their assignment to members is a hint only."""
 
+    @property
+    @abc.abstractmethod
+    def limits(self) -> append_limits.AppendLimits:
+        """The limits of one append; one beyond them fails with `is_final` set."""
+
     @abc.abstractmethod
     def append(
         self, topic: str, partition: int, records: list[bytes], deadline: clock.Deadline
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -15,6 +15,9 @@
 _ACCEPT_TIMEOUT_SECONDS = 2.0
 """Bound on accepting a batch: one append to the content topic and one to the index topic, each
 of which may take half of this time."""
+_ACCEPT_BYTES_PER_SECOND = 1024 * 1024
+"""The bound is longer by the time that a submission takes at this rate, which a link of 30 Mbit/s
+reaches beside other traffic."""
 _END_TIMEOUT_SECONDS = 2.0
 """Bound on ending a batch; shorter than the client's own timeout, so that it can still try another
 entry."""
@@ -66,7 +69,8 @@
             return expression.Ok(None)
         if self._journal.index.is_unreachable:
             return self._refuse_while_cut_off(submitted.batch_id, "submission")
-        accepted = self._journal.accept(submitted, deadline.cap(_ACCEPT_TIMEOUT_SECONDS))
+        seconds = _ACCEPT_TIMEOUT_SECONDS + submitted.body_bytes / _ACCEPT_BYTES_PER_SECOND
+        accepted = self._journal.accept(submitted, deadline.cap(seconds))
         if accepted.is_ok():
             metrics.count(metrics.BATCHES_ACCEPTED)
         log.logger.bind(
--- a/programs/oleanderdeal/oleanderdeal/checkpoints.py
+++ b/programs/oleanderdeal/oleanderdeal/checkpoints.py
@@ -3,7 +3,7 @@
 import threading
 
 from oleander_base import clock, log
-from oleander_batches import journal
+from oleander_batches import journal, submission
 from oleanderdeal import batch_ownership, batch_run
 
 _STOP_TIMEOUT_SECONDS = 0.2
@@ -22,12 +22,24 @@
         self._released_batch_ids: set[str] = set()
 
     def save(self, run: batch_run.BatchRun, min_events: int, event: str = "kept") -> bool:
-        """Save partial texts that grew by at least `min_events`; return False if that failed."""
+        """
+        Save partial texts that grew by at least `min_events`; return False if that failed.
+
+        They are saved in portions that each fit into one append, so that those saved before a
+        failure are not sent again. Texts that the log can never accept are left out until they
+        have grown.
+        """
         partials = run.list_grown_partials(min_events) if run.batch.is_open else []
-        if not partials:
-            return True
+        portions = self._journal.divide_partials(partials)
+        return all(self._save_portion(run, portion, event) for portion in portions)
+
+    def _save_portion(
+        self, run: batch_run.BatchRun, partials: list[submission.PartialText], event: str
+    ) -> bool:
+        """Save partial texts; return False if that failed and must be tried again."""
         saved = self._journal.append_partials(run.batch.batch_id, partials)
-        if saved.is_ok():
+        is_settled = saved.is_ok() or saved.error.is_final
+        if is_settled:
             run.record_checkpointed(partials)
         log.logger.bind(
             event=f"partials-{event}",
@@ -35,7 +47,7 @@
             texts=len(partials),
             error=saved.error.detail if saved.is_error() else "",
         ).info("saving partial texts for other processes")
-        return saved.is_ok()
+        return is_settled
 
     def hand_over(self, runs: dict[str, batch_run.BatchRun]) -> None:
         """Save and hand over batches; call again to retry those that the log did not accept."""
--- a/standins/oleander_standins/recordlog.py
+++ b/standins/oleander_standins/recordlog.py
@@ -2,15 +2,19 @@
 
 import collections
 import dataclasses
+import itertools
 import threading
 import time
 
 import expression
 
 from oleander_base import clock
-from oleander_platform import recordlog
+from oleander_platform import append_limits, recordlog
 
 _PAGE_RECORDS = 500
+_PAGE_BYTES = 1024 * 1024
+"""A page holds records up to this size, and at least one."""
+_DEFAULT_LIMITS = append_limits.AppendLimits()
 
 
 @dataclasses.dataclass(slots=True)
@@ -51,8 +55,15 @@
 class MemoryRecordLog(recordlog.RecordLog):
     """A log shared by several clients, each created by `create_client` with its own faults."""
 
-    def __init__(self, shared: "MemoryRecordLog | None" = None) -> None:
+    def __init__(
+        self,
+        shared: "MemoryRecordLog | None" = None,
+        limits: append_limits.AppendLimits = _DEFAULT_LIMITS,
+    ) -> None:
         self.faults = LogFaults()
+        self._limits = shared.limits if shared else limits
+        self.accepted_limits = self._limits
+        """The limits that are enforced; a test may lower them below the stated ones."""
         self._partitions: dict[tuple[str, int], _Partition] = (
             shared._partitions if shared else collections.defaultdict(_Partition)
         )
@@ -64,6 +75,11 @@
         """The members that left. `dealt` holds the partitions assigned to each member; while it is
         empty, every member is assigned all partitions."""
 
+    @property
+    def limits(self) -> append_limits.AppendLimits:
+        """The limits that callers are told."""
+        return self._limits
+
     def create_client(self) -> "MemoryRecordLog":
         """Return another client of the same log, without faults."""
         return MemoryRecordLog(self)
@@ -103,7 +119,7 @@
             held = self._partitions[topic, partition]
             end = held.first_offset + len(held.records)
             start = max(offset, held.first_offset)
-            contents = held.records[start - held.first_offset :][:_PAGE_RECORDS]
+            contents = _cut_page(held.records[start - held.first_offset :][:_PAGE_RECORDS])
         if self.faults.hollow_pages:
             self.faults.hollow_pages -= 1
             contents = []
@@ -160,6 +176,8 @@
         self.appends += 1
         if faults.is_down:
             return expression.Error(recordlog.LogError("down", False, 0))
+        if not self.accepted_limits.allows(append.records):
+            return expression.Error(recordlog.LogError("too large", False, 0, is_final=True))
         if faults.lost_calls:
             faults.lost_calls -= 1
             return expression.Error(recordlog.LogError("no answer", True, 0))
@@ -185,6 +203,13 @@
         return expression.Ok(recordlog.AppendedRange(end, end + len(append.records)))
 
 
+def _cut_page(contents: list[bytes]) -> list[bytes]:
+    """Return the first records that fit into a page, and at least one."""
+    sums = itertools.accumulate(len(content) for content in contents)
+    count = sum(1 for size in sums if size <= _PAGE_BYTES)
+    return contents[: max(1, count)]
+
+
 def _wait_for_timeout(deadline: clock.Deadline) -> recordlog.LogError:
     """Wait until the deadline and return the error of a call without an answer."""
     time.sleep(max(0.0, deadline.remaining))
