Settle an item as soon as it has its final result

Cause: an attempt that ended with 422, or with the last error that the route allows, put its item back to be run before it returned the result, and only the index record of the result ended the item.

The run settles the item in the step that ends the attempt, and a new run leaves out the items whose results wait to be written.

--- a/features/batch_processes.py
+++ b/features/batch_processes.py
@@ -87,12 +87,14 @@
         self._refused = collections.Counter()
         self._scored = collections.Counter()
         self.generated = collections.Counter()
+        self.asked = collections.Counter()
         self.cuts = collections.Counter()
         self.running = 0
         self.attempts = 0
 
     def generate(self, server, request, deadline, is_cancelled):
         behaviour = self.behaviours[server.server_id]
+        self.asked[request.call.request_id] += 1
         if behaviour == "gone" or server.server_id in self.crashed:
             return expression.Error(servers.CallFailure("refused", False))
         if behaviour == "raises":
--- a/features/unwritten_results.feature
+++ b/features/unwritten_results.feature
@@ -48,3 +48,23 @@
       | 64    | 33000  | 20      |
       | 200   | 10     | 10      |
       | 2     | 300000 | 10      |
+
+  Scenario Outline: An item whose final result waits to be written is not run again
+    # Guards against an item that reaches an engine after its last failure, as long as the result that
+    # says so can't be written.
+    Given a runner with the engines <engines>
+    And the log accepts no content but submissions
+    When a batch that allows versions from 1 on is accepted
+    And each item has been sent <times> times to an engine
+    And its results have been refused 10 times by the log
+    And <event>
+    And its results have been refused 10 times by the log
+    Then each item was still sent only <times> times
+
+    Examples:
+      | engines  | event                                             | times |
+      | e1=bad   | nothing else happens                              | 1     |
+      | e1=fails | nothing else happens                              | 3     |
+      | e1=whole | nothing else happens                              | 1     |
+      | e1=bad   | another process takes the batch and hands it back | 1     |
+      | e1=whole | another process takes the batch and hands it back | 1     |
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -367,6 +367,18 @@
             self._clear_attempt(item)
             self._scheduler.fail(item.work.work_id, clock.read_now())
 
+    def settle(self, item: ItemWork) -> None:
+        """Record that an item has its final result, so that it is not run again."""
+        with self._lock:
+            self._cancelled.update(self._scheduler.stop_sample(item.item_number))
+            self._clear_attempt(item)
+
+    def settle_items(self, numbers: set[int]) -> None:
+        """Record that items have final results that another run of this process produced."""
+        with self._lock:
+            for number in numbers:
+                self._cancelled.update(self._scheduler.stop_sample(number))
+
     def requeue(self, item: ItemWork, delay_seconds: float = 0.0) -> None:
         """Queue an item whose attempt was refused or never sent; it may start after the delay."""
         with self._lock:
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -183,6 +183,7 @@
             batch, submitted.ok, backend.event_tokens if backend else 1, route.is_single_version
         )
         run.drop_finished_items()
+        run.settle_items(self._writer.list_unwritten(batch.batch_id))
         resumed = self._load_partials(batch, run)
         reused = run.reuse_texts(self._texts)
         for number, result in reused:
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -64,7 +64,7 @@
         if isinstance(ended, submission.ItemResult):
             return ended
         if ended is None:
-            return self._give_up_after_errors(item, attempt)
+            return None
         return self._score(item, ended)
 
     def _run_attempt(
@@ -81,6 +81,8 @@
         watch = self._guard.begin(item.call, server) if self._guard is not None else None
         try:
             result = attempt.run()
+            if attempt.was_error:
+                result = self._conclude_error(item)
         except Exception:
             log.logger.bind(event="item-failed", id=item.item.item_id).exception(
                 "unexpected error in an attempt; the item is tried again"
@@ -97,14 +99,13 @@
         _log_attempt(item, server, attempt, seconds)
         return result
 
-    def _give_up_after_errors(
-        self, item: batch_run.ItemWork, attempt: "_ItemAttempt"
-    ) -> submission.ItemResult | None:
+    def _conclude_error(self, item: batch_run.ItemWork) -> submission.ItemResult | None:
+        """Return a "lost" result if too many servers failed on the item, else try it again."""
         route = self._find_route(item)
-        if route is None or not attempt.was_error:
-            return None
-        if item.run.count_error(item.item_number) < route.max_servers:
+        if route is None or item.run.count_error(item.item_number) < route.max_servers:
+            item.run.fail(item)
             return None
+        item.run.settle(item)
         return _build_lost_result(item.item)
 
     def _find_route(self, item: batch_run.ItemWork) -> routes.Route | None:
@@ -178,7 +179,8 @@
         self.was_answered = False
         """Whether the server sent an answer in place of a stream."""
         self.was_error = False
-        """Whether the server answered with an error that counts towards giving the item up."""
+        """Whether the server answered with an error that counts towards giving the item up. The
+        number of such errors then decides whether the item is tried again."""
         self.server_ended = False
         self.was_sent = True
         self.reason = ""
@@ -311,10 +313,12 @@
             self.was_refused = True
             self._batch_run.requeue(self._item)
             return None
-        self._batch_run.fail(self._item)
         if answer.status == _UNPROCESSABLE_STATUS:
+            self._batch_run.settle(self._item)
             return _build_lost_result(self._item.item)
         self.was_error = answer.status == servers.FAILED_STATUS
+        if not self.was_error:
+            self._batch_run.fail(self._item)
         return None
 
 
