Count a usage record once however often it is repeated

Cause: to keep the eviction order, UsageTotals removed the last sequence number of a process and put it back only for a new record. After one repetition the next one was counted again, as when three answers of the store in a row are lost.

--- a/features/steps/usage_steps.py
+++ b/features/steps/usage_steps.py
@@ -158,6 +158,7 @@
             return
         {
             "lost": lambda: setattr(faults, "lost_answers", 1),
+            "lost3": lambda: setattr(faults, "lost_answers", 3),
             "late": lambda: setattr(faults, "late_appends", 1),
             "down": lambda: setattr(faults, "is_down", True),
             "up": lambda: setattr(faults, "is_down", False),
--- a/features/usage.feature
+++ b/features/usage.feature
@@ -20,6 +20,7 @@
       | a.begin=red*1 a.undo=red*1 20s                                   | nothing       |
       | a.begin=red*3 1s a.undo=red*3 20s                                | nothing       |
       | a.lost a.begin=red*3 20s                                         | red=3         |
+      | a.lost3 a.begin=red*3 20s                                        | red=3         |
       | a.late a.begin=red*3 2s late 20s                                 | red=3         |
       | a.late a.begin=red*3 1s a.begin=red*1 1s late 20s                | red=4         |
       | b.down b.begin=red*3 6s b.up 20s                                 | red=3         |
--- a/libs/duties/oleander_duties/usage_totals.py
+++ b/libs/duties/oleander_duties/usage_totals.py
@@ -56,9 +56,10 @@
 
     def _add(self, record: usage_records.Counted) -> None:
         """Add a record's counts unless it is a repetition, as after an unanswered append."""
-        if record.sequence <= self._sequences.pop(record.source, -1):
+        known = self._sequences.pop(record.source, -1)
+        self._sequences[record.source] = max(known, record.sequence)
+        if record.sequence <= known:
             return
-        self._sequences[record.source] = record.sequence
         while len(self._sequences) > _MAX_SOURCES:
             self._sequences.pop(next(iter(self._sequences)))
         for window, names in record.counts.items():
