Let no usage or crash record block those behind it

Cause: all counts since the last acknowledged append went into one record, which after an outage with many organisations exceeds what the store accepts and was then repeated for ever; a report of a window and a crash record were repeated in the same way.

Counts are divided into records within the limit, crash records into calls, and what the store can never accept is dropped with a log line.

--- a/features/append_limits.feature
+++ b/features/append_limits.feature
@@ -69,3 +69,33 @@
       | 400/100 | 413    | 101   | fails for good    | 0     |
       | 100/400 | 503    | 100   | fails for now     | 1     |
       | 100/400 | 500    | 100   | fails for now     | 1     |
+
+  Scenario Outline: Usage counts of any size are appended
+    # Guards against counts that are never billed because those of an outage exceed one record, and
+    # against one count that the log never accepts and that blocks all later ones.
+    Given a log that accepts records of 4096 bytes and appends of 8192
+    And a process that counts usage for it
+    When requests of <organisations> organisations with names of <characters> characters start in <windows> windows
+    Then all of them but <dropped> are counted from the log, after <lost> of whose appends no answer came
+
+    Examples:
+      | organisations | characters | windows | lost | dropped |
+      | 1             | 10         | 1       | 0    | 0       |
+      | 77            | 20         | 12      | 0    | 0       |
+      | 77            | 20         | 12      | 3    | 0       |
+      | 400           | 40         | 3       | 5    | 0       |
+      | 2             | 5000       | 2       | 0    | 4       |
+
+  Scenario Outline: A crash record that the log never accepts does not block the others
+    # Guards against a request that goes on to crash servers because no entry learns of any crash.
+    Given a log that accepts records of 400 bytes and appends of 2000
+    And a process that records crashes in it
+    When crashes of servers with names of <sizes> bytes are recorded
+    Then the log holds those of <held> bytes after <calls> calls
+
+    Examples:
+      | sizes            | held        | calls |
+      | 20 30            | 20 30       | 1     |
+      | 20 500 30        | 20 30       | 1     |
+      | 500              | none        | 1     |
+      | 300 300 300 300 300 300 30 | 300 300 300 300 300 300 30 | 1 |
--- a/libs/duties/oleander_duties/usage_records.py
+++ b/libs/duties/oleander_duties/usage_records.py
@@ -42,6 +42,28 @@
     return cbor2.dumps([_REPORTED, record.window, record.counts])
 
 
+def divide_record(record: Counted, max_bytes: int) -> list[Counted]:
+    """
+    Divide a record into ones of at most `max_bytes` each, with consecutive sequence numbers.
+
+    A record of a single count is not divided, whatever its size.
+    """
+    counts = [
+        (window, name, count)
+        for window, names in record.counts.items()
+        for name, count in names.items()
+    ]
+    if len(counts) <= 1 or len(encode_record(record)) <= max_bytes:
+        return [record]
+    divided: list[Counted] = []
+    half = len(counts) // 2
+    for part in (counts[:half], counts[half:]):
+        sequence = record.sequence + len(divided)
+        smaller = Counted(record.source, sequence, _group_counts(part))
+        divided += divide_record(smaller, max_bytes)
+    return divided
+
+
 def decode_record(content: bytes) -> expression.Result[UsageRecord, findings.Finding]:
     """Decode a record; content of another form is a finding."""
     try:
@@ -51,6 +73,13 @@
         return expression.Error(findings.Finding("usage", f"can't be read: {error!r}"[:200]))
 
 
+def _group_counts(counts: list[tuple[int, str, int]]) -> dict[int, dict[str, int]]:
+    windows: dict[int, dict[str, int]] = {}
+    for window, name, count in counts:
+        windows.setdefault(window, {})[name] = count
+    return windows
+
+
 def _build(kind: int, fields: list[typing.Any]) -> UsageRecord:
     if kind == _COUNTED:
         source, sequence, counts = fields
--- a/programs/oleanderdeal/oleanderdeal/crash_records.py
+++ b/programs/oleanderdeal/oleanderdeal/crash_records.py
@@ -60,7 +60,11 @@
 
 
 class CrashWriter(crash_guard.CrashPublisher):
-    """Appends crashes to the log in order, and retries until each is acknowledged."""
+    """
+    Appends crashes to the log in order, and retries until each is acknowledged.
+
+    A record that the log can never accept is dropped, so that it does not block the others.
+    """
 
     def __init__(
         self,
@@ -102,15 +106,39 @@
             ]
         if not taken:
             return True
-        deadline = clock.start_deadline(_APPEND_SECONDS)
-        appended = self._log.append(self._topic, _PARTITION, taken, deadline)
-        if appended.is_ok():
-            return True
-        log.warn_bounded("crashes-unwritten", appended.error.detail, records=len(taken))
+        unwritten = self._append(taken)
         with self._changed:
             capacity = _MAX_PENDING - len(self._pending)
-            self._pending.extendleft(reversed(taken[-capacity:] if capacity else []))
-        return False
+            self._pending.extendleft(reversed(unwritten[-capacity:] if capacity else []))
+        return not unwritten
+
+    def _append(self, added: list[bytes]) -> list[bytes]:
+        """Append records in order; return those to try again."""
+        for call in self._log.limits.divide(map(len, added)):
+            first, end = call.start, call.stop
+            deadline = clock.start_deadline(_APPEND_SECONDS)
+            appended = self._log.append(self._topic, _PARTITION, added[first:end], deadline)
+            if appended.is_ok():
+                continue
+            log.warn_bounded("crashes-unwritten", appended.error.detail, records=end - first)
+            if not appended.error.is_final:
+                return added[first:]
+            unwritten = self._append_singly(added[first:end])
+            if unwritten:
+                return unwritten + added[end:]
+        return []
+
+    def _append_singly(self, added: list[bytes]) -> list[bytes]:
+        """Append records one by one and drop those that are never accepted; return the rest."""
+        for index, record in enumerate(added):
+            deadline = clock.start_deadline(_APPEND_SECONDS)
+            appended = self._log.append(self._topic, _PARTITION, [record], deadline)
+            if appended.is_ok():
+                continue
+            if not appended.error.is_final:
+                return added[index:]
+            log.warn_bounded("crash-abandoned", appended.error.detail, bytes=len(record))
+        return []
 
     def _enqueue(self, added: list[bytes]) -> None:
         if not added:
--- a/programs/oleanderdeal/oleanderdeal/usage_reporter.py
+++ b/programs/oleanderdeal/oleanderdeal/usage_reporter.py
@@ -41,6 +41,8 @@
 """Number of reports that a new holder sends again, as it can't know whether the platform received
 them."""
 
+_UNREAD = recordlog.LogError("the log was not read to its end", False, 0)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class UsageSettings:
@@ -83,8 +85,8 @@
         self._source = identifiers.create_incarnation()
         self._flush_lock = threading.Lock()
         self._sequence = 0
-        self._unconfirmed: dict[int, dict[str, int]] = {}
-        """Counts by window and organisation whose append was not acknowledged yet."""
+        self._unconfirmed: list[usage_records.Counted] = []
+        """Counts whose append was not acknowledged yet, the oldest first."""
         self._fold = usage_totals.UsageTotals()
         self._next_offset = 0
         self._decide_not_before = 0.0
@@ -104,20 +106,28 @@
         Append the counts since the last call; return whether none are left to append.
 
         Counts whose append was not acknowledged are appended again, with the same sequence number,
-        before any later ones.
+        before any later ones. Counts that the log can never accept are dropped.
         """
         with self._flush_lock:
             if not self._unconfirmed:
-                self._unconfirmed = self._counter.take_counts()
-                self._sequence += 1
-            if not self._unconfirmed:
-                return True
-            record = usage_records.Counted(self._source, self._sequence, self._unconfirmed)
-            if not self._append(record):
-                return False
-            self._unconfirmed = {}
+                self._unconfirmed = self._take_records()
+            while self._unconfirmed:
+                failure = self._append(self._unconfirmed[0])
+                if failure is not None and not failure.is_final:
+                    return False
+                self._unconfirmed.pop(0)
             return True
 
+    def _take_records(self) -> list[usage_records.Counted]:
+        """Return records of the counts since the last call, each within the log's limit."""
+        counts = self._counter.take_counts()
+        if not counts:
+            return []
+        record = usage_records.Counted(self._source, self._sequence + 1, counts)
+        divided = usage_records.divide_record(record, self._log.limits.max_part_bytes)
+        self._sequence = divided[-1].sequence
+        return divided
+
     def keep_lease(self) -> None:
         """Claim and renew the lease while this process owns the duty, until the group stops."""
         while not self._group.is_stopping and self._lease.is_wanted:
@@ -194,17 +204,24 @@
             newest = self._fold.newest_reported_window
             if newest is not None and window <= newest:
                 return True
-            if not self._append_report(window):
-                return False
+            failure = self._append_report(window)
+            if failure is not None:
+                return failure.is_final
             counts = self._fold.find_report(window)
         return counts is not None and self._send(platform.UsageReport(window, counts))
 
-    def _append_report(self, window: int) -> bool:
-        """Append a window's report and read the log, where another process's may precede it."""
+    def _append_report(self, window: int) -> recordlog.LogError | None:
+        """
+        Append a window's report and read the log, where another process's may precede it.
+
+        Return why that failed, or None. A report that the log can never accept is skipped, so
+        that the windows after it are reported.
+        """
         if clock.read_now() < self._decide_not_before:
-            return False
+            return _UNREAD
         counts = self._fold.sum_window(window)
-        return self._append(usage_records.Reported(window, counts)) and self._read_records()
+        failure = self._append(usage_records.Reported(window, counts))
+        return failure or (None if self._read_records() else _UNREAD)
 
     def _send(self, report: platform.UsageReport) -> bool:
         """
@@ -236,13 +253,17 @@
             return None
         return tenure
 
-    def _append(self, record: usage_records.UsageRecord) -> bool:
+    def _append(self, record: usage_records.UsageRecord) -> recordlog.LogError | None:
+        """Append a record; return why that failed, or None."""
         content = usage_records.encode_record(record)
         deadline = clock.start_deadline(_APPEND_TIMEOUT_SECONDS)
         appended = self._log.append(USAGE_TOPIC, _PARTITION, [content], deadline)
-        if appended.is_error():
-            log.warn_bounded("usage-unappended", appended.error.detail)
-        return appended.is_ok()
+        if appended.is_ok():
+            return None
+        error = appended.error
+        event = "usage-abandoned" if error.is_final else "usage-unappended"
+        log.warn_bounded(event, error.detail, bytes=len(content))
+        return error
 
     def _read_records(self) -> bool:
         """Apply all records up to the end of the topic; return success."""
