Append submissions that are larger than one call

Cause: a submission had to fit into one append, and was refused with 413 above 1.5 MiB although the operator allows 33,554,432 bytes for a body.

It is split into calls within the limits of the store, then a manifest, then the index record that makes it run. Reading it is bounded in records and bytes; a read that is not finished in time keeps what it has and the next one continues. The limit of the HTTP server for bodies, 8 MiB, is unchanged here.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -31,7 +31,14 @@
       | fault              | outcome  | found |
       | nothing            | accepted | yes   |
       | nothing, for 400 kB | accepted | yes  |
-      | nothing, for 2 MB  | impossible | no  |
+      | nothing, for 2 MB  | accepted | yes   |
+      | nothing, for 6 MB  | accepted | yes   |
+      | nothing, for 36 MB | impossible | no  |
+      | lose call 1 of the content, for 6 MB | refused | no |
+      | lose call 4 of the content, for 6 MB | refused | no |
+      | lose call 7 of the content, for 6 MB | refused | no |
+      | lose the index, for 6 MB  | unknown  | yes |
+      | delay the index, for 6 MB | unknown  | no  |
       | down               | refused  | no    |
       | lose the content   | refused  | no    |
       | lose the index     | unknown  | yes   |
@@ -104,11 +111,32 @@
     Then both entries list 0=x 1=y
     And the batch is open for neither entry
 
-  Scenario: A submission of several records is read back unchanged
+  Scenario Outline: A submission of several records or appends is read back unchanged
     Given two entries on one log
-    When entry a accepts a batch with the log fault: nothing, for 400 kB
+    When entry a accepts a batch with the log fault: nothing, for <size>
     Then entry b reads the submission of entry a
 
+    Examples:
+      | size   |
+      | 400 kB |
+      | 2 MB   |
+      | 6 MB   |
+
+  Scenario Outline: A large submission is read in several attempts, each of which continues the last
+    # Guards against a batch that never runs because its submission takes longer to read than one
+    # attempt may last.
+    Given two entries on one log
+    And entry b can read the log only <reads> times in one attempt
+    When entry a accepts a batch with the log fault: nothing, for <size>
+    Then after <attempts> attempts entry b has read the submission of entry a
+
+    Examples:
+      | size   | reads | attempts |
+      | 400 kB | 1     | 1        |
+      | 2 MB   | 1     | 3        |
+      | 6 MB   | 3     | 3        |
+      | 6 MB   | 30    | 1        |
+
   Scenario: Another entry resumes an item from its longest partial text
     Given two entries on one log and a batch of 3 items
     When entry a appends the partial text "one\ntwo" of item 1 with 2 events
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -1,18 +1,19 @@
 """Steps for batches that several entries share in one log."""
 
+import itertools
 import threading
 import time
 
 import behave
 
 from oleander_base import clock, tasks
-from oleander_batches import index_reader, journal, submission
+from oleander_batches import content, index_reader, journal, submission
 from oleander_standins import recordlog
 from oleanderdeal import batch_api
 
 _SECONDS = 0.5
 _FOLLOW_SECONDS = 2.0
-_SIZES = {"": 4, "400 kB": 133_000, "2 MB": 667_000}
+_SIZES = {"": 4, "400 kB": 133_000, "2 MB": 667_000, "6 MB": 2_000_000, "36 MB": 12_000_000}
 """Bytes in the body of each of the three items, by the total size that a row names."""
 _FAULTS = {
     "nothing": {},
@@ -152,6 +153,9 @@
     if fault in _FAULTS:
         for field, value in _FAULTS[fault].items():
             setattr(client.faults, field, value)
+    elif fault.startswith("lose call"):
+        number = int(fault.split()[2])
+        _fail_appends(client, content.CONTENT_TOPIC, "lost_calls", 1, number - 1)
     else:
         kind = "late_appends" if fault.startswith("delay") else "lost_answers"
         _fail_index(client, kind, 1000)
@@ -161,12 +165,16 @@
 
 def _fail_index(client, fault, times):
     """Inject a fault into the next `times` appends to the index."""
+    _fail_appends(client, index_reader.TOPIC, fault, times)
+
+
+def _fail_appends(client, failing_topic, fault, times, skipped=0):
+    """Inject a fault into the `times` appends to a topic that follow the skipped ones."""
     original = client.append
-    left = [times]
+    passed = itertools.count()
 
     def append(topic, partition, records, deadline):
-        if topic == index_reader.TOPIC and left[0]:
-            left[0] -= 1
+        if topic == failing_topic and skipped <= next(passed) < skipped + times:
             setattr(client.faults, fault, 1)
         return original(topic, partition, records, deadline)
 
--- a/libs/batches/oleander_batches/content.py
+++ b/libs/batches/oleander_batches/content.py
@@ -15,7 +15,7 @@
 """The timeout of one append, after which it may be tried again."""
 _SPLIT_TIMEOUT_SECONDS = 60.0
 """Bound on all appends of one result or partial text that is larger than a record."""
-MAX_SUBMISSION_BYTES = 1536 * 1024
+MAX_SUBMISSION_BYTES = manifests.MAX_CONTENT_BYTES
 """Maximum size of an encoded submission."""
 _MAX_CACHED_SUBMISSIONS = 8
 """Maximum number of decoded submissions in the cache."""
@@ -81,6 +81,8 @@
         self._unfinished: collections.OrderedDict[tuple[str, int], _UnfinishedRead] = (
             collections.OrderedDict()
         )
+        self._manifests: collections.OrderedDict[str, bytes] = collections.OrderedDict()
+        """Manifests of submissions whose parts are not all read, by batch."""
 
     def find_partition(self, batch_id: str) -> int:
         """Return the number of the partition that holds a batch's content."""
@@ -179,9 +181,14 @@
             return expression.Error(JournalFailure("a submission of too many records", False))
         first = accepted.content_offset
         stored = range(first, first + accepted.content_records)
-        encoded = self._read_parts(accepted.batch_id, (stored,), deadline).bind(
-            lambda record: self.resolve(accepted.batch_id, record, deadline)
+        with self._lock:
+            manifest = self._manifests.get(accepted.batch_id)
+        record = (
+            self._read_parts(accepted.batch_id, (stored,), deadline)
+            if manifest is None
+            else expression.Ok(manifest)
         )
+        encoded = record.bind(lambda item: self._resolve_kept(accepted.batch_id, item, deadline))
         if encoded.is_error():
             return expression.Error(encoded.error)
         decoded = submission.decode_submission(encoded.ok)
@@ -190,6 +197,21 @@
         self._cache(decoded.ok)
         return expression.Ok(decoded.ok)
 
+    def _resolve_kept(
+        self, batch_id: str, record: bytes, deadline: clock.Deadline
+    ) -> expression.Result[bytes, JournalFailure]:
+        """Resolve a submission's record; keep a manifest while its parts are not all read."""
+        if not manifests.is_manifest(record):
+            return expression.Ok(record)
+        resolved = self.resolve(batch_id, record, deadline)
+        with self._lock:
+            self._manifests.pop(batch_id, None)
+            if resolved.is_error():
+                self._manifests[batch_id] = record
+                while len(self._manifests) > _MAX_UNFINISHED_READS:
+                    self._manifests.popitem(last=False)
+        return resolved
+
     def _append_call(
         self, partition: int, stored: list[bytes], deadline: clock.Deadline
     ) -> expression.Result[int, JournalFailure]:
