Answer unknown if a submission may be in the log although it is too large now

Cause: a final failure was reported as 'no effect' even if an earlier append of the same record was not answered, as when the store begins to accept less.

--- a/features/batches.feature
+++ b/features/batches.feature
@@ -43,6 +43,7 @@
       | lose the content   | refused  | no    |
       | lose the index     | unknown  | yes   |
       | delay the index    | unknown  | no    |
+      | lose the index once and then reject it | unknown | yes |
 
   Scenario Outline: A batch is reported as missing only if the index was read to its end
     # "No such batch" makes a trainer give up its step. An entry first reads the rest of the index, and
--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -8,6 +8,7 @@
 
 from oleander_base import clock, tasks
 from oleander_batches import content, index_reader, journal, submission
+from oleander_platform import append_limits
 from oleander_standins import recordlog
 from oleanderdeal import batch_api
 
@@ -153,6 +154,9 @@
     if fault in _FAULTS:
         for field, value in _FAULTS[fault].items():
             setattr(client.faults, field, value)
+    elif fault.endswith("then reject it"):
+        _fail_index(client, "lost_answers", 1)
+        _lower_limits(client)
     elif fault.startswith("lose call"):
         number = int(fault.split()[2])
         _fail_appends(client, content.CONTENT_TOPIC, "lost_calls", 1, number - 1)
@@ -168,6 +172,19 @@
     _fail_appends(client, index_reader.TOPIC, fault, times)
 
 
+def _lower_limits(client):
+    """Lower the limits that the log enforces once it has lost an answer."""
+    original = client.append
+
+    def append(topic, *arguments):
+        appended = original(topic, *arguments)
+        if topic == index_reader.TOPIC:
+            client.accepted_limits = append_limits.AppendLimits(1, 1)
+        return appended
+
+    client.append = append
+
+
 def _fail_appends(client, failing_topic, fault, times, skipped=0):
     """Inject a fault into the `times` appends to a topic that follow the skipped ones."""
     original = client.append
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -183,9 +183,9 @@
 
 
 def _convert_error(error: content.JournalFailure) -> BatchProblem:
-    if error.is_final:
-        return BatchProblem(BatchFault.IMPOSSIBLE, error.detail)
-    fault = BatchFault.UNKNOWN if error.may_have_effect else BatchFault.REFUSED
+    if error.may_have_effect:
+        return BatchProblem(BatchFault.UNKNOWN, error.detail)
+    fault = BatchFault.IMPOSSIBLE if error.is_final else BatchFault.REFUSED
     return BatchProblem(fault, error.detail)
 
 
