Choose engines by a model of their speed and slow periods

The router kept one exponential average of event intervals for each engine. An engine that was slow for half a second looked slow for seconds, and one in a lasting slow period looked fast until ten events had come.

The new model keeps, for each engine, its typical time per event (a low quantile), whether it is in a slow period now and since when, and its last wait for a first event. Each event is reported, instead of a mean of five. A text goes to a free engine that is not slow now and where it is expected to end soonest; engines within 0.25 s count as equal.

--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -181,6 +181,20 @@
     "Items begun again because no engine had the weight version of their text any more.",
     "Only on routes with a single version; a steady rise: engines fail while weights change.",
 )
+ITEMS_MOVED = _declare(
+    "items.moved",
+    "counter",
+    "count",
+    "Texts that were moved to another engine because they end sooner there.",
+    "A steady rise: find the engines in the log lines of event item-moved.",
+)
+SLOW_PERIODS = _declare(
+    "servers.slow_periods",
+    "counter",
+    "count",
+    "Slow periods of servers that have ended, as seen by this process.",
+    "See the log lines of event server-slow-NAME for those that last.",
+)
 ITEM_MS = _declare(
     "items.ms", "timer", "ms", "How long an attempt at an item took.", "Compare with due times."
 )
--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -7,8 +7,6 @@
 
 _LATENCY_EWMA_WEIGHT = 0.1
 """Weight of the newest latency in its moving average."""
-_EVENT_INTERVAL_EWMA_WEIGHT = 0.25
-"""Weight of the newest interval in its moving average."""
 _SLOTS_PER_PENDING_STREAM = 3
 """
 A peer's queue may hold one waiting stream for each group of this many slots, and at least one.
@@ -62,7 +60,7 @@
     latency_ms: float = 0.0
     """Moving average of the latency of this entry's requests; 0 while unknown."""
     event_interval_ms: float = 0.0
-    """Moving average of the time between two events of a stream; 0 while unknown."""
+    """Present time between two events of a stream; 0 while unknown."""
     outstanding: float = 0.0
     """Estimated number of requests queued or running now, of all entries."""
     is_listed_leaving: bool = False
@@ -119,11 +117,6 @@
         weight = _LATENCY_EWMA_WEIGHT if self.latency_ms > 0.0 else 1.0
         self.latency_ms += weight * (latency_ms - self.latency_ms)
 
-    def record_event_interval(self, event_interval_ms: float) -> None:
-        """Update the moving average of the time between two events of a stream."""
-        weight = _EVENT_INTERVAL_EWMA_WEIGHT if self.event_interval_ms > 0.0 else 1.0
-        self.event_interval_ms += weight * (event_interval_ms - self.event_interval_ms)
-
 
 def create_peer(name: str, report: PeerReport, now: float) -> Peer:
     """Create a peer from its first report."""
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -14,7 +14,7 @@
 import expression
 
 from oleander_base import clock, log
-from oleander_routing import health, loads, peers, preferred, selection
+from oleander_routing import health, loads, peers, preferred, selection, server_speed
 
 NO_PEERS = "no-peers"
 """No backend server of that name is connected."""
@@ -86,6 +86,18 @@
     """The weight version that it has loaded, of the model in question; None if unknown."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Outlook:
+    """The expected speed of a backend's peers, and those to which running work may be moved."""
+
+    forecasts: collections.abc.Mapping[str, server_speed.Forecast]
+    """By name of the peer."""
+    targets: tuple[str, ...]
+    """Names of the peers that seem to have a free slot and are not slow now."""
+    versions: collections.abc.Mapping[str, int | None]
+    """The weight version that each target has loaded; None if unknown."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class NoPeer:
     """Why no peer can run a request now, and when to try again."""
@@ -115,6 +127,7 @@
         self._peers: dict[str, peers.Peer] = {}
         self._health = health.HealthTable()
         self._listed_leaving: frozenset[str] = frozenset()
+        self._speeds = server_speed.ServerSpeedModel()
 
     def update(self, name: str, report: peers.PeerReport) -> None:
         """Apply a peer's report; one with a new incarnation resets the peer's state."""
@@ -127,6 +140,8 @@
                 log.warn_bounded("too-many-peers", "peer limit reached, peer ignored", peer=name)
             else:
                 self._health.reset_if_restarted(name, report.incarnation)
+                if peer is not None:
+                    self._speeds.forget(name)
                 self._peers[name] = peers.create_peer(name, report, now)
             self._update_listed_leaving(name)
             self._health.readmit_excess(self._list_usable(report.backend), now)
@@ -185,12 +200,52 @@
             if peer is not None:
                 peer.pending_streams = max(0, peer.pending_streams - 1)
 
+    def record_first_event(self, name: str, wait_ms: float) -> None:
+        """Record the first event of a stream, and the time since the stream was requested."""
+        with self._lock:
+            peer = self._peers.get(name)
+            if peer is not None:
+                now = self._read_now()
+                self._speeds.record_first_event(peer.backend, name, wait_ms / 1000, now)
+
     def record_event_interval(self, name: str, event_interval_ms: float) -> None:
-        """Update a peer's average time between two events of a stream."""
+        """Record an event of a stream, and the time since the event before it."""
         with self._lock:
             peer = self._peers.get(name)
             if peer is not None:
-                peer.record_event_interval(event_interval_ms)
+                now = self._read_now()
+                self._speeds.record_event(peer.backend, name, event_interval_ms / 1000, now)
+                peer.event_interval_ms = self._speeds.read_interval(name, now) * 1000
+
+    def read_outlook(self, request: RouteRequest) -> Outlook:
+        """
+        Return the forecasts for a backend, and where work that runs may be moved.
+
+        Peers that refuse requests, are slow now, or whose weights are too old are no targets: the
+        cancelled work would wait, or would be sent back to the peer that it came from.
+        """
+        with self._lock:
+            now = self._read_now()
+            forecasts = {
+                peer.name: self._predict(peer, now)
+                for peer in self._peers.values()
+                if peer.backend == request.backend
+            }
+            candidates = self._find_candidates(request)
+            targets = [
+                peer
+                for peer in (candidates.ok if candidates.is_ok() else ())
+                if peer.is_available
+                and not peer.window.is_refusing
+                and not forecasts[peer.name].is_slow
+            ]
+            versions = {peer.name: _find_version(peer, request) for peer in targets}
+        return Outlook(forecasts, tuple(versions), versions)
+
+    def predict_wait(self, backend: str, elapsed_seconds: float) -> float:
+        """Return how much longer a stream whose event is overdue is expected to wait for it."""
+        with self._lock:
+            return self._speeds.predict_wait(backend, elapsed_seconds)
 
     def record_accepted(self, name: str, started_at: float) -> None:
         """Record that a peer has begun to run, or has answered, a request sent at `started_at`."""
@@ -328,14 +383,25 @@
         trusted = [peer for peer in candidates if peer.weight > 0.0]
         if not trusted:
             return min(candidates, key=lambda peer: peer.load)
-        if request.is_windowed:
-            trusted = selection.filter_by_event_interval(trusted, request.expected_events)
+        if request.is_windowed and request.expected_events:
+            trusted = self._filter_by_speed(trusted, request)
         if request.affinity:
             cached = selection.pick_by_affinity(trusted, request.affinity, request.budget_ms)
             if cached is not None:
                 return cached
         return selection.pick_by_load(trusted, request.budget_ms, self._random)
 
+    def _filter_by_speed(
+        self, candidates: list[peers.Peer], request: RouteRequest
+    ) -> list[peers.Peer]:
+        now = self._read_now()
+        forecasts = {peer.name: self._predict(peer, now) for peer in candidates}
+        return selection.filter_by_forecast(candidates, forecasts, request.expected_events)
+
+    def _predict(self, peer: peers.Peer, now: float) -> server_speed.Forecast:
+        has_streams = peer.in_flight > peer.pending_streams
+        return self._speeds.predict(peer.backend, peer.name, now, has_streams)
+
     def _pick_probe(
         self, candidates: list[peers.Peer], request: RouteRequest
     ) -> peers.Peer | None:
--- a/libs/routing/oleander_routing/selection.py
+++ b/libs/routing/oleander_routing/selection.py
@@ -1,18 +1,20 @@
 """Selection of a peer by load, stream speed or prompt prefix."""
 
+import collections.abc
 import math
 import random
 
 from oleander_base import identifiers
-from oleander_routing import peers
+from oleander_routing import peers, server_speed
 
 _MAX_LOAD_RATIO = 1.25
 """Multiple of the mean load up to which a peer is given requests for its prefixes."""
 _HASH_RANGE = 2.0**64
-_MAX_DELAY_MS = 400
+_MAX_DELAY_SECONDS = 0.4
 """A peer is too slow if a stream is expected to end more than this later than on the fastest."""
-_EQUAL_INTERVAL_RATIO = 1.15
-"""Peers whose event intervals differ by less count as equally fast: load affects them too."""
+_EQUAL_SECONDS = 0.25
+"""Peers where a stream is expected to end less than this later count as equal: load affects them
+too, and entries don't all choose the same peer. Short texts therefore run at slow peers, too."""
 
 
 def pick_by_load(
@@ -55,42 +57,43 @@
     return None
 
 
-def filter_by_event_interval(candidates: list[peers.Peer], events: float) -> list[peers.Peer]:
+def filter_by_forecast(
+    candidates: list[peers.Peer],
+    forecasts: collections.abc.Mapping[str, server_speed.Forecast],
+    events: float,
+) -> list[peers.Peer]:
     """
-    Return the fastest candidates with a free slot, else all that are fast enough.
+    Return the candidates with a free slot where a stream ends soonest, else all that are fast.
 
-    `events` is the expected number of events in the stream; 0 if unknown.
+    `events` is the expected number of events in the stream. Peers that are in a slow period are
+    returned only if no other has a free slot.
     """
-    fast = _drop_slow(candidates, events)
+    fast = _keep_soonest(candidates, forecasts, events, _MAX_DELAY_SECONDS)
     free = [peer for peer in fast if peer.has_free_slot]
-    return _keep_fastest(free) or fast
+    normal = [peer for peer in free if not forecasts[peer.name].is_slow]
+    return _keep_soonest(normal or free, forecasts, events, _EQUAL_SECONDS) or fast
 
 
-def _drop_slow(candidates: list[peers.Peer], events: float) -> list[peers.Peer]:
+def _keep_soonest(
+    candidates: list[peers.Peer],
+    forecasts: collections.abc.Mapping[str, server_speed.Forecast],
+    events: float,
+    delay_seconds: float,
+) -> list[peers.Peer]:
     """
-    Return the peers where a stream ends at most `_MAX_DELAY_MS` later than on the fastest.
+    Return the peers where a stream ends at most so much later than at the best one.
 
-    Peers of unknown speed are kept. The longest texts decide when a training step is complete: on
-    a peer that is a third slower they end seconds later, while short texts lose less time on such
-    a peer than by waiting for a faster one.
+    The longest texts decide when a training step is complete: on a peer that is a third slower
+    they end seconds later, while short texts lose less time on such a peer than by waiting for a
+    faster one. Peers of unknown speed are kept.
     """
-    fastest = min(
-        (peer.event_interval_ms for peer in candidates if peer.event_interval_ms), default=0.0
-    )
-    if not events or not fastest:
-        return candidates
-    max_interval_ms = fastest + _MAX_DELAY_MS / events
-    return [peer for peer in candidates if peer.event_interval_ms <= max_interval_ms]
-
-
-def _keep_fastest(candidates: list[peers.Peer]) -> list[peers.Peer]:
-    """Return the peers that are about as fast as the fastest, and those of unknown speed."""
-    fastest = min(
-        (peer.event_interval_ms for peer in candidates if peer.event_interval_ms), default=0.0
-    )
-    return [
-        peer for peer in candidates if peer.event_interval_ms <= fastest * _EQUAL_INTERVAL_RATIO
-    ]
+    ends = {
+        peer.name: forecasts[peer.name].predict_new_seconds(events)
+        for peer in candidates
+        if forecasts[peer.name].event_seconds
+    }
+    latest = min(ends.values(), default=0.0) + delay_seconds
+    return [peer for peer in candidates if ends.get(peer.name, 0.0) <= latest]
 
 
 def _pick_weighted(candidates: list[peers.Peer], random_source: random.Random) -> peers.Peer:
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -22,8 +22,6 @@
 """Pause before a scoring call is tried again."""
 _QUARANTINE_POLL_SECONDS = 1.0
 """Pause before a quarantined scoring call is tried again; short, as a quarantine may end early."""
-_EVENTS_PER_RATE_REPORT = 5
-"""Number of events between two reports of a server's rate to the router."""
 _UNPROCESSABLE_STATUS = 422
 """Status with which a server rejects an item that can never succeed."""
 
@@ -169,7 +167,6 @@
         self._started_at = clock.read_now()
         self._last_event_at = self._started_at
         self._first_event_at = 0.0
-        self._rate_reported_at = 0.0
         self._events = 0
         self._longest_gap_seconds = 0.0
         self.was_refused = False
@@ -261,17 +258,9 @@
                 self.reason = "" if sample else "unusable"
                 return sample
             now = clock.read_now()
-            if self._events:
-                self._longest_gap_seconds = max(
-                    self._longest_gap_seconds, now - self._last_event_at
-                )
+            self._report_event(now)
             self._last_event_at = now
-            if not self._events:
-                self._first_event_at = self._rate_reported_at = now
-                self._router.record_accepted(self._server.server_id, self._started_at)
-                self.leave_queue()
             self._events += 1
-            self._report_rate(now)
             self._batch_run.record_event(self._item, read.ok.text, read.ok.version)
             if self._batch_run.is_cancelled(self._item):
                 stream.close()
@@ -280,17 +269,23 @@
                 self._batch_run.fail(self._item)
                 return None
 
-    def _report_rate(self, now: float) -> None:
+    def _report_event(self, now: float) -> None:
         """
-        Report the server's milliseconds per event to the router every few events.
+        Report the time since the last event, or the wait for the first one, to the router.
 
         If this were reported only at the end, a server that becomes slow would look fast while its
-        texts run, and stragglers of other servers would be moved to it.
+        texts run, and texts of other servers would be moved to it.
         """
-        if self._events > 1 and (self._events - 1) % _EVENTS_PER_RATE_REPORT == 0:
-            milliseconds = (now - self._rate_reported_at) * 1000 / _EVENTS_PER_RATE_REPORT
-            self._router.record_event_interval(self._server.server_id, milliseconds)
-            self._rate_reported_at = now
+        name = self._server.server_id
+        seconds = now - self._last_event_at
+        if self._events:
+            self._longest_gap_seconds = max(self._longest_gap_seconds, seconds)
+            self._router.record_event_interval(name, seconds * 1000)
+            return
+        self._first_event_at = now
+        self._router.record_first_event(name, seconds * 1000)
+        self._router.record_accepted(name, self._started_at)
+        self.leave_queue()
 
     def _should_abort(self) -> bool:
         if self._batch_run.is_cancelled(self._item):
