Move a text only if that is expected to shorten its step

A text was moved if its own rate was half of the typical one, or if a faster engine had a free slot.

With an estimator, the scheduler compares when a running text ends where it runs and at the best engine with a free slot. Without an estimator, nothing changes.

--- a/libs/samples/oleander_samples/backlog.py
+++ b/libs/samples/oleander_samples/backlog.py
@@ -1,5 +1,6 @@
 """The queue of samples that wait to be started, and their order."""
 
+import collections.abc
 import heapq
 
 from oleander_samples import predictions
@@ -40,6 +41,10 @@
         """Return whether a sample waits to be started."""
         return number in self._waiting
 
+    def __iter__(self) -> collections.abc.Iterator[int]:
+        """Iterate over the numbers of the waiting samples, in no particular order."""
+        return iter(self._waiting)
+
     def add_retry(self, number: int, ready_at: float) -> None:
         """Queue a sample that was started before; it is due at `ready_at`."""
         self._waiting.add(number)
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -8,7 +8,16 @@
 import expression
 
 from oleander_base import identifiers, invariants, metrics
-from oleander_samples import attempts, backlog, hedging, labels, predictions, steps, work
+from oleander_samples import (
+    attempts,
+    backlog,
+    hedging,
+    labels,
+    moves,
+    predictions,
+    steps,
+    work,
+)
 
 MAX_TEXT_CHARACTERS = 4 * 1024 * 1024
 """A sample whose text grows beyond this length is discarded and generated again."""
@@ -42,13 +51,15 @@
         random_seed: int,
         max_discarded_percent: int = 0,
         requires_single_version: bool = False,
+        completion: moves.StepCompletion | None = None,
     ) -> None:
         """
         Create a scheduler with all samples of the step in its backlog.
 
         A sample is restarted when its engine's weights change if at most `max_discarded_percent`
         of its expected length was generated with older weights. With `requires_single_version`
-        no text has tokens of several weight versions.
+        no text has tokens of several weight versions. With `completion`, samples are moved by the
+        predicted end of the step instead of by their own rate.
         """
         self._step = step
         self._random = random.Random(random_seed)
@@ -69,6 +80,11 @@
         self._requires_single_version = requires_single_version
         self._attempts = attempts.AttemptTable()
         self._hedges = hedging.HedgePlanner(policy, step.sample_count, self._lengths, self._rates)
+        self._moves = (
+            moves.MovePlanner(completion, step, self._group_of, self._lengths)
+            if completion is not None
+            else None
+        )
         self._stragglers: collections.deque[int] = collections.deque()
         self._partials: dict[int, work.Partial] = {}
         self._failures: dict[int, int] = {}
@@ -114,6 +130,8 @@
         number = self._backlog.pop(now)
         if number is not None:
             return self._start(number, self._partials.pop(number, None), now, is_hedge=False)
+        if self._moves is not None:
+            return self._start_move(self._moves, now) if has_free_slot else None
         if self._backlog or not has_free_slot:
             return None
         return self._start_straggler(now, free_slot_rate, free_slot_version)
@@ -289,7 +307,12 @@
         return True
 
     def _start(
-        self, number: int, partial: work.Partial | None, now: float, is_hedge: bool
+        self,
+        number: int,
+        partial: work.Partial | None,
+        now: float,
+        is_hedge: bool,
+        move: work.Move | None = None,
     ) -> work.SampleWork:
         """Add an attempt at a sample that resumes from a partial text, if there is one."""
         invariants.require(
@@ -314,6 +337,7 @@
             oldest_version=self._oldest_version,
             is_hedge=is_hedge,
             expected_tokens=self._hedges.predict_hedge_tokens(group, resumed_tokens),
+            move=move,
         )
         self._attempts.add(work.Attempt(started, now))
         return started
@@ -339,6 +363,14 @@
                 return started
         return None
 
+    def _start_move(self, planner: moves.MovePlanner, now: float) -> work.SampleWork | None:
+        """Move the sample whose move shortens the step most, if there is one."""
+        move = planner.find_move(self._attempts, self._backlog, now)
+        started = self._migrate(move.number, now, move) if move is not None else None
+        if started is not None:
+            planner.record_moved(started.number)
+        return started
+
     def _hedge(self, straggler: work.Attempt, now: float) -> work.SampleWork | None:
         """Start a second attempt from the partial text if the token budget allows it."""
         partial = straggler.build_partial()
@@ -350,7 +382,9 @@
         self._hedges.reserve(hedge.work_id, tokens)
         return hedge
 
-    def _migrate(self, number: int, now: float) -> work.SampleWork | None:
+    def _migrate(
+        self, number: int, now: float, move: work.Move | None = None
+    ) -> work.SampleWork | None:
         """
         Cancel a sample's attempts and resume it from its longest partial text.
 
@@ -368,7 +402,7 @@
             return None
         for attempt in same:
             self._cancel(attempt)
-        return self._start(number, longest, now, is_hedge=False)
+        return self._start(number, longest, now, is_hedge=False, move=move)
 
     def _cancel_slower(self, number: int, now: float) -> None:
         """Cancel the slower of a sample's two attempts, because the hedge budget is exceeded."""
--- a/libs/samples/oleander_samples/work.py
+++ b/libs/samples/oleander_samples/work.py
@@ -23,6 +23,22 @@
 for a second to load weights looks slow."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class Move:
+    """A running sample that another server is expected to finish sooner."""
+
+    number: int
+    target: str
+    """The name of the server to which the sample is moved."""
+    here_seconds: float
+    """The expected time until the sample ends where it runs."""
+    elsewhere_seconds: float
+    """The expected time until it ends at the other server, with the cost of the move."""
+    gain_seconds: float
+    """How much sooner the step is expected to end."""
+    reason: str
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class SampleWork:
     """
@@ -49,6 +65,8 @@
     counts."""
     expected_tokens: int = 0
     """The predicted number of tokens that remain to be generated."""
+    move: Move | None = None
+    """Why the sample was taken from the server where it ran; None if it was not."""
 
 
 class Outcome(enum.Enum):
@@ -189,6 +207,10 @@
         if self._first_piece is None and tokens > 0:
             self._first_piece = (now, tokens)
 
+    def measure_silence(self, now: float) -> float:
+        """Return the seconds since the last piece, or since the start if there is none."""
+        return now - self._last_piece_at
+
     def measure_elapsed(self, now: float) -> float:
         """Return the seconds since the start of the attempt, including the wait for a slot."""
         return now - self._started_at
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -8,8 +8,8 @@
 from oleander_batches import batch_table, submission
 from oleander_direct import servers
 from oleander_routing import router
-from oleander_samples import hedging, scheduler, steps, work
-from oleanderdeal import item_texts
+from oleander_samples import hedging, moves, scheduler, steps, work
+from oleanderdeal import completion, item_texts
 
 STRAGGLER_POLICY = hedging.StragglerPolicy(
     hedge_percent=0,
@@ -54,6 +54,11 @@
     text_version: int | None = None
     """The only weight version with which the text may be continued; None if others will do."""
 
+    @property
+    def target(self) -> str:
+        """The server to which the item is moved; empty if it is not moved."""
+        return self.work.move.target if self.work.move is not None else ""
+
     @property
     def call(self) -> servers.CallRequest:
         """The request to send to a server; its id is the item's."""
@@ -83,8 +88,13 @@
         submitted: submission.Submission,
         event_tokens: int,
         is_single_version: bool = False,
+        estimator: completion.ServerEstimator | None = None,
     ) -> None:
-        """Create a run; with `is_single_version` each text is made by one weight version."""
+        """
+        Create a run; with `is_single_version` each text is made by one weight version.
+
+        Without an estimator, texts are moved by their own rate alone.
+        """
         self._batch = batch
         self._submitted = submitted
         self._event_tokens = event_tokens
@@ -93,8 +103,13 @@
         self._attempt_ended = threading.Condition(self._lock)
         step = _build_step(submitted, event_tokens)
         seed = identifiers.hash_text(submitted.batch_id)
+        self._estimator = estimator
         self._scheduler = scheduler.WorkScheduler(
-            step, STRAGGLER_POLICY, seed, requires_single_version=is_single_version
+            step,
+            STRAGGLER_POLICY,
+            seed,
+            requires_single_version=is_single_version,
+            completion=_build_completion(submitted, estimator),
         )
         self._scheduler.raise_oldest_version(submitted.oldest_version, clock.read_now())
         self._errors: collections.Counter[int] = collections.Counter()
@@ -291,6 +306,8 @@
             self._cancelled.update(self._scheduler.take_cancellations())
         if started is None:
             return None
+        if self._estimator is not None and started.move is not None:
+            self._estimator.record_move(started.move, self._submitted)
         resumed_events = started.resumed_tokens // self._event_tokens
         item = self._submitted.items[started.number]
         urgency = self.compute_urgency(due_seconds)
@@ -320,6 +337,8 @@
     def record_server(self, item_number: int, server_id: str) -> None:
         """Record the server that an item's attempt is sent to."""
         self._last_servers[item_number] = server_id
+        if self._estimator is not None:
+            self._estimator.record_server(item_number, server_id)
 
     def must_keep_version(self, item: ItemWork) -> bool:
         """
@@ -407,6 +426,15 @@
         return submission.PartialText(number, partial.text, events, label)
 
 
+def _build_completion(
+    submitted: submission.Submission, estimator: completion.ServerEstimator | None
+) -> moves.StepCompletion | None:
+    if estimator is None:
+        return None
+    groups = tuple(item.group for item in submitted.items)
+    return moves.StepCompletion(estimator, groups, submitted.wanted_groups)
+
+
 def _build_step(submitted: submission.Submission, event_tokens: int) -> steps.Step:
     """
     Return a step with one group for each item, because each has its own expected length.
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -11,6 +11,7 @@
     batch_ownership,
     batch_run,
     checkpoints,
+    completion,
     item_task,
     item_texts,
     result_writer,
@@ -178,10 +179,7 @@
         if submitted.is_error():
             log.warn_bounded("batch-unread", submitted.error.detail, batch=batch.batch_id)
             return
-        backend = table.find_backend(route.pick_backend_by_key(batch.batch_id))
-        run = batch_run.BatchRun(
-            batch, submitted.ok, backend.event_tokens if backend else 1, route.is_single_version
-        )
+        run = self._create_run(batch, submitted.ok, route)
         run.drop_finished_items()
         resumed = self._load_partials(batch, run)
         reused = run.reuse_texts(self._texts)
@@ -200,6 +198,25 @@
             reused=len(reused),
         ).info("running its items")
 
+    def _create_run(
+        self, batch: batch_table.Batch, submitted: submission.Submission, route: routes.Route
+    ) -> batch_run.BatchRun:
+        """Return a run whose texts are moved by what the router knows of its servers."""
+        table = self._directory.table
+        backend = table and table.find_backend(route.pick_backend_by_key(batch.batch_id))
+        event_tokens = backend.event_tokens if backend else 1
+        is_single_version = route.is_single_version
+
+        def build_request() -> router.RouteRequest | None:
+            found = self._find_route(batch)
+            return _build_route_request(run, found, frozenset()) if found is not None else None
+
+        estimator = completion.ServerEstimator(
+            self._router, build_request, event_tokens, is_single_version
+        )
+        run = batch_run.BatchRun(batch, submitted, event_tokens, is_single_version, estimator)
+        return run
+
     def _load_partials(self, batch: batch_table.Batch, run: batch_run.BatchRun) -> int:
         """Load partial texts, return their number; unreadable ones are generated anew."""
         if not batch.partials:
@@ -235,7 +252,9 @@
         if quarantine is not None:
             self._defer(item, quarantine)
             return True
-        server = self._choose_next_server(run, route, item)
+        server = self._directory.find_server(item.target) if item.target else None
+        if server is None or not run.may_continue_at(item, server):
+            server = self._choose_next_server(run, route, item)
         if server is None:
             run.requeue(item, _WINDOWS_FULL_RETRY_SECONDS)
             return True
