Let the processes that run batches claim the leases for orders

Cause: the platform deals the partitions evenly, and the owner of a server's partition claimed the lease for its orders. With 39 entries and 22 engines nearly every engine had another orderer, which opened a connection for each state report and order.

Change: the batch index names the runners of open batches. They claim the leases, divided by a hash that all processes compute alike; the second in rank and the owner of the partition follow each lease and claim it later if the first does not. A lease that nobody needs yet is left free until runners are known, at most 10 s. A holder is never replaced while it renews. The lease's rule is unchanged.

A runner now holds many leases, so it calls up to 16 servers at the same time.

--- a/features/keeper_fakes.py
+++ b/features/keeper_fakes.py
@@ -5,7 +5,7 @@
 from oleander_base import clock
 from oleander_direct import crash_guard
 from oleander_leases import lease
-from oleander_orders import load_guard
+from oleander_orders import claimants, load_guard
 from oleander_quarantine import ledger
 from oleanderdeal import version_reconciler
 
@@ -29,19 +29,30 @@
                 item.remove_crash(key)
 
 
-def create_keeper(known, owned_ids, caller, shared):
+def run_at_once(work):
+    """Run the calls to a server before the next server is called."""
+    work()
+
+
+def create_keeper(known, owned_ids, caller, shared, start=run_at_once):
     """Return a keeper that holds the leases of some servers and has no batches."""
     crashes = ledger.CrashLedger(_SEED, lambda: clock.read_now())
     shared.ledgers.append(crashes)
     loads = load_guard.LoadGuard(known, crashes, shared, lambda: clock.read_now())
     held = types.SimpleNamespace(
-        update_wanted=lambda ids, partitions: None,
+        update_claims=lambda terms: None,
+        find_partition=lambda server_id: 0,
         held_count=len(owned_ids),
         find_lease=lambda server_id: _find_lease(owned_ids, server_id),
     )
     owned = types.SimpleNamespace(partitions=frozenset())
-    kept = types.SimpleNamespace(index=types.SimpleNamespace(list_open=list))
-    return version_reconciler.VersionReconciler(known, held, owned, kept, caller, None, loads)
+    index = types.SimpleNamespace(list_open=list, complete_as_of=0.0)
+    kept = types.SimpleNamespace(index=index)
+    claims = claimants.ClaimPlanner("e")
+    group = types.SimpleNamespace(start=start)
+    return version_reconciler.VersionReconciler(
+        known, held, claims, owned, kept, caller, group, loads
+    )
 
 
 def _find_lease(owned_ids, server_id):
--- a/features/order_crowd.feature
+++ b/features/order_crowd.feature
@@ -38,3 +38,11 @@
     When 2 of them never finish loading
     And 1 versions are published, one every 4 s
     Then after the last is published, every other server has it within 14 s
+
+  Scenario: Servers that don't answer delay no orders to the others
+    # A runner holds the leases of many servers. Called one after the other, each that does not answer
+    # would delay all others by the timeout of a call, in each round, and the last wave by seconds. The last
+    # wave starts 2.4 s after the version was published; an order asks the silent servers for 0.8 s before it.
+    Given a process that holds the leases of 12 servers, 4 of which don't answer
+    When it gives orders for 2.8 s after a version was published
+    Then each server that answers was ordered once, the last within 3.3 s
--- a/features/steps/order_crowd_steps.py
+++ b/features/steps/order_crowd_steps.py
@@ -9,6 +9,7 @@
 
 import keeper_fakes
 import server_fakes
+import virtual_time
 from oleander_base import clock
 from oleander_direct import directory, routes, servers
 
@@ -77,16 +78,7 @@
 
     def list_servers(self, backend):
         return [
-            servers.Server(
-                engine.name,
-                1,
-                backend,
-                "127.0.0.1:1",
-                "z",
-                8,
-                False,
-                (servers.ModelVersion(_MODEL, engine.listed_version),),
-            )
+            _build_server(engine.name, backend, engine.listed_version)
             for engine in self.engines.values()
         ]
 
@@ -104,18 +96,63 @@
                 engine.listed_version = engine.version
 
     def _create_keeper(self, name):
-        table = routes.RouteTable(
-            1, (), (routes.Backend("engines", (_MODEL,), 1),), routes.Limits(1, 1, 1)
-        )
-        known = types.SimpleNamespace(
-            table=table,
-            list_servers=self.list_servers,
-            list_target_versions=lambda: self.targets,
-            add_loss_callback=lambda on_lost: None,
-        )
+        known = _create_directory(self.list_servers, lambda: self.targets)
         return keeper_fakes.create_keeper(known, {name}, self, self.shared)
 
 
+class SilentServers(server_fakes.FailingCaller):
+    """Servers of one process, some of which don't answer; calls take virtual time."""
+
+    def __init__(self, count, silent):
+        self.time = virtual_time.VirtualTime()
+        self.ids = [f"s{n}" for n in range(count)]
+        self.silent = set(self.ids[:silent])
+        self.targets = {}
+        self.ordered = []
+        known = _create_directory(self.list_servers, lambda: self.targets)
+        self.keeper = keeper_fakes.create_keeper(
+            known, set(self.ids), self, keeper_fakes.SharedLedgers(), self.time.start
+        )
+
+    def list_servers(self, backend):
+        return [_build_server(name, backend, _FIRST_VERSION) for name in self.ids]
+
+    def read_state(self, server, deadline):
+        if server.server_id in self.silent:
+            self.time.sleep(deadline.remaining)
+            return expression.Error(servers.CallFailure("timeout", True))
+        models = (servers.ModelVersion(_MODEL, _FIRST_VERSION),)
+        return expression.Ok(servers.EngineState(models, False, 0))
+
+    def order(self, server, order, deadline):
+        self.ordered.append((clock.read_now(), server.server_id))
+        return servers.OrderTaken(is_done=False)
+
+    def run(self, seconds):
+        self.targets = {_MODEL: directory.TargetVersion(_FIRST_VERSION + 1, clock.read_now())}
+        deadline = clock.start_deadline(seconds)
+        while not deadline.is_past:
+            self.keeper.give_due_orders()
+            self.time.sleep(_TICK_SECONDS)
+
+
+def _create_directory(list_servers, list_targets):
+    table = routes.RouteTable(
+        1, (), (routes.Backend("engines", (_MODEL,), 1),), routes.Limits(1, 1, 1)
+    )
+    return types.SimpleNamespace(
+        table=table,
+        list_servers=list_servers,
+        list_target_versions=list_targets,
+        add_loss_callback=lambda on_lost: None,
+    )
+
+
+def _build_server(name, backend, version):
+    models = (servers.ModelVersion(_MODEL, version),)
+    return servers.Server(name, 1, backend, "127.0.0.1:1", "z", 8, False, models)
+
+
 @behave.given("{count:d} servers, each ordered by its own process, whose loads take {seconds:g} s")
 def create_fleet(context, count, seconds):
     context.fleet = Fleet(count, seconds)
@@ -159,3 +196,27 @@
 @behave.then("the processes asked other servers at most {most:d} times")
 def check_asked(context, most):
     assert context.fleet.asked_count <= most, context.fleet.asked_count
+
+
+@behave.given(
+    "a process that holds the leases of {count:d} servers, {silent:d} of which don't answer"
+)
+def create_silent_servers(context, count, silent):
+    context.silent_servers = SilentServers(count, silent)
+
+
+@behave.when("it gives orders for {seconds:g} s after a version was published")
+def give_orders(context, seconds):
+    time = context.silent_servers.time
+    context.published_at = time.read_now()
+    with unittest.mock.patch.object(clock, "read_now", time.read_now):
+        time.run(context.silent_servers.run, seconds)
+
+
+@behave.then("each server that answers was ordered once, the last within {seconds:g} s")
+def check_ordered(context, seconds):
+    fleet = context.silent_servers
+    ordered = sorted(name for _, name in fleet.ordered)
+    assert ordered == sorted(set(fleet.ids) - fleet.silent), ordered
+    last = max(at for at, _ in fleet.ordered) - context.published_at
+    assert last <= seconds, last
--- a/libs/leases/oleander_leases/lease.py
+++ b/libs/leases/oleander_leases/lease.py
@@ -41,6 +41,20 @@
     deadline: clock.Deadline
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class ClaimTerms:
+    """When a process may claim a lease that is free, so that preferred processes come first."""
+
+    not_before: float
+    """Monotonic seconds before which the lease is not claimed."""
+    lag_seconds: float
+    """For how long the lease must have been free."""
+
+
+AT_ONCE = ClaimTerms(0.0, 0.0)
+"""The terms of a process that claims a lease as soon as it is free."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class _LeaseRecord:
     """The newest record of the lease's partition."""
@@ -95,6 +109,7 @@
         self._next_offset = 0
         self._newest_record: _LeaseRecord | None = None
         self._has_read_all = False
+        self._readable_since = 0.0
         self._tenure: Tenure | None = None
         self._is_wanted = True
 
@@ -125,17 +140,34 @@
             tenure = self._tenure
         return None if tenure is None or tenure.deadline.is_past else tenure
 
-    def acquire_or_renew(self, wait_ms: int) -> float:
-        """Renew the lease or claim it if it is free; return the seconds until the next attempt."""
+    def acquire_or_renew(self, wait_ms: int, terms: ClaimTerms = AT_ONCE) -> float:
+        """
+        Renew the lease, or claim it if it is free and the terms allow it.
+
+        Return the seconds until the next attempt; 0 leaves them to the caller.
+        """
         if self.find_tenure() is not None:
             self._renew()
             return _RENEW_SECONDS
         if not self._read_new_records(wait_ms):
             return _RETRY_SECONDS
-        if self._is_free():
+        if self._is_free() and self.find_claim_wait(terms) <= 0.0:
             self._claim()
         return 0.0
 
+    def find_claim_wait(self, terms: ClaimTerms) -> float:
+        """
+        Return the seconds until this process may claim the lease, by the records read so far.
+
+        A host that was the last holder need not let others come first. Must not be called while
+        `acquire_or_renew` runs.
+        """
+        if self.was_last_holder:
+            return 0.0
+        now = clock.read_now()
+        free_at = self._find_free_at() + terms.lag_seconds
+        return max(0.0, free_at - now, terms.not_before - now)
+
     def release(self) -> None:
         """Release the lease; no call may be in flight. The next holder still waits for the gap."""
         self._is_wanted = False
@@ -150,8 +182,24 @@
             return False
         if newest is None or newest.host == self._host:
             return True
-        wait = self._gap_seconds + (TERM_SECONDS if newest.state == _HELD else 0.0)
-        return clock.read_now() - newest.read_at > wait
+        return clock.read_now() - newest.read_at > self._compute_wait(newest)
+
+    def _find_free_at(self) -> float:
+        """
+        Return when the lease was or will be free for this process, in monotonic seconds.
+
+        It was not free while the log did not answer: after an outage that outlasts the lease, the
+        holder would otherwise race with processes that are to let others come first.
+        """
+        newest = self._newest_record
+        if newest is None:
+            return self._readable_since
+        wait = 0.0 if newest.host == self._host else self._compute_wait(newest)
+        return max(self._readable_since, newest.read_at + wait)
+
+    def _compute_wait(self, newest: _LeaseRecord) -> float:
+        """Return the seconds from another host's record until a successor may claim."""
+        return self._gap_seconds + (TERM_SECONDS if newest.state == _HELD else 0.0)
 
     def _claim(self) -> None:
         started_at = clock.read_now()
@@ -206,12 +254,15 @@
         wait_ms = wait_ms if self._has_read_all else 0
         page = self._log.read(self._topic, self._partition, self._next_offset, wait_ms, deadline)
         if page.is_error():
+            self._readable_since = 0.0
             log.warn_bounded("lease-unread", page.error.detail, topic=self._topic)
             return False
         for record in page.ok.records:
             self._apply(record)
         self._next_offset = max(self._next_offset, page.ok.next_offset)
         self._has_read_all = self._next_offset >= page.ok.end_offset
+        if self._has_read_all and not self._readable_since:
+            self._readable_since = clock.read_now()
         return True
 
     def _apply(self, record: recordlog.RawRecord) -> None:
--- a/libs/orders/oleander_orders/load_throttle.py
+++ b/libs/orders/oleander_orders/load_throttle.py
@@ -2,6 +2,7 @@
 
 import collections.abc
 import random
+import threading
 
 from oleander_base import clock, log
 from oleander_direct import servers
@@ -19,7 +20,7 @@
 
 class LoadThrottle:
     """
-    Keeps servers from all loading weights at once; not thread-safe.
+    Keeps servers from all loading weights at once; thread-safe.
 
     Processes that hold the leases of different servers order them in waves, by the time since a
     version was published. Waves that are shorter than a load overlap, until all servers load at
@@ -29,6 +30,7 @@
 
     def __init__(self, seed: int) -> None:
         self._random = random.Random(seed)
+        self._lock = threading.Lock()
         self._waiting_since: dict[tuple[str, str], float] = {}
 
     def must_defer(
@@ -40,19 +42,22 @@
     ) -> bool:
         """Return whether too many of the servers that lack the order's version are loading."""
         outdated = _list_outdated(order, placed)
-        asked = self._random.sample(outdated, min(_MAX_ASKED_SERVERS, len(outdated)))
+        with self._lock:
+            asked = self._random.sample(outdated, min(_MAX_ASKED_SERVERS, len(outdated)))
         loading = sum(map(is_loading, asked))
         is_crowded = loading * len(outdated) >= max_loading * len(asked)
-        if not asked or not is_crowded:
-            self._waiting_since.pop(_build_key(order), None)
-            return False
-        return not self._has_waited_long(order, loading, len(asked))
+        with self._lock:
+            if not asked or not is_crowded:
+                self._waiting_since.pop(_build_key(order), None)
+                return False
+            return not self._has_waited_long(order, loading, len(asked))
 
     def remove_lost_servers(self, listed: collections.abc.Iterable[servers.Server]) -> None:
         """Remove the state of servers that are no longer listed."""
         known = {server.incarnation for server in listed}
-        for key in [item for item in self._waiting_since if item[0] not in known]:
-            del self._waiting_since[key]
+        with self._lock:
+            for key in [item for item in self._waiting_since if item[0] not in known]:
+                del self._waiting_since[key]
 
     def _has_waited_long(self, order: plan.PlannedOrder, loading: int, asked: int) -> bool:
         key = _build_key(order)
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -10,7 +10,7 @@
 from oleander_direct import calls, crash_guard, directory, fair_share, servers
 from oleander_duties import platform, usage
 from oleander_leases import lease
-from oleander_orders import load_guard, order_leases
+from oleander_orders import claimants, load_guard, order_leases
 from oleander_platform import keyed_follower, recordlog
 from oleander_quarantine import ledger
 from oleander_routing import preferred, router
@@ -41,7 +41,8 @@
 """Servers per backend to which an entry prefers to send calls: more than the attempts of one
 call, and enough that the subsets chosen by many entries balance the load."""
 _OTHER_TASKS = 20
-"""Tasks besides items and partitions: followers, HTTP servers, writers, runner and a reserve."""
+"""Tasks besides items, orders and partitions: followers, HTTP servers, writers, runner and a
+reserve."""
 _MAX_SILENCE_SECONDS = 2.5
 """An entry that received no server records for longer is not ready; other entries may be."""
 _CONFIGURATION_PAUSE_SECONDS = 0.05
@@ -134,7 +135,11 @@
         self._adapter = adapter
         self._leaving = threading.Event()
         self._group = tasks.TaskGroup(
-            "entry", MAX_CONCURRENT_ITEMS + settings.partitions + _OTHER_TASKS
+            "entry",
+            MAX_CONCURRENT_ITEMS
+            + version_reconciler.MAX_TASKS
+            + settings.partitions
+            + _OTHER_TASKS,
         )
         log_service = adapter.create_log()
         caller = adapter.create_server_caller()
@@ -181,6 +186,7 @@
         self._version_reconciler = version_reconciler.VersionReconciler(
             self._directory,
             order_rights,
+            claimants.ClaimPlanner(settings.name),
             self._ownership,
             self._journal,
             caller,
