Use the idle connection that expires first

Cause: the pool used the connection last that was freed first. Servers close connections after 5 s without use, so all but the few last used expired between two steps, and expired ones stayed in the list and took room from usable ones.

Change: the connection that expires first is used first, and expired ones are closed when another is freed. Connections opened are counted (connections.opened); has_idle tells whether one can be reused.

--- a/features/http_pool.feature
+++ b/features/http_pool.feature
@@ -63,6 +63,22 @@
       | 36   | 0      |
       | 50   | 14     |
 
+  Scenario Outline: An idle connection is used again before it expires
+    # Servers close connections that are idle for 5 s. If the last used one were used again first, all but
+    # one or two would expire between two steps, and would take room from those that can still be used.
+    # Words: +1 frees a connection, -1 uses one, 4s waits.
+    Given a pool whose servers close connections that are idle for 5 s
+    When the pool's connections are used as <script>
+    Then <opened> connections were opened and <closed> closed
+
+    Examples:
+      | script                                 | opened | closed |
+      | -2 +2 2s -1 +1 2s -1 +1 2s -1 +1 2s -2 | 2      | 0      |
+      | -2 +2 4s -2 +2 4s -2                   | 2      | 0      |
+      | -2 +2 5s -2                            | 4      | 2      |
+      | -36 +36 5s -37 +36                     | 73     | 36     |
+      | -36 +36 5s -1 +1                       | 37     | 36     |
+
   Scenario Outline: Unsolicited bytes are not read as the answer to the next request
     # A server sends a second answer, which would reach the caller of the next request. It comes at
     # once or later, complete or in parts.
--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -124,6 +124,66 @@
     assert closed == count, closed
 
 
+class IdleTrial:
+    """Uses and frees the connections of a pool in simulated time."""
+
+    def __init__(self, timeout):
+        self._now = 1000.0
+        self._timeout = timeout
+        self._pool = http_pool.ConnectionPool()
+        self._used = []
+        self.opened = []
+
+    def run(self, script):
+        answer = unittest.mock.Mock(status=200, chunked=False, length=0, will_close=False)
+        answer.getheaders.return_value = []
+        answer.getheader.return_value = f"timeout={self._timeout}"
+        answer.read1.return_value = b""
+        with (
+            unittest.mock.patch.object(clock, "read_now", lambda: self._now),
+            unittest.mock.patch.object(http_connection, "Connection", lambda *_: self._open()),
+        ):
+            self._answer = answer
+            for word in script.split():
+                self._do(word)
+
+    @property
+    def closed(self):
+        return sum(connection.close.called for connection in self.opened)
+
+    def _do(self, word):
+        if word.endswith("s"):
+            self._now += float(word[:-1])
+        for _ in range(int(word[1:]) if word[0] == "-" else 0):
+            request = http_pool.PoolRequest("127.0.0.1:1", "GET", "/", ())
+            deadline = clock.start_deadline(_SECONDS)
+            self._used.append(self._pool.open(request, deadline, lambda: False).ok)
+        for _ in range(int(word[1:]) if word[0] == "+" else 0):
+            assert self._used.pop().read_whole().is_ok()
+
+    def _open(self):
+        connection = unittest.mock.Mock(is_reusable=True, is_open=True)
+        connection.getresponse.return_value = self._answer
+        self.opened.append(connection)
+        return connection
+
+
+@behave.given("a pool whose servers close connections that are idle for {seconds:d} s")
+def create_idle_trial(context, seconds):
+    context.idle_trial = IdleTrial(seconds)
+
+
+@behave.when("the pool's connections are used as {script}")
+def use_connections(context, script):
+    context.idle_trial.run(script)
+
+
+@behave.then("{opened:d} connections were opened and {closed:d} closed")
+def check_opened(context, opened, closed):
+    trial = context.idle_trial
+    assert (len(trial.opened), trial.closed) == (opened, closed), (len(trial.opened), trial.closed)
+
+
 @behave.given("a raw server that {does} on a {connection} connection")
 def create_ending(context, does, connection):
     context.ending = ending_server.EndingServer(does)
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -1,5 +1,6 @@
 """A pool of persistent HTTP connections to many servers."""
 
+import bisect
 import collections.abc
 import dataclasses
 import http.client
@@ -7,7 +8,7 @@
 
 import expression
 
-from oleander_base import clock, http_connection, http_exchange
+from oleander_base import clock, http_connection, http_exchange, metrics
 
 MAX_BODY_BYTES = http_exchange.MAX_BODY_BYTES
 _MAX_ADDRESSES = 4096
@@ -65,17 +66,23 @@
     expires_at: float
 
 
+def _read_expiry(item: _Idle) -> float:
+    return item.expires_at
+
+
 class ConnectionPool:
     """
     Keeps idle connections per address; thread-safe.
 
     At most 36 connections for each of 4096 addresses are kept; any further one is closed after
-    use.
+    use. The one that expires first is used first: the others then stay usable for longer, so fewer
+    expire between two steps than if the last used one were used again.
     """
 
     def __init__(self) -> None:
         self._lock = threading.Lock()
         self._idle: dict[str, list[_Idle]] = {}
+        """The idle connections to each address, in the order of their expiry."""
         self._opened_count = 0
 
     @property
@@ -124,12 +131,24 @@
 
         Its last response must have been read to the end.
         """
+        now = clock.read_now()
+        unused = []
         with self._lock:
             idle = self._idle.setdefault(address, [])
+            while idle and idle[0].expires_at <= now:
+                unused.append(idle.pop(0).connection)
             if len(idle) < _MAX_IDLE_PER_ADDRESS and len(self._idle) <= _MAX_ADDRESSES:
-                idle.append(_Idle(connection, clock.read_now() + seconds))
-                return
-        connection.close()
+                bisect.insort(idle, _Idle(connection, now + seconds), key=_read_expiry)
+            else:
+                unused.append(connection)
+        for item in unused:
+            item.close()
+
+    def has_idle(self, address: str) -> bool:
+        """Return whether an idle connection to a server has not expired."""
+        now = clock.read_now()
+        with self._lock:
+            return any(item.expires_at > now for item in self._idle.get(address, ()))
 
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a server that has ended."""
@@ -159,7 +178,7 @@
                 idle = self._idle.get(address)
                 if not idle:
                     return None
-                item = idle.pop()
+                item = idle.pop(0)
             if item.expires_at > clock.read_now() and item.connection.is_reusable:
                 return item.connection
             item.connection.close()
@@ -180,6 +199,7 @@
             return expression.Error(http_exchange.ExchangeError(str(error), reach))
         with self._lock:
             self._opened_count += 1
+        metrics.count(metrics.CONNECTIONS_OPENED)
         return expression.Ok(connection)
 
     def _send(
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -94,6 +94,13 @@
     "Requests kept from backend servers because servers ended under them.",
     "Find the request by its digest in the log lines of event crash, and whoever sends it.",
 )
+CONNECTIONS_OPENED = _declare(
+    "connections.opened",
+    "counter",
+    "count",
+    "Connections opened to backend servers.",
+    "A steady rise against requests points to servers that close idle connections early.",
+)
 LOG_FAILED_CALLS = _declare(
     "log.failed_calls",
     "counter",
