Prefer servers to which an idle connection is open

Cause: 39 entries spread few calls each over six preferred servers, by the less loaded of two random ones, so most connections expired between two calls. Texts and scorings of batches were spread the same way.

Change: a server without a connection is replaced by a connected one that is no more loaded, no less healthy and about as fast. The entry asks its pool; elsewhere the choice is unchanged.

--- a/features/http_pool.feature
+++ b/features/http_pool.feature
@@ -47,6 +47,9 @@
       | bytes                                                                                 | connections |
       | HTTP/1.1 200 OK~Content-Length: 2~~ab                                                 | 1           |
       | HTTP/1.1 200 OK~Content-Length: 2~Connection: close~~ab                               | 2           |
+      | HTTP/1.1 503 Busy~Content-Length: 2~~no                                               | 1           |
+      | HTTP/1.1 429 Busy~Content-Length: 0~~                                                 | 1           |
+      | HTTP/1.1 503 Busy~Content-Length: 2~Connection: close~~no                             | 2           |
       | HTTP/1.1 200 OK~Content-Length: 2~Keep-Alive: timeout=0~~ab                           | 2           |
 
   Scenario Outline: The connections of one step are reused by the next
--- a/features/server_fakes.py
+++ b/features/server_fakes.py
@@ -27,6 +27,10 @@
     def order(self, server, order, deadline):
         raise AssertionError
 
+    def has_idle(self, address):
+        """Return False, since there are no connections."""
+        return False
+
     def close_idle(self, address):
         """Do nothing, since there are no connections."""
 
--- a/libs/direct/oleander_direct/servers.py
+++ b/libs/direct/oleander_direct/servers.py
@@ -223,6 +223,10 @@
     def order(self, server: Server, order: VersionOrder, deadline: clock.Deadline) -> OrderOutcome:
         """Send a server an order to load weights."""
 
+    @abc.abstractmethod
+    def has_idle(self, address: str) -> bool:
+        """Return whether an idle connection to a server's address can be reused."""
+
     @abc.abstractmethod
     def close_idle(self, address: str) -> None:
         """Close the idle connections to a server that is gone."""
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -106,10 +106,17 @@
         seed: int,
         read_now: collections.abc.Callable[[], float] = clock.read_now,
         preferred_peers: preferred.PreferredPeers | None = None,
+        has_connection: collections.abc.Callable[[str], bool] | None = None,
     ) -> None:
-        """Create a router; `preferred_peers` applies to requests that aren't windowed."""
+        """
+        Create a router; `preferred_peers` applies to requests that aren't windowed.
+
+        `has_connection` returns whether an idle connection to a peer is open. It is called while
+        the router is locked, so it must not call the router.
+        """
         self._random = random.Random(seed)
         self._preferred = preferred_peers or preferred.PreferredPeers("", 0)
+        self._has_connection = has_connection
         self._read_now = read_now
         self._lock = threading.Lock()
         self._peers: dict[str, peers.Peer] = {}
@@ -334,7 +341,10 @@
             cached = selection.pick_by_affinity(trusted, request.affinity, request.budget_ms)
             if cached is not None:
                 return cached
-        return selection.pick_by_load(trusted, request.budget_ms, self._random)
+        picked = selection.pick_by_load(trusted, request.budget_ms, self._random)
+        if self._has_connection is None:
+            return picked
+        return selection.prefer_connected(picked, trusted, self._has_connection, self._random)
 
     def _pick_probe(
         self, candidates: list[peers.Peer], request: RouteRequest
--- a/libs/routing/oleander_routing/selection.py
+++ b/libs/routing/oleander_routing/selection.py
@@ -1,5 +1,6 @@
 """Selection of a peer by load, stream speed or prompt prefix."""
 
+import collections.abc
 import math
 import random
 
@@ -14,6 +15,11 @@
 _EQUAL_INTERVAL_RATIO = 1.15
 """Peers whose event intervals differ by less count as equally fast: load affects them too."""
 
+_MAX_ASKED_PEERS = 16
+"""How many peers are checked for an idle connection, which bounds the time of a choice."""
+_EQUAL_LATENCY_RATIO = 1.5
+"""Peers whose average latencies differ by less count as equally fast; calls differ in length."""
+
 
 def pick_by_load(
     candidates: list[peers.Peer], budget_ms: int, random_source: random.Random
@@ -32,6 +38,26 @@
     return min(first, second, key=lambda peer: (peer.wait_ms > budget_ms, peer.load))
 
 
+def prefer_connected(
+    picked: peers.Peer,
+    candidates: list[peers.Peer],
+    has_connection: collections.abc.Callable[[str], bool],
+    random_source: random.Random,
+) -> peers.Peer:
+    """
+    Return a peer with an idle connection that is as good as the picked one, else the picked one.
+
+    Servers close connections that are idle for some seconds. An entry that spreads few calls over
+    several peers uses each connection so rarely that most calls open a new one. Only peers count
+    that are no more loaded than the picked one and answer about as fast, so no call waits longer.
+    """
+    if has_connection(picked.name):
+        return picked
+    equal = [peer for peer in candidates if _is_as_good(peer, picked)]
+    asked = random_source.sample(equal, min(_MAX_ASKED_PEERS, len(equal)))
+    return next((peer for peer in asked if has_connection(peer.name)), picked)
+
+
 def pick_by_affinity(
     candidates: list[peers.Peer], prefix: str, budget_ms: int
 ) -> peers.Peer | None:
@@ -97,5 +123,15 @@
     return random_source.choices(candidates, [peer.weight for peer in candidates])[0]
 
 
+def _is_as_good(peer: peers.Peer, other: peers.Peer) -> bool:
+    """Return whether a peer is at most as loaded as another, as healthy and about as fast."""
+    return (
+        peer.load <= other.load
+        and peer.wait_ms <= other.wait_ms
+        and peer.weight >= other.weight
+        and (not other.latency_ms or peer.latency_ms <= other.latency_ms * _EQUAL_LATENCY_RATIO)
+    )
+
+
 def _hash_pair(first: str, second: str) -> int:
     return identifiers.hash_text(f"{first}\n{second}")
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -143,9 +143,11 @@
         )
         log_service = adapter.create_log()
         caller = adapter.create_server_caller()
+        self._caller = caller
         self._router = router.Router(
             identifiers.hash_text(settings.name),
             preferred_peers=preferred.PreferredPeers(settings.host, MAX_PREFERRED_SERVERS),
+            has_connection=self._has_connection,
         )
         self._directory = directory.Directory(self._router, caller)
         self._followers = self._create_followers(log_service, adapter)
@@ -234,6 +236,10 @@
         self._drain()
         log.logger.bind(event="stopped").info("stopped, no request is in progress")
 
+    def _has_connection(self, server_id: str) -> bool:
+        server = self._directory.find_server(server_id)
+        return server is not None and self._caller.has_idle(server.address)
+
     def _create_crash_writer(
         self, crashes: ledger.CrashLedger, log_service: recordlog.RecordLog
     ) -> crash_records.CrashWriter:
