--- a/features/order_claims.feature
+++ b/features/order_claims.feature
@@ -2,7 +2,7 @@
   Time is simulated. Processes p1, p2, ... share the leases of some partitions of engines, which the platform deals evenly to
   all of them. The words of a script are: 2s waits, p1.runs and p1.rests start and end the batches of a model at p1,
   p1.dies ends p1, p1.leaves stops it in an orderly way, p1.cut and p1.back cut it off from the store and reconnect it
-  (all.cut and all.back do so for all processes), due says that engines lack a published version, =p1,p2 checks that
+  (all.cut and all.back do so for all processes), p1.old makes p1 one of an earlier build, due says that engines lack a published version, =p1,p2 checks that
   p1 and p2 hold all leases and each of them at least one, =any that all are held, =none that none is, and =same that
   all are held as at the last check.
 
@@ -50,3 +50,9 @@
       | 8     | 8      | 3s p3.runs p5.runs 2.5s =p3,p5 due p3.cut 2s p3.back 9s =same                |
       | 8     | 8      | 3s p3.runs 2.5s =p3 due all.cut 9s =none all.back 1.5s =p3 9s =same          |
       | 8     | 8      | 3s all.cut 2s all.back 1s p3.runs 2.5s =p3                                   |
+
+    Examples: some processes are of an earlier build, which claims as owner at once
+      | count | leases | script                                        |
+      | 8     | 8      | all.old 2s =any p3.runs 9s =same              |
+      | 8     | 8      | p3.old 2s p3.runs due 2.5s =any 9s =same      |
+      | 8     | 8      | p1.old p2.old 2s p3.runs 3s =p1,p2,p3 9s =same |
--- a/features/steps/order_claims_steps.py
+++ b/features/steps/order_claims_steps.py
@@ -8,6 +8,7 @@
 
 import virtual_time
 from oleander_base import clock
+from oleander_leases import lease
 from oleander_orders import claimants, order_leases
 from oleander_standins import recordlog
 
@@ -27,6 +28,7 @@
         self.client = site.log.create_client()
         self.is_alive = True
         self.is_running = False
+        self.is_old_build = False
         self.heard_at = 0.0
         self.index_as_of = 0.0
         self._site = site
@@ -52,7 +54,10 @@
                 claimants.LeaseDemand(item, frozenset("m"), self._site.is_due)
                 for item in self._site.owners
             ]
-            self.rights.update_claims(self._planner.plan_claims(demands, owned, self.index_as_of))
+            claims = self._planner.plan_claims(demands, owned, self.index_as_of)
+            if self.is_old_build:
+                claims = dict.fromkeys(owned, lease.AT_ONCE)
+            self.rights.update_claims(claims)
             self._site.time.sleep(_ROUND_SECONDS)
 
     def find_tenure(self, server_id):
@@ -116,6 +121,9 @@
     def _rests(self, process):
         process.is_running = False
 
+    def _old(self, process):
+        process.is_old_build = True
+
     def _cut(self, process):
         process.client.faults.is_down = True
 
