--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -10,7 +10,7 @@
 from oleander_direct import calls, crash_guard, directory, fair_share, servers
 from oleander_duties import platform, usage
 from oleander_leases import lease
-from oleander_orders import load_guard, order_leases
+from oleander_orders import claimants, load_guard, order_leases
 from oleander_platform import keyed_follower, recordlog
 from oleander_quarantine import ledger
 from oleander_routing import preferred, router
@@ -41,7 +41,8 @@
 """Servers per backend to which an entry prefers to send calls: more than the attempts of one
 call, and enough that the subsets chosen by many entries balance the load."""
 _OTHER_TASKS = 20
-"""Tasks besides items and partitions: followers, HTTP servers, writers, runner and a reserve."""
+"""Tasks besides items, orders and partitions: followers, HTTP servers, writers, runner and a
+reserve."""
 _MAX_SILENCE_SECONDS = 2.5
 """An entry that received no server records for longer is not ready; other entries may be."""
 _CONFIGURATION_PAUSE_SECONDS = 0.05
@@ -134,13 +135,19 @@
         self._adapter = adapter
         self._leaving = threading.Event()
         self._group = tasks.TaskGroup(
-            "entry", MAX_CONCURRENT_ITEMS + settings.partitions + _OTHER_TASKS
+            "entry",
+            MAX_CONCURRENT_ITEMS
+            + version_reconciler.MAX_TASKS
+            + settings.partitions
+            + _OTHER_TASKS,
         )
         log_service = adapter.create_log()
         caller = adapter.create_server_caller()
+        self._caller = caller
         self._router = router.Router(
             identifiers.hash_text(settings.name),
             preferred_peers=preferred.PreferredPeers(settings.host, MAX_PREFERRED_SERVERS),
+            has_connection=self._has_connection,
         )
         self._directory = directory.Directory(self._router, caller)
         self._followers = self._create_followers(log_service, adapter)
@@ -181,6 +188,7 @@
         self._version_reconciler = version_reconciler.VersionReconciler(
             self._directory,
             order_rights,
+            claimants.ClaimPlanner(settings.name),
             self._ownership,
             self._journal,
             caller,
@@ -228,6 +236,10 @@
         self._drain()
         log.logger.bind(event="stopped").info("stopped, no request is in progress")
 
+    def _has_connection(self, server_id: str) -> bool:
+        server = self._directory.find_server(server_id)
+        return server is not None and self._caller.has_idle(server.address)
+
     def _create_crash_writer(
         self, crashes: ledger.CrashLedger, log_service: recordlog.RecordLog
     ) -> crash_records.CrashWriter:
