Move texts of batches that state no number of wanted groups

A submission without the number was taken as one of which no group is wanted, so none of its texts was moved off a slow server, as before the change they were. All groups are wanted then.

--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -444,7 +444,8 @@
     if estimator is None:
         return None
     groups = tuple(item.group for item in submitted.items)
-    return moves.StepCompletion(estimator, groups, submitted.wanted_groups)
+    wanted = submitted.wanted_groups or len(set(groups))
+    return moves.StepCompletion(estimator, groups, wanted)
 
 
 def _build_step(submitted: submission.Submission, event_tokens: int) -> steps.Step:
