Add a policy for the urgency of a batch's items

Cause: an item's class at engines follows only from the age of its batch, and a runner starts all items of one batch before those of the next. After an outage, or when several steps come within 3 s, the longest texts start behind short texts of other trainers, and their steps end after 7.5 s.

Change: oleander_samples/urgency.py rates an item by its slack: the time until its step is due, less its predicted events at the typical speed and a scoring. The longest texts have the least slack. Waiting counts half, so that short texts of a delayed step do not preempt running ones. A step that can't be in time, and groups beyond those that the trainer waits for, get no urgency for a limited time; such groups only once items have waited for a tenth of the due time.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -91,8 +91,13 @@
     ),
     "longest-first": (
         f"{_SAMPLES}/backlog.py",
-        "rank = (-self._lengths.predict_unstarted(group), -len(waiting), group)",
-        "rank = (0, -len(waiting), group)",
+        "rank = (group in self._deferred, -predicted, -len(waiting), group)",
+        "rank = (group in self._deferred, 0, -len(waiting), group)",
+    ),
+    "class-by-slack": (
+        f"{_SAMPLES}/urgency.py",
+        "urgency_class = _choose_class(fraction, self._classes.get(item.number))",
+        "urgency_class = LEAST_URGENT",
     ),
     "guessed-lengths": (
         f"{_SAMPLES}/predictions.py",
--- a/bench/policy_bench.py
+++ b/bench/policy_bench.py
@@ -5,6 +5,7 @@
 import policy_admission
 import policy_retries
 import policy_routing
+import policy_urgency
 
 
 def main() -> None:
@@ -19,6 +20,11 @@
         policy_routing.measure_prefixes,
         policy_routing.measure_grey_peer,
         policy_retries.measure_storm,
+        policy_urgency.measure_ticks,
+        policy_urgency.measure_outage,
+        policy_urgency.measure_overload,
+        policy_urgency.measure_surplus,
+        policy_urgency.measure_normal,
     ):
         for item in measure():
             print(
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -112,6 +112,34 @@
         """The number of tokens that hedges have generated, as charged to their budget."""
         return self._hedges.spent_tokens
 
+    def peek_next(self, now: float) -> int | None:
+        """Return the number of the waiting sample that starts next, or None if none is due."""
+        return self._backlog.peek(now)
+
+    def predict_remaining(self, number: int) -> int:
+        """
+        Return the predicted number of tokens that are still to be generated of a sample.
+
+        Without an estimate of the trainer, a sample is expected to have the mean length of those
+        that are finished; its maximum length would make every sample look like the longest.
+        """
+        running = self._attempts.find_all(number)
+        if not running and number not in self._backlog:
+            return 0
+        partial = self._partials.get(number)
+        made = max(
+            (attempt.tokens for attempt in running), default=partial.tokens if partial else 0
+        )
+        group = self._group_of[number]
+        mean = int(self._lengths.mean)
+        if not self._step.groups[group].expected_tokens and (made <= mean or not mean):
+            return max(0, mean - made)
+        return self._hedges.predict_hedge_tokens(group, made)
+
+    def set_deferred(self, numbers: collections.abc.Iterable[int]) -> None:
+        """Set the samples whose groups start after all others."""
+        self._backlog.set_deferred(frozenset(self._group_of[number] for number in numbers))
+
     def start_next(
         self,
         now: float,
