Order the items of all batches by urgency, and send their class

Change: BatchRunner starts the most urgent waiting item of all its runs. BatchRun rates each attempt when it starts; the class of a running attempt stays. The typical times come from the streams and scorings that this process received. An organisation's priority goes before the route's. The log line item states urgency, slack and whether the item yielded; step-late says that a step can't be in time; counters items.class_1 to 5, items.yielded, steps.late.

Measured: urgency.feature passes; with the order of runs as before its scenario on the longest text of all batches fails.

--- a/features/batch_processes.py
+++ b/features/batch_processes.py
@@ -1,6 +1,7 @@
 """Processes that run batches in memory, with fake engines of configurable behaviour."""
 
 import collections
+import threading
 import time
 
 import expression
@@ -19,6 +20,7 @@
 _SECONDS = {"slow": 0.3, "crawls": 1.0}
 """The seconds between two events of an engine, by the engine's behaviour."""
 _TICK_SECONDS = 0.02
+_SCORING_SECONDS = 0.2
 
 
 class FakeStream(servers.EventStream):
@@ -91,8 +93,14 @@
         self.cuts = collections.Counter()
         self.running = 0
         self.attempts = 0
+        self.sent = []
+        """The item and the class of each request that an engine got."""
+        self.scoring = collections.Counter()
+        """The scorings that run now, and the most that ran at once."""
+        self._scoring_lock = threading.Lock()
 
     def generate(self, server, request, deadline, is_cancelled):
+        self.sent.append((request.call.request_id, request.urgency))
         behaviour = self.behaviours[server.server_id]
         self.asked[request.call.request_id] += 1
         if behaviour == "gone" or server.server_id in self.crashed:
@@ -112,6 +120,8 @@
         return expression.Ok(FakeStream(self, server.server_id, request, is_cancelled))
 
     def call(self, server, request, deadline, is_cancelled):
+        if self._scorer == "takes 200 ms":
+            self._score_slowly()
         self._scored[request.request_id] += 1
         first = self._scored[request.request_id] == 1
         if self._scorer == "is full at first" and first:
@@ -122,6 +132,14 @@
             return expression.Ok(_answer(500))
         return expression.Ok(_answer(200, stamp=f"score-{request.request_id}"))
 
+    def _score_slowly(self):
+        with self._scoring_lock:
+            self.scoring["now"] += 1
+            self.scoring["most"] = max(self.scoring["most"], self.scoring["now"])
+        time.sleep(_SCORING_SECONDS)
+        with self._scoring_lock:
+            self.scoring["now"] -= 1
+
 
 def _answer(status, did_not_run=False, is_other=False, stamp=""):
     return servers.CallAnswer(status, (), b"", did_not_run, is_other, stamp)
--- a/libs/base/oleander_base/metrics.py
+++ b/libs/base/oleander_base/metrics.py
@@ -202,9 +202,41 @@
     "Slow periods of servers that have ended, as seen by this process.",
     "See the log lines of event server-slow-NAME for those that last.",
 )
+ITEMS_YIELDED = _declare(
+    "items.yielded",
+    "counter",
+    "count",
+    "Attempts that started without urgency, as their step was late or their group not needed.",
+    "See the log lines of event step-late; a steady rise: engines lack capacity.",
+)
+ITEMS_BY_CLASS = tuple(
+    _declare(
+        f"items.class_{number}",
+        "counter",
+        "count",
+        f"Attempts at items of batches with urgency class {number}; 1 is the most urgent.",
+        "Many in classes 1 and 2: steps have little slack; compare with step-late in the log.",
+    )
+    for number in range(1, 6)
+)
+"""Counters of the urgency classes from 1 on."""
 ITEM_MS = _declare(
     "items.ms", "timer", "ms", "How long an attempt at an item took.", "Compare with due times."
 )
+STEPS_LATE = _declare(
+    "steps.late",
+    "counter",
+    "count",
+    "Times that a batch was found unable to meet its due time.",
+    "See the log lines of event step-late: waiting items, or one long text.",
+)
+SCORINGS_HELD = _declare(
+    "scorings.held",
+    "counter",
+    "count",
+    "Scorings that waited because this process had as many at each server as it runs at once.",
+    "A steady rise: plain servers lack capacity, or are slow.",
+)
 BATCHES_ACCEPTED = _declare(
     "batches.accepted", "counter", "count", "Batches that were accepted.", "None."
 )
--- a/libs/direct/oleander_direct/attempts.py
+++ b/libs/direct/oleander_direct/attempts.py
@@ -41,6 +41,7 @@
         request: servers.CallRequest,
         deadline: clock.Deadline,
         is_cancelled: collections.abc.Callable[[], bool],
+        is_windowed: bool = False,
     ) -> AttemptResult:
         """Call a server; return its answer to the request, or the failure if none was received."""
         started_at = clock.read_now()
@@ -51,7 +52,9 @@
             _log_failure(request, server, result.error, milliseconds)
         if result.is_ok() and outcome is not router.RouteOutcome.REFUSED:
             self._router.record_accepted(server.server_id, started_at)
-        self._router.record_finished(server.server_id, outcome, milliseconds)
+        self._router.record_finished(
+            server.server_id, outcome, milliseconds, is_windowed=is_windowed
+        )
         return result
 
     def _call_guarded(
--- a/libs/direct/oleander_direct/call_progress.py
+++ b/libs/direct/oleander_direct/call_progress.py
@@ -19,6 +19,8 @@
     deadline: clock.Deadline
     is_windowed: bool
     """Whether this is a batch item, sent only to servers whose request window is open."""
+    keeps_to_slots: bool = False
+    """As in `router.RouteRequest`."""
     excluded: set[str] = dataclasses.field(default_factory=set)
     """The ids of servers that were already asked."""
     sent_count: int = 0
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -101,15 +101,21 @@
         deadline: clock.Deadline,
         is_caller_gone: collections.abc.Callable[[], bool],
         is_windowed: bool = False,
+        keeps_to_slots: bool = False,
     ) -> call_outcomes.CallOutcome:
-        """Dispatch a request; return the outcome at the latest a little before the deadline."""
+        """
+        Dispatch a request; return the outcome at the latest a little before the deadline.
+
+        The flags are those of `router.RouteRequest`.
+        """
         organisation = request.organisation
+        flags = is_windowed, keeps_to_slots
         if self._limiter is None or not organisation:
-            return self._call(route, request, deadline, is_caller_gone, is_windowed)
+            return self._call(route, request, deadline, is_caller_gone, *flags)
         if not self._limiter.try_acquire(organisation):
             return self._refuse_over_share(route, request)
         try:
-            return self._call(route, request, deadline, is_caller_gone, is_windowed)
+            return self._call(route, request, deadline, is_caller_gone, *flags)
         finally:
             self._limiter.release(organisation)
 
@@ -139,6 +145,7 @@
         deadline: clock.Deadline,
         is_caller_gone: collections.abc.Callable[[], bool],
         is_windowed: bool,
+        keeps_to_slots: bool,
     ) -> call_outcomes.CallOutcome:
         remaining = deadline.remaining
         reply_seconds = min(_MAX_REPLY_SECONDS, remaining * _REPLY_FRACTION)
@@ -147,7 +154,7 @@
         )
         backend = route.pick_backend(self._random)
         progress = call_progress.CallProgress(
-            request, route, backend, attempt_deadline, is_windowed
+            request, route, backend, attempt_deadline, is_windowed, keeps_to_slots
         )
         self._hedges.record_first_attempt()
         outcome = self._run(progress, is_caller_gone)
@@ -268,6 +275,7 @@
             progress.request,
             progress.deadline,
             lambda: progress.is_finished,
+            progress.is_windowed,
         )
 
     def _find_quarantine(self, progress: call_progress.CallProgress) -> clock.Deadline | None:
@@ -296,6 +304,7 @@
             budget_ms=progress.deadline.remaining_ms,
             may_probe=progress.request.may_repeat,
             is_windowed=progress.is_windowed,
+            keeps_to_slots=progress.keeps_to_slots,
         )
         chosen = self._router.choose(route_request)
         if chosen.is_error():
--- a/libs/direct/oleander_direct/organisations.py
+++ b/libs/direct/oleander_direct/organisations.py
@@ -47,6 +47,7 @@
         self._organisations_by_key = {
             key: item for item in self._organisations for key in item.keys
         }
+        self._organisations_by_name = {item.name: item for item in self._organisations}
 
     @property
     def count(self) -> int:
@@ -57,6 +58,10 @@
         """Return the organisation that a key belongs to, or None if the key is unknown."""
         return self._organisations_by_key.get(key)
 
+    def find_by_name(self, name: str) -> Organisation | None:
+        """Return the organisation with a name, or None if it is unknown."""
+        return self._organisations_by_name.get(name)
+
 
 def read_key(authorization: str) -> str:
     """Return the bearer token of an Authorization header, or an empty string if it has none."""
--- a/libs/direct/oleander_direct/routes.py
+++ b/libs/direct/oleander_direct/routes.py
@@ -119,6 +119,11 @@
         """Return the backend with a name, or None if it is not configured."""
         return next((item for item in self.backends if item.name == name), None)
 
+    def find_priority(self, route: Route, organisation: str) -> int:
+        """Return the priority of an organisation, or the route's if it has none."""
+        known = self.keys.find_by_name(organisation) if self.keys else None
+        return route.priority if known is None or known.priority is None else known.priority
+
     def requires_single_version(self, backend: str) -> bool:
         """Return whether any route to a backend requires one weight version for all of a text."""
         return any(
--- a/libs/routing/oleander_routing/peers.py
+++ b/libs/routing/oleander_routing/peers.py
@@ -53,6 +53,8 @@
     reported_at: float
     in_flight: int = 0
     """Requests that this entry has sent and that have not ended."""
+    windowed_in_flight: int = 0
+    """Windowed requests among those in flight."""
     pending_streams: int = 0
     """Streams that this entry has sent and that have produced no event yet."""
     other_requests: int = 0
@@ -91,6 +93,11 @@
         """Whether this entry's own requests leave a slot free and no stream waits for one."""
         return self.in_flight < self.slots and not self.pending_streams
 
+    @property
+    def leaves_slots(self) -> bool:
+        """Whether this entry's windowed requests are fewer than the peer runs at once."""
+        return self.windowed_in_flight < max(1, self.slots)
+
     def can_take_windowed(self, now: float) -> bool:
         """Return whether one more windowed request may be sent to the peer now."""
         if self.pending_streams >= max(1, self.slots // _SLOTS_PER_PENDING_STREAM):
--- a/libs/routing/oleander_routing/router.py
+++ b/libs/routing/oleander_routing/router.py
@@ -73,6 +73,9 @@
     exact_version: int | None = None
     """The only acceptable weight version, of a text that must not have several; None if any from
     `oldest_version` on will do."""
+    keeps_to_slots: bool = False
+    """Whether a windowed request is sent only to a server that has fewer windowed requests of this
+    entry than it runs at once, so that other requests need not wait behind them."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -191,6 +194,7 @@
             if peer is not None:
                 peer.in_flight += 1
                 if is_windowed:
+                    peer.windowed_in_flight += 1
                     peer.window.record_started(self._read_now(), self._random.random())
 
     def add_pending_stream(self, name: str) -> None:
@@ -264,7 +268,12 @@
                 _log_window_change(peer, was_refusing)
 
     def record_finished(
-        self, name: str, outcome: RouteOutcome, service_ms: float, now: float | None = None
+        self,
+        name: str,
+        outcome: RouteOutcome,
+        service_ms: float,
+        now: float | None = None,
+        is_windowed: bool = False,
     ) -> None:
         """Record how a request ended, and update the peer's window, latency and health."""
         with self._lock:
@@ -272,6 +281,7 @@
             if peer is None:
                 return
             peer.in_flight = max(0, peer.in_flight - 1)
+            peer.windowed_in_flight = max(0, peer.windowed_in_flight - int(is_windowed))
             if outcome is RouteOutcome.REFUSED:
                 was_refusing = peer.window.is_refusing
                 peer.window.record_refused(self._read_now(), self._random.random())
@@ -313,6 +323,18 @@
             default=None,
         )
 
+    def has_spare_slots(self, backend: str) -> bool:
+        """
+        Return whether some healthy server may get one more request that keeps to the slots.
+
+        It is True if no server is usable, because waiting for a slot would then be of no use.
+        """
+        with self._lock:
+            now = self._read_now()
+            usable = self._list_usable(backend)
+            healthy = [name for name in usable if self._health.read_weight(name, now) > 0.0]
+            return not usable or any(self._peers[name].leaves_slots for name in healthy or usable)
+
     def list_peers(self) -> list[peers.Peer]:
         """Return copies of all peers, with estimates as of now."""
         with self._lock:
@@ -358,6 +380,8 @@
             wait_ms = min(peer.wait_ms for peer in fresh)
             return expression.Error(self._refuse(ALL_EXCLUDED, wait_ms))
         if request.is_windowed:
+            if request.keeps_to_slots:
+                candidates = [peer for peer in candidates if peer.leaves_slots]
             candidates = self._filter_open_windows(candidates)
             if not candidates:
                 return expression.Error(self._refuse(WINDOWS_FULL, _MIN_RETRY_AFTER_MS))
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -8,7 +8,7 @@
 from oleander_batches import batch_table, submission
 from oleander_direct import servers
 from oleander_routing import router
-from oleander_samples import hedging, moves, scheduler, steps, work
+from oleander_samples import hedging, moves, scheduler, steps, urgency, work
 from oleanderdeal import completion, item_texts
 
 STRAGGLER_POLICY = hedging.StragglerPolicy(
@@ -28,12 +28,9 @@
 """How long servers with the weight version of a text are tried where the version must stay.
 Loading weights takes longer, and so does generating a long text anew."""
 _MILLISECONDS = 1000
-_LEAST_URGENT = 5
-"""Urgency of the items of a new batch. Engines accept urgencies from this to `_MOST_URGENT`."""
-_MOST_URGENT = 1
-_URGENCY_RANGE = 4
-"""Difference between the least and the most urgent value. The urgency of a batch's items passes
-through this range by the time at which the batch is due."""
+_URGENCY_UPDATE_SECONDS = 0.1
+"""Least time between two looks at all unfinished items of a batch, which tell whether its step can
+be in time and which groups are nearest completion."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -48,7 +45,11 @@
     resumed_events: int
     """Number of events that earlier attempts produced, after which this attempt continues."""
     urgency: int
-    """From 1, the most urgent, to 5."""
+    """The class that is sent to the engine, from 1, the most urgent; fixed for the attempt."""
+    slack_ms: int
+    """The time that the attempt could wait without its step being late, when it was started."""
+    standing: str
+    """Whether the item yielded to others when the attempt was started: a `Standing`'s name."""
     expected_events: float
     """Number of events that the attempt is expected to produce."""
     text_version: int | None = None
@@ -89,12 +90,21 @@
         event_tokens: int,
         is_single_version: bool = False,
         estimator: completion.ServerEstimator | None = None,
+        times: urgency.TypicalTimes | None = None,
     ) -> None:
         """
         Create a run; with `is_single_version` each text is made by one weight version.
 
-        Without an estimator, texts are moved by their own rate alone.
+        Without an estimator, texts are moved by their own rate alone. `times` are the typical
+        times that all runs of the process observe.
         """
+        self._times = times or urgency.TypicalTimes()
+        self._urgency = urgency.StepUrgency(
+            batch.first_read_at, submitted.wanted_groups, self._times
+        )
+        self._terms: urgency.StepTerms | None = None
+        """The terms by which an item was last started; None before that."""
+        self._urgency_update_at = 0.0
         self._batch = batch
         self._submitted = submitted
         self._event_tokens = event_tokens
@@ -140,6 +150,17 @@
         """Seconds since this process first read the batch in the index."""
         return clock.read_now() - self._batch.first_read_at
 
+    @property
+    def times(self) -> urgency.TypicalTimes:
+        """The typical times that this process observed; runs of items add to them."""
+        return self._times
+
+    @property
+    def is_slack_used_up(self) -> bool:
+        """Whether a complete text must be scored at once for its step to be in time."""
+        terms = self._terms
+        return terms is None or self._urgency.is_slack_used_up(terms, clock.read_now())
+
     @property
     def is_stopped(self) -> bool:
         """Whether the run starts no more items."""
@@ -262,15 +283,50 @@
     def _has_allowed_versions(self, result: submission.ItemResult) -> bool:
         return not self._is_single_version or len(set(result.versions)) <= 1
 
-    def compute_urgency(self, due_seconds: float) -> int:
-        """
-        Return the items' urgency, from 5 down to 1 as the batch's due time passes.
+    def compute_urgency(self, now: float, terms: urgency.StepTerms) -> urgency.Urgency | None:
+        """Return the urgency of the item that starts next, or None if no item is due to start."""
+        with self._lock:
+            self._update_urgency(now, terms)
+            number = self._scheduler.peek_next(now)
+            if self._is_stopped or number is None:
+                return None
+            return self._urgency.rate(self._describe_item(number), terms, now)
 
-        Engines admit more urgent items first. When several entries fill one engine, the step that
-        is due first is thus served first, although the entries do not coordinate.
-        """
-        passed = self.age_seconds / due_seconds
-        return max(_MOST_URGENT, _LEAST_URGENT - int(_URGENCY_RANGE * passed))
+    def _update_urgency(self, now: float, terms: urgency.StepTerms) -> None:
+        """Update which groups are wanted and whether the step can be in time, if this is due."""
+        if now < self._urgency_update_at:
+            return
+        self._urgency_update_at = now + _URGENCY_UPDATE_SECONDS
+        was_late = self._urgency.is_late
+        unfinished = [
+            self._describe_item(number)
+            for number in range(len(self._submitted.items))
+            if number not in self._batch.finished_items and number not in self._results
+        ]
+        groups = {item.group for item in self._submitted.items}
+        finished = len(groups) - len({item.group for item in unfinished})
+        self._urgency.update(unfinished, finished, terms, now)
+        yielding = self._urgency.find_yielding_groups(terms, now)
+        self._scheduler.set_deferred(item.number for item in unfinished if item.group in yielding)
+        if self._urgency.is_late and not was_late:
+            self._log_late(now, terms, unfinished)
+
+    def _log_late(
+        self, now: float, terms: urgency.StepTerms, unfinished: list[urgency.UnfinishedItem]
+    ) -> None:
+        metrics.count(metrics.STEPS_LATE)
+        log.logger.bind(
+            event="step-late",
+            batch=self._submitted.batch_id,
+            age_ms=int((now - self._batch.first_read_at) * _MILLISECONDS),
+            due_ms=int(terms.due_seconds * _MILLISECONDS),
+            unfinished=len(unfinished),
+            longest_events=int(max(item.remaining_events for item in unfinished)),
+        ).info("it can't meet its due time; for some time its items yield to steps that can")
+
+    def _describe_item(self, number: int) -> urgency.UnfinishedItem:
+        remaining = self._scheduler.predict_remaining(number) / self._event_tokens
+        return urgency.UnfinishedItem(number, self._submitted.items[number].group, remaining)
 
     def list_grown_partials(self, min_new_events: int) -> list[submission.PartialText]:
         """Return partial texts with at least `min_new_events` since their last checkpoint."""
@@ -290,7 +346,7 @@
             self._checkpointed_events[partial.item_number] = partial.events
 
     def start_next(
-        self, now: float, due_seconds: float, spare: router.FreePeer | None
+        self, now: float, terms: urgency.StepTerms, spare: router.FreePeer | None
     ) -> ItemWork | None:
         """Return the next item to generate, or a straggler to move to the spare server."""
         spare_version = spare.version if spare is not None else None
@@ -302,15 +358,17 @@
         with self._lock:
             if self._is_stopped or self._batch.is_ended:
                 return None
+            self._terms = terms
+            self._update_urgency(now, terms)
             started = self._scheduler.start_next(now, spare is not None, spare_rate, spare_version)
             self._cancelled.update(self._scheduler.take_cancellations())
-        if started is None:
-            return None
+            if started is None:
+                return None
+            rated = self._urgency.start(self._describe_item(started.number), terms, now)
         if self._estimator is not None and started.move is not None:
             self._estimator.record_move(started.move, self._submitted)
         resumed_events = started.resumed_tokens // self._event_tokens
         item = self._submitted.items[started.number]
-        urgency = self.compute_urgency(due_seconds)
         expected_events = started.expected_tokens / self._event_tokens
         label = started.resumed_label if self._is_single_version else ()
         text_version = label[0].version if label else None
@@ -320,7 +378,9 @@
             item,
             started.number,
             resumed_events,
-            urgency,
+            rated.urgency_class,
+            int(rated.slack_seconds * _MILLISECONDS),
+            rated.standing.name.lower(),
             expected_events,
             text_version,
         )
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -7,6 +7,7 @@
 from oleander_batches import batch_table, journal, submission
 from oleander_direct import crash_guard, directory, routes, servers
 from oleander_routing import router
+from oleander_samples import urgency
 from oleanderdeal import (
     batch_ownership,
     batch_run,
@@ -39,7 +40,7 @@
 
 class BatchRunner:
     """
-    Starts items on engines with free slots, in the order in which their batches were taken.
+    Starts items on engines with free slots, the most urgent of all batches first.
 
     Each item runs on a thread of a bounded pool. Runs are stopped when their batch ends or another
     process takes it; that process resumes from the journal.
@@ -68,6 +69,7 @@
         self._max_items = max_items
         self._runs: dict[str, batch_run.BatchRun] = {}
         self._texts = item_texts.TextCache()
+        self._times = urgency.TypicalTimes()
         self._running = 0
         self._lock = threading.Lock()
         self._checkpoint_wanted = threading.Event()
@@ -215,7 +217,9 @@
         estimator = completion.ServerEstimator(
             self._router, build_request, event_tokens, is_single_version
         )
-        run = batch_run.BatchRun(batch, submitted, event_tokens, is_single_version, estimator)
+        run = batch_run.BatchRun(
+            batch, submitted, event_tokens, is_single_version, estimator, self._times
+        )
         return run
 
     def _load_partials(self, batch: batch_table.Batch, run: batch_run.BatchRun) -> int:
@@ -231,12 +235,33 @@
     def _start_next(self) -> bool:
         if self._running >= self._max_items or self._writer.is_full:
             return False
-        for run in list(self._runs.values()):
+        for run in self._order_runs():
             started = self._start_next_of(run)
             if started:
                 return True
         return False
 
+    def _order_runs(self) -> list[batch_run.BatchRun]:
+        """Return the runs, that of the most urgent waiting item first, those without one last."""
+        runs = list(self._runs.values())
+        if len(runs) < 2:
+            return runs
+        now = clock.read_now()
+        waiting = []
+        for number, run in enumerate(runs):
+            route = self._find_route(run.batch)
+            rated = run.compute_urgency(now, self._build_terms(run, route)) if route else None
+            if rated is not None:
+                waiting.append((rated, number, run))
+        ordered = [run for _, _, run in sorted(waiting, key=lambda entry: entry[:2])]
+        return ordered + [run for run in runs if run not in ordered]
+
+    def _build_terms(self, run: batch_run.BatchRun, route: routes.Route) -> urgency.StepTerms:
+        table = self._directory.table
+        organisation = run.submitted.organisation
+        priority = table.find_priority(route, organisation) if table else route.priority
+        return urgency.StepTerms(route.due_ms / 1000, priority)
+
     def _start_next_of(self, run: batch_run.BatchRun) -> bool:
         route = self._find_route(run.batch)
         if route is None or run.is_stopped:
@@ -244,7 +269,7 @@
         if self._choose_server(run, route, frozenset()) is None:
             return False
         spare = self._router.find_free_peer(_build_route_request(run, route, frozenset()))
-        item = run.start_next(clock.read_now(), route.due_ms / 1000, spare)
+        item = run.start_next(clock.read_now(), self._build_terms(run, route), spare)
         if item is None:
             return False
         quarantine = (
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -6,7 +6,7 @@
 from oleander_batches import submission
 from oleander_direct import call_outcomes, calls, crash_guard, directory, routes, servers
 from oleander_routing import router
-from oleander_samples import steps
+from oleander_samples import steps, urgency
 from oleanderdeal import batch_run
 
 _STREAM_TIMEOUT_SECONDS = 30.0
@@ -22,6 +22,8 @@
 """Pause before a scoring call is tried again."""
 _QUARANTINE_POLL_SECONDS = 1.0
 """Pause before a quarantined scoring call is tried again; short, as a quarantine may end early."""
+_EVENTS_PER_PACE_REPORT = 5
+"""Number of events between two reports of the time of an event to the typical times."""
 _UNPROCESSABLE_STATUS = 422
 """Status with which a server rejects an item that can never succeed."""
 
@@ -141,10 +143,17 @@
         request = servers.CallRequest(
             scoring.request_id, scoring.host, "POST", scoring.path, (), scoring.body, True
         )
-        deadline = clock.start_deadline(_SCORING_TIMEOUT_SECONDS)
-        return self._dispatcher.call(
-            route, request, deadline, lambda: not item.run.is_result_wanted, is_windowed=True
+        started_at = clock.read_now()
+        outcome = self._dispatcher.call(
+            route,
+            request,
+            clock.start_deadline(_SCORING_TIMEOUT_SECONDS),
+            lambda: not item.run.is_result_wanted,
+            is_windowed=True,
         )
+        if isinstance(outcome, call_outcomes.Answered) and outcome.answer.is_success:
+            item.run.times.record_scoring(clock.read_now() - started_at)
+        return outcome
 
 
 class _ItemAttempt:
@@ -168,6 +177,7 @@
         self._started_at = clock.read_now()
         self._last_event_at = self._started_at
         self._first_event_at = 0.0
+        self._pace_reported_at = 0.0
         self._events = 0
         self._longest_gap_seconds = 0.0
         self.was_refused = False
@@ -283,12 +293,20 @@
         if self._events:
             self._longest_gap_seconds = max(self._longest_gap_seconds, seconds)
             self._router.record_event_interval(name, seconds * 1000)
+            self._report_pace(now)
             return
-        self._first_event_at = now
+        self._first_event_at = self._pace_reported_at = now
         self._router.record_first_event(name, seconds * 1000)
         self._router.record_accepted(name, self._started_at)
         self.leave_queue()
 
+    def _report_pace(self, now: float) -> None:
+        """Report the mean time of an event every few events, since some arrive together."""
+        if self._events % _EVENTS_PER_PACE_REPORT == 0:
+            seconds = (now - self._pace_reported_at) / _EVENTS_PER_PACE_REPORT
+            self._batch_run.times.record_event_interval(seconds)
+            self._pace_reported_at = now
+
     def _should_abort(self) -> bool:
         if self._batch_run.is_cancelled(self._item):
             self._was_cancelled = True
@@ -341,6 +359,9 @@
 ) -> None:
     metrics.count(metrics.ITEMS_STARTED)
     metrics.record_timing(metrics.ITEM_MS, seconds * 1000)
+    metrics.count(metrics.ITEMS_BY_CLASS[item.urgency - urgency.MOST_URGENT])
+    if item.standing != urgency.Standing.NEEDED.name.lower():
+        metrics.count(metrics.ITEMS_YIELDED)
     if attempt.reason:
         if attempt.server_ended:
             metrics.count(metrics.SERVERS_ENDED)
@@ -351,6 +372,9 @@
         batch=item.run.submitted.batch_id,
         server=server.server_id,
         resumed=item.resumed_events,
+        urgency=item.urgency,
+        slack_ms=item.slack_ms,
+        standing=item.standing,
         ms=int(seconds * 1000),
         first_ms=attempt.first_ms,
         events=attempt.events,
