Keep a process's scorings at a plain server to what it runs at once

Cause: the texts of a step end at about the same time. An entry sends up to three times as many scorings to a plain server as that runs at once, and interactive requests wait behind them.

Change: a scoring is sent only to a server that has fewer scorings of this process than slots, unless the slack of its step is used up. It waits for a slot without calls to the dispatcher, and is woken when another scoring ends. Counter scorings.held.

Measured: 24 texts that end together, at a server with 8 slots: 8 scorings at once, before 16.

--- a/features/urgency.feature
+++ b/features/urgency.feature
@@ -121,3 +121,20 @@
     When a batch that allows versions from 1 on is accepted
     Then within 12 s its results are done
     And each text was sent once
+
+  Scenario: Scorings leave capacity to interactive requests
+    # Guards against verdicts that wait behind the scorings of a step, all of which end at about the same time.
+    Given a runner whose plain server runs 8 requests at once, and scorings that take 200 ms
+    When a batch of 24 short texts is accepted
+    Then all texts are scored, and at most 8 scorings run at once
+
+  Scenario Outline: A text is scored at once when the slack of its step is used up
+    # Guards against a step that is late because its last scorings wait for those of other steps.
+    Given a step that is due in 7.5 s, and scorings that take 200 ms
+    Then <age> s after its submission its slack is <state>
+
+    Examples:
+      | age | state   |
+      | 7.0 | left    |
+      | 7.2 | used up |
+      | 9   | used up |
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -1,6 +1,7 @@
 """Generates the text of one item on an engine, requests its score and returns the result."""
 
 import collections.abc
+import threading
 
 from oleander_base import clock, log, metrics, tasks
 from oleander_batches import submission
@@ -20,6 +21,9 @@
 the step."""
 _SCORING_RETRY_SECONDS = 0.05
 """Pause before a scoring call is tried again."""
+_MAX_SLOT_WAIT_SECONDS = 0.05
+"""Longest pause before a scoring that waits for a slot looks for one again; it is woken earlier
+when another scoring of this process ends."""
 _QUARANTINE_POLL_SECONDS = 1.0
 """Pause before a quarantined scoring call is tried again; short, as a quarantine may end early."""
 _EVENTS_PER_PACE_REPORT = 5
@@ -46,6 +50,7 @@
         self._caller = caller
         self._dispatcher = dispatcher
         self._group = group
+        self._scoring_ended = threading.Condition()
 
     def run_item(
         self,
@@ -95,7 +100,9 @@
                 self._guard.finish(watch, attempt.classify_end(result))
         seconds = clock.read_now() - started_at
         route_outcome, milliseconds = attempt.compute_rating(seconds)
-        self._router.record_finished(server.server_id, route_outcome, milliseconds)
+        self._router.record_finished(
+            server.server_id, route_outcome, milliseconds, is_windowed=True
+        )
         _log_attempt(item, server, attempt, seconds)
         return result
 
@@ -125,7 +132,7 @@
         while item.run.is_result_wanted and not self._group.is_stopping:
             table = self._directory.table
             route = table.match(scoring.host, scoring.path) if table else None
-            if route is not None:
+            if route is not None and self._wait_for_slot(route, item):
                 outcome = self._request_score(route, scoring, item)
                 if isinstance(outcome, call_outcomes.Answered):
                     if outcome.answer.is_success and outcome.answer.stamp:
@@ -137,6 +144,26 @@
             self._group.pause(pause)
         return None
 
+    def _wait_for_slot(self, route: routes.Route, item: batch_run.ItemWork) -> bool:
+        """
+        Wait until a server has a slot that no scoring of this process uses; False if not wanted.
+
+        Scorings leave capacity to interactive requests unless the slack of their step is used up.
+        """
+        is_held = False
+        backends = [share.backend for share in route.shares if share.weight > 0]
+        while not item.run.is_slack_used_up:
+            if any(self._router.has_spare_slots(backend) for backend in backends):
+                break
+            if not item.run.is_result_wanted or self._group.is_stopping:
+                return False
+            if not is_held:
+                metrics.count(metrics.SCORINGS_HELD)
+            is_held = True
+            with self._scoring_ended:
+                self._scoring_ended.wait(_MAX_SLOT_WAIT_SECONDS)
+        return True
+
     def _request_score(
         self, route: routes.Route, scoring: submission.Scoring, item: batch_run.ItemWork
     ) -> call_outcomes.CallOutcome:
@@ -150,9 +177,12 @@
             clock.start_deadline(_SCORING_TIMEOUT_SECONDS),
             lambda: not item.run.is_result_wanted,
             is_windowed=True,
+            keeps_to_slots=not item.run.is_slack_used_up,
         )
         if isinstance(outcome, call_outcomes.Answered) and outcome.answer.is_success:
             item.run.times.record_scoring(clock.read_now() - started_at)
+        with self._scoring_ended:
+            self._scoring_ended.notify()
         return outcome
 
 
