--- a/features/steps/batches_steps.py
+++ b/features/steps/batches_steps.py
@@ -1,15 +1,14 @@
 """Steps for batches that several entries share in one log."""
 
-import itertools
 import threading
 import time
 
 import behave
 
-from oleander_base import clock, tasks
-from oleander_batches import content, index_reader, journal, submission
+import batch_log
+from oleander_base import clock
+from oleander_batches import content, index_reader, submission
 from oleander_platform import append_limits
-from oleander_standins import recordlog
 from oleanderdeal import batch_api
 
 _SECONDS = 0.5
@@ -23,82 +22,16 @@
 }
 
 
-class SharedLog:
-    """Two entries' journals on one log."""
-
-    def __init__(self):
-        self.log = recordlog.MemoryRecordLog()
-        self.clients = {name: self.log.create_client() for name in "ab"}
-        self.group = tasks.TaskGroup("batches", 1)
-        self.journals = {
-            name: journal.BatchJournal(client, self.group, 4, 100.0)
-            for name, client in self.clients.items()
-        }
-
-    def refresh(self):
-        for kept in self.journals.values():
-            assert kept.index.refresh(clock.read_now(), clock.start_deadline(_SECONDS))
-
-    def find(self, name, batch_id="batch"):
-        return self.journals[name].index.find(batch_id)
-
-    def write(self, word, is_read=True):
-        if word == "late":
-            for client in self.clients.values():
-                client.apply_late()
-        elif word == "garbage":
-            for content in (b"\xff", b"", b"\x83\x01\x02\x03"):
-                self.log.append(index_reader.TOPIC, 0, [content], clock.start_deadline(_SECONDS))
-        else:
-            self._write_at(*word.split(":"))
-        if is_read and not word.endswith("hollow"):
-            self.refresh()
-
-    def _write_at(self, name, action):
-        faults = self.clients[name].faults
-        if action == "lost":
-            faults.lost_answers = 2
-        elif action == "hollow":
-            faults.hollow_pages = 1
-        elif action == "late":
-            _fail_index(self.clients[name], "late_appends", 1)
-        elif action == "end":
-            assert self.journals[name].end("batch", clock.start_deadline(_SECONDS)).is_ok()
-        else:
-            number, text = action.split("=")
-            state = submission.ResultState.DONE
-            result = submission.ItemResult(f"item-{number}", state, text, (1,), "s")
-            while self.journals[name].append_results("batch", [(int(number), result)]).is_error():
-                pass
-
-
-def build_submission(items=3, batch_id="batch", body=b"body"):
-    """Return a submission of `items` items in groups of two."""
-    return submission.Submission(
-        batch_id,
-        "host",
-        "/batches/1",
-        4,
-        "m",
-        1,
-        1,
-        tuple(
-            submission.Item(f"item-{number}", "/i", (), body, 9, f"g{number // 2}", None)
-            for number in range(items)
-        ),
-    )
-
-
 @behave.given("two entries on one log")
 def create_entries(context):
-    context.shared = SharedLog()
+    context.shared = batch_log.SharedLog()
 
 
 @behave.given("two entries on one log and a batch of {items:d} items")
 def create_batch(context, items):
-    context.shared = SharedLog()
+    context.shared = batch_log.SharedLog()
     accepted = context.shared.journals["a"].accept(
-        build_submission(items), clock.start_deadline(_SECONDS)
+        batch_log.build_submission(items), clock.start_deadline(_SECONDS)
     )
     assert accepted.is_ok()
     context.shared.refresh()
@@ -150,28 +83,23 @@
 def accept_batch(context, name, fault):
     client = context.shared.clients[name]
     fault, _, size = fault.partition(", for ")
-    context.submitted = build_submission(body=b"b" * _SIZES[size])
+    context.submitted = batch_log.build_submission(body=b"b" * _SIZES[size])
     if fault in _FAULTS:
         for field, value in _FAULTS[fault].items():
             setattr(client.faults, field, value)
     elif fault.endswith("then reject it"):
-        _fail_index(client, "lost_answers", 1)
+        batch_log.fail_index(client, "lost_answers", 1)
         _lower_limits(client)
     elif fault.startswith("lose call"):
         number = int(fault.split()[2])
-        _fail_appends(client, content.CONTENT_TOPIC, "lost_calls", 1, number - 1)
+        batch_log.fail_appends(client, content.CONTENT_TOPIC, "lost_calls", 1, number - 1)
     else:
         kind = "late_appends" if fault.startswith("delay") else "lost_answers"
-        _fail_index(client, kind, 1000)
+        batch_log.fail_index(client, kind, 1000)
     api = batch_api.BatchApi(context.shared.journals[name])
     context.accepted = api.accept(context.submitted, clock.start_deadline(_SECONDS))
 
 
-def _fail_index(client, fault, times):
-    """Inject a fault into the next `times` appends to the index."""
-    _fail_appends(client, index_reader.TOPIC, fault, times)
-
-
 def _lower_limits(client):
     """Lower the limits that the log enforces once it has lost an answer."""
     original = client.append
@@ -185,19 +113,6 @@
     client.append = append
 
 
-def _fail_appends(client, failing_topic, fault, times, skipped=0):
-    """Inject a fault into the `times` appends to a topic that follow the skipped ones."""
-    original = client.append
-    passed = itertools.count()
-
-    def append(topic, partition, records, deadline):
-        if topic == failing_topic and skipped <= next(passed) < skipped + times:
-            setattr(client.faults, fault, 1)
-        return original(topic, partition, records, deadline)
-
-    client.append = append
-
-
 @behave.then("the acceptance of entry {name} is {outcome}")
 def check_outcome(context, name, outcome):
     accepted = context.accepted
@@ -270,7 +185,7 @@
     api = batch_api.BatchApi(context.shared.journals["a"])
     asked = {
         "accept a batch": lambda: api.accept(
-            build_submission(batch_id="next"), clock.start_deadline(5.0)
+            batch_log.build_submission(batch_id="next"), clock.start_deadline(5.0)
         ),
         "list more results": lambda: api.list_results("batch", "", 1, clock.start_deadline(1.0)),
         "list all results": lambda: api.list_results("batch", "", 0, clock.start_deadline(1.0)),
