Log what each send of a failed submission was answered

Change: a response and an error carry how earlier sends failed; batch-submitted and batch-ended show outcome, topic of the append, sends and answers. At most eight answers are logged.

--- a/features/ending_server.py
+++ b/features/ending_server.py
@@ -5,7 +5,6 @@
 import threading
 
 _HEAD_END = b"\r\n\r\n"
-_ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nab"
 _CUT = b"HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nab"
 FATAL = b"/fatal"
 """A request whose head contains this triggers the fault that the server was created with."""
@@ -30,6 +29,8 @@
         """The number of fatal requests received."""
         self.headers = ""
         """Header lines, each with its line end, of an answer with a status."""
+        self.content = b"ab"
+        """The body of the answers to requests that are not fatal."""
         threading.Thread(target=self._accept, daemon=True).start()
 
     def stop(self):
@@ -56,7 +57,11 @@
                     self.runs += 1
                     self._handle_fatal(connection)
                 else:
-                    connection.sendall(_ANSWER)
+                    connection.sendall(self._build_answer())
+
+    def _build_answer(self):
+        head = f"HTTP/1.1 200 OK\r\nContent-Length: {len(self.content)}\r\n\r\n"
+        return head.encode() + self.content
 
     def _handle_fatal(self, connection):
         does, _, status = self._does.partition(", then ")
--- a/libs/base/oleander_base/http_exchange.py
+++ b/libs/base/oleander_base/http_exchange.py
@@ -48,9 +48,14 @@
     retry_after_ms: int
     """Retry-After in milliseconds, at most one hour; 0 if absent or not a number."""
     body: bytes
-    was_sent_before: bool = False
-    """Whether the request was sent before, on a connection that failed. The server may have
-    executed that copy, whatever it answers to this one."""
+    failed_sends: tuple[str, ...] = ()
+    """How earlier sends of the request failed. The server may have executed those copies, whatever
+    it answers to this one."""
+
+    @property
+    def was_sent_before(self) -> bool:
+        """Whether the request was sent before, on a connection that failed."""
+        return bool(self.failed_sends)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -61,6 +66,8 @@
     reach: Reach
     peer_ended: bool = False
     """Whether the server process has ended: it closed the connection, then refused a new one."""
+    failed_sends: tuple[str, ...] = ()
+    """How each send of the request failed, the first one first; empty if nothing was sent."""
 
 
 def quote_segment(text: str) -> str:
@@ -148,7 +155,7 @@
 def describe_failure(error: Exception) -> ExchangeError:
     """Convert an exception of http.client or of a socket to an error value."""
     detail = f"{type(error).__name__}: {str(error)[:200]}"
-    return ExchangeError(detail, Reach.MAY_HAVE_ARRIVED)
+    return ExchangeError(detail, Reach.MAY_HAVE_ARRIVED, failed_sends=(detail,))
 
 
 class HttpCaller:
@@ -208,21 +215,37 @@
         """
         Send a request on the idle connection; if that was closed, send it on a new one.
 
-        The response to a second send has `was_sent_before` set: a refusal in it does not show that
-        the first send had no effect.
+        The response to a second send has `failed_sends`: a refusal in it does not show that the
+        first send had no effect.
         """
         connection = self._take_connection()
-        was_idle = connection.is_open
-        if was_idle:
-            reused = _exchange(connection, request, deadline)
-            if reused.is_ok() or not isinstance(reused.error, ConnectionError):
-                return reused.map_error(describe_failure)
+        if not connection.is_open:
+            return self._send_on_new(connection, request, deadline)
+        reused = _exchange(connection, request, deadline)
+        if reused.is_ok() or not isinstance(reused.error, ConnectionError):
+            return reused.map_error(describe_failure)
+        failed_sends = describe_failure(reused.error).failed_sends
+        repeated = self._send_on_new(connection, request, deadline)
+        return repeated.map(
+            lambda answer: dataclasses.replace(answer, failed_sends=failed_sends)
+        ).map_error(
+            lambda error: dataclasses.replace(
+                error,
+                reach=Reach.MAY_HAVE_ARRIVED,
+                failed_sends=failed_sends + error.failed_sends,
+            )
+        )
+
+    def _send_on_new(
+        self,
+        connection: http_connection.Connection,
+        request: Request,
+        deadline: clock.Deadline,
+    ) -> expression.Result[Response, ExchangeError]:
         opened = _open(connection, deadline)
         if opened.is_error():
-            reach = Reach.MAY_HAVE_ARRIVED if was_idle else opened.error.reach
-            return expression.Error(dataclasses.replace(opened.error, reach=reach))
-        answered = _exchange(connection, request, deadline).map_error(describe_failure)
-        return answered.map(lambda answer: dataclasses.replace(answer, was_sent_before=was_idle))
+            return expression.Error(opened.error)
+        return _exchange(connection, request, deadline).map_error(describe_failure)
 
     def _take_connection(self) -> http_connection.Connection:
         connection: http_connection.Connection | None = getattr(self._idle, "connection", None)
--- a/libs/batches/oleander_batches/content.py
+++ b/libs/batches/oleander_batches/content.py
@@ -35,6 +35,10 @@
     """Whether the records may have been appended despite the failure, or may still be appended."""
     is_final: bool = False
     """Whether a retry can't succeed."""
+    topic: str = ""
+    """The topic of the append that failed; empty if none was tried."""
+    answers: tuple[str, ...] = ()
+    """What each send of that append was answered, the first one first."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -220,7 +224,9 @@
         appended = self._log.append(CONTENT_TOPIC, partition, stored, timeout)
         if appended.is_error():
             error = appended.error
-            return expression.Error(JournalFailure(error.detail, False, error.is_final))
+            return expression.Error(
+                JournalFailure(error.detail, False, error.is_final, CONTENT_TOPIC, error.answers)
+            )
         return expression.Ok(appended.ok.first_offset)
 
     def _store_parts(
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -273,6 +273,7 @@
     ) -> expression.Result[None, content.JournalFailure]:
         """Append records in one call; repeat one that was not answered until the deadline."""
         may_have_effect = False
+        answers: list[str] = []
         while True:
             attempt = deadline.cap(content.APPEND_TIMEOUT_SECONDS)
             appended = self._log.append(
@@ -280,10 +281,17 @@
             )
             if appended.is_ok():
                 return expression.Ok(None)
-            may_have_effect = may_have_effect or appended.error.may_have_effect
-            is_final = appended.error.is_final
-            if is_final or not may_have_effect or deadline.remaining < _RETRY_SECONDS:
+            error = appended.error
+            may_have_effect = may_have_effect or error.may_have_effect
+            answers += error.answers
+            if error.is_final or not may_have_effect or deadline.remaining < _RETRY_SECONDS:
                 return expression.Error(
-                    content.JournalFailure(appended.error.detail, may_have_effect, is_final)
+                    content.JournalFailure(
+                        error.detail,
+                        may_have_effect,
+                        error.is_final,
+                        index_reader.TOPIC,
+                        tuple(answers),
+                    )
                 )
             self._group.pause(_RETRY_SECONDS / 2)
--- a/libs/platform/oleander_platform/logservice.py
+++ b/libs/platform/oleander_platform/logservice.py
@@ -40,6 +40,8 @@
     retry_after_ms: int
     is_final: bool = False
     """Whether the same call can never succeed, so that it must not be repeated."""
+    answers: tuple[str, ...] = ()
+    """What each send of the call was answered, the first one first; empty if nothing was sent."""
 
 
 class LogService(abc.ABC):
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -24,6 +24,8 @@
 _MAX_INDEX_AGE_SECONDS = 0.4
 """Maximum age of the index at which an entry may answer "no further result". It lies below the
 bound within which every entry must know of a result that one entry has returned."""
+_MAX_LOGGED_ANSWERS = 8
+"""A submission that is not answered may be sent dozens of times."""
 _RETRY_AFTER_MS = 200
 """This delay is short, as a refusal concerns one entry and the next try goes to another."""
 
@@ -79,7 +81,7 @@
             step=submitted.step,
             items=len(submitted.items),
             oldest_version=submitted.oldest_version,
-            error=accepted.error.detail if accepted.is_error() else "",
+            **_describe_append(accepted),
         ).info("accepted" if accepted.is_ok() else "not accepted")
         return accepted.map_error(_convert_error)
 
@@ -142,7 +144,7 @@
             batch=batch_id,
             listed=len(found.ok.result_locations),
             total=found.ok.total,
-            error=ended.error.detail if ended.is_error() else "",
+            **_describe_append(ended),
         ).info("ended" if ended.is_ok() else "not ended")
         return ended.map_error(_convert_error)
 
@@ -182,6 +184,22 @@
     return batch.accepted.organisation in {"", organisation}
 
 
+def _describe_append(
+    appended: expression.Result[None, content.JournalFailure],
+) -> dict[str, object]:
+    """Return the log fields that show why an append failed, and what each send was answered."""
+    if appended.is_ok():
+        return {"outcome": "done", "error": ""}
+    failure = appended.error
+    return {
+        "outcome": _convert_error(failure).fault.value,
+        "error": failure.detail,
+        "topic": failure.topic,
+        "sends": len(failure.answers),
+        "answers": "; ".join(failure.answers[:_MAX_LOGGED_ANSWERS]),
+    }
+
+
 def _convert_error(error: content.JournalFailure) -> BatchProblem:
     if error.may_have_effect:
         return BatchProblem(BatchFault.UNKNOWN, error.detail)
