Do not refuse a submission that this entry may have accepted

What callers saw: 504 to a submission whose append was not answered, then 503 'not run' to the next attempt at the same entry, although the first append took effect and the batch ran. The same for the end of a batch.

Cause: the outcome of an attempt was judged by the sends of that attempt alone. The entry forgot that an earlier or concurrent attempt of the same call was in doubt, and did not look at the index again after its own append had failed, though it may have read the record of another entry meanwhile.

Change: DoubtfulWrites remembers the keys of writes that succeeded, were not answered or are in progress (256, the oldest evicted). A failure of such a key may have an effect, also at an entry that knows it is cut off. After a failure the index is looked at again: a batch that it shows is accepted.

Why it works: every path of BatchApi.accept and end that says 'refused' passes one of the two checks, and a key is recorded before its first send. Another entry's unanswered append can't be known while the log is away; that attempt is answered 504 by its own entry.

--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -1,6 +1,7 @@
 """Appends batches and their results to the platform's log, and reads them."""
 
 import collections
+import collections.abc
 import dataclasses
 import itertools
 
@@ -8,7 +9,7 @@
 
 from oleander_base import clock, identifiers, log, tasks
 from oleander_batches import batch_table, content, index_reader, records, submission
-from oleander_platform import recordlog
+from oleander_platform import doubtful_writes, recordlog
 
 _RETRY_SECONDS = 0.2
 """The least time left to repeat an append to the index; the pause before it is half of this."""
@@ -19,6 +20,9 @@
 _MAX_ACCEPTED_HERE = 256
 """Maximum number of batches remembered as accepted by this process; the information is needed only
 for some seconds."""
+_MAX_DOUBTFUL = 256
+"""Maximum number of batches of which an unanswered append is remembered, for as long as a trainer
+repeats its call."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -51,6 +55,8 @@
         self._content = content.BatchContent(log_service, partitions)
         self._index = index_reader.IndexReader(log_service, group, keep_seconds)
         self._accepted_here: collections.deque[str] = collections.deque(maxlen=_MAX_ACCEPTED_HERE)
+        self._acceptances = doubtful_writes.DoubtfulWrites(_MAX_DOUBTFUL)
+        self._ends = doubtful_writes.DoubtfulWrites(_MAX_DOUBTFUL)
 
     @property
     def index(self) -> index_reader.IndexReader:
@@ -61,6 +67,17 @@
         """Return whether this process accepted a batch; only recent batches are remembered."""
         return batch_id in self._accepted_here
 
+    def may_be_accepted(self, batch_id: str) -> bool:
+        """Return whether a batch is in the index, or may be by an append of this process."""
+        is_known = self._index.find(batch_id) is not None
+        return is_known or self._acceptances.may_have_effect(batch_id)
+
+    def may_be_ended(self, batch_id: str) -> bool:
+        """Return whether a batch has ended, or may have by an append of this process."""
+        batch = self._index.find(batch_id)
+        has_ended = batch is not None and batch.is_ended
+        return has_ended or self._ends.may_have_effect(batch_id)
+
     def find_runner_partition(self, batch: batch_table.Batch) -> int:
         """
         Return the partition whose owner runs a batch; it is the same for all batches of a model.
@@ -82,8 +99,18 @@
 
         Only the index record makes the batch run, so it is appended last, and not at all if the
         deadline has passed. If its append was not answered, the record may still appear; the
-        failure then has `may_have_effect` set and must not be reported as a refusal.
+        failure then has `may_have_effect` set and must not be reported as a refusal. It is set as
+        well if an earlier or concurrent append of the same batch may have taken effect.
         """
+        return _track_write(
+            self._acceptances,
+            accepted.batch_id,
+            lambda: self._append_submission(accepted, deadline),
+        )
+
+    def _append_submission(
+        self, accepted: submission.Submission, deadline: clock.Deadline
+    ) -> expression.Result[None, content.JournalFailure]:
         appended = self._content.append_submission(accepted, deadline)
         if appended.is_error():
             return expression.Error(appended.error)
@@ -108,7 +135,11 @@
         self, batch_id: str, deadline: clock.Deadline
     ) -> expression.Result[None, content.JournalFailure]:
         """End a batch because its trainer needs no further results."""
-        ended = self._append_index([records.Ended(batch_id)], deadline)
+        ended = _track_write(
+            self._ends,
+            batch_id,
+            lambda: self._append_index([records.Ended(batch_id)], deadline),
+        )
         if ended.is_ok():
             self._index.apply_appended(records.Ended(batch_id))
         return ended
@@ -295,3 +326,21 @@
                     )
                 )
             self._group.pause(_RETRY_SECONDS / 2)
+
+
+def _track_write(
+    writes: doubtful_writes.DoubtfulWrites,
+    key: str,
+    write: collections.abc.Callable[[], expression.Result[None, content.JournalFailure]],
+) -> expression.Result[None, content.JournalFailure]:
+    """Write, and return a failure as one that may have an effect if any write of the key may."""
+    writes.begin(key)
+    may_have_effect = True
+    try:
+        written = write()
+        may_have_effect = written.is_ok() or written.error.may_have_effect
+    finally:
+        writes.finish(key, may_have_effect)
+    if written.is_ok() or not writes.may_have_effect(key):
+        return written
+    return expression.Error(dataclasses.replace(written.error, may_have_effect=True))
--- a/programs/oleanderdeal/oleanderdeal/batch_api.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_api.py
@@ -70,9 +70,12 @@
                 return _build_error(BatchFault.MISSING, "the batch is not of this organisation")
             return expression.Ok(None)
         if self._journal.index.is_unreachable:
-            return self._refuse_while_cut_off(submitted.batch_id, "submission")
+            may_have_effect = self._journal.may_be_accepted(submitted.batch_id)
+            return self._refuse_while_cut_off(submitted.batch_id, "submission", may_have_effect)
         seconds = _ACCEPT_TIMEOUT_SECONDS + submitted.body_bytes / _ACCEPT_BYTES_PER_SECOND
         accepted = self._journal.accept(submitted, deadline.cap(seconds))
+        if accepted.is_error() and self._is_accepted(submitted):
+            accepted = expression.Ok(None)
         if accepted.is_ok():
             metrics.count(metrics.BATCHES_ACCEPTED)
         log.logger.bind(
@@ -85,6 +88,14 @@
         ).info("accepted" if accepted.is_ok() else "not accepted")
         return accepted.map_error(_convert_error)
 
+    def may_be_accepted(self, batch_id: str) -> bool:
+        """Return whether a batch is accepted, or may be by an earlier call at this entry."""
+        return self._journal.may_be_accepted(batch_id)
+
+    def may_be_ended(self, batch_id: str) -> bool:
+        """Return whether a batch has ended, or may have by an earlier call at this entry."""
+        return self._journal.may_be_ended(batch_id)
+
     def needs_key(self, batch_id: str) -> bool:
         """Return whether calls about a batch need an API key; an unknown batch does."""
         batch = self._journal.index.find(batch_id)
@@ -137,8 +148,11 @@
         if found.ok.is_ended:
             return expression.Ok(None)
         if self._journal.index.is_unreachable:
-            return self._refuse_while_cut_off(batch_id, "end")
+            may_have_effect = self._journal.may_be_ended(batch_id)
+            return self._refuse_while_cut_off(batch_id, "end", may_have_effect)
         ended = self._journal.end(batch_id, clock.start_deadline(_END_TIMEOUT_SECONDS))
+        if ended.is_error() and self._has_ended(batch_id):
+            ended = expression.Ok(None)
         log.logger.bind(
             event="batch-ended",
             batch=batch_id,
@@ -166,13 +180,25 @@
             return _build_error(BatchFault.MISSING, "no such batch")
         return expression.Ok(batch)
 
+    def _is_accepted(self, submitted: submission.Submission) -> bool:
+        """Return whether the index shows the batch, by this call or by one at another entry."""
+        batch = self._journal.index.find(submitted.batch_id)
+        return batch is not None and _is_accessible(batch, submitted.organisation)
+
+    def _has_ended(self, batch_id: str) -> bool:
+        """Return whether the index shows the end of a batch, by this call or another one."""
+        batch = self._journal.index.find(batch_id)
+        return batch is not None and batch.is_ended
+
     def _refuse_while_cut_off(
-        self, batch_id: str, call: str
+        self, batch_id: str, call: str, may_have_effect: bool
     ) -> expression.Result[typing.Any, BatchProblem]:
-        log.logger.bind(event="batch-refused", batch=batch_id, call=call).info(
-            "the log does not answer this process"
-        )
-        return _build_error(BatchFault.REFUSED, "the log does not answer here")
+        """Fail a call without trying it; an earlier call about the batch may have an effect."""
+        fault = BatchFault.UNKNOWN if may_have_effect else BatchFault.REFUSED
+        log.logger.bind(
+            event="batch-refused", batch=batch_id, call=call, outcome=fault.value, sends=0
+        ).info("the log does not answer this process")
+        return _build_error(fault, "the log does not answer here")
 
     def _refresh(self, since: float) -> bool:
         if self._journal.index.is_unreachable:
