Refuse no repeated submission before its batch is looked up

What callers saw: 503 'not run' for a batch that the entry had accepted, or may have, where the repeated call reached it without a configuration or with an old list of keys, as after some seconds without the platform.

Cause: the request handler refuses a request without a route or a known key before the batch is looked up, so neither the index nor the entry's own unanswered appends were asked.

--- a/features/refused_submissions.feature
+++ b/features/refused_submissions.feature
@@ -49,6 +49,24 @@
       | is accepted by entry b, and a reads it  | accepted |
       | is refused by entry b                   | refused  |
 
+  Scenario Outline: A refusal before the submission is read keeps to the same rule
+    # Guards against "refused" for a batch that runs: an entry that has lost its configuration refuses
+    # all requests, also one that repeats a submission it has accepted or may have accepted.
+    Given two entries on one log and a batch of 3 items
+    And the first attempt to <try> at entry a meets the log fault: <first>
+    When the batch is <call> again at entry a, which has <missing>
+    Then the answer has the status <status>
+
+    Examples:
+      | try            | first           | call      | missing          | status |
+      | submit a batch | nothing         | submitted | no configuration | 504    |
+      | submit a batch | delay the index | submitted | no configuration | 504    |
+      | submit a batch | down            | submitted | no configuration | 503    |
+      | submit a batch | delay the index | submitted | an old key list  | 504    |
+      | submit a batch | down            | submitted | an old key list  | 503    |
+      | end the batch  | delay the index | ended     | no configuration | 504    |
+      | end the batch  | down            | ended     | no configuration | 503    |
+
   Scenario Outline: The log line of a failed submission shows what each send was answered
     # Guards against a refused batch of which no log line tells whether it may run.
     Given a store that <does> when it reads an append to the index on a kept connection
