Do not pass on a refusal in which the server does not say that it did not run the request

What callers saw: a 503, 429 or 408 of a backend server, which callers take as the promise that the request did not run, for a request that the server had run.

Cause: only an answer with the server's own statement, or 421, proves that a request did not run; any other answer was passed on unchanged, whatever its status promises to the caller.

Change: such an answer counts as none. A request that may be repeated goes to another server; else the caller is answered 504.

Why it works: Answered is the only outcome that passes a server's status on, and it is built after this check. Other statuses, 500 among them, promise nothing and pass as before.

--- a/features/direct_calls.feature
+++ b/features/direct_calls.feature
@@ -30,6 +30,25 @@
       | s1=silent                | once       | 2    | unresolved | 1    |
       | s1=full s2=full s3=full  | idempotent | 2    | refused    | 0    |
 
+  Scenario Outline: A refusal in which the server does not say that it did not run the request
+    # Guards against "not run" for a request that ran: its server answered with a status that callers
+    # take as that promise, but did not state it.
+    Given the servers <servers>
+    When a <kind> request is called that may be sent to <most> servers
+    Then the caller gets <outcome>
+    And at most <runs> servers ran it
+
+    Examples:
+      | servers           | kind       | most | outcome    | runs |
+      | s1=503            | once       | 2    | unresolved | 1    |
+      | s1=429            | once       | 2    | unresolved | 1    |
+      | s1=408            | once       | 2    | unresolved | 1    |
+      | s1=503 s2=ok      | idempotent | 2    | status 200 | 2    |
+      | s1=429 s2=429     | idempotent | 2    | unresolved | 2    |
+      | s1=503 s2=full    | idempotent | 2    | unresolved | 1    |
+      | s1=fails s2=503   | idempotent | 2    | status 500 | 2    |
+      | s1=404            | once       | 2    | status 404 | 1    |
+
   Scenario: A slow server is hedged
     # One server of three takes 300 ms, the others 10 ms. A second server is asked before the target
     # latency has passed; without that, every third caller would wait for the slow one.
--- a/libs/direct/oleander_direct/call_progress.py
+++ b/libs/direct/oleander_direct/call_progress.py
@@ -65,6 +65,9 @@
             self.reason = f"refused-{answer.status}"
             return None
         self.may_have_run = True
+        if answer.status in servers.REFUSAL_STATUSES:
+            self.reason = f"unproven-{answer.status}"
+            return None
         if answer.status < attempts.FIRST_FAILURE_STATUS:
             return call_outcomes.Answered(answer, server_id)
         if answer.status == servers.FAILED_STATUS:
--- a/libs/direct/oleander_direct/servers.py
+++ b/libs/direct/oleander_direct/servers.py
@@ -8,6 +8,12 @@
 
 from oleander_base import clock
 
+REFUSAL_STATUSES = frozenset({408, 429, 503})
+"""
+HTTP statuses that callers take as a promise that their request did not run.
+
+A server that answers with one of them may have run the request unless it states that it did not.
+"""
 FAILED_STATUS = 500
 """
 The HTTP status of a server that ran a request and failed.
