Check for claims of other entries before the last refusal of a key

What callers saw: 503 'not run' for a key that ran. The caller had asked two entries: the four attempts of the first were refused by their sidecars, and it said so, while the second claimed the fifth with the same proof.

Cause: every refusal of a key goes through refuse(), which looks at the claims read so far and asks the sidecars, but for the one after the last attempt.

Change: that one as well. The proof counts for attempts up to the last one only.

A claim that the other entry makes after the answer is not seen by anyone; its caller still waits there.

--- a/programs/oleanderdeal/oleanderdeal/claim_dispatch.py
+++ b/programs/oleanderdeal/oleanderdeal/claim_dispatch.py
@@ -91,7 +91,9 @@
             if request.deadline.is_past:
                 # This process may have been suspended while another entry made the next attempt.
                 return self._inquiry.check(request, last_not_run.answer)
-        return last_not_run.answer if last_not_run else callers.build_refusal("too-late", 0)
+        if last_not_run is None:
+            return callers.build_refusal("too-late", 0)
+        return self.refuse(request, last_not_run.answer, last_not_run.attempt)
 
     def refuse(
         self,
@@ -102,8 +104,8 @@
         """
         Return the refusal, unless the key may have run in an earlier attempt.
 
-        The request did not run here, but the caller may have sent it through another entry before.
-        Attempts up to `not_run_attempt` are known not to have run.
+        The request did not run here, but the caller may have sent it through another entry, before
+        or meanwhile. Attempts up to `not_run_attempt` are known not to have run.
         """
         known = self._claims.find(request.customer, request.key)
         if known is not None and known.claim.attempt > not_run_attempt:
