Keep attributing the loss of a server to an order that was not answered

What operators saw: weights that end the servers loading them were not quarantined where the order was repeated: the server was carrying out the first, unanswered order, refused the second one with 409, and then ended.

Cause: LoadGuard kept one load for each server, and a refusal of the last order removed it. A refusal proves that the refused order has no effect, not that an earlier one has none.

Change: it keeps the loads of the last 8 s in order; a refusal removes only the last one.

--- a/features/crashing_versions.feature
+++ b/features/crashing_versions.feature
@@ -52,3 +52,4 @@
       | has loaded it, and is lost  | allowed     |
       | lists it, and is lost       | allowed     |
       | is lost 9 s later           | allowed     |
+      | refuses it when it is repeated, and is lost | quarantined |
--- a/features/steps/crashing_versions_steps.py
+++ b/features/steps/crashing_versions_steps.py
@@ -248,6 +248,11 @@
     _lose(fleet, guard, server, version)
 
 
+def _refuse_repeated(fleet, guard, server, version):
+    guard.register_load(server, _MODEL, version)
+    _refuse(fleet, guard, server, version)
+
+
 def _load(fleet, guard, server, version):
     guard.record_loaded(server, _MODEL, version)
     _lose(fleet, guard, server, version)
@@ -270,6 +275,7 @@
     "is replaced at its address": _replace,
     "leaves and is gone": _leave,
     "refuses, and is lost": _refuse,
+    "refuses it when it is repeated, and is lost": _refuse_repeated,
     "has loaded it, and is lost": _load,
     "lists it, and is lost": _list_loaded,
     "is lost 9 s later": _lose_late,
--- a/libs/orders/oleander_orders/load_guard.py
+++ b/libs/orders/oleander_orders/load_guard.py
@@ -18,7 +18,7 @@
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class _OrderedLoad:
-    """The last load that was ordered from a server and is not known to be complete."""
+    """A load that was ordered from a server and is not known to be complete."""
 
     model: str
     version: int
@@ -45,7 +45,8 @@
         self._publisher = publisher
         self._read_now = read_now
         self._lock = threading.Lock()
-        self._loads: dict[str, _OrderedLoad] = {}
+        self._loads: dict[str, list[_OrderedLoad]] = {}
+        """The loads ordered from each server incarnation, the last one last."""
         directory_.add_loss_callback(self.record_loss)
 
     def find_server_limit(
@@ -74,18 +75,21 @@
         """Register a load; must be called before it is ordered."""
         now = self._read_now()
         with self._lock:
-            for incarnation in [
-                name for name, item in self._loads.items() if item.expires_at < now
-            ]:
-                del self._loads[incarnation]
-            self._loads[server.incarnation] = _OrderedLoad(
-                model, version, now + _ATTRIBUTION_SECONDS
-            )
+            self._remove_expired(now)
+            ordered = self._loads.setdefault(server.incarnation, [])
+            ordered.append(_OrderedLoad(model, version, now + _ATTRIBUTION_SECONDS))
 
     def record_refused(self, server: servers.Server) -> None:
-        """Record that a server refused its order and so loads nothing."""
+        """
+        Record that a server refused its last order.
+
+        It may still load what an earlier order asked for: if that was not answered, or is being
+        carried out, the same order is refused when it is repeated.
+        """
         with self._lock:
-            self._loads.pop(server.incarnation, None)
+            ordered = self._loads.get(server.incarnation, [])
+            if ordered:
+                ordered.pop()
 
     def record_loaded(self, server: servers.Server, model: str, version: int) -> None:
         """Record that a server has loaded a version, which clears the version's crashes."""
@@ -102,12 +106,21 @@
     def record_loss(self, server: servers.Server) -> None:
         """Record a crash if an unannounced loss of a server ended a load."""
         with self._lock:
-            load = self._loads.pop(server.incarnation, None)
-        if load is None or load.expires_at < self._read_now():
+            ordered = self._loads.pop(server.incarnation, [])
+        if not ordered or ordered[-1].expires_at < self._read_now():
             return
+        load = ordered[-1]
         if (server.find_version(load.model) or 0) < load.version:
             self._record_crash(server, load)
 
+    def _remove_expired(self, now: float) -> None:
+        for incarnation, ordered in list(self._loads.items()):
+            current = [item for item in ordered if item.expires_at >= now]
+            if current:
+                self._loads[incarnation] = current
+            else:
+                del self._loads[incarnation]
+
     def _record_crash(self, server: servers.Server, load: _OrderedLoad) -> None:
         fingerprint = _compute_fingerprint(load.model, load.version)
         crash = records.create_crash(fingerprint, server.incarnation, was_alone=False)
