Report a write to the index that stops between its appends as doubtful

Cause: a write of several appends returned the failure of the last one. If that had no effect, the whole write counted as one without any, though the records before it are in the log. No caller sees it today: submissions and ends are one record, and the writers of results, texts and runners repeat.

Change: a failure after the first append may have had an effect.

--- a/features/append_limits.feature
+++ b/features/append_limits.feature
@@ -99,3 +99,15 @@
       | 20 500 30        | 20 30       | 1     |
       | 500              | none        | 1     |
       | 300 300 300 300 300 300 30 | 300 300 300 300 300 300 30 | 1 |
+
+  Scenario Outline: A write of several appends that stops between them may have had an effect
+    # Guards against "no effect" for records of which the first are in the log.
+    Given a log that accepts records of 400 bytes and appends of 400
+    And two entries on this log and a batch of 1 items
+    When entry a announces 40 batches and the log goes down after <appends> appends
+    Then the announcement is reported as <outcome>
+
+    Examples:
+      | appends | outcome   |
+      | 0       | no effect |
+      | 1       | doubtful  |
--- a/features/steps/append_limits_steps.py
+++ b/features/steps/append_limits_steps.py
@@ -147,3 +147,25 @@
     error = context.appended.error
     assert context.ending.runs - 1 == sends, context.ending.runs
     assert ("fails for good" if error.is_final else "fails for now") == outcome, error
+
+
+@behave.when(
+    "entry a announces {batches:d} batches and the log goes down after {appends:d} appends"
+)
+def announce_until_down(context, batches, appends):
+    service = context.log_service
+    append = service.append
+    service.append = lambda *arguments: _append_until(service, append, arguments, appends)
+    service.appends = 0
+    context.written = context.journals[0].record_runner([str(n) for n in range(batches)], "a")
+
+
+def _append_until(service, append, arguments, appends):
+    service.faults.is_down = service.appends >= appends
+    return append(*arguments)
+
+
+@behave.then("the announcement is reported as {outcome}")
+def check_announcement(context, outcome):
+    seen = "doubtful" if context.written.error.may_have_effect else "no effect"
+    assert seen == outcome, context.written
--- a/libs/batches/oleander_batches/journal.py
+++ b/libs/batches/oleander_batches/journal.py
@@ -290,11 +290,16 @@
         """
         Append records to the index, in as many calls as the log's limits require.
 
-        A record that is appended twice does no harm.
+        A record that is appended twice does no harm. A failure after the first call may have had
+        an effect.
         """
         contents = [records.encode_record(item) for item in items]
-        for call in self._log.limits.divide(map(len, contents)):
+        for number, call in enumerate(self._log.limits.divide(map(len, contents))):
             appended = self._append_index_call([contents[index] for index in call], deadline)
+            if appended.is_error() and number:
+                return appended.map_error(
+                    lambda failure: dataclasses.replace(failure, may_have_effect=True)
+                )
             if appended.is_error():
                 return appended
         return expression.Ok(None)
