Do not refuse a version that this entry may have published

What trainers saw: 504 for a version whose append was not answered, then 503 'not run' for the repeated call at the same entry, although the version came into force. Also 503 while the entry had just read the version's record from another entry.

Cause: as with submissions, the outcome was judged by the append of the last attempt alone.

Change: the publisher remembers unanswered appends (DoubtfulWrites) and looks at the configuration again after a refused one; it then waits to read the version back, and answers 504 if that fails.

--- a/programs/oleanderdeal/oleanderdeal/version_publisher.py
+++ b/programs/oleanderdeal/oleanderdeal/version_publisher.py
@@ -6,10 +6,12 @@
 
 from oleander_base import clock, tasks
 from oleander_contracts import fold, records
-from oleander_platform import logservice
+from oleander_platform import doubtful_writes, logservice
 from oleanderdeal import configuration
 
 _POLL_SECONDS = 0.02
+_MAX_DOUBTFUL = 256
+"""Maximum number of versions of which an unanswered append is remembered."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -35,14 +37,19 @@
         self._service = service
         self._configuration = current_configuration
         self._group = group
+        self._writes = doubtful_writes.DoubtfulWrites(_MAX_DOUBTFUL)
 
     def publish(
         self, customer: str, model: str, version: int, uri: str, deadline: clock.Deadline
     ) -> expression.Result[int, PublishError]:
-        """Return the offset of the record that published this version or a higher one."""
+        """
+        Return the offset of the record that published this version or a higher one.
+
+        It may be the record of another entry, or of an earlier attempt that was not answered.
+        """
         if self._find_offset(model, version) is None:
             error = self._append(customer, model, version, uri, deadline)
-            if error is not None:
+            if error is not None and self._find_offset(model, version) is None:
                 return expression.Error(error)
         while not deadline.is_past and self._group.pause(_POLL_SECONDS):
             offset = self._find_offset(model, version)
@@ -65,9 +72,17 @@
     def _append(
         self, customer: str, model: str, version: int, uri: str, deadline: clock.Deadline
     ) -> PublishError | None:
+        """Append the record; return the refusal, or None if it may be in the log."""
         record = records.VersionRecord(model=model, version=version, uri=uri, by=customer)
-        appended = self._service.append(configuration.STREAM, [record.to_value()], deadline)
-        if appended.is_ok() or appended.error.may_have_effect:
+        key = f"{model}\n{version}"
+        may_have_effect = True
+        self._writes.begin(key)
+        try:
+            appended = self._service.append(configuration.STREAM, [record.to_value()], deadline)
+            may_have_effect = appended.is_ok() or appended.error.may_have_effect
+        finally:
+            self._writes.finish(key, may_have_effect)
+        if appended.is_ok() or self._writes.may_have_effect(key):
             return None
         return PublishError(
             503,
