--- a/review/common_2/async_samplers.py
+++ b/review/common_2/async_samplers.py
@@ -68,7 +68,7 @@
         try:
             while (message := await read_message(reader)) is not None:
                 await self._answer(writer, *message)
-        except (OSError, asyncio.IncompleteReadError):
+        except (OSError, asyncio.IncompleteReadError, asyncio.CancelledError):
             pass
         finally:
             writer.close()
@@ -90,7 +90,7 @@
             self._queued += 1
             async with self._free:
                 self._queued -= 1
-                self._record.add("run", sampler=self.name, id=request_id, path=path)
+                self._record.add("run", id=request_id, sampler=self.name)
                 await asyncio.sleep(self._work_seconds)
             stamp = f"{_PREFIX}Server-Stamp: {self.name}.{request_id}\r\n"
             content = json.dumps({"id": request_id}).encode()
--- a/review/common_2/record.py
+++ b/review/common_2/record.py
@@ -18,7 +18,7 @@
         entry = {"at": round(time.monotonic() - self._started_at, 3), "event": event, **fields}
         with self._lock:
             self.events.append(entry)
-            self._file.write(json.dumps(entry) + "\n")
+            self._file.write(json.dumps(entry, separators=(",", ":")) + "\n")
             self._file.flush()
 
     def list(self, event, **fields):
