--- a/review/5/case.py
+++ b/review/5/case.py
@@ -174,6 +174,7 @@
 
 
 def main():
+    fronts.end_on_sigterm()
     has_trouble = os.environ.get("TROUBLE", "1") != "0"
     kept = record.Record(pathlib.Path(__file__).resolve().parent / "record.txt")
     platform = store.Store()
--- a/review/common_2/fronts.py
+++ b/review/common_2/fronts.py
@@ -4,6 +4,7 @@
 import os
 import pathlib
 import resource
+import signal
 import subprocess
 import sys
 import time
@@ -140,6 +141,11 @@
         self.process.wait(10)
 
 
+def end_on_sigterm():
+    """Make SIGTERM raise SystemExit, so that a case ends the fronts that it started."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
+
+
 def _limit_descriptors():
     resource.setrlimit(resource.RLIMIT_NOFILE, (_MAX_FDS, _MAX_FDS))
 
--- a/review/common_2/store.py
+++ b/review/common_2/store.py
@@ -4,6 +4,7 @@
 import collections
 import http.server
 import json
+import random
 import socket
 import struct
 import threading
@@ -14,6 +15,7 @@
 _LENGTH = struct.Struct(">I")
 _HEAD = struct.Struct(">QQ")
 _MAX_WAIT_MS = 30_000
+_PORTS = range(20_000, 32_000)
 
 
 class _Handler(http.server.BaseHTTPRequestHandler):
@@ -163,6 +165,11 @@
 
 
 def find_port():
-    """Return a port that is free now."""
-    with socket.create_server((HOST, 0)) as listener:
-        return listener.getsockname()[1]
+    """Return a random port that is free now, below those given to outgoing connections."""
+    while True:
+        port = random.SystemRandom().choice(_PORTS)
+        try:
+            with socket.create_server((HOST, port)):
+                return port
+        except OSError:
+            continue
