--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -255,7 +255,7 @@
             ("X-Oleanderdeal-Server-Stamp", f"stamp-{request_id}"),
         ]
         is_lost, self.lost_answers = self.lost_answers > 0, max(0, self.lost_answers - 1)
-        if not path.startswith("/items/"):
+        if not path.startswith(("/items/", "/streams/")):
             time.sleep(self.event_seconds)
             if is_lost:
                 _abort_connection(handler)
@@ -267,7 +267,8 @@
             handler.send_header(name, value)
         handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
-        for number in range(int(handler.headers.get("Last-Event-Id") or 0) + 1, EVENTS + 1):
+        last = handler.headers.get("Last-Event-Id", "")
+        for number in range((int(last) if last.isdigit() else 0) + 1, EVENTS + 1):
             time.sleep(self.event_seconds)
             if is_lost and number > EVENTS // 2:
                 _abort_connection(handler)
