Pass on answers with any status and without headers of the server's connection

What callers saw: a 500 without a stamp in place of a server's answer with Upgrade, TE or Proxy-Authenticate, or with status 299 or 520; then a planned stop that waits until its deadline. Cause: the pool left out four of the headers of one connection, waitress raises for others, and http.HTTPStatus raises for an unknown status; both after the request was counted as in progress and outside the block that takes the count back. Change: all of RFC 9110, 7.6.1 is left out; an unknown status has no phrase; the start of the answer is inside the block. Measured: platform_front.feature, six rows fail before (500, or the header arrives), none after.

--- a/features/platform_front.feature
+++ b/features/platform_front.feature
@@ -28,6 +28,23 @@
       | the service goes away | a call               | 503    |
       | the service goes away | a charge             | 503    |
 
+  Scenario Outline: A rare status or a header of the server's connection is no fault of the answer
+    # Guards against a 500 without the server's stamp in place of its answer, and against a request
+    # that counts as in progress for ever, so that a planned stop waits for it until its deadline.
+    Given the platform's stand-in and the front program
+    When the service answers <status> with <headers>
+    Then a call is answered <status> with the server's stamp and without these headers
+    And it ends with code 0 within 5 s of a SIGTERM
+
+    Examples:
+      | status | headers                                 |
+      | 299    | nothing more                            |
+      | 520    | nothing more                            |
+      | 200    | Upgrade: h2c                            |
+      | 200    | TE: trailers                            |
+      | 200    | Trailer: Digest                         |
+      | 200    | Proxy-Authenticate: Basic               |
+
   Scenario: A planned stop answers the requests in progress and exits with 0
     # The platform stops hosts one by one. Requests in progress and new ones on kept connections are
     # answered, and the connection is closed so that the client's next request goes to another host.
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -219,6 +219,9 @@
         self.seen = []
         self.version = 1
         self.event_seconds = 0.01
+        self.call_status = 200
+        self.call_headers = ()
+        """More headers of the answers to calls."""
         self.lost_answers = 0
         """Number of upcoming requests that run, but whose answers are lost or truncated."""
         self.ended_at = []
@@ -260,7 +263,8 @@
             if is_lost:
                 _abort_connection(handler)
                 return
-            handler.send(200, b"answer to " + body, headers)
+            content = b"answer to " + body
+            handler.send(self.call_status, content, [*headers, *self.call_headers])
             return
         handler.send_response(200)
         for name, value in [*headers, ("X-Oleanderdeal-Weight-Versions", str(self.version))]:
--- a/features/steps/platform_front_steps.py
+++ b/features/steps/platform_front_steps.py
@@ -127,6 +127,27 @@
         assert float(headers["Retry-After"]) > 0, headers
 
 
+@behave.when("the service answers {status:d} with {header}")
+def set_answer(context, status, header):
+    name, _, value = header.partition(": ")
+    context.front.service.call_status = status
+    context.front.service.call_headers = ((name, value),) if value else ()
+
+
+@behave.then("a call is answered {status:d} with the server's stamp and without these headers")
+def check_unusual(context, status):
+    seen, headers, body = context.front.ask("POST", "/calls/a", b"x", "c1")
+    assert (seen, body) == (status, b"answer to x"), (seen, body)
+    assert headers["X-Oleanderdeal-Server-Stamp"] == "stamp-c1", headers
+    assert not set(headers) & {name for name, _ in context.front.service.call_headers}, headers
+
+
+@behave.then("it ends with code 0 within {seconds:d} s of a SIGTERM")
+def check_stop(context, seconds):
+    context.front.process.send_signal(signal.SIGTERM)
+    assert context.front.process.wait(seconds) == 0, context.front.output.read_text()
+
+
 @behave.when("it is told to stop while a call of {seconds:g} s runs")
 def stop_during_call(context, seconds):
     front = context.front
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -26,8 +26,21 @@
 _PEER_CLOSED_ERRORS = (ConnectionError, http.client.IncompleteRead)
 """Errors that mean that the server closed the connection, as opposed to a timeout."""
 _HOP_BY_HOP_HEADERS = frozenset(
-    {"connection", "keep-alive", "transfer-encoding", "content-length"}
+    {
+        "connection",
+        "content-length",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "trailers",
+        "transfer-encoding",
+        "upgrade",
+    }
 )
+"""Headers of one connection (RFC 9110, 7.6.1), and the length, which is stated anew."""
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
--- a/programs/oleanderdeal/oleanderdeal/http_server.py
+++ b/programs/oleanderdeal/oleanderdeal/http_server.py
@@ -181,16 +181,11 @@
         self._change_in_progress(1)
         try:
             answer = self._answer(environ)
+            _start_response(answer, start_response)
         except BaseException:
             self._change_in_progress(-1)
             raise
-        phrase = http.HTTPStatus(answer.status).phrase
-        headers = [("Content-Type", answer.content_type), *answer.headers]
-        parts = answer.parts
-        if isinstance(parts, list):
-            headers.append(("Content-Length", str(sum(len(part) for part in parts))))
-        start_response(f"{answer.status} {phrase}", headers)
-        return _TrackedParts(parts, lambda: self._change_in_progress(-1))
+        return _TrackedParts(answer.parts, lambda: self._change_in_progress(-1))
 
     def _answer(self, environ: _Environ) -> http_messages.HttpAnswer:
         try:
@@ -208,6 +203,24 @@
             self._in_progress += change
 
 
+def _start_response(
+    answer: http_messages.HttpAnswer, start_response: collections.abc.Callable[..., typing.Any]
+) -> None:
+    """Pass the status and headers to waitress, which raises if it can't send one of them."""
+    headers = [("Content-Type", answer.content_type), *answer.headers]
+    if isinstance(answer.parts, list):
+        headers.append(("Content-Length", str(sum(len(part) for part in answer.parts))))
+    start_response(f"{answer.status} {_find_phrase(answer.status)}", headers)
+
+
+def _find_phrase(status: int) -> str:
+    """Return the phrase of a status, empty for one that no standard defines."""
+    try:
+        return http.HTTPStatus(status).phrase
+    except ValueError:
+        return ""
+
+
 def _has_input(channel: waitress.channel.HTTPChannel) -> bool:
     """Return whether a connection has unread input, which its thread will read next."""
     poller = select.poll()
