Count a server as faster only beyond the error of the events that were seen

What was seen: review/3 could not run (status 2) once of 5 beside load: its item left its server after two events of 102 and 106 ms in place of 100 (item-moved: 10.54 s here, 9.93 s there). Cause: the typical times of two servers were compared as if they were exact. Over a hundred events 6 percent are more than a move has to gain, and each text is looked at ten times a second. Change: a forecast states the standard error of its time per event; a server that looks faster by less than three standard errors of the difference counts as equally fast. Ruled out: taking a server's speed for its backend's until it was seen for two seconds; the longest texts then start at slow engines (text_queues:28 to :31 failed, 1.4 to 5.2 s late), and a margin on every gain, which keeps texts at a server that is in a slow period.

--- a/libs/routing/oleander_routing/server_speed.py
+++ b/libs/routing/oleander_routing/server_speed.py
@@ -24,6 +24,9 @@
 _MIN_OBSERVED_SECONDS = 2.0
 """Until a server's intervals cover this time, one that is far slower than its backend is taken for
 one in a slow period."""
+_INTERVAL_SCATTER = 0.05
+"""Fraction by which single events scatter around the time that their server typically takes; two
+events that were a few percent late say nothing about the next hundred."""
 _SLOW_RATIO = 1.6
 """Multiple of the typical time above which an event is slow. The slowest hardware that is known
 takes a third more time than the fastest, and slow periods more than twice the typical time."""
@@ -68,6 +71,8 @@
     """Time per event in the current slow period."""
     is_slow: bool = False
     """Whether the server may still be in a slow period."""
+    event_error_seconds: float = 0.0
+    """Standard error of the time per event, from the number of events that were seen."""
 
     def predict_seconds(self, events: float) -> float:
         """Return the time for that many further events of a stream that runs."""
@@ -142,12 +147,25 @@
     backend: str
     first_event_at: float
     last_event_at: float
+    observed_seconds: float = 0.0
+    """Time that the intervals cover, without the pauses between streams."""
     intervals: _Intervals = dataclasses.field(default_factory=_Intervals)
     period: _SlowPeriod | None = None
     wait_seconds: float = 0.0
     """The last wait of a stream for its first event."""
     waited_at: float = -math.inf
 
+    @property
+    def relative_error(self) -> float:
+        """
+        The standard error of its typical time, as a fraction.
+
+        Events of several streams at the same time count as one, since what delays one delays all.
+        """
+        typical = self.intervals.typical
+        independent = self.observed_seconds / typical if typical else 0.0
+        return _INTERVAL_SCATTER / math.sqrt(max(1.0, min(len(self.intervals), independent)))
+
     @property
     def is_settled(self) -> bool:
         """Whether its own intervals show its typical speed."""
@@ -236,6 +254,7 @@
         silence = min(interval, now - server.last_event_at)
         typical = self._read_typical(server, now)
         server.intervals.add(interval)
+        server.observed_seconds += silence
         server.last_event_at = now
         if not typical:
             return
@@ -260,16 +279,18 @@
         server = self._servers.get(name)
         if server is None or server.backend != backend:
             typical = self._read_backend_typical(backend, now)
-            return Forecast(typical * slowdown, group.wait_seconds)
+            pace = typical * slowdown
+            return Forecast(pace, group.wait_seconds, event_error_seconds=pace * _INTERVAL_SCATTER)
         typical = self._read_typical(server, now)
         weight = math.exp(-max(0.0, now - server.waited_at) / _WAIT_AGE_SECONDS)
         wait = weight * server.wait_seconds + (1.0 - weight) * group.wait_seconds
         silence = now - server.last_event_at if has_streams else 0.0
         period = self._find_slow_period(server, typical, silence, now)
-        if period is not None and period[0] > 0.0:
-            return Forecast(typical * slowdown, wait, *period, is_slow=True)
-        own = server.intervals.typical or typical
-        return Forecast(own * slowdown, wait, is_slow=period is not None)
+        is_slow = period is not None
+        slow = period if period is not None and period[0] > 0.0 else (0.0, 0.0)
+        own = typical if slow[0] else server.intervals.typical or typical
+        error = own * slowdown * server.relative_error
+        return Forecast(own * slowdown, wait, *slow, is_slow, error)
 
     def predict_wait(self, backend: str, elapsed: float) -> float:
         """
--- a/programs/oleanderdeal/oleanderdeal/completion.py
+++ b/programs/oleanderdeal/oleanderdeal/completion.py
@@ -26,6 +26,9 @@
 """Targets that are compared for each text, which bounds the time of a scan."""
 _FIRST_WAIT_SECONDS = 0.15
 """A wait for the first event that is no longer than this is not unusual."""
+_DOUBTFUL_ERRORS = 3.0
+"""A difference of speeds within this many standard errors counts as none. Each text is looked at
+ten times a second, so two are soon reached by chance."""
 _NO_SERVERS = router.Outlook({}, (), {})
 
 
@@ -116,6 +119,9 @@
         if target is None:
             return math.inf
         forecast = self._outlook.forecasts[target]
+        here = self._find_here(attempt).forecast
+        if _is_gain_doubtful(here, forecast):
+            forecast = dataclasses.replace(forecast, event_seconds=here.event_seconds)
         return _MOVE_COST_SECONDS + forecast.predict_new_seconds(tokens / self._event_tokens)
 
     def predict_unstarted(self, tokens: float) -> float:
@@ -183,3 +189,10 @@
         if not pace or silence <= _OVERDUE_RATIO * pace:
             return _Here(0.0, forecast)
         return _Here(self._router.predict_wait(self._backend, silence), forecast)
+
+
+def _is_gain_doubtful(here: server_speed.Forecast, there: server_speed.Forecast) -> bool:
+    """Return whether a server may look faster only because few events of the two were seen."""
+    gain = here.event_seconds - there.event_seconds
+    error = math.hypot(here.event_error_seconds, there.event_error_seconds)
+    return 0.0 < gain < _DOUBTFUL_ERRORS * error
