Never bar an item or a scoring because servers ended while it ran

Cause: the ledger of requests under which servers ended, made for callers' requests, also barred accepted work: 4 s after the third end, doubled with each further one, at all entries and for a later step with the same item. Change: no crash is recorded or looked up for an item or its scoring; they still count as running beside a caller's request. A tight loop is limited by the run's own backoff, at most 4 s, which nobody inherits; a scoring under which a server ended goes to one server before it pauses. Why it works: what an item waits for is now a matter of its own run and below the 5 s after which the platform takes it for lost. Bounds for a caller's crashing request are unchanged.

--- a/features/platform_messages.py
+++ b/features/platform_messages.py
@@ -46,16 +46,21 @@
     }
 
 
-def describe_batch(item_ids, step=0, fatal=(), fatal_scores=()):
-    """Return the body of a batch of scored items; fatal items crash the servers that run them."""
+def describe_batch(
+    item_ids, step=0, fatal=(), fatal_scores=(), crash_body=platform_standin.FATAL_BODY
+):
+    """
+    Return the body of a batch of scored items.
+
+    Items in `fatal` have `crash_body` as their prompt, and those in `fatal_scores` as what is
+    scored; by default it crashes the servers that run it.
+    """
     items = [
         {
             "id": item_id,
             "path": f"/items/{number}",
             "headers": {"X-Oleanderdeal-Model": "m"},
-            "body": base64.b64encode(
-                platform_standin.FATAL_BODY if item_id in fatal else b"prompt"
-            ).decode(),
+            "body": base64.b64encode(crash_body if item_id in fatal else b"prompt").decode(),
             "tokens": 50,
             "group": "g",
             "scorer": {
@@ -63,7 +68,7 @@
                 "host": "h.example",
                 "path": "/calls/score",
                 "body": base64.b64encode(
-                    platform_standin.FATAL_BODY if item_id in fatal_scores else b"score"
+                    crash_body if item_id in fatal_scores else b"score"
                 ).decode(),
             },
         }
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -17,6 +17,8 @@
 EVENTS = 5
 FATAL_BODY = b"fatal"
 """A request with this body crashes each server that runs it."""
+UNLUCKY_BODY = b"unlucky"
+"""A sound request under which servers crash for other reasons, as often as their site says."""
 _SILENT_SECONDS = 3.0
 """Delay of a silent store's answers, longer than the program's timeout for any store call."""
 
@@ -226,6 +228,8 @@
         """Number of upcoming requests that run, but whose answers are lost or truncated."""
         self.ended_at = []
         """Monotonic times, in seconds, at which a fatal request crashed the server."""
+        self.take_crash = lambda: False
+        """Returns whether the server crashes now, under an unlucky request."""
         self.on_ended = None
         """Called with this server as its argument after a crash, to restart it."""
 
@@ -247,7 +251,7 @@
     def _run(self, handler, path, body):
         request_id = handler.headers["X-Oleanderdeal-Attempt-Id"]
         self.seen.append((request_id, path, body, dict(handler.headers)))
-        if body == FATAL_BODY:
+        if body == FATAL_BODY or (body == UNLUCKY_BODY and self.take_crash()):
             time.sleep(self.event_seconds)
             self.ended_at.append(time.monotonic())
             self.end()
--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -45,17 +45,32 @@
       | 61    | 361    | forgotten        |
       | 181   | 0      | suspect          |
 
-  Scenario Outline: Items that a batch waits for are tried again soon
-    # Guards against a training step lost because an item ran beside the one that crashed engines.
-    Given the crashes <crashes> of a request
-    Then as part of a batch it is quarantined for <seconds> s
+  Scenario Outline: Work of a batch is sent at once, whatever ended while it ran
+    # Guards against a training step lost because its items or scorings ran where servers ended.
+    Given an entry with the servers Y=ok Z=ok
+    And the request ran <how> at the servers <crashed> when they ended
+    When it is called as a scoring of a batch
+    Then 1 servers got it, the caller gets answered, and the entry published 0 crashes
+
+    Examples:
+      | how           | crashed             |
+      | beside others | A B                 |
+      | beside others | A B C               |
+      | beside others | A B C D             |
+      | alone         | A B C D             |
+      | alone         | A B C D E F G H I J |
+
+  Scenario Outline: The end of a server is no crash of the work of a batch that ran there
+    # Guards against an item that is barred at every entry, and when a later batch contains it again.
+    Given an entry with the servers <servers>
+    When it is called as <work> of a batch
+    Then 1 servers got it, the caller gets unresolved, and the entry published 0 crashes
 
     Examples:
-      | crashes                                | seconds |
-      | A shared, B shared                     | 0       |
-      | A shared, B shared, C shared           | 4       |
-      | A shared, B shared, C shared, D        | 8       |
-      | A, B, C, D                             | 16      |
+      | servers       | work      |
+      | A=ends        | a scoring |
+      | A=ends B=ends | a scoring |
+      | A=lost        | a scoring |
 
   Scenario Outline: A request is identified by its content, not by its id
     # Guards against a repeat taken for another request owing to its new id, and the reverse.
--- a/features/steps/model_fleet_steps.py
+++ b/features/steps/model_fleet_steps.py
@@ -16,7 +16,7 @@
 
 _STEP_SECONDS = 0.05
 _OBSERVED_VERSIONS = 4
-_QUARANTINE_SECONDS = ledger.BATCH_QUARANTINE_SECONDS + 0.1
+_QUARANTINE_SECONDS = ledger.LOAD_QUARANTINE_SECONDS + 0.1
 
 
 @behave.given(
--- a/features/steps/quarantine_steps.py
+++ b/features/steps/quarantine_steps.py
@@ -131,18 +131,26 @@
         context.caller.on_start = lambda: context.ledger.record_answer(crash_fakes.FINGERPRINT)
 
 
-@behave.given("the request ran beside others at the servers {names} when they ended")
-def crash_beside_others(context, names):
+@behave.given("the request ran {how} at the servers {names} when they ended")
+def crash_before_at(context, how, names):
+    was_alone = how == "alone"
     for name in names.split():
         incarnation = crash_fakes.build_server(name).incarnation
-        crash = records.create_crash(crash_fakes.FINGERPRINT, incarnation, False)
-        context.ledger.record_crash(crash.key, False)
+        crash = records.create_crash(crash_fakes.FINGERPRINT, incarnation, was_alone)
+        context.ledger.record_crash(crash.key, was_alone)
 
 
-def _call(context, request, most):
+def _call(context, request, most, is_windowed=False):
     deadline = clock.start_deadline(_DEADLINE_SECONDS)
     route = server_fakes.build_route("idempotent", most)
-    return context.dispatcher.call(route, request, deadline, lambda: False)
+    return context.dispatcher.call(
+        route, request, deadline, lambda: False, is_windowed=is_windowed
+    )
+
+
+@behave.when("it is called as a scoring of a batch")
+def call_scoring(context):
+    context.outcome = _call(context, crash_fakes.REQUEST, 3, is_windowed=True)
 
 
 @behave.when("a request is called that may be sent to {most:d} servers")
@@ -186,13 +194,6 @@
     assert is_suspect == (belief == "still suspects"), context.outcome
 
 
-@behave.then("as part of a batch it is quarantined for {seconds:d} s")
-def check_batch(context, seconds):
-    kept = context.ledger.find_quarantine(crash_fakes.FINGERPRINT, ledger.BATCH_QUARANTINE_SECONDS)
-    seen = round(kept.expires_at - context.now) if kept else 0
-    assert seen == seconds, seen
-
-
 def _answer_another(context):
     context.caller.behaviours["A"] = "ok"
     _call(context, dataclasses.replace(crash_fakes.REQUEST, body=b"sound"), 1)
--- a/libs/direct/oleander_direct/attempts.py
+++ b/libs/direct/oleander_direct/attempts.py
@@ -45,7 +45,7 @@
     ) -> AttemptResult:
         """Call a server; return its answer to the request, or the failure if none was received."""
         started_at = clock.read_now()
-        result = self._call_guarded(server, request, deadline, is_cancelled)
+        result = self._call_guarded(server, request, deadline, is_cancelled, is_windowed)
         milliseconds = (clock.read_now() - started_at) * 1000
         outcome = _classify_for_routing(result, deadline)
         if result.is_error() and result.error.was_sent and not result.error.was_cancelled:
@@ -63,10 +63,11 @@
         request: servers.CallRequest,
         deadline: clock.Deadline,
         is_cancelled: collections.abc.Callable[[], bool],
+        is_windowed: bool,
     ) -> AttemptResult:
         if self._guard is None:
             return self._call_counted(server, request, deadline, is_cancelled)
-        watch = self._guard.begin(request, server)
+        watch = self._guard.begin(request, server, is_owed=is_windowed)
         result = self._call_counted(server, request, deadline, is_cancelled)
         self._guard.finish(watch, _classify_for_crash_guard(result))
         return result
--- a/libs/direct/oleander_direct/call_outcomes.py
+++ b/libs/direct/oleander_direct/call_outcomes.py
@@ -31,6 +31,8 @@
     """No answer came before the deadline; the request may have run."""
 
     reason: str
+    has_ended_server: bool = False
+    """Whether a server ended under the request."""
 
 
 CallOutcome = Answered | Refused | Unresolved
--- a/libs/direct/oleander_direct/call_progress.py
+++ b/libs/direct/oleander_direct/call_progress.py
@@ -18,13 +18,15 @@
     backend: str
     deadline: clock.Deadline
     is_windowed: bool
-    """Whether this is a batch item, sent only to servers whose request window is open."""
+    """Whether this is work of a batch, sent only to servers whose request window is open."""
     keeps_to_slots: bool = False
     """As in `router.RouteRequest`."""
     excluded: set[str] = dataclasses.field(default_factory=set)
     """The ids of servers that were already asked."""
     sent_count: int = 0
     """How many servers may have received the request."""
+    has_ended_server: bool = False
+    """Whether a server ended under the request."""
     error_count: int = 0
     """How many servers ran the request and answered `servers.FAILED_STATUS`."""
     may_have_run: bool = False
@@ -49,6 +51,8 @@
         """Whether the request may be sent to another server."""
         if self.sent_count >= self.route.max_servers:
             return False
+        if self.is_windowed and self.has_ended_server:
+            return False  # Its sender pauses first, for longer each time.
         if self.may_have_run and not self.request.may_repeat:
             return False
         return self.deadline.remaining > _MIN_ATTEMPT_SECONDS
@@ -81,7 +85,7 @@
         if self.last_failure is not None:
             return self.last_failure
         if self.may_have_run:
-            return call_outcomes.Unresolved(self.reason)
+            return call_outcomes.Unresolved(self.reason, self.has_ended_server)
         if self.quarantine is not None:
             return call_outcomes.Refused(call_outcomes.QUARANTINED, self.quarantine.remaining_ms)
         return call_outcomes.Refused(
@@ -90,6 +94,7 @@
 
     def _record_failure(self, failure: servers.CallFailure) -> None:
         self.may_have_run = self.may_have_run or failure.was_sent
+        self.has_ended_server = self.has_ended_server or failure.server_ended
         self.reason = failure.detail[: attempts.MAX_LOGGED_CHARACTERS]
         if not failure.was_sent:
             self.sent_count -= 1
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -279,15 +279,16 @@
         )
 
     def _find_quarantine(self, progress: call_progress.CallProgress) -> clock.Deadline | None:
-        if self._guard is None:
+        if self._guard is None or progress.is_windowed:
             return None
-        return self._guard.find_quarantine(progress.request, progress.is_windowed)
+        return self._guard.find_quarantine(progress.request)
 
     def _choose_server(self, progress: call_progress.CallProgress) -> servers.Server | None:
         """Return the next server, if possible one that is not running another suspect request."""
-        if self._guard is not None and self._guard.is_suspect(progress.request):
+        guard = self._guard if not progress.is_windowed else None
+        if guard is not None and guard.is_suspect(progress.request):
             progress.was_suspect = True
-            chosen = self._choose_excluding(progress, self._guard.list_suspect_servers())
+            chosen = self._choose_excluding(progress, guard.list_suspect_servers())
             if chosen is not None:
                 return chosen
         return self._choose_excluding(progress, frozenset())
--- a/libs/direct/oleander_direct/crash_guard.py
+++ b/libs/direct/oleander_direct/crash_guard.py
@@ -49,6 +49,8 @@
     server: servers.Server
     is_suspect: bool
     """Whether a crash was recorded for the request before this attempt started."""
+    is_owed: bool
+    """Whether the request is work of a batch, for which no crash is recorded."""
 
 
 class CrashGuard:
@@ -57,6 +59,10 @@
 
     A crash is the loss of a server that was running a request. A request with recorded crashes
     is a suspect: it is kept apart from other suspects, and in quarantine it is not sent at all.
+
+    No crash is recorded for an item of a batch or its scoring, which were accepted and are owed:
+    a record would also bar the item when a later batch contains it again, at every entry. They do
+    count as running beside a caller's request.
     """
 
     def __init__(
@@ -79,16 +85,11 @@
         )
         directory_.add_loss_callback(self.record_loss)
 
-    def find_quarantine(
-        self, request: servers.CallRequest, is_batch_item: bool
-    ) -> clock.Deadline | None:
-        """Return the end of a request's quarantine, or None if it is in none."""
+    def find_quarantine(self, request: servers.CallRequest) -> clock.Deadline | None:
+        """Return the end of a caller's request's quarantine, or None if it is in none."""
         if self._ledger.is_empty:
             return None
-        first = (
-            ledger.BATCH_QUARANTINE_SECONDS if is_batch_item else ledger.CALL_QUARANTINE_SECONDS
-        )
-        return self._ledger.find_quarantine(fingerprints.compute_fingerprint(request), first)
+        return self._ledger.find_quarantine(fingerprints.compute_fingerprint(request))
 
     def is_suspect(self, request: servers.CallRequest) -> bool:
         """Return whether crashes are recorded for a request that no server has answered since."""
@@ -101,11 +102,17 @@
         with self._lock:
             return frozenset(self._suspect_counts)
 
-    def begin(self, request: servers.CallRequest, server: servers.Server) -> CrashWatch:
-        """Register an attempt at a server; the caller must pass the result to `finish`."""
-        fingerprint = fingerprints.compute_fingerprint(request)
-        is_suspect = self._ledger.is_suspect(fingerprint)
-        watch = CrashWatch(request.request_id, fingerprint, server, is_suspect)
+    def begin(
+        self, request: servers.CallRequest, server: servers.Server, is_owed: bool = False
+    ) -> CrashWatch:
+        """
+        Register an attempt at a server; the caller must pass the result to `finish`.
+
+        `is_owed` tells that it is for an item of a batch or its scoring.
+        """
+        fingerprint = "" if is_owed else fingerprints.compute_fingerprint(request)
+        is_suspect = not is_owed and self._ledger.is_suspect(fingerprint)
+        watch = CrashWatch(request.request_id, fingerprint, server, is_suspect, is_owed)
         with self._lock:
             self._running_counts[server.incarnation] += 1
             if self._running_counts[server.incarnation] > 1:
@@ -116,14 +123,10 @@
 
     def finish(self, watch: CrashWatch, end: AttemptEnd) -> None:
         """Record how an attempt ended and unregister it."""
-        if end is AttemptEnd.SERVER_ENDED:
-            self._record_crash(watch)
-        elif end is AttemptEnd.NO_ANSWER:
-            self._record_no_answer(watch)
-        elif end is not AttemptEnd.NOT_SENT:
+        if end in {AttemptEnd.ANSWERED, AttemptEnd.RESPONDED}:
             self._record_sign_of_life(watch.server)
-        if end is AttemptEnd.ANSWERED:
-            self._record_answer(watch)
+        if not watch.is_owed:
+            self._record_end(watch, end)
         self._unregister(watch)
 
     def record_loss(self, server: servers.Server) -> None:
@@ -135,6 +138,14 @@
             crash = records.create_crash(item.fingerprint, item.incarnation, item.was_alone)
             self._record_and_publish(crash, item.request_id)
 
+    def _record_end(self, watch: CrashWatch, end: AttemptEnd) -> None:
+        if end is AttemptEnd.SERVER_ENDED:
+            self._record_crash(watch)
+        elif end is AttemptEnd.NO_ANSWER:
+            self._record_no_answer(watch)
+        elif end is AttemptEnd.ANSWERED:
+            self._record_answer(watch)
+
     def _record_crash(self, watch: CrashWatch) -> None:
         """Record a crash, unless the server was leaving or unlisted and so ended as planned."""
         server = watch.server
--- a/libs/orders/oleander_orders/load_guard.py
+++ b/libs/orders/oleander_orders/load_guard.py
@@ -58,7 +58,7 @@
             return None
         if any((item.find_version(model) or 0) >= version for item in listed):
             return None
-        initial_seconds = ledger.BATCH_QUARANTINE_SECONDS
+        initial_seconds = ledger.LOAD_QUARANTINE_SECONDS
         quarantine = self._ledger.find_quarantine(fingerprint, initial_seconds)
         if quarantine is None:
             return 1
@@ -128,7 +128,7 @@
             return
         metrics.count(metrics.LOAD_CRASHES)
         self._publisher.publish(crash)
-        quarantine = self._ledger.find_quarantine(fingerprint, ledger.BATCH_QUARANTINE_SECONDS)
+        quarantine = self._ledger.find_quarantine(fingerprint, ledger.LOAD_QUARANTINE_SECONDS)
         log.logger.bind(
             event="load-crash",
             request=fingerprint,
--- a/libs/quarantine/oleander_quarantine/ledger.py
+++ b/libs/quarantine/oleander_quarantine/ledger.py
@@ -23,12 +23,11 @@
 
 Each further crash doubles it, so that a request that never succeeds is tried less and less often.
 """
-BATCH_QUARANTINE_SECONDS = 4.0
+LOAD_QUARANTINE_SECONDS = 4.0
 """
-The first quarantine of a batch item, a scoring request or a weight version.
+The first quarantine of a weight version.
 
-It is short, since many items run at one server: most of those that are recorded for repeated
-crashes only ran at the same server as the cause, and their batch waits for them.
+It is short, since steps wait for the version.
 """
 MAX_QUARANTINE_SECONDS = 6 * 3600.0
 """The longest quarantine, at which the doubling stops."""
--- a/libs/samples/oleander_samples/hedging.py
+++ b/libs/samples/oleander_samples/hedging.py
@@ -35,6 +35,8 @@
     """The least wait for a first token after which an attempt can be a straggler."""
     max_backoff_seconds: float = 5.0
     """The longest delay before retrying a sample that fails without a token."""
+    max_crash_backoff_seconds: float = 5.0
+    """The same for a sample whose attempts end with their engines."""
     scan_interval_seconds: float = 1.0
     """The least time between two scans for stragglers."""
 
--- a/libs/samples/oleander_samples/scheduler.py
+++ b/libs/samples/oleander_samples/scheduler.py
@@ -206,7 +206,7 @@
         self._update_predictions(attempt)
         return expression.Ok(built.ok)
 
-    def fail(self, work_id: str, now: float) -> None:
+    def fail(self, work_id: str, now: float, has_ended_engine: bool = False) -> None:
         """
         Handle the failure of an attempt, and save its partial text so that it can be resumed.
 
@@ -219,7 +219,9 @@
         number = attempt.work.number
         if attempt.generated_tokens:
             self._failures.pop(number, None)
-        ready_at = now if attempt.generated_tokens else now + self._choose_backoff_seconds(number)
+        ready_at = now
+        if not attempt.generated_tokens:
+            ready_at += self._choose_backoff_seconds(number, has_ended_engine)
         if not self._save_partial(attempt):
             self._restart_discarded(attempt, ready_at)
             return
@@ -490,10 +492,14 @@
             steps.count_samples(self._step, metrics.SAMPLES_REMADE)
         self._backlog.add_retry(number, ready_at)
 
-    def _choose_backoff_seconds(self, number: int) -> float:
+    def _choose_backoff_seconds(self, number: int, has_ended_engine: bool = False) -> float:
         """Return a random delay that doubles with each failure, to avoid a tight retry loop."""
+        policy = self._policy
+        bound = (
+            policy.max_crash_backoff_seconds if has_ended_engine else policy.max_backoff_seconds
+        )
         failures = self._failures.get(number, 0)
         self._failures[number] = failures + 1
         uncapped = math.ldexp(_INITIAL_BACKOFF_SECONDS, min(failures, _MAX_DOUBLINGS))
-        longest = min(self._policy.max_backoff_seconds, uncapped)
+        longest = min(bound, uncapped)
         return longest * self._random.uniform(0.5, 1.0)
--- a/programs/oleanderdeal/oleanderdeal/batch_run.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_run.py
@@ -17,13 +17,15 @@
     min_finished_percent=10,
     min_wait_seconds=1.0,
     max_backoff_seconds=1.0,
+    max_crash_backoff_seconds=4.0,
     scan_interval_seconds=0.4,
 )
 """Stragglers are cancelled and resumed on another engine, never hedged, because the platform
 forbids two engines to run one request at once. Moving an item is cheap, so the search for
 stragglers begins early in a step and is frequent. An attempt without a token counts as a straggler
 only after a delay, because it may still be queued at its engine. The pause before a failed item is
-tried again is short enough that the item's step does not give the item up first."""
+tried again is short enough that the item's step does not give the item up first, and below the
+five seconds after which the platform takes an item that is sent nowhere for lost."""
 _MAX_VERSION_WAIT_SECONDS = 0.5
 """How long servers with the weight version of a text are tried where the version must stay.
 Loading weights takes longer, and so does generating a long text anew."""
@@ -440,11 +442,11 @@
             built = self._scheduler.finish(item.work.work_id, None, clock.read_now())
         return built.ok if built.is_ok() else None
 
-    def fail(self, item: ItemWork) -> None:
+    def fail(self, item: ItemWork, has_ended_server: bool = False) -> None:
         """Record a failed attempt; the item is resumed or generated anew."""
         with self._lock:
             self._clear_attempt(item)
-            self._scheduler.fail(item.work.work_id, clock.read_now())
+            self._scheduler.fail(item.work.work_id, clock.read_now(), has_ended_server)
 
     def settle(self, item: ItemWork) -> None:
         """Record that an item has its final result, so that it is not run again."""
--- a/programs/oleanderdeal/oleanderdeal/batch_runner.py
+++ b/programs/oleanderdeal/oleanderdeal/batch_runner.py
@@ -3,9 +3,9 @@
 import dataclasses
 import threading
 
-from oleander_base import clock, log, metrics, tasks
+from oleander_base import clock, log, tasks
 from oleander_batches import batch_table, journal, submission
-from oleander_direct import crash_guard, directory, routes, servers
+from oleander_direct import directory, routes, servers
 from oleander_routing import router
 from oleander_samples import urgency
 from oleanderdeal import (
@@ -32,9 +32,6 @@
 _WINDOWS_FULL_RETRY_SECONDS = 0.05
 """Delay before an item is tried again when all its servers' request windows are full, that is when
 as many requests are in flight at each server as the router allows."""
-_MAX_QUARANTINE_DEFER_SECONDS = 5.0
-"""Longest deferral of a quarantined item. A quarantine may end early, when the same request is
-answered through another process."""
 _BATCH_PRIORITY = 0
 
 
@@ -56,9 +53,7 @@
         writer: result_writer.ResultWriter,
         group: tasks.TaskGroup,
         max_items: int,
-        guard: crash_guard.CrashGuard | None = None,
     ) -> None:
-        self._guard = guard
         self._directory = server_directory
         self._journal = batch_journal
         self._ownership = ownership
@@ -272,12 +267,6 @@
         item = run.start_next(clock.read_now(), self._build_terms(run, route), spare)
         if item is None:
             return False
-        quarantine = (
-            self._guard.find_quarantine(item.call, is_batch_item=True) if self._guard else None
-        )
-        if quarantine is not None:
-            self._defer(item, quarantine)
-            return True
         server = self._directory.find_server(item.target) if item.target else None
         if server is None or not run.may_continue_at(item, server):
             server = self._choose_next_server(run, route, item)
@@ -295,17 +284,6 @@
         self._group.start(lambda: self._run_item(item, server))
         return True
 
-    def _defer(self, item: batch_run.ItemWork, until: clock.Deadline) -> None:
-        """Defer a quarantined item; other items of its batch are not delayed."""
-        metrics.count(metrics.QUARANTINED)
-        log.logger.bind(
-            event="item-quarantined",
-            id=item.item.item_id,
-            batch=item.run.submitted.batch_id,
-            wait_s=int(until.remaining),
-        ).info("deferred because engines crashed while running it")
-        item.run.requeue(item, min(until.remaining, _MAX_QUARANTINE_DEFER_SECONDS))
-
     def _choose_next_server(
         self, run: batch_run.BatchRun, route: routes.Route, item: batch_run.ItemWork
     ) -> servers.Server | None:
@@ -313,13 +291,9 @@
         Return the server for an item's next attempt: not the last one, if there is another.
 
         Return `None` while the request windows of all other servers are full, because an item that
-        was cancelled at a server would gain nothing by returning there. An item that is suspected
-        of crashing servers avoids those that run another suspect, so that the one at fault does
-        not end the attempts of others.
+        was cancelled at a server would gain nothing by returning there.
         """
         excluded = run.find_last_server(item.item_number)
-        if self._guard is not None and self._guard.is_suspect(item.call):
-            excluded |= self._guard.list_suspect_servers()
         request = _build_route_request(run, route, excluded, item.expected_events)
         if run.must_keep_version(item):
             request = self._require_version(item, request)
--- a/programs/oleanderdeal/oleanderdeal/direct_entry.py
+++ b/programs/oleanderdeal/oleanderdeal/direct_entry.py
@@ -176,7 +176,6 @@
             self._result_writer,
             self._group,
             MAX_CONCURRENT_ITEMS,
-            guard,
         )
         order_rights = order_leases.OrderLeases(
             log_service,
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -24,8 +24,13 @@
 _MAX_SLOT_WAIT_SECONDS = 0.05
 """Longest pause before a scoring that waits for a slot looks for one again; it is woken earlier
 when another scoring of this process ends."""
-_QUARANTINE_POLL_SECONDS = 1.0
-"""Pause before a quarantined scoring call is tried again; short, as a quarantine may end early."""
+_CRASH_PAUSE_SECONDS = 0.2
+"""Pause before a scoring is tried again after a server ended under it; each further end doubles
+it."""
+_MAX_CRASH_PAUSE_SECONDS = 4.0
+"""Longest such pause. The platform takes an item that is sent nowhere for five seconds for
+lost."""
+_MAX_DOUBLINGS = 10
 _EVENTS_PER_PACE_REPORT = 5
 """Number of events between two reports of the time of an event to the typical times."""
 _UNPROCESSABLE_STATUS = 422
@@ -83,7 +88,8 @@
         """
         started_at = clock.read_now()
         result = None
-        watch = self._guard.begin(item.call, server) if self._guard is not None else None
+        guard = self._guard
+        watch = guard.begin(item.call, server, is_owed=True) if guard is not None else None
         try:
             result = attempt.run()
             if attempt.was_error:
@@ -96,8 +102,8 @@
             item.run.fail(item)
         finally:
             attempt.leave_queue()
-            if self._guard is not None and watch is not None:
-                self._guard.finish(watch, attempt.classify_end(result))
+            if guard is not None and watch is not None:
+                guard.finish(watch, attempt.classify_end(result))
         seconds = clock.read_now() - started_at
         route_outcome, milliseconds = attempt.compute_rating(seconds)
         self._router.record_finished(
@@ -128,6 +134,7 @@
         if scoring is None:
             return _build_done_result(item.item, sample, "")
         errors = 0
+        crashes = 0
         pause = _SCORING_RETRY_SECONDS
         while item.run.is_result_wanted and not self._group.is_stopping:
             table = self._directory.table
@@ -140,7 +147,10 @@
                     errors += outcome.error_count
                     if errors >= route.max_servers:
                         return _build_lost_result(item.item)
-                pause = _compute_pause(outcome)
+                pause = _SCORING_RETRY_SECONDS
+                if isinstance(outcome, call_outcomes.Unresolved) and outcome.has_ended_server:
+                    pause = min(_MAX_CRASH_PAUSE_SECONDS, _CRASH_PAUSE_SECONDS * 2.0**crashes)
+                    crashes = min(crashes + 1, _MAX_DOUBLINGS)
             self._group.pause(pause)
         return None
 
@@ -347,7 +357,7 @@
         self.reason = failure.detail[:80]
         self.server_ended = failure.server_ended
         self.was_sent = failure.was_sent
-        self._batch_run.fail(self._item)
+        self._batch_run.fail(self._item, failure.server_ended)
 
     def _handle_answer(self, answer: servers.CallAnswer) -> submission.ItemResult | None:
         self.was_answered = True
@@ -365,13 +375,6 @@
         return None
 
 
-def _compute_pause(outcome: call_outcomes.CallOutcome) -> float:
-    """Return the seconds to wait before the next scoring call."""
-    if isinstance(outcome, call_outcomes.Refused) and outcome.reason == call_outcomes.QUARANTINED:
-        return _QUARANTINE_POLL_SECONDS
-    return _SCORING_RETRY_SECONDS
-
-
 def _build_done_result(
     item: submission.Item, sample: steps.Sample, score: str
 ) -> submission.ItemResult:
