Bound what a server may send, in bytes and in time, for each caller

What callers saw: nothing yet. Cause: http.client bounds single lines, not what they add up to (header lines, interim answers, trailers, sizes of chunks); a line or an event of a stream had no bound at all; each whole answer had 16 MiB, as many as are received at once. The socket looked for cancellation only when a receive timed out, so that bytes without a pause also kept a stream at work that nobody wanted.

--- a/libs/base/oleander_base/http_connection.py
+++ b/libs/base/oleander_base/http_connection.py
@@ -6,10 +6,14 @@
 import socket
 import typing
 
-from oleander_base import clock
+from oleander_base import clock, receive_budget
 
 _CANCELLATION_POLL_SECONDS = 0.1
-"""The interval at which a blocked read checks for cancellation."""
+"""The interval at which a read checks for cancellation."""
+MAX_HEAD_BYTES = 64 * 1024
+"""The largest head of an answer, with all interim answers and what is read ahead of the body."""
+_MAX_SENT_BODY_BYTES = 40 * 1024 * 1024
+"""The most bytes of a body as it is sent, with the sizes of its chunks and its trailers."""
 _MAX_JOINED_BYTES = 64 * 1024
 """A larger body is sent on its own, because joining it to the head would copy it."""
 
@@ -27,27 +31,47 @@
     Applies one deadline to every send and receive.
 
     A plain socket timeout restarts with each received byte, so a peer that sends a byte now and
-    then would block its caller forever.
+    then would block its caller forever. A peer may also send bytes without end: http.client bounds
+    neither interim answers, nor trailers, nor the sum of all header lines.
     """
 
     deadline = clock.Deadline(0.0)
+    bytes_left = 0
+    """How many more bytes the peer may send."""
+    checked_at = 0.0
+    """When cancellation was last checked, in monotonic seconds."""
     is_cancelled: collections.abc.Callable[[], bool] = staticmethod(_never_cancelled)
 
     def recv_into(self, buffer: typing.Any, nbytes: int = 0, flags: int = 0) -> int:
-        """Receive; raise TimeoutError at the deadline and CancelledError on cancellation."""
+        """
+        Receive; raise TimeoutError at the deadline and CancelledError on cancellation.
+
+        Raise TooManyBytesError if the peer has sent more than it may.
+        """
         while True:
             self.settimeout(min(_CANCELLATION_POLL_SECONDS, _read_remaining(self.deadline)))
             try:
-                return super().recv_into(buffer, nbytes, flags)
+                count = super().recv_into(buffer, nbytes, flags)
             except TimeoutError:
-                if self.is_cancelled():
-                    raise CancelledError("the request is no longer wanted") from None
+                self._check_cancelled()
+                continue
+            if clock.read_now() >= self.checked_at + _CANCELLATION_POLL_SECONDS:
+                self._check_cancelled()
+            self.bytes_left -= count
+            if self.bytes_left < 0:
+                raise receive_budget.TooManyBytesError("the peer sends more than an answer has")
+            return count
 
     def sendall(self, data: typing.Any, flags: int = 0) -> None:
         """Send all data; raise TimeoutError at the deadline."""
         self.settimeout(_read_remaining(self.deadline))
         super().sendall(data, flags)
 
+    def _check_cancelled(self) -> None:
+        self.checked_at = clock.read_now()
+        if self.is_cancelled():
+            raise CancelledError("the request is no longer wanted")
+
 
 class Connection(http.client.HTTPConnection):
     """A connection whose sends and receives end at the deadline of the current request."""
@@ -114,6 +138,16 @@
         for piece in pieces:
             self.send(piece)
 
+    def getresponse(self) -> http.client.HTTPResponse:
+        """Receive the head of the answer; its body may then be received from the response."""
+        connected = self.sock
+        if isinstance(connected, DeadlineSocket):
+            connected.bytes_left = MAX_HEAD_BYTES
+        response = super().getresponse()
+        if isinstance(connected, DeadlineSocket):
+            connected.bytes_left = _MAX_SENT_BODY_BYTES
+        return response
+
     def send(self, data: typing.Any) -> None:
         """Send data, or collect it while `endheaders` builds a request."""
         if self._unsent is None:
@@ -125,6 +159,7 @@
         if isinstance(self.sock, DeadlineSocket):
             self.sock.deadline = self._deadline
             self.sock.is_cancelled = self._is_cancelled
+            self.sock.checked_at = clock.read_now()
 
 
 def _read_remaining(deadline: clock.Deadline) -> float:
--- a/libs/base/oleander_base/http_exchange.py
+++ b/libs/base/oleander_base/http_exchange.py
@@ -78,8 +78,14 @@
 class ResponseStream:
     """A response being received; only `abort` may be called from another thread."""
 
-    def __init__(self, connection: http_connection.Connection, request: Request) -> None:
+    def __init__(
+        self,
+        connection: http_connection.Connection,
+        request: Request,
+        max_body_bytes: int = MAX_BODY_BYTES,
+    ) -> None:
         """Send the request and receive the response head; raise the errors of http.client."""
+        self._max_body_bytes = max_body_bytes
         connection.request(request.method, request.path, request.body, dict(request.headers))
         self._connection = connection
         self._socket: socket.socket = connection.sock
@@ -118,7 +124,7 @@
 
     def receive_response(self) -> Response:
         """Return the complete response and leave the connection open; raise on failure."""
-        body = _receive_body(self._response)
+        body = _receive_body(self._response, self._max_body_bytes)
         self._response.close()
         return Response(self.status, self.retry_after_ms, body)
 
@@ -139,12 +145,12 @@
         return describe_failure(error)
 
 
-def _receive_body(response: http.client.HTTPResponse) -> bytes:
+def _receive_body(response: http.client.HTTPResponse, max_bytes: int) -> bytes:
     body = bytearray()
     while chunk := response.read1(CHUNK_BYTES):
         body += chunk
-        if len(body) > MAX_BODY_BYTES:
-            raise ValueError(f"the answer is larger than {MAX_BODY_BYTES} bytes")
+        if len(body) > max_bytes:
+            raise ValueError(f"the answer is larger than {max_bytes} bytes")
     if response.length:
         raise http.client.IncompleteRead(b"", response.length)
     if response.length is None and not response.chunked:
@@ -166,8 +172,13 @@
     when its thread ends.
     """
 
-    def __init__(self, base_url: str) -> None:
-        """Accept a URL of the form http://IP:port; raise ValueError for any other."""
+    def __init__(self, base_url: str, max_body_bytes: int = MAX_BODY_BYTES) -> None:
+        """
+        Accept a URL of the form http://IP:port; raise ValueError for any other.
+
+        An answer with a body of more than `max_body_bytes` is an error.
+        """
+        self._max_body_bytes = max_body_bytes
         parts = urllib.parse.urlsplit(base_url)
         if parts.scheme != "http" or not parts.hostname:
             raise ValueError(f"{base_url!r} is no URL like http://IP:port")
@@ -188,7 +199,7 @@
         if opened.is_error():
             return expression.Error(opened.error)
         try:
-            return expression.Ok(ResponseStream(connection, request))
+            return expression.Ok(ResponseStream(connection, request, self._max_body_bytes))
         except _FAILURES as error:
             connection.close()
             return expression.Error(describe_failure(error))
@@ -221,7 +232,7 @@
         connection = self._take_connection()
         if not connection.is_open:
             return self._send_on_new(connection, request, deadline)
-        reused = _exchange(connection, request, deadline)
+        reused = self._exchange(connection, request, deadline)
         if reused.is_ok() or not isinstance(reused.error, ConnectionError):
             return reused.map_error(describe_failure)
         failed_sends = describe_failure(reused.error).failed_sends
@@ -245,7 +256,21 @@
         opened = _open(connection, deadline)
         if opened.is_error():
             return expression.Error(opened.error)
-        return _exchange(connection, request, deadline).map_error(describe_failure)
+        return self._exchange(connection, request, deadline).map_error(describe_failure)
+
+    def _exchange(
+        self,
+        connection: http_connection.Connection,
+        request: Request,
+        deadline: clock.Deadline,
+    ) -> expression.Result[Response, Exception]:
+        connection.set_deadline(deadline)
+        try:
+            stream = ResponseStream(connection, request, self._max_body_bytes)
+            return expression.Ok(stream.receive_response())
+        except _FAILURES as error:
+            connection.close()
+            return expression.Error(error)
 
     def _take_connection(self) -> http_connection.Connection:
         connection: http_connection.Connection | None = getattr(self._idle, "connection", None)
@@ -268,14 +293,3 @@
     except OSError as error:
         return expression.Error(ExchangeError(str(error), Reach.NOT_CONNECTED))
     return expression.Ok(None)
-
-
-def _exchange(
-    connection: http_connection.Connection, request: Request, deadline: clock.Deadline
-) -> expression.Result[Response, Exception]:
-    connection.set_deadline(deadline)
-    try:
-        return expression.Ok(ResponseStream(connection, request).receive_response())
-    except _FAILURES as error:
-        connection.close()
-        return expression.Error(error)
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -8,9 +8,13 @@
 
 import expression
 
-from oleander_base import clock, http_connection, http_exchange, metrics
+from oleander_base import clock, http_connection, http_exchange, metrics, receive_budget
 
 MAX_BODY_BYTES = http_exchange.MAX_BODY_BYTES
+_MAX_RECEIVED_BYTES = 2 * MAX_BODY_BYTES
+"""Bytes of all answers being received at once, besides the small ones."""
+_MAX_LINE_BYTES = 256 * 1024
+"""The longest line of a streamed body; the platform stores no larger record."""
 _MAX_ADDRESSES = 4096
 _MAX_IDLE_PER_ADDRESS = 36
 """The number of requests that a batch runner may have in flight at one server, so that the
@@ -100,12 +104,18 @@
         self._idle: dict[str, list[_Idle]] = {}
         """The idle connections to each address, in the order of their expiry."""
         self._opened_count = 0
+        self._budget = receive_budget.ReceiveBudget(_MAX_RECEIVED_BYTES)
 
     @property
     def opened_count(self) -> int:
         """The number of connections opened since the pool was created."""
         return self._opened_count
 
+    @property
+    def budget(self) -> receive_budget.ReceiveBudget:
+        """The bytes that the answers being received may hold."""
+        return self._budget
+
     def open(
         self,
         request: PoolRequest,
@@ -265,6 +275,9 @@
         self._idle_seconds = _read_idle_seconds(response)
         self._is_framed = response.chunked or response.length is not None
         self._buffer = b""
+        self._line_start = 0
+        """Where the next line begins in the buffer."""
+        self._account = receive_budget.AnswerAccount(pool.budget, MAX_BODY_BYTES)
 
     @property
     def status(self) -> int:
@@ -288,28 +301,27 @@
     def read_line(self) -> expression.Result[bytes, http_exchange.ExchangeError]:
         """Return the next line with its newline, or empty bytes at the end of the body."""
         try:
-            while b"\n" not in self._buffer:
-                chunk = self._read_chunk()
-                if not chunk:
-                    if self._buffer:
-                        raise ValueError("the last line was cut")
-                    self._finish()
-                    return expression.Ok(b"")
-                self._buffer += chunk
+            end = self._find_line_end()
         except _FAILURES as error:
             self.close()
             return expression.Error(self._describe(error))
-        line, end, self._buffer = self._buffer.partition(b"\n")
-        return expression.Ok(line + end)
-
-    def read_whole(self) -> expression.Result[Response, http_exchange.ExchangeError]:
-        """Return the complete response; a truncated one is an error."""
+        if not end:
+            self._finish()
+            return expression.Ok(b"")
+        line = bytes(memoryview(self._buffer)[self._line_start : end])
+        self._line_start = end
+        return expression.Ok(line)
+
+    def read_whole(
+        self, max_bytes: int = MAX_BODY_BYTES
+    ) -> expression.Result[Response, http_exchange.ExchangeError]:
+        """Return the complete response; one that is truncated or too large is an error."""
         body = bytearray()
         try:
             while chunk := self._read_chunk():
                 body += chunk
-                if len(body) > MAX_BODY_BYTES:
-                    raise ValueError(f"the answer is larger than {MAX_BODY_BYTES} bytes")
+                if len(body) > max_bytes:
+                    raise ValueError(f"the answer is larger than {max_bytes} bytes")
         except _FAILURES as error:
             self.close()
             return expression.Error(self._describe(error))
@@ -321,9 +333,25 @@
 
     def close(self) -> None:
         """Close the connection, which makes the server stop work on an unfinished request."""
+        self._account.close()
         self._response.close()
         self._connection.close()
 
+    def _find_line_end(self) -> int:
+        """Return the end of the next line in the buffer, or 0 at the end of the body."""
+        searched = self._line_start
+        while (found := self._buffer.find(b"\n", searched)) < 0:
+            chunk = self._read_chunk()
+            unread = self._buffer[self._line_start :]
+            if not chunk and unread:
+                raise ValueError("the last line was cut")
+            if len(unread) > _MAX_LINE_BYTES:
+                raise ValueError(f"a line is longer than {_MAX_LINE_BYTES} bytes")
+            self._buffer, self._line_start, searched = unread + chunk, 0, len(unread)
+            if not chunk:
+                return 0
+        return found + 1
+
     def _read_chunk(self) -> bytes:
         """
         Return received bytes of the body, or none at its end; raise if it was truncated.
@@ -335,6 +363,7 @@
         chunk = self._response.read1(http_exchange.CHUNK_BYTES)
         if not chunk and self._response.length:
             raise http.client.IncompleteRead(b"", self._response.length)
+        self._account.add(len(chunk))
         return chunk
 
     def _describe(self, error: Exception) -> http_exchange.ExchangeError:
@@ -342,6 +371,7 @@
 
     def _finish(self) -> None:
         if self._is_framed and self._idle_seconds > 0.0 and self._connection.is_open:
+            self._account.close()
             self._response.close()
             self._pool.release(self._address, self._connection, self._idle_seconds)
         else:
