Hold a weight version that met many crashes for 16 s at most

What callers saw: nothing yet. Found by following 'items under which servers crashed are still owed' to what a step waits for. Cause: the quarantine of a version under whose load servers were lost doubled up to 6 h, and a sound version can't clear itself while it is held. Beyond 1,024 ends the doubling overflowed. Change: the longest quarantine of a version is 16 s; then one server tries, as before. Doublings are bounded for all. Measured: crashing_versions.feature, two new rows (70 s and 300 s of crashes, then 20 s of calm) fail before, pass after; the rows on crashing versions (at most 3 later orders in 34 s) pass unchanged.

--- a/features/crashing_versions.feature
+++ b/features/crashing_versions.feature
@@ -28,6 +28,8 @@
       | 2      | 2    | 30    |
       | 10     | 2    | 30    |
       | 10     | 3    | 8     |
+      | 70     | 2    | 20    |
+      | 300    | 2    | 20    |
 
   Scenario: A version that some servers run is not quarantined for servers lost while loading it
     # Guards against a version that is quarantined because hosts were lost while their servers loaded it.
--- a/libs/orders/oleander_orders/load_guard.py
+++ b/libs/orders/oleander_orders/load_guard.py
@@ -58,8 +58,7 @@
             return None
         if any((item.find_version(model) or 0) >= version for item in listed):
             return None
-        initial_seconds = ledger.LOAD_QUARANTINE_SECONDS
-        quarantine = self._ledger.find_quarantine(fingerprint, initial_seconds)
+        quarantine = self._find_quarantine(fingerprint)
         if quarantine is None:
             return 1
         log.warn_bounded(
@@ -113,6 +112,11 @@
         if (server.find_version(load.model) or 0) < load.version:
             self._record_crash(server, load)
 
+    def _find_quarantine(self, fingerprint: str) -> clock.Deadline | None:
+        return self._ledger.find_quarantine(
+            fingerprint, ledger.LOAD_QUARANTINE_SECONDS, ledger.MAX_LOAD_QUARANTINE_SECONDS
+        )
+
     def _remove_expired(self, now: float) -> None:
         for incarnation, ordered in list(self._loads.items()):
             current = [item for item in ordered if item.expires_at >= now]
@@ -128,7 +132,7 @@
             return
         metrics.count(metrics.LOAD_CRASHES)
         self._publisher.publish(crash)
-        quarantine = self._ledger.find_quarantine(fingerprint, ledger.LOAD_QUARANTINE_SECONDS)
+        quarantine = self._find_quarantine(fingerprint)
         log.logger.bind(
             event="load-crash",
             request=fingerprint,
--- a/libs/quarantine/oleander_quarantine/ledger.py
+++ b/libs/quarantine/oleander_quarantine/ledger.py
@@ -29,8 +29,11 @@
 
 It is short, since steps wait for the version.
 """
+MAX_LOAD_QUARANTINE_SECONDS = 16.0
+"""The longest quarantine of a weight version, which may be sound and have met many crashes."""
 MAX_QUARANTINE_SECONDS = 6 * 3600.0
-"""The longest quarantine, at which the doubling stops."""
+"""The longest quarantine of a caller's request, at which the doubling stops."""
+_MAX_DOUBLINGS = 20
 _EXPIRY_FACTOR = 2.0
 """Crashes expire after this many times the length of the quarantine that they led to."""
 _EXPIRY_JITTER = 0.5
@@ -64,10 +67,10 @@
         alone = sum(self.crashes.values())
         return max(len(self.crashes) - CRASH_THRESHOLD, alone - CRASH_ALONE_THRESHOLD)
 
-    def compute_release_time(self, initial_seconds: float) -> float:
-        """Return the end of the quarantine in monotonic seconds, given the length of the first."""
-        seconds = initial_seconds * 2.0 ** max(0, self.crashes_over_threshold)
-        return self.crashed_at + min(MAX_QUARANTINE_SECONDS, seconds)
+    def compute_release_time(self, initial_seconds: float, max_seconds: float) -> float:
+        """Return the end of the quarantine in monotonic seconds, given its bounds."""
+        doublings = min(_MAX_DOUBLINGS, max(0, self.crashes_over_threshold))
+        return self.crashed_at + min(max_seconds, initial_seconds * 2.0**doublings)
 
 
 class CrashLedger:
@@ -149,14 +152,17 @@
             return suspect is not None and suspect.crashes_over_threshold >= 0
 
     def find_quarantine(
-        self, fingerprint: str, initial_seconds: float = CALL_QUARANTINE_SECONDS
+        self,
+        fingerprint: str,
+        initial_seconds: float = CALL_QUARANTINE_SECONDS,
+        max_seconds: float = MAX_QUARANTINE_SECONDS,
     ) -> clock.Deadline | None:
         """Return the end of a request's quarantine, or None if it is not in quarantine."""
         with self._lock:
             suspect = self._suspects.get(fingerprint)
             if suspect is None or suspect.crashes_over_threshold < 0:
                 return None
-            released_at = suspect.compute_release_time(initial_seconds)
+            released_at = suspect.compute_release_time(initial_seconds, max_seconds)
             return clock.Deadline(released_at) if released_at > self._read_now() else None
 
     def _is_cleared(self, fingerprint: str) -> bool:
@@ -164,7 +170,8 @@
 
     def _update_expiry(self, suspect: _Suspect) -> None:
         suspect.crashed_at = self._read_now()
-        seconds = suspect.compute_release_time(CALL_QUARANTINE_SECONDS) - suspect.crashed_at
+        released_at = suspect.compute_release_time(CALL_QUARANTINE_SECONDS, MAX_QUARANTINE_SECONDS)
+        seconds = released_at - suspect.crashed_at
         jitter = 1.0 + self._random.uniform(0.0, _EXPIRY_JITTER)
         suspect.expires_at = suspect.crashed_at + seconds * _EXPIRY_FACTOR * jitter
 
