Read what arrived during a suspension before a stream counts as silent

An item's stream is cancelled after 2.5 s without an event, so a process that was suspended for longer would have given up all its streams at its first receive, although their events had arrived. Change: after a longer time than a receive takes, the check comes only after a further 0.1 s. Measured: endless_answers.feature, 'What arrived while this process was suspended', fails before.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -64,6 +64,12 @@
       | an item  | comments     | 9      | 4       |
       | an order | chunks       | 9      | 4       |
 
+  Scenario: What arrived while this process was suspended is read before the stream counts as silent
+    # Guards against streams that are all given up when a process goes on after a suspension.
+    Given a server that sends comments without end, a few every 20 ms
+    When the reader of a stream, which allows a silence of 0.5 s, is suspended for 0.6 s
+    Then the lines that arrived meanwhile are read
+
   Scenario Outline: As many answers without end as are received at once stay within the memory
     # Guards against the sum of many answers, each of which is within its own bound.
     Given a server that sends <bytes> without end
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -18,6 +18,8 @@
 _SOCKET_BUFFERS_MB = 6
 """What the kernel buffers of one connection hold at most, sent and not received."""
 _MANY = 96
+_LINES_READ = 5
+"""Fewer than arrive in half a second, more than are left over from before."""
 _ORDER = servers.VersionOrder("m", 2, True, "holder", 7, 4)
 _CALL = servers.CallRequest("r-1", "h", "POST", "/calls/a", (), b"b", True)
 
@@ -96,6 +98,30 @@
     context.seconds = time.monotonic() - started_at
 
 
+@behave.when(
+    "the reader of a stream, which allows a silence of {silence:g} s, is suspended for {pause:g} s"
+)
+def suspend_reader(context, silence, pause):
+    pool = http_pool.ConnectionPool()
+    request = http_pool.PoolRequest(context.endless.address, "GET", "/", (("Host", "h"),))
+    silent_at = time.monotonic() + silence
+
+    def is_silent():
+        return time.monotonic() > silent_at
+
+    deadline = clock.start_deadline(_CALL_SECONDS)
+    stream = pool.open(request, deadline, is_silent).ok
+    context.add_cleanup(stream.close)
+    stream.read_line()
+    time.sleep(pause)
+    context.lines = [stream.read_line() for _ in range(_LINES_READ)]
+
+
+@behave.then("the lines that arrived meanwhile are read")
+def check_lines(context):
+    assert all(line.is_ok() for line in context.lines), context.lines
+
+
 @behave.then(
     "within {seconds:d} s the call has ended as one that may have run,"
     " and at most {most:d} MB were received"
--- a/features/steps/owed_items_steps.py
+++ b/features/steps/owed_items_steps.py
@@ -123,11 +123,11 @@
         )
         self._group = group
         items = item_task.ItemRunner(self._known, self._router, self.engines, None, group, guard)
-        arguments = [self._known, self, self, self._router, items, self, group, 8]
-        if "guard" in batch_runner.BatchRunner.__init__.__annotations__:
-            arguments.append(guard)
+        runner = batch_runner.BatchRunner(
+            self._known, self, self, self._router, items, self, group, 8
+        )
         with unittest.mock.patch.object(clock, "read_now", lambda: self.now):
-            batch_runner.BatchRunner(*arguments).start_items()
+            runner.start_items()
 
     def wait_for_change(self, seconds):
         """Advance the time, as the index that the runner waits for."""
--- a/libs/base/oleander_base/http_connection.py
+++ b/libs/base/oleander_base/http_connection.py
@@ -55,8 +55,7 @@
             except TimeoutError:
                 self._check_cancelled()
                 continue
-            if clock.read_now() >= self.checked_at + _CANCELLATION_POLL_SECONDS:
-                self._check_cancelled()
+            self._check_while_receiving()
             self.bytes_left -= count
             if self.bytes_left < 0:
                 raise receive_budget.TooManyBytesError("the peer sends more than an answer has")
@@ -67,6 +66,19 @@
         self.settimeout(_read_remaining(self.deadline))
         super().sendall(data, flags)
 
+    def _check_while_receiving(self) -> None:
+        """
+        Check for cancellation if a peer sends without a pause.
+
+        After a longer time than a receive takes, this process was suspended. What has arrived
+        meanwhile is then read first, since it may show that the request is still wanted.
+        """
+        elapsed = clock.read_now() - self.checked_at
+        if elapsed >= 2 * _CANCELLATION_POLL_SECONDS:
+            self.checked_at = clock.read_now()
+        elif elapsed >= _CANCELLATION_POLL_SECONDS:
+            self._check_cancelled()
+
     def _check_cancelled(self) -> None:
         self.checked_at = clock.read_now()
         if self.is_cancelled():
