Keep the memory of many answers without end below that of a front

By resident memory 96 bodies without end take 235 MB more, five times what was counted; lines without an event cost 10 us each, 512 KiB of them for each stream. The test samples resident memory, against the 340 MB that the sheet gives a front with all that it has.

--- a/features/endless_answers.feature
+++ b/features/endless_answers.feature
@@ -74,7 +74,7 @@
     # Guards against the sum of many answers, each of which is within its own bound.
     Given a server that sends <bytes> without end
     When 96 threads send it <request> at once
-    Then no more than 96 MB are held at any time, and all have ended within 20 s
+    Then the process never has more than 340 MB, and all have ended within 20 s
 
     Examples:
       | request | bytes        |
--- a/features/steps/endless_answers_steps.py
+++ b/features/steps/endless_answers_steps.py
@@ -1,8 +1,9 @@
 """Steps for callers of servers that send bytes without end."""
 
 import concurrent.futures
+import pathlib
+import resource
 import time
-import tracemalloc
 
 import behave
 
@@ -18,12 +19,18 @@
 _SOCKET_BUFFERS_MB = 6
 """What the kernel buffers of one connection hold at most, sent and not received."""
 _MANY = 96
+_SAMPLE_SECONDS = 0.005
 _LINES_READ = 5
 """Fewer than arrive in half a second, more than are left over from before."""
 _ORDER = servers.VersionOrder("m", 2, True, "holder", 7, 4)
 _CALL = servers.CallRequest("r-1", "h", "POST", "/calls/a", (), b"b", True)
 
 
+def _read_resident_bytes():
+    resident_pages = int(pathlib.Path("/proc/self/statm").read_text().split()[1])
+    return resident_pages * resource.getpagesize()
+
+
 class _Callers:
     """Calls one server in each way that a front program does; tells whether it may have run."""
 
@@ -144,17 +151,20 @@
 @behave.when("96 threads send it {request} at once")
 def send_many(context, request):
     callers = _Callers(context.endless.address, time.monotonic() + 60)
-    tracemalloc.start()
+    peak = _read_resident_bytes()
     started_at = time.monotonic()
     with concurrent.futures.ThreadPoolExecutor(_MANY) as pool:
-        context.results = list(pool.map(lambda _: callers.send(request), range(_MANY)))
+        sent = [pool.submit(callers.send, request) for _ in range(_MANY)]
+        while not all(item.done() for item in sent):
+            peak = max(peak, _read_resident_bytes())
+            time.sleep(_SAMPLE_SECONDS)
+    context.results = [item.result() for item in sent]
     context.seconds = time.monotonic() - started_at
-    context.peak = tracemalloc.get_traced_memory()[1]
-    tracemalloc.stop()
+    context.peak = peak
 
 
 @behave.then(
-    "no more than {most:d} MB are held at any time, and all have ended within {seconds:d} s"
+    "the process never has more than {most:d} MB, and all have ended within {seconds:d} s"
 )
 def check_memory(context, most, seconds):
     assert context.peak <= most * _MEGABYTE, context.peak / _MEGABYTE
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -11,8 +11,9 @@
 from oleander_base import clock, http_connection, http_exchange, metrics, receive_budget
 
 MAX_BODY_BYTES = http_exchange.MAX_BODY_BYTES
-_MAX_RECEIVED_BYTES = 2 * MAX_BODY_BYTES
-"""Bytes of all answers being received at once, besides the small ones."""
+_MAX_RECEIVED_BYTES = MAX_BODY_BYTES + 4 * 1024 * 1024
+"""Bytes of all answers being received at once, besides the small ones. The process grows by some
+eight times as much, since the allocator keeps what growing bodies leave behind."""
 _MAX_LINE_BYTES = 256 * 1024
 """The longest line of a streamed body; the platform stores no larger record."""
 _MAX_ADDRESSES = 4096
--- a/libs/base/oleander_base/receive_budget.py
+++ b/libs/base/oleander_base/receive_budget.py
@@ -2,7 +2,7 @@
 
 import threading
 
-_FREE_BYTES = 256 * 1024
+_FREE_BYTES = 64 * 1024
 """Bytes of each answer that are not charged, so that small answers are never turned away."""
 
 
