--- a/features/steps/owed_items_steps.py
+++ b/features/steps/owed_items_steps.py
@@ -82,7 +82,12 @@
 
 
 class SimulatedRunner:
-    """A batch runner on one thread in simulated time, whose engines end under an item."""
+    """
+    A batch runner on one thread in simulated time, whose engines end under an item.
+
+    The instance also stands in for the runner's journal, index, ownership and result writer, the
+    methods below `_add_engine`.
+    """
 
     def __init__(self, items, crashes, events, pause):
         self.now = 1000.0
