Doubt a server's speed only while few of its events were seen

Cause: counts a small difference of speeds as none however long both servers were seen. Change: the standard error is 0 from ten events on. Measured: server_speed.feature passes unchanged (each of its rows has a side with few events).

--- a/libs/routing/oleander_routing/server_speed.py
+++ b/libs/routing/oleander_routing/server_speed.py
@@ -27,6 +27,8 @@
 _INTERVAL_SCATTER = 0.05
 """Fraction by which single events scatter around the time that their server typically takes; two
 events that were a few percent late say nothing about the next hundred."""
+_FEW_EVENTS = 10
+"""From this many events on, a server's typical time is taken as it is."""
 _SLOW_RATIO = 1.6
 """Multiple of the typical time above which an event is slow. The slowest hardware that is known
 takes a third more time than the fastest, and slow periods more than twice the typical time."""
@@ -158,13 +160,14 @@
     @property
     def relative_error(self) -> float:
         """
-        The standard error of its typical time, as a fraction.
+        The standard error of its typical time, as a fraction; 0 from `_FEW_EVENTS` on.
 
         Events of several streams at the same time count as one, since what delays one delays all.
         """
         typical = self.intervals.typical
         independent = self.observed_seconds / typical if typical else 0.0
-        return _INTERVAL_SCATTER / math.sqrt(max(1.0, min(len(self.intervals), independent)))
+        events = max(1.0, min(len(self.intervals), independent))
+        return _INTERVAL_SCATTER / math.sqrt(events) if events < _FEW_EVENTS else 0.0
 
     @property
     def is_settled(self) -> bool:
