--- a/libs/quarantine/oleander_quarantine/ledger.py
+++ b/libs/quarantine/oleander_quarantine/ledger.py
@@ -33,7 +33,7 @@
 """The longest quarantine of a weight version, which may be sound and have met many crashes."""
 MAX_QUARANTINE_SECONDS = 6 * 3600.0
 """The longest quarantine of a caller's request, at which the doubling stops."""
-_MAX_DOUBLINGS = 20
+_MAX_DOUBLINGS = 20  # 2.0 ** 1024 overflows
 _EXPIRY_FACTOR = 2.0
 """Crashes expire after this many times the length of the quarantine that they led to."""
 _EXPIRY_JITTER = 0.5
--- a/programs/oleanderdeal/oleanderdeal/item_task.py
+++ b/programs/oleanderdeal/oleanderdeal/item_task.py
@@ -30,7 +30,7 @@
 _MAX_CRASH_PAUSE_SECONDS = 4.0
 """Longest such pause. The platform takes an item that is sent nowhere for five seconds for
 lost."""
-_MAX_DOUBLINGS = 10
+_MAX_DOUBLINGS = 10  # 2.0 ** 1024 overflows
 _EVENTS_PER_PACE_REPORT = 5
 """Number of events between two reports of the time of an event to the typical times."""
 _UNPROCESSABLE_STATUS = 422
