Remove what the tests of owed items don't use

Two fields were never read, one column had one value, and a constant's name did not say what it bounds: how long a simulated runner may be calm before the test gives up.

--- a/features/quarantine.feature
+++ b/features/quarantine.feature
@@ -63,14 +63,14 @@
   Scenario Outline: The end of a server is no crash of the work of a batch that ran there
     # Guards against an item that is barred at every entry, and when a later batch contains it again.
     Given an entry with the servers <servers>
-    When it is called as <work> of a batch
+    When it is called as a scoring of a batch
     Then 1 servers got it, the caller gets unresolved, and the entry published 0 crashes
 
     Examples:
-      | servers       | work      |
-      | A=ends        | a scoring |
-      | A=ends B=ends | a scoring |
-      | A=lost        | a scoring |
+      | servers       |
+      | A=ends        |
+      | A=ends B=ends |
+      | A=lost        |
 
   Scenario Outline: A request is identified by its content, not by its id
     # Guards against a repeat taken for another request owing to its new id, and the reverse.
--- a/features/steps/owed_items_steps.py
+++ b/features/steps/owed_items_steps.py
@@ -22,7 +22,7 @@
 
 _MODEL = "m"
 _ITEM = "i0"
-_LAST_TICK_SECONDS = 60.0
+_CALM_SECONDS = 60.0
 _TICK_SECONDS = 0.05
 _SEED = 11
 _BURST_SECONDS = 45.0
@@ -56,7 +56,7 @@
 
 
 class EndingEngines(server_fakes.FailingCaller):
-    """Engines that end under one item as often as stated; the last attempt completes nothing."""
+    """Engines that end under one item as often as stated, then reject it, which ends it."""
 
     def __init__(self, crashes, events, read_now, on_end):
         self.crashes = crashes
@@ -96,7 +96,6 @@
         self._pause = pause
         self._number = 0
         self._restart_at = 0.0
-        self._results = 0
         self._items = tuple(
             submission.Item(f"i{n}", f"/b/{n}", (), b"", 50, f"g{n}", None) for n in range(items)
         )
@@ -145,7 +144,7 @@
             self._restart_at = 0.0
             self._add_engine()
             self.free_since = self.now
-        if sent > self.engines.crashes or self.now > since + _LAST_TICK_SECONDS:
+        if sent > self.engines.crashes or self.now > since + _CALM_SECONDS:
             self._group.is_stopping = True
 
     def _end(self):
@@ -161,6 +160,7 @@
         )
 
     index = property(lambda self: self)
+    """The runner reads the index of its journal; both are this object."""
     is_full = False
 
     def list_open(self):
@@ -217,7 +217,6 @@
 
     def __init__(self, left):
         self._left = left
-        self.last_at = 0.0
 
     @property
     def is_over(self):
@@ -227,7 +226,6 @@
         if self.is_over:
             return False
         self._left -= 1
-        self.last_at = time.monotonic()
         return True
 
 
