--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -162,7 +162,7 @@
             assert self._used.pop().read_whole().is_ok()
 
     def _open(self):
-        connection = unittest.mock.Mock(is_reusable=True, is_open=True)
+        connection = unittest.mock.Mock(is_reusable=True, is_open=True, request_count=1)
         connection.getresponse.return_value = self._answer
         self.opened.append(connection)
         return connection
--- a/libs/base/oleander_base/http_connection.py
+++ b/libs/base/oleander_base/http_connection.py
@@ -93,6 +93,12 @@
         self._deadline = clock.Deadline(0.0)
         self._unsent: list[bytes] | None = None
         self._is_cancelled: collections.abc.Callable[[], bool] = _never_cancelled
+        self._request_count = 0
+
+    @property
+    def request_count(self) -> int:
+        """The number of requests sent since the connection was opened."""
+        return self._request_count
 
     @property
     def is_open(self) -> bool:
@@ -129,6 +135,7 @@
         plain = socket.create_connection((self.host, self.port), remaining)
         plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         self.sock = DeadlineSocket(fileno=plain.detach())
+        self._request_count = 0
         self._apply_deadline()
 
     def endheaders(self, message_body: typing.Any = None, *, encode_chunked: bool = False) -> None:
@@ -139,6 +146,7 @@
         server. After a suspension the rest of an order would follow, although the right to give
         it was checked before the first write and may have passed to another process.
         """
+        self._request_count += 1
         self._unsent = []
         try:
             super().endheaders(message_body, encode_chunked=encode_chunked)
--- a/libs/base/oleander_base/pooled_response.py
+++ b/libs/base/oleander_base/pooled_response.py
@@ -42,6 +42,8 @@
     is_framed: bool
     """Whether the body had a stated length or was chunked; otherwise the close of the connection,
     without a reset, ended it."""
+    earlier_requests: int
+    """How many requests were sent on the connection before."""
     was_sent_before: bool = False
     """Whether the request was sent before, on a connection that failed. The server may have
     executed that copy, whatever it answers to this one."""
@@ -141,7 +143,12 @@
             self.close()
             return expression.Error(self._describe(error))
         answer = Response(
-            self.status, self.headers, body.join(), self._is_framed, self._was_sent_before
+            self.status,
+            self.headers,
+            body.join(),
+            self._is_framed,
+            self._connection.request_count - 1,
+            self._was_sent_before,
         )
         self._finish()
         return expression.Ok(answer)
--- a/libs/direct/oleander_direct/calls.py
+++ b/libs/direct/oleander_direct/calls.py
@@ -181,7 +181,16 @@
             "ms": int(seconds * 1000),
         }
         if isinstance(outcome, call_outcomes.Answered) and outcome.answer.is_success:
-            log.logger.bind(**fields, server=outcome.server_id).info("answered")
+            answer = outcome.answer
+            log.logger.bind(
+                **fields,
+                server=outcome.server_id,
+                status=answer.status,
+                bytes=len(answer.body),
+                is_stamped=bool(answer.stamp),
+                is_framed=answer.origin.is_framed,
+                earlier_requests=answer.origin.earlier_requests,
+            ).info("answered")
             return
         table = self._directory.table
         log.logger.bind(
--- a/libs/direct/oleander_direct/servers.py
+++ b/libs/direct/oleander_direct/servers.py
@@ -72,6 +72,16 @@
     """Overrides the priority of the route; 0 is the most urgent."""
 
 
+@dataclasses.dataclass(slots=True, frozen=True)
+class AnswerOrigin:
+    """How an answer was received; logged, because it shows how an answer may have gone astray."""
+
+    is_framed: bool = True
+    """Whether the answer stated its end; otherwise the close of the connection ended it."""
+    earlier_requests: int = 0
+    """How many requests were sent on the connection before."""
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class CallAnswer:
     """A complete answer of a server, verified to belong to this request."""
@@ -85,6 +95,7 @@
     """Whether another server, which now has the address, answered without running the request."""
     stamp: str
     """The server's proof that it ran the request; empty if it sent none."""
+    origin: AnswerOrigin = AnswerOrigin()
 
     @property
     def is_success(self) -> bool:
