--- a/features/server_answers.feature
+++ b/features/server_answers.feature
@@ -54,3 +54,35 @@
       | a report | 200    | another        | may have run | closed |
       | an order | 503    | unknown        | did not run  | kept   |
       | a call   | 503    | not-run        | did not run  | kept   |
+
+  Scenario Outline: A success counts only with the server's stamp and an unencoded body
+    # Guards against a success that the server did not give, or whose body is not the server's own.
+    Given a backend server that answers 200 with the headers <headers>
+    When an entry sends it <request> on a kept connection
+    Then after 1 sends the request <outcome>
+
+    Examples:
+      | request | headers              | outcome      |
+      | a call  | named                | may have run |
+      | a call  | named, empty stamp   | may have run |
+      | a call  | stamped, encoded     | may have run |
+      | a call  | stamped              | ran          |
+      | an item | named                | may have run |
+      | an item | stamped, encoded     | may have run |
+
+  Scenario Outline: A late second answer is not taken as that of a later request
+    # Guards against the outcome of an earlier request, or of an earlier send of the same one, as that
+    # of a request whose answer is still to come.
+    Given a backend server that answers <first>, then a success, and repeats each answer late
+    When an entry sends it <one>, then <another>
+    Then the last of them got its own answer
+
+    Examples:
+      | first                    | one      | another         |
+      | 500                      | a call   | the same call   |
+      | 503 not run              | a call   | the same call   |
+      | 503 not run without id   | a call   | another call    |
+      | 500                      | an item  | the same item   |
+      | 409                      | an order | an order        |
+      | a report                 | a report | an order        |
+      | a report                 | a report | a report        |
