--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -9,7 +9,7 @@
 
 import ending_server
 import raw_server
-from oleander_base import clock, http_connection, http_exchange, http_pool
+from oleander_base import clock, deadline_socket, http_connection, http_exchange, http_pool
 
 _SECONDS = 5.0
 _IDLE_SECONDS = 9.5
@@ -233,7 +233,7 @@
 
     body = b"b" * size
     deadline = clock.start_deadline(_SECONDS)
-    with unittest.mock.patch.object(http_connection.DeadlineSocket, "sendall", count_write):
+    with unittest.mock.patch.object(deadline_socket.DeadlineSocket, "sendall", count_write):
         if client == "pool":
             address = context.raw.url.removeprefix("http://")
             request = http_pool.PoolRequest(address, "POST", "/", (), body)
--- a/libs/base/oleander_base/http_connection.py
+++ b/libs/base/oleander_base/http_connection.py
@@ -6,10 +6,8 @@
 import socket
 import typing
 
-from oleander_base import clock, receive_budget
+from oleander_base import clock, deadline_socket
 
-_CANCELLATION_POLL_SECONDS = 0.1
-"""The interval at which a read checks for cancellation."""
 MAX_HEAD_BYTES = 64 * 1024
 """The largest head of an answer, with all interim answers and what is read ahead of the body."""
 _MAX_SENT_BODY_BYTES = 40 * 1024 * 1024
@@ -18,73 +16,6 @@
 """A larger body is sent on its own, because joining it to the head would copy it."""
 
 
-def _never_cancelled() -> bool:
-    return False
-
-
-class CancelledError(OSError):
-    """Raised by a read whose request was cancelled by the caller."""
-
-
-class DeadlineSocket(socket.socket):
-    """
-    Applies one deadline to every send and receive.
-
-    A plain socket timeout restarts with each received byte, so a peer that sends a byte now and
-    then would block its caller forever. A peer may also send bytes without end: http.client bounds
-    neither interim answers, nor trailers, nor the sum of all header lines.
-    """
-
-    deadline = clock.Deadline(0.0)
-    bytes_left = 0
-    """How many more bytes the peer may send."""
-    checked_at = 0.0
-    """When cancellation was last checked, in monotonic seconds."""
-    is_cancelled: collections.abc.Callable[[], bool] = staticmethod(_never_cancelled)
-
-    def recv_into(self, buffer: typing.Any, nbytes: int = 0, flags: int = 0) -> int:
-        """
-        Receive; raise TimeoutError at the deadline and CancelledError on cancellation.
-
-        Raise TooManyBytesError if the peer has sent more than it may.
-        """
-        while True:
-            self.settimeout(min(_CANCELLATION_POLL_SECONDS, _read_remaining(self.deadline)))
-            try:
-                count = super().recv_into(buffer, nbytes, flags)
-            except TimeoutError:
-                self._check_cancelled()
-                continue
-            self._check_while_receiving()
-            self.bytes_left -= count
-            if self.bytes_left < 0:
-                raise receive_budget.TooManyBytesError("the peer sends more than an answer has")
-            return count
-
-    def sendall(self, data: typing.Any, flags: int = 0) -> None:
-        """Send all data; raise TimeoutError at the deadline."""
-        self.settimeout(_read_remaining(self.deadline))
-        super().sendall(data, flags)
-
-    def _check_while_receiving(self) -> None:
-        """
-        Check for cancellation if a peer sends without a pause.
-
-        After a longer time than a receive takes, this process was suspended. What has arrived
-        meanwhile is then read first, since it may show that the request is still wanted.
-        """
-        elapsed = clock.read_now() - self.checked_at
-        if elapsed >= 2 * _CANCELLATION_POLL_SECONDS:
-            self.checked_at = clock.read_now()
-        elif elapsed >= _CANCELLATION_POLL_SECONDS:
-            self._check_cancelled()
-
-    def _check_cancelled(self) -> None:
-        self.checked_at = clock.read_now()
-        if self.is_cancelled():
-            raise CancelledError("the request is no longer wanted")
-
-
 class Connection(http.client.HTTPConnection):
     """A connection whose sends and receives end at the deadline of the current request."""
 
@@ -92,7 +23,7 @@
         super().__init__(host, port)
         self._deadline = clock.Deadline(0.0)
         self._unsent: list[bytes] | None = None
-        self._is_cancelled: collections.abc.Callable[[], bool] = _never_cancelled
+        self._is_cancelled: collections.abc.Callable[[], bool] = deadline_socket.never_cancelled
         self._request_count = 0
 
     @property
@@ -122,7 +53,7 @@
     def set_deadline(
         self,
         deadline: clock.Deadline,
-        is_cancelled: collections.abc.Callable[[], bool] = _never_cancelled,
+        is_cancelled: collections.abc.Callable[[], bool] = deadline_socket.never_cancelled,
     ) -> None:
         """Set the deadline of the next request and the function that checks its cancellation."""
         self._deadline = deadline
@@ -131,10 +62,10 @@
 
     def connect(self) -> None:
         """Open the connection; raise TimeoutError at the deadline."""
-        remaining = _read_remaining(self._deadline)
+        remaining = deadline_socket.read_remaining(self._deadline)
         plain = socket.create_connection((self.host, self.port), remaining)
         plain.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        self.sock = DeadlineSocket(fileno=plain.detach())
+        self.sock = deadline_socket.DeadlineSocket(fileno=plain.detach())
         self._request_count = 0
         self._apply_deadline()
 
@@ -161,10 +92,10 @@
     def getresponse(self) -> http.client.HTTPResponse:
         """Receive the head of the answer; its body may then be received from the response."""
         connected = self.sock
-        if isinstance(connected, DeadlineSocket):
+        if isinstance(connected, deadline_socket.DeadlineSocket):
             connected.bytes_left = MAX_HEAD_BYTES
         response = super().getresponse()
-        if isinstance(connected, DeadlineSocket):
+        if isinstance(connected, deadline_socket.DeadlineSocket):
             connected.bytes_left = _MAX_SENT_BODY_BYTES
         return response
 
@@ -176,14 +107,7 @@
             self._unsent.append(data)
 
     def _apply_deadline(self) -> None:
-        if isinstance(self.sock, DeadlineSocket):
+        if isinstance(self.sock, deadline_socket.DeadlineSocket):
             self.sock.deadline = self._deadline
             self.sock.is_cancelled = self._is_cancelled
             self.sock.checked_at = clock.read_now()
-
-
-def _read_remaining(deadline: clock.Deadline) -> float:
-    remaining = deadline.remaining
-    if remaining <= 0.0:
-        raise TimeoutError("the deadline passed")
-    return remaining
