--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -135,7 +135,7 @@
         self.opened = []
 
     def run(self, script):
-        answer = unittest.mock.Mock(status=200, chunked=False, length=0, will_close=False)
+        answer = unittest.mock.Mock(status=200, is_framed=True, length=0, will_close=False)
         answer.getheaders.return_value = []
         answer.getheader.return_value = f"timeout={self._timeout}"
         answer.read1.return_value = b""
--- a/libs/base/oleander_base/http_connection.py
+++ b/libs/base/oleander_base/http_connection.py
@@ -6,7 +6,7 @@
 import socket
 import typing
 
-from oleander_base import clock, deadline_socket
+from oleander_base import clock, deadline_socket, whole_response
 
 MAX_HEAD_BYTES = 64 * 1024
 """The largest head of an answer, with all interim answers and what is read ahead of the body."""
@@ -19,6 +19,8 @@
 class Connection(http.client.HTTPConnection):
     """A connection whose sends and receives end at the deadline of the current request."""
 
+    response_class = whole_response.WholeResponse
+
     def __init__(self, host: str, port: int) -> None:
         super().__init__(host, port)
         self._deadline = clock.Deadline(0.0)
@@ -89,12 +91,12 @@
         for piece in pieces:
             self.send(piece)
 
-    def getresponse(self) -> http.client.HTTPResponse:
+    def getresponse(self) -> whole_response.WholeResponse:
         """Receive the head of the answer; its body may then be received from the response."""
         connected = self.sock
         if isinstance(connected, deadline_socket.DeadlineSocket):
             connected.bytes_left = MAX_HEAD_BYTES
-        response = super().getresponse()
+        response = typing.cast("whole_response.WholeResponse", super().getresponse())
         if isinstance(connected, deadline_socket.DeadlineSocket):
             connected.bytes_left = _MAX_SENT_BODY_BYTES
         return response
--- a/libs/base/oleander_base/http_exchange.py
+++ b/libs/base/oleander_base/http_exchange.py
@@ -11,7 +11,7 @@
 
 import expression
 
-from oleander_base import clock, http_connection, receive_budget
+from oleander_base import clock, http_connection, receive_budget, whole_response
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 MAX_LINE_BYTES = 1024 * 1024
@@ -113,6 +113,9 @@
             return expression.Error(self._describe(error))
         if line and not line.endswith(b"\n"):
             return expression.Error(self._describe(ValueError("a line was cut or is too long")))
+        if not line and self._response.length:
+            cut = http.client.IncompleteRead(b"", self._response.length)
+            return expression.Error(self._describe(cut))
         return expression.Ok(line)
 
     def read_body(self) -> expression.Result[Response, ExchangeError]:
@@ -145,7 +148,7 @@
         return describe_failure(error)
 
 
-def _receive_body(response: http.client.HTTPResponse, max_bytes: int) -> bytes:
+def _receive_body(response: whole_response.WholeResponse, max_bytes: int) -> bytes:
     body = receive_budget.BodyBuffer()
     while chunk := response.read1(CHUNK_BYTES):
         body.add(chunk)
@@ -153,7 +156,7 @@
             raise ValueError(f"the answer is larger than {max_bytes} bytes")
     if response.length:
         raise http.client.IncompleteRead(b"", response.length)
-    if response.length is None and not response.chunked:
+    if not response.is_framed:
         raise ValueError("the answer states no length, so a cut one would pass for whole")
     return body.join()
 
--- a/libs/base/oleander_base/pooled_response.py
+++ b/libs/base/oleander_base/pooled_response.py
@@ -6,7 +6,7 @@
 
 import expression
 
-from oleander_base import http_connection, http_exchange, receive_budget
+from oleander_base import http_connection, http_exchange, receive_budget, whole_response
 
 _MAX_LINE_BYTES = 256 * 1024
 """The longest line of a streamed body; the platform stores no larger record."""
@@ -80,7 +80,7 @@
         owner: ConnectionOwner,
         address: str,
         connection: http_connection.Connection,
-        response: http.client.HTTPResponse,
+        response: whole_response.WholeResponse,
         was_sent_before: bool = False,
     ) -> None:
         self._was_sent_before = was_sent_before
@@ -90,7 +90,7 @@
         self._response = response
         self._headers = tuple(response.getheaders())
         self._idle_seconds = _read_idle_seconds(response)
-        self._is_framed = response.chunked or response.length is not None
+        self._is_framed = response.is_framed
         self._buffer = b""
         self._line_start = 0
         """Where the next line begins in the buffer."""
@@ -178,9 +178,8 @@
         """
         Return received bytes of the body, or none at its end; raise if it was truncated.
 
-        In http.client only `read1` raises an error for a truncated chunked body: `readline` and
-        `peek` swallow it, so that a truncated stream would look complete. A truncated body of
-        stated length raises no error at all, so the remaining length is checked.
+        http.client raises no error for a truncated body of stated length, so the remaining length
+        is checked.
         """
         chunk = self._response.read1(http_exchange.CHUNK_BYTES)
         if not chunk and self._response.length:
