--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -139,6 +139,7 @@
         answer.getheaders.return_value = []
         answer.getheader.return_value = f"timeout={self._timeout}"
         answer.read1.return_value = b""
+        answer.has_surplus.return_value = False
         with (
             unittest.mock.patch.object(clock, "read_now", lambda: self._now),
             unittest.mock.patch.object(http_connection, "Connection", lambda *_: self._open()),
--- a/libs/base/oleander_base/deadline_socket.py
+++ b/libs/base/oleander_base/deadline_socket.py
@@ -1,6 +1,7 @@
 """A socket on which every send and receive ends at a deadline and at a number of bytes."""
 
 import collections.abc
+import contextlib
 import socket
 import typing
 
@@ -34,6 +35,16 @@
     checked_at = 0.0
     """When cancellation was last checked, in monotonic seconds."""
     is_cancelled: collections.abc.Callable[[], bool] = staticmethod(never_cancelled)
+    _is_polling = False
+
+    @contextlib.contextmanager
+    def polling(self) -> collections.abc.Iterator[None]:
+        """Receive only what has arrived: raise BlockingIOError where a receive would wait."""
+        self._is_polling = True
+        try:
+            yield
+        finally:
+            self._is_polling = False
 
     def recv_into(self, buffer: typing.Any, nbytes: int = 0, flags: int = 0) -> int:
         """
@@ -41,6 +52,9 @@
 
         Raise TooManyBytesError if the peer has sent more than it may.
         """
+        if self._is_polling:
+            self.settimeout(0.0)
+            return super().recv_into(buffer, nbytes, flags)
         while True:
             self.settimeout(min(_CANCELLATION_POLL_SECONDS, read_remaining(self.deadline)))
             try:
--- a/libs/base/oleander_base/http_exchange.py
+++ b/libs/base/oleander_base/http_exchange.py
@@ -126,8 +126,14 @@
             return expression.Error(self._describe(error))
 
     def receive_response(self) -> Response:
-        """Return the complete response and leave the connection open; raise on failure."""
+        """
+        Return the complete response; raise on failure.
+
+        The connection stays open, unless it has bytes that belong to no answer.
+        """
         body = _receive_body(self._response, self._max_body_bytes)
+        if self._connection.is_open and self._response.has_surplus():
+            self._connection.close()
         self._response.close()
         return Response(self.status, self.retry_after_ms, body)
 
--- a/libs/base/oleander_base/pooled_response.py
+++ b/libs/base/oleander_base/pooled_response.py
@@ -191,7 +191,8 @@
         return self._owner.describe_error(self._address, error)
 
     def _finish(self) -> None:
-        if self._is_framed and self._idle_seconds > 0.0 and self._connection.is_open:
+        can_be_reused = self._is_framed and self._idle_seconds > 0.0 and self._connection.is_open
+        if can_be_reused and not self._response.has_surplus():
             self._account.close()
             self._response.close()
             self._owner.release(self._address, self._connection, self._idle_seconds)
--- a/libs/base/oleander_base/whole_response.py
+++ b/libs/base/oleander_base/whole_response.py
@@ -45,6 +45,7 @@
         self, sock: deadline_socket.DeadlineSocket, debuglevel: int = 0, method: str | None = None
     ) -> None:
         super().__init__(sock, debuglevel, method)
+        self._socket = sock
         self._received: io.BufferedReader = self.fp
         self._is_framed = False
 
@@ -71,6 +72,14 @@
             if self.length is None:
                 self.fp = io.BufferedReader(_ChunkDecoder(self._received))
 
+    def has_surplus(self) -> bool:
+        """Return whether bytes beyond the answer have arrived, once it was read to its end."""
+        with self._socket.polling():
+            try:
+                return bool(self._received.peek(1))
+            except OSError:
+                return True
+
     def close(self) -> None:
         """Close the response and what it was received with."""
         super().close()
