--- a/libs/direct/oleander_direct/servers.py
+++ b/libs/direct/oleander_direct/servers.py
@@ -22,6 +22,11 @@
 """
 
 
+def is_success_status(status: int) -> bool:
+    """Return whether an HTTP status is in the 2xx range."""
+    return 200 <= status < 300
+
+
 @dataclasses.dataclass(slots=True, frozen=True)
 class ModelVersion:
     """A weight version that a server reports as loaded."""
@@ -100,7 +105,7 @@
     @property
     def is_success(self) -> bool:
         """Whether the status is in the 2xx range."""
-        return 200 <= self.status < 300
+        return is_success_status(self.status)
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -207,7 +212,8 @@
     The interface for calling backend servers.
 
     Implementations must detect answers that belong to another request or come from another
-    server, and must not return them as answers to this request.
+    server, and must not return them as answers to this request. A success without the server's
+    stamp is a failure, too, and the request may have run.
     """
 
     @abc.abstractmethod
