--- a/features/server_answers.feature
+++ b/features/server_answers.feature
@@ -27,7 +27,7 @@
     Examples:
       | request    | status | headers | outcome     |
       | a call     | 503    | not-run | did not run |
-      | a call     | 421    | none    | did not run |
+      | a call     | 421    | named   | did not run |
       | an item    | 503    | not-run | did not run |
       | an order   | 409    | none    | did not run |
 
@@ -46,6 +46,7 @@
       | a call   | 421    | another        | may have run | closed |
       | a call   | 200    | another        | may have run | closed |
       | a call   | 500    | none           | may have run | closed |
+      | a call   | 421    | none           | may have run | closed |
       | an item  | 503    | another, not-run | may have run | closed |
       | an item  | 421    | another        | may have run | closed |
       | an item  | 200    | another        | may have run | closed |
@@ -75,14 +76,25 @@
     # of a request whose answer is still to come.
     Given a backend server that answers <first>, then a success, and repeats each answer late
     When an entry sends it <one>, then <another>
-    Then the last of them got its own answer
+    Then the last of them got <answer>
 
     Examples:
-      | first                    | one      | another         |
-      | 500                      | a call   | the same call   |
-      | 503 not run              | a call   | the same call   |
-      | 503 not run without id   | a call   | another call    |
-      | 500                      | an item  | the same item   |
-      | 409                      | an order | an order        |
-      | a report                 | a report | an order        |
-      | a report                 | a report | a report        |
+      | first                    | one      | another         | answer  |
+      | 500                      | a call   | the same call   | its own |
+      | 503 not run              | a call   | the same call   | its own |
+      | 503 not run without id   | a call   | another call    | none    |
+      | 500                      | an item  | the same item   | its own |
+      | 409                      | an order | an order        | its own |
+      | a report                 | a report | an order        | its own |
+      | a report                 | a report | a report        | its own |
+
+
+  Scenario Outline: A refusal without an id counts on a connection that carried no other request
+    Given a backend server that answers <status> with the headers <headers>
+    When an entry sends it a call on a new connection
+    Then after 1 sends the request did not run
+
+    Examples:
+      | status | headers    |
+      | 421    | none       |
+      | 503    | nameless   |
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -44,6 +44,9 @@
     may_reuse: bool = True
     """Whether an idle connection may be used. If the server has just closed it, the error does not
     show whether the request was executed."""
+    request_id: str = ""
+    """The id that the answer bears, or empty if it bears none. No idle connection is used that
+    has carried a request with the same id before, or another one without an id."""
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,7 +92,7 @@
         is_cancelled: collections.abc.Callable[[], bool],
     ) -> expression.Result[pooled_response.PooledResponse, http_exchange.ExchangeError]:
         """Send a request and return its response once the head has been received."""
-        reused = self._take_idle(request.address) if request.may_reuse else None
+        reused = self._take_idle(request) if request.may_reuse else None
         if reused is not None:
             answered = self._send(reused, request, deadline, is_cancelled)
             if answered.is_ok() or not _is_stale_connection(answered.error) or is_cancelled():
@@ -164,17 +167,24 @@
         self.release(address, opened.ok, pooled_response.DEFAULT_IDLE_SECONDS)
         return False
 
-    def _take_idle(self, address: str) -> http_connection.Connection | None:
+    def _take_idle(self, request: PoolRequest) -> http_connection.Connection | None:
         while True:
             with self._lock:
-                idle = self._idle.get(address)
-                if not idle:
-                    return None
-                item = idle.pop(0)
+                item = self._pop_idle(request)
+            if item is None:
+                return None
             if item.expires_at > clock.read_now() and item.connection.is_reusable:
                 return item.connection
             item.connection.close()
 
+    def _pop_idle(self, request: PoolRequest) -> _Idle | None:
+        """Remove and return the idle connection for a request that expires first."""
+        idle = self._idle.get(request.address, [])
+        for index, item in enumerate(idle):
+            if not item.connection.has_carried(request.request_id):
+                return idle.pop(index)
+        return None
+
     def _connect(
         self, address: str, deadline: clock.Deadline
     ) -> expression.Result[http_connection.Connection, http_exchange.ExchangeError]:
@@ -203,6 +213,7 @@
         was_sent_before: bool = False,
     ) -> expression.Result[pooled_response.PooledResponse, Exception]:
         connection.set_deadline(deadline, is_cancelled)
+        connection.record_request(request.request_id)
         try:
             connection.putrequest(
                 request.method, request.target, skip_host=True, skip_accept_encoding=True
--- a/libs/base/oleander_base/pooled_response.py
+++ b/libs/base/oleander_base/pooled_response.py
@@ -84,6 +84,7 @@
         was_sent_before: bool = False,
     ) -> None:
         self._was_sent_before = was_sent_before
+        self._earlier_requests = connection.request_count - 1
         self._owner = owner
         self._address = address
         self._connection = connection
@@ -106,6 +107,11 @@
         """Whether the request was sent before, on a connection that failed."""
         return self._was_sent_before
 
+    @property
+    def earlier_requests(self) -> int:
+        """How many requests were sent on the connection before."""
+        return self._earlier_requests
+
     @property
     def headers(self) -> tuple[tuple[str, str], ...]:
         """The end-to-end headers; hop-by-hop headers are left out."""
@@ -147,7 +153,7 @@
             self.headers,
             body.join(),
             self._is_framed,
-            self._connection.request_count - 1,
+            self._earlier_requests,
             self._was_sent_before,
         )
         self._finish()
