--- a/features/odd_records.feature
+++ b/features/odd_records.feature
@@ -68,5 +68,37 @@
       | server's report | models.0.version  | infinite         |
       | server's report | models            | nested           |
       | server's report | extra             | endlessly nested |
+      | membership      | generation        | infinite         |
+      | membership      | generation        | huge             |
+      | membership      | parts.0.1         | infinite         |
+      | membership      | parts.0.1         | -1               |
+      | membership      | parts.0           | {}               |
+      | membership      | parts             | nested           |
+      | membership      | extra             | endlessly nested |
+      | append's answer | offset            | huge             |
+      | append's answer | end               | infinite         |
+      | list of keys    | end               | huge             |
+      | list of keys    | has_more          | 1                |
       | list of hosts   | hosts.0.address   | "10.0.0.1:0655359999" |
       | list of hosts   | hosts             | nested           |
+
+  Scenario Outline: A key that is no text hides no other key of its topic
+    # Guards against a list of servers that is never read again because of one key.
+    Given a store whose list of keys contains <key> between two sound ones
+    Then both sound keys are read
+
+    Examples:
+      | key              |
+      | "\udcff"         |
+      | null             |
+      | huge             |
+      | {}               |
+
+  Scenario: A front serves on, and follows the list, while another writer leaves odd entries in it
+    # Guards against processes that end again and again, or are lost, because of one entry.
+    Given the platform's stand-in and the front program
+    When another writer leaves odd entries among those of the servers, beside each sound one
+    And a sound server registers later and the earlier one leaves
+    Then calls are answered by the later server, and the front has run all the time
+    And no task of the front has failed
+    And a front that starts now serves too
