--- a/features/odd_records.feature
+++ b/features/odd_records.feature
@@ -94,6 +94,12 @@
       | huge             |
       | {}               |
 
+  Scenario: A failure while one record is applied is logged, and the records after it are followed
+    # Guards against a fault of our own that stops a follower for ever.
+    Given a follower whose sink fails on the record of one key
+    When that record and later another one arrive
+    Then the later one is followed, the failure is logged, and the failed key counts as deleted
+
   Scenario: A front serves on, and follows the list, while another writer leaves odd entries in it
     # Guards against processes that end again and again, or are lost, because of one entry.
     Given the platform's stand-in and the front program
--- a/libs/batches/oleander_batches/index_reader.py
+++ b/libs/batches/oleander_batches/index_reader.py
@@ -207,12 +207,12 @@
         for record in page.records:
             if record.offset < self._next_offset:
                 continue
+            self._next_offset = record.offset + 1  # first, so a failure here does not recur
             decoded = records.decode_record(record.content)
             if decoded.is_ok():
                 self._table.apply(decoded.ok, self._is_caught_up)
             else:
                 log.warn_bounded("index-record", str(decoded.error), offset=record.offset)
-            self._next_offset = record.offset + 1
         if not page.records and page.end_offset > self._next_offset:
             log.warn_bounded("index-hollow", "an empty page states an end beyond the next offset")
         self._next_offset = max(self._next_offset, page.next_offset)
--- a/libs/leases/oleander_leases/lease.py
+++ b/libs/leases/oleander_leases/lease.py
@@ -258,6 +258,7 @@
             log.warn_bounded("lease-unread", page.error.detail, topic=self._topic)
             return False
         for record in page.ok.records:
+            self._next_offset = record.offset + 1  # first, so a failure does not recur
             self._apply(record)
         self._next_offset = max(self._next_offset, page.ok.next_offset)
         self._has_read_all = self._next_offset >= page.ok.end_offset
--- a/libs/platform/oleander_platform/keyed_follower.py
+++ b/libs/platform/oleander_platform/keyed_follower.py
@@ -1,6 +1,7 @@
 """Follows a keyed topic of the log, in which only the newest value of each key is valid."""
 
 import abc
+import traceback
 
 from oleander_base import clock, log, tasks
 from oleander_platform import recordlog
@@ -15,6 +16,7 @@
 _RETRY_SECONDS = 0.2
 """Delay between reads while the log does not answer, which limits the calls to five a second."""
 _PARTITION = 0
+_MAX_LOGGED_CHARACTERS = 80
 
 
 class KeyedSink(abc.ABC):
@@ -121,7 +123,28 @@
         return True
 
     def _apply(self, item: recordlog.KeyedRecord) -> None:
-        if item.value is None:
+        """
+        Apply a record; after a failure the key counts as deleted.
+
+        A failure must not stop the follower. The page would be read and fail again, so that no
+        later record were followed and the process lost all its servers.
+        """
+        try:
+            if item.value is not None:
+                self._sink.put(item.key, item.value)
+                return
+        except Exception as error:
+            self._warn_of_failure(item, error)
+        try:
             self._sink.delete(item.key)
-        else:
-            self._sink.put(item.key, item.value)
+        except Exception as error:
+            self._warn_of_failure(item, error)
+
+    def _warn_of_failure(self, item: recordlog.KeyedRecord, error: Exception) -> None:
+        last = traceback.extract_tb(error.__traceback__)[-1]
+        log.warn_bounded(
+            f"record-failed-{self._topic}",
+            f"{type(error).__name__} in {last.name}, line {last.lineno}: the key is removed",
+            key=item.key[:_MAX_LOGGED_CHARACTERS],
+            offset=item.offset,
+        )
--- a/programs/oleanderdeal/oleanderdeal/usage_reporter.py
+++ b/programs/oleanderdeal/oleanderdeal/usage_reporter.py
@@ -275,6 +275,7 @@
                 self._decide_not_before = clock.read_now() + _MIN_WAIT_SECONDS
                 return False
             for record in page.ok.records:
+                self._next_offset = record.offset + 1  # first, so a failure does not recur
                 self._apply_record(record)
             self._next_offset = max(self._next_offset, page.ok.next_offset)
             if self._next_offset >= page.ok.end_offset:
