--- a/features/odd_records.feature
+++ b/features/odd_records.feature
@@ -57,6 +57,35 @@
       | target versions | version                | infinite         |
       | target versions | model                  | nested           |
 
+    Examples: records of this program's topics
+      | records | field | value     |
+      | crashes | 0     | decimal   |
+      | crashes | 0     | huge      |
+      | crashes | 0     | nested    |
+      | crashes | 1     | infinite  |
+      | crashes | 1     | cyclic    |
+      | batches | 4     | huge      |
+      | batches | 5     | infinite  |
+      | batches | 6     | decimal   |
+      | batches | 8     | huge      |
+      | batches | 9     | cyclic    |
+      | batches | 0     | nested    |
+      | batches | 0     | huge      |
+      | leases  | 0     | decimal   |
+      | leases  | 0     | huge      |
+      | leases  | 1     | nested    |
+      | leases  | 3     | huge      |
+      | leases  | 3     | infinite  |
+      | usage   | 1     | huge      |
+      | usage   | 2     | infinite  |
+      | usage   | 2     | decimal   |
+      | usage   | 3.WINDOW.red | infinite |
+      | usage   | 3.WINDOW.red | huge     |
+      | usage   | 3     | nested    |
+      | usage reports | 1 | infinite |
+      | usage reports | 1 | huge     |
+      | usage reports | 2.red | decimal |
+
   Scenario Outline: An odd answer, file or content is an error, not an exception
     # Guards against a caller that ends, or tries again without a log line, because of one odd value.
     When a sound <input> and one with <field> = <value> are read
@@ -81,6 +110,27 @@
       | list of keys    | has_more          | 1                |
       | list of hosts   | hosts.0.address   | "10.0.0.1:0655359999" |
       | list of hosts   | hosts             | nested           |
+      | submission      | 3                 | infinite         |
+      | submission      | 5                 | decimal          |
+      | submission      | 4                 | nested           |
+      | submission      | 7.0.0             | nested           |
+      | submission      | 7.0.3             | huge             |
+      | submission      | 7.0.4             | infinite         |
+      | submission      | 7.0.2.0.1         | nested           |
+      | submission      | 7.0.6.0           | huge             |
+      | result          | 2                 | nested           |
+      | result          | 3.0               | infinite         |
+      | result          | 4                 | cyclic           |
+      | partial text    | 0                 | infinite         |
+      | partial text    | 2                 | huge             |
+      | partial text    | 3.0.1             | decimal          |
+      | manifest        | bytes             | infinite         |
+      | manifest        | bytes             | decimal          |
+      | manifest        | ranges            | cyclic           |
+      | frame           | protocol          | huge             |
+      | frame           | protocol          | decimal          |
+      | frame           | name              | nested           |
+      | frame           | name              | cyclic           |
 
   Scenario Outline: A key that is no text hides no other key of its topic
     # Guards against a list of servers that is never read again because of one key.
@@ -100,6 +150,13 @@
     When that record and later another one arrive
     Then the later one is followed, the failure is logged, and the failed key counts as deleted
 
+  Scenario: A front runs batches although each of its topics has an odd record
+    # Guards against batches that are accepted and never listed.
+    Given the platform's stand-in and the front program
+    When another writer leaves an odd record in each topic of the front
+    Then a batch of 3 items is accepted, listed with scores, read again, ended
+    And no task of the front has failed
+
   Scenario: A front serves on, and follows the list, while another writer leaves odd entries in it
     # Guards against processes that end again and again, or are lost, because of one entry.
     Given the platform's stand-in and the front program
--- a/libs/batches/oleander_batches/manifests.py
+++ b/libs/batches/oleander_batches/manifests.py
@@ -6,7 +6,7 @@
 import cbor2
 import expression
 
-from oleander_base import findings
+from oleander_base import cbor_input, findings
 
 MAX_CONTENT_BYTES = 32 * 1024 * 1024
 """Maximum size of a content. It is the operator's usual limit for a request body; the decoded
@@ -43,12 +43,17 @@
 
 def decode_manifest(content: bytes) -> expression.Result[Manifest, findings.Finding]:
     """Decode a manifest; one of another form, or with more than its bounds allow, is a finding."""
+    return cbor_input.decode("manifest", content).bind(_build_manifest)
+
+
+def _build_manifest(fields: typing.Any) -> expression.Result[Manifest, findings.Finding]:
     try:
-        fields: dict[str, typing.Any] = cbor2.loads(content)
         ranges = tuple(_build_range(*item) for item in fields[_RANGES])
-        size = int(fields[_BYTES])
-    except (cbor2.CBORDecodeError, ValueError, TypeError, KeyError) as error:
+        size = fields[_BYTES]
+    except (ValueError, TypeError, LookupError) as error:
         return expression.Error(findings.Finding("manifest", f"can't be read: {error!r}"[:200]))
+    if type(size) is not int:
+        return expression.Error(findings.Finding("manifest", "has no size"))
     records = sum(len(item) for item in ranges)
     if not 0 < size <= MAX_CONTENT_BYTES or records > MAX_RECORDS:
         return expression.Error(findings.Finding("manifest", "exceeds its bounds"))
--- a/libs/batches/oleander_batches/records.py
+++ b/libs/batches/oleander_batches/records.py
@@ -6,7 +6,7 @@
 import cbor2
 import expression
 
-from oleander_base import findings
+from oleander_base import cbor_input, findings
 
 _ACCEPTED = 1
 _FINISHED = 2
@@ -91,10 +91,14 @@
 
 def decode_record(content: bytes) -> expression.Result[IndexRecord, findings.Finding]:
     """Decode a record; invalid content yields a finding, not an exception."""
+    return cbor_input.decode("index", content).bind(_build_record)
+
+
+def _build_record(content: typing.Any) -> expression.Result[IndexRecord, findings.Finding]:
     try:
-        kind, *fields = cbor2.loads(content)
+        kind, *fields = content
         record = _TYPES[kind](*fields)
-    except (cbor2.CBORDecodeError, ValueError, TypeError, KeyError) as error:
+    except (ValueError, TypeError, KeyError) as error:
         return expression.Error(findings.Finding("index", f"can't be decoded: {error!r}"[:200]))
     for field in dataclasses.fields(record):
         if type(getattr(record, field.name)) is not field.type:
--- a/libs/batches/oleander_batches/submission.py
+++ b/libs/batches/oleander_batches/submission.py
@@ -7,7 +7,7 @@
 import cbor2
 import expression
 
-from oleander_base import findings
+from oleander_base import cbor_input, findings
 
 
 @dataclasses.dataclass(slots=True, frozen=True)
@@ -104,6 +104,7 @@
     return ItemResult(item_id, ResultState.LOST, "", (), "")
 
 
+_Value = typing.TypeVar("_Value")
 _Decoded = expression.Result[typing.Any, findings.Finding]
 
 
@@ -155,24 +156,34 @@
     place: str, content: bytes, build: typing.Callable[[typing.Any], typing.Any]
 ) -> _Decoded:
     """Decode one record; content of another writer yields a finding, not an exception."""
+    decoded = cbor_input.decode(place, content)
+    if decoded.is_error():
+        return decoded
     try:
-        return expression.Ok(build(cbor2.loads(content)))
-    except (cbor2.CBORDecodeError, ValueError, TypeError, IndexError, KeyError) as error:
+        return expression.Ok(build(decoded.ok))
+    except (ValueError, TypeError, LookupError) as error:
         return expression.Error(findings.Finding(place, f"can't be read: {error!r}"[:200]))
 
 
+def _check_type(value: typing.Any, kind: type[_Value]) -> _Value:
+    """Return a field of another writer's record; raise TypeError if it has another type."""
+    if type(value) is not kind:
+        raise TypeError(f"{type(value).__name__} in place of {kind.__name__}")
+    return value
+
+
 def _build_submission(fields: typing.Any) -> Submission:
     batch_id, host, path, step, model, oldest_version, wanted_groups, items, *rest = fields
     return Submission(
-        batch_id,
-        host,
-        path,
-        int(step),
-        model,
-        int(oldest_version),
-        int(wanted_groups),
+        _check_type(batch_id, str),
+        _check_type(host, str),
+        _check_type(path, str),
+        _check_type(step, int),
+        _check_type(model, str),
+        _check_type(oldest_version, int),
+        _check_type(wanted_groups, int),
         tuple(_build_item(item) for item in items),
-        str(rest[0]) if rest else "",
+        _check_type(rest[0], str) if rest else "",
     )
 
 
@@ -193,25 +204,44 @@
 
 def _build_item(fields: typing.Any) -> Item:
     item_id, path, headers, body, tokens, group, scoring, expected_tokens = fields
-    pairs = tuple((str(name), str(value)) for name, value in headers)
+    pairs = tuple((_check_type(name, str), _check_type(value, str)) for name, value in headers)
     return Item(
-        item_id,
-        path,
+        _check_type(item_id, str),
+        _check_type(path, str),
         pairs,
-        body,
-        int(tokens),
-        group,
-        Scoring(*scoring) if scoring else None,
-        int(expected_tokens),
+        _check_type(body, bytes),
+        _check_type(tokens, int),
+        _check_type(group, str),
+        _build_scoring(*scoring) if scoring else None,
+        _check_type(expected_tokens, int),
+    )
+
+
+def _build_scoring(
+    request_id: typing.Any, host: typing.Any, path: typing.Any, body: typing.Any
+) -> Scoring:
+    return Scoring(
+        _check_type(request_id, str),
+        _check_type(host, str),
+        _check_type(path, str),
+        _check_type(body, bytes),
     )
 
 
 def _build_result(fields: typing.Any) -> ItemResult:
     item_id, state, text, versions, score = fields
-    return ItemResult(item_id, ResultState(state), text, tuple(map(int, versions)), score)
+    return ItemResult(
+        _check_type(item_id, str),
+        ResultState(state),
+        _check_type(text, str),
+        tuple(_check_type(version, int) for version in versions),
+        _check_type(score, str),
+    )
 
 
 def _build_partial(fields: typing.Any) -> PartialText:
     number, text, events, label = fields
-    pairs = tuple((int(version), int(made)) for version, made in label)
-    return PartialText(int(number), str(text), int(events), pairs)
+    pairs = tuple((_check_type(version, int), _check_type(made, int)) for version, made in label)
+    return PartialText(
+        _check_type(number, int), _check_type(text, str), _check_type(events, int), pairs
+    )
--- a/libs/duties/oleander_duties/usage_records.py
+++ b/libs/duties/oleander_duties/usage_records.py
@@ -6,7 +6,7 @@
 import cbor2
 import expression
 
-from oleander_base import findings
+from oleander_base import cbor_input, findings, json_input
 
 _COUNTED = 1
 _REPORTED = 2
@@ -66,11 +66,7 @@
 
 def decode_record(content: bytes) -> expression.Result[UsageRecord, findings.Finding]:
     """Decode a record; content of another form is a finding."""
-    try:
-        kind, *fields = cbor2.loads(content)
-        return expression.Ok(_build(kind, fields))
-    except (cbor2.CBORDecodeError, ValueError, TypeError, AttributeError) as error:
-        return expression.Error(findings.Finding("usage", f"can't be read: {error!r}"[:200]))
+    return cbor_input.decode("usage", content).bind(_build)
 
 
 def _group_counts(counts: list[tuple[int, str, int]]) -> dict[int, dict[str, int]]:
@@ -80,16 +76,26 @@
     return windows
 
 
-def _build(kind: int, fields: list[typing.Any]) -> UsageRecord:
-    if kind == _COUNTED:
-        source, sequence, counts = fields
-        windows = {int(window): _read_counts(names) for window, names in counts.items()}
-        return Counted(str(source), int(sequence), windows)
-    if kind == _REPORTED:
-        window, names = fields
-        return Reported(int(window), _read_counts(names))
-    raise ValueError(f"kind {kind!r}")
+def _build(fields: typing.Any) -> expression.Result[UsageRecord, findings.Finding]:
+    match fields:
+        case [kind, str(source), int(sequence), dict(counts)] if kind == _COUNTED:
+            if all(_is_window(window, names) for window, names in counts.items()):
+                return expression.Ok(Counted(source, sequence, counts))
+        case [kind, window, names] if kind == _REPORTED:
+            if _is_window(window, names):
+                return expression.Ok(Reported(window, names))
+    return expression.Error(findings.Finding("usage", "has other fields"))
 
 
-def _read_counts(names: dict[typing.Any, typing.Any]) -> dict[str, int]:
-    return {str(name): int(count) for name, count in names.items()}
+def _is_window(window: typing.Any, names: typing.Any) -> bool:
+    """Return whether a parsed window is a number and its counts are those of organisations."""
+    return (
+        json_input.is_count(window)
+        and isinstance(names, dict)
+        and all(isinstance(name, str) for name in names)
+        and all(map(_is_sum, names.values()))
+    )
+
+
+def _is_sum(count: typing.Any) -> bool:
+    return type(count) is int and abs(count) <= json_input.MAX_INTEGER
--- a/libs/leases/oleander_leases/lease.py
+++ b/libs/leases/oleander_leases/lease.py
@@ -5,7 +5,7 @@
 
 import cbor2
 
-from oleander_base import clock, identifiers, log
+from oleander_base import cbor_input, clock, identifiers, log
 from oleander_platform import recordlog
 
 TERM_SECONDS = 2.5
@@ -268,13 +268,14 @@
 
     def _apply(self, record: recordlog.RawRecord) -> None:
         """Apply a record; one that can't be decoded counts as held, which avoids two holders."""
-        try:
-            holder, host, state, fencing = cbor2.loads(record.content)
-        except (cbor2.CBORDecodeError, ValueError, TypeError):
-            holder, host, state, fencing = "", "", _HELD, record.offset
-        self._newest_record = _LeaseRecord(
-            str(holder), str(host), str(state), record.offset, clock.read_now()
-        )
+        decoded = cbor_input.decode("lease", record.content)
+        match decoded.default_value(None):
+            case [str(holder), str(host), str(state), int(fencing)]:
+                pass
+            case _:
+                log.warn_bounded("lease-record", "a malformed record", topic=self._topic)
+                holder, host, state, fencing = "", "", _HELD, record.offset
+        self._newest_record = _LeaseRecord(holder, host, state, record.offset, clock.read_now())
         if holder == self._name:
             return
         with self._lock:
--- a/libs/quarantine/oleander_quarantine/records.py
+++ b/libs/quarantine/oleander_quarantine/records.py
@@ -1,11 +1,12 @@
 """Records of server crashes, as stored in a keyed topic of the platform's log."""
 
 import dataclasses
+import typing
 
 import cbor2
 import expression
 
-from oleander_base import findings, identifiers
+from oleander_base import cbor_input, findings, identifiers
 
 _SEPARATOR = "/"
 
@@ -56,8 +57,11 @@
 
 def decode_crash(key: CrashKey, value: bytes) -> expression.Result[Crash, findings.Finding]:
     """Decode the value of a crash's record; a value of another form is a finding."""
-    try:
-        incarnation, was_alone = cbor2.loads(value)
-    except (cbor2.CBORDecodeError, ValueError, TypeError) as error:
-        return expression.Error(findings.Finding("crash", f"can't be read: {error!r}"[:200]))
-    return expression.Ok(Crash(key, str(incarnation), bool(was_alone)))
+    return cbor_input.decode("crash", value).bind(lambda fields: _build_crash(key, fields))
+
+
+def _build_crash(key: CrashKey, fields: typing.Any) -> expression.Result[Crash, findings.Finding]:
+    match fields:
+        case [str(incarnation), bool(was_alone)]:
+            return expression.Ok(Crash(key, incarnation, was_alone))
+    return expression.Error(findings.Finding("crash", "has other fields"))
--- a/libs/wire/oleander_wire/codec.py
+++ b/libs/wire/oleander_wire/codec.py
@@ -8,7 +8,7 @@
 import cbor2
 import expression
 
-from oleander_base import findings
+from oleander_base import cbor_input, findings
 from oleander_wire import messages
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
@@ -73,10 +73,10 @@
     """Decode a frame; return all validation errors if it is not a valid message."""
     if isinstance(frame, str):
         return _reject("frame", "is text, not CBOR")
-    try:
-        content = cbor2.loads(frame)
-    except (cbor2.CBORDecodeError, ValueError, RecursionError) as error:
-        return _reject("frame", f"is not CBOR: {type(error).__name__}")
+    decoded = cbor_input.load("frame", frame)
+    if decoded.is_error():
+        return expression.Error(findings.Findings((decoded.error,)))
+    content = decoded.ok
     if not isinstance(content, dict):
         return _reject("frame", "is not a map")
     name = content.get(_TYPE_FIELD)
@@ -124,6 +124,9 @@
         known = {item.value: item for item in field.value_type}
         if isinstance(value, str) and value in known:
             return known[value]
+    elif field.value_type is int:
+        if cbor_input.is_integer(value):
+            return value
     elif type(value) is field.value_type:
         return value
     found.append(findings.Finding(where, f"is no {field.value_type.__name__}"))
