--- a/features/odd_records.feature
+++ b/features/odd_records.feature
@@ -84,6 +84,7 @@
       | usage   | 3     | nested    |
       | usage reports | 1 | infinite |
       | usage reports | 1 | huge     |
+      | usage reports | 1 | far ahead |
       | usage reports | 2.red | decimal |
 
   Scenario Outline: An odd answer, file or content is an error, not an exception
--- a/libs/duties/oleander_duties/usage_records.py
+++ b/libs/duties/oleander_duties/usage_records.py
@@ -23,6 +23,11 @@
     counts: dict[int, dict[str, int]]
     """The counts by window, then by organisation; negative for requests that were undone."""
 
+    @property
+    def newest_window(self) -> int:
+        """The newest window of the counts; 0 if there are none."""
+        return max(self.counts, default=0)
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Reported:
@@ -31,6 +36,11 @@
     window: int
     counts: dict[str, int]
 
+    @property
+    def newest_window(self) -> int:
+        """The window of the report."""
+        return self.window
+
 
 UsageRecord = Counted | Reported
 
--- a/programs/oleanderdeal/oleanderdeal/usage_reporter.py
+++ b/programs/oleanderdeal/oleanderdeal/usage_reporter.py
@@ -285,8 +285,17 @@
         return True
 
     def _apply_record(self, record: recordlog.RawRecord) -> None:
+        """
+        Apply a record unless it is malformed or names a window that is far ahead.
+
+        A report of such a window would make each earlier one count as reported, and counts in many
+        of them would evict the windows that are still to be reported.
+        """
         decoded = usage_records.decode_record(record.content)
-        if decoded.is_ok():
-            self._fold.apply(decoded.ok)
-        else:
+        current = clock.read_wall_ms() // self._settings.window_ms
+        if decoded.is_error():
             log.warn_bounded("usage-record", str(decoded.error), offset=record.offset)
+        elif decoded.ok.newest_window > current + usage_totals.MAX_WINDOWS:
+            log.warn_bounded("usage-record", "is of a window far ahead", offset=record.offset)
+        else:
+            self._fold.apply(decoded.ok)
