--- a/features/odd_records.feature
+++ b/features/odd_records.feature
@@ -111,6 +111,17 @@
       | list of keys    | has_more          | 1                |
       | list of hosts   | hosts.0.address   | "10.0.0.1:0655359999" |
       | list of hosts   | hosts             | nested           |
+      | settings file   | bounds.grace_s    | huge             |
+      | settings file   | bounds.lease_ms   | infinite         |
+      | settings file   | bounds.lease_ms   | not a number     |
+      | settings file   | bounds.status_s   | infinite         |
+      | settings file   | platform.parts    | huge             |
+      | settings file   | platform.parts    | of 5000 digits   |
+      | settings file   | platform.parts    | 0                |
+      | settings file   | internal_ports    | endlessly nested |
+      | settings file   | internal_ports.0  | 70000            |
+      | settings file   | listen.front      | "10.0.0.2:0655359999" |
+      | settings file   | node_name         | bytes of no text |
       | submission      | 3                 | infinite         |
       | submission      | 5                 | decimal          |
       | submission      | 4                 | nested           |
