--- a/features/odd_records.feature
+++ b/features/odd_records.feature
@@ -87,6 +87,23 @@
       | usage reports | 1 | far ahead |
       | usage reports | 2.red | decimal |
 
+    Examples: records of sidecars' streams, whose pages hold the values as JSON
+      | records   | field   | value            |
+      | contracts | version | huge             |
+      | contracts | version | infinite         |
+      | contracts | kind    | nested           |
+      | contracts | kind    | endlessly nested |
+      | contracts | by      | endlessly nested |
+      | contracts | by      | "\ud800"         |
+      | contracts | extra   | endlessly nested |
+      | contracts | extra   | nested           |
+      | contracts | extra   | "\ud800"         |
+      | claims    | attempt | huge             |
+      | claims    | address | nested           |
+      | claims    | address | endlessly nested |
+      | claims    | address | "\ud800"         |
+      | claims    | kind    | nested           |
+
   Scenario Outline: An odd answer, file or content is an error, not an exception
     # Guards against a caller that ends, or tries again without a log line, because of one odd value.
     When a sound <input> and one with <field> = <value> are read
--- a/libs/base/oleander_base/json_input.py
+++ b/libs/base/oleander_base/json_input.py
@@ -11,8 +11,15 @@
 MAX_INTEGER = 2**53 - 1
 """The largest integer that is exact in any JSON library (RFC 7493). A larger one raises
 OverflowError later, where it is divided or becomes a time."""
+MAX_NESTING = 300
+"""Most levels of a value that is sent on; 400 levels are rejected as CBOR."""
+_CUT_LEVELS = MAX_NESTING + 50
+"""More than `MAX_NESTING` in a value, with what stands around it; the parser reads some 900."""
 _MAX_REPORTED = 10
 _SURROGATE = re.compile("[\ud800-\udfff]")
+_TEXT_OR_BRACKET = re.compile(rb'"(?:[^"\\]|\\.)*"|[\[\]{}]', re.DOTALL)
+_OPENING = (b"[", b"{")
+_CLOSING = (b"]", b"}")
 
 
 class ObjectReader:
@@ -166,6 +173,56 @@
     )
 
 
+def can_be_sent_on(value: typing.Any) -> bool:
+    """Return whether a parsed value has no surrogates and at most `MAX_NESTING` levels."""
+    level = [value]
+    for _ in range(MAX_NESTING + 1):
+        texts = [item for item in level if isinstance(item, str)]
+        if any(map(_SURROGATE.search, texts)):
+            return False
+        level = [part for item in level for part in _list_parts(item)]
+        if not level:
+            return True
+    return False
+
+
+def _list_parts(value: typing.Any) -> list[typing.Any]:
+    if isinstance(value, dict):
+        return [*value.keys(), *value.values()]
+    return value if isinstance(value, list) else []
+
+
+def read_object_of_values(place: str, body: bytes) -> ObjectReader:
+    """
+    Parse a body that contains values of several writers as a JSON object.
+
+    What the parser can't read because it is nested too deep becomes null, and the values beside it
+    are read.
+    """
+    try:
+        return ObjectReader(place, json.loads(body))
+    except RecursionError:
+        return read_object(place, _cut_nested(body))
+    except ValueError:
+        return read_object(place, body)
+
+
+def _cut_nested(body: bytes) -> bytes:
+    """Replace what has `_CUT_LEVELS` levels above it by null."""
+    kept = []
+    depth = kept_to = 0
+    for token in _TEXT_OR_BRACKET.finditer(body):
+        if token[0] in _OPENING:
+            depth += 1
+            if depth == _CUT_LEVELS + 1:
+                kept += [body[kept_to : token.start()], b"null"]
+        elif token[0] in _CLOSING:
+            if depth == _CUT_LEVELS + 1:
+                kept_to = token.end()
+            depth -= 1
+    return b"".join([*kept, body[kept_to:]])
+
+
 def read_object(place: str, body: bytes) -> ObjectReader:
     """Parse a body as a JSON object; a syntax error becomes a finding of the reader."""
     try:
--- a/libs/claims/oleander_claims/records.py
+++ b/libs/claims/oleander_claims/records.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing
 
+from oleander_base import json_input
+
 _KIND = "claim"
 
 
@@ -39,6 +41,8 @@
     fields = {name: value.get(name) for name in _FIELD_TYPES}
     if any(type(fields[name]) is not kind for name, kind in _FIELD_TYPES.items()):
         return None
+    if not json_input.is_count(fields["attempt"]):
+        return None
     return Claim(**typing.cast(dict[str, typing.Any], fields))
 
 
--- a/libs/platform/oleander_platform/http_logservice.py
+++ b/libs/platform/oleander_platform/http_logservice.py
@@ -1,5 +1,6 @@
 """A client of the log service over HTTP."""
 
+import collections.abc
 import json
 import typing
 
@@ -47,13 +48,15 @@
         Return records from an offset on, waiting up to `wait_ms` for the first one.
 
         The wait is limited to half of the remaining time, so that an empty page arrives before
-        the deadline. A record that is not a JSON object is returned as an empty one with its
-        offset, as otherwise one record written by mistake would block all readers of the stream.
+        the deadline. A record that is not a JSON object, or that can't be sent on to a peer, is
+        returned as an empty one with its offset, as otherwise one record written by mistake would
+        block all readers of the stream.
         """
         wait_ms = min(wait_ms, deadline.remaining_ms // 2)
         query = f"?offset={offset}&limit={_MAX_RECORDS}&wait_ms={wait_ms}"
         request = http_exchange.Request("GET", _build_path(stream) + query)
-        received = _check_answer(self._caller.call_idempotent(request, deadline))
+        answered = self._caller.call_idempotent(request, deadline)
+        received = _check_answer(answered, json_input.read_object_of_values)
         if received.is_error():
             return expression.Error(received.error)
         answer = received.ok
@@ -69,6 +72,9 @@
 
 def _check_answer(
     answered: expression.Result[http_exchange.Response, http_exchange.ExchangeError],
+    read_body: collections.abc.Callable[
+        [str, bytes], json_input.ObjectReader
+    ] = json_input.read_object,
 ) -> _Received:
     """
     Return a reader of the answer's body if the call succeeded.
@@ -84,7 +90,7 @@
         may_have_effect = answer.status not in _NOT_APPENDED_STATUSES
         detail = f"the log answered with status {answer.status}"
         return expression.Error(_count_failure(detail, may_have_effect, answer.retry_after_ms))
-    return expression.Ok(json_input.read_object(_PLACE, answer.body))
+    return expression.Ok(read_body(_PLACE, answer.body))
 
 
 def _count_failure(detail: str, may_have_effect: bool, retry_after_ms: int) -> logservice.LogError:
@@ -111,4 +117,6 @@
 def _read_record(item: json_input.ObjectReader) -> logservice.Record:
     offset = item.take_count("offset")
     logged_at_ms = item.take_count("logged_at_ms")
-    return logservice.Record(offset, logged_at_ms, item.take_object_or_empty("value"))
+    value = item.take_object_or_empty("value")
+    is_sound = json_input.can_be_sent_on(value)
+    return logservice.Record(offset, logged_at_ms, value if is_sound else {})
--- a/programs/oleanderdeal/oleanderdeal/caller_requests.py
+++ b/programs/oleanderdeal/oleanderdeal/caller_requests.py
@@ -105,7 +105,7 @@
 def _read_generation_body(body: bytes, problems: list[findings.Finding]) -> _GenerationBody | None:
     try:
         content = json.loads(body)
-    except ValueError:
+    except (ValueError, RecursionError):
         problems.append(findings.Finding("body", "is not JSON"))
         return None
     if not isinstance(content, dict):
--- a/programs/oleanderdeal/oleanderdeal/trainer_api.py
+++ b/programs/oleanderdeal/oleanderdeal/trainer_api.py
@@ -224,7 +224,7 @@
 def _read_uri(body: bytes) -> str | None:
     try:
         content = json.loads(body[:_MAX_BODY_BYTES])
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     uri = content.get("uri") if isinstance(content, dict) else None
     return uri if isinstance(uri, str) else None
