--- a/features/odd_records.feature
+++ b/features/odd_records.feature
@@ -156,6 +156,11 @@
       | manifest        | bytes             | infinite         |
       | manifest        | bytes             | decimal          |
       | manifest        | ranges            | cyclic           |
+      | trainer's batch | step              | huge             |
+      | trainer's batch | items.0.tokens    | huge             |
+      | trainer's batch | items.0.headers.a | nested           |
+      | trainer's batch | items.0.headers.a | "\ud800"         |
+      | trainer's batch | items             | endlessly nested |
       | frame           | protocol          | huge             |
       | frame           | protocol          | decimal          |
       | frame           | name              | nested           |
