--- a/features/steps/owed_items_steps.py
+++ b/features/steps/owed_items_steps.py
@@ -24,6 +24,9 @@
 _ITEM = "i0"
 _CALM_SECONDS = 60.0
 _TICK_SECONDS = 0.05
+_START_SECONDS = 1e9
+"""When simulated time starts: beyond the uptime of any machine, so that a time which is read from
+the real clock makes the rows fail on each machine."""
 _SEED = 11
 _BURST_SECONDS = 45.0
 _CRASHES = 10
@@ -62,7 +65,7 @@
         self.crashes = crashes
         self.sent_at = []
         self.ended = set()
-        """The names of the engines that have ended and are still listed."""
+        """The names of the engines that have ended."""
         self._events = events
         self._read_now = read_now
         self._on_end = on_end
@@ -90,7 +93,7 @@
     """
 
     def __init__(self, items, crashes, events, pause):
-        self.now = 1000.0
+        self.now = _START_SECONDS
         self.free_since = self.now
         self.waits = []
         self._pause = pause
@@ -103,6 +106,16 @@
         accepted = records.Accepted("b", "h", "/b/1", _MODEL, 0, 1, 0, 1, items)
         self._batch = batch_table.Batch(accepted, self.now)
         self.engines = EndingEngines(crashes, events, lambda: self.now, self._end)
+        self._group = types.SimpleNamespace(
+            is_stopping=False, start=lambda task: task(), pause=lambda _: True
+        )
+
+    def run(self):
+        """Run until the item's last attempt, or for a minute of calm."""
+        with unittest.mock.patch.object(clock, "read_now", lambda: self.now):
+            self._build().start_items()
+
+    def _build(self):
         self._router = router.Router(1, lambda: self.now)
         self._known = directory.Directory(self._router, self.engines)
         share = (routes.Share("engines", 1),)
@@ -113,33 +126,26 @@
         backends = (routes.Backend("engines", (_MODEL,), 1),)
         self._known.update_table(routes.RouteTable(1, (route,), backends, routes.Limits(1, 1, 1)))
         self._add_engine()
-
-    def run(self):
-        """Run until the item's last attempt, or for a minute of calm."""
-        group = types.SimpleNamespace(
-            is_stopping=False, start=lambda task: task(), pause=lambda _: True
-        )
         guard = crash_guard.CrashGuard(
             self._known,
             ledger.CrashLedger(1, lambda: self.now),
             SilentPublisher(),
             lambda: self.now,
         )
-        self._group = group
+        group = self._group
         items = item_task.ItemRunner(self._known, self._router, self.engines, None, group, guard)
-        runner = batch_runner.BatchRunner(
+        return batch_runner.BatchRunner(
             self._known, self, self, self._router, items, self, group, 8
         )
-        with unittest.mock.patch.object(clock, "read_now", lambda: self.now):
-            runner.start_items()
 
     def wait_for_change(self, seconds):
         """Advance the time, as the index that the runner waits for."""
         sent = len(self.engines.sent_at)
         since = max([self.free_since, *self.engines.sent_at[-1:]])
         self.now += _TICK_SECONDS
-        while self.engines.ended:
-            self._known.remove_server(self.engines.ended.pop())
+        self._known.record_list_read()
+        for name in self.engines.ended:
+            self._known.remove_server(name)
         if self._restart_at and self.now >= self._restart_at:
             self._restart_at = 0.0
             self._add_engine()
