--- a/features/standins.feature
+++ b/features/standins.feature
@@ -189,3 +189,16 @@
       | state         | count |
       | on its way    | 0     |
       | held back     | 1     |
+
+  Scenario Outline: The port of a backend server stays its own
+    # Guards against "Address already in use" when a server starts: the port, free when it was chosen
+    # or when the server was killed, had been taken by another process.
+    Given a stand-in service that is <state>, and its port
+    When another program wants to listen on the port of the stand-in service
+    Then the other program can't, connections are refused, and the stand-in service starts on its port
+
+    Examples:
+      | state           |
+      | about to start  |
+      | killed          |
+      | killed in calls |
--- a/features/steps/standins_steps.py
+++ b/features/steps/standins_steps.py
@@ -1,14 +1,18 @@
 """Steps that test the stand-ins and the relays that other tests use."""
 
 import concurrent.futures
+import contextlib
+import errno
 import hashlib
 import http.client
 import json
+import socket
 
 import behave
 
+import deployments
 import support
-from oleander_standins import tokens
+from oleander_standins import deployment, tokens
 
 _TIMEOUT_SECONDS = 10.0
 _STREAM = "/streams/s/records"
@@ -344,3 +348,49 @@
         raise AssertionError("a call passed through a relay after cut()")
     context.relay.heal()
     assert _call_service(context, "k", "b", context.relay.url).status == 200
+
+
+@behave.given("a stand-in service that is {state}, and its port")
+def reserve_port(context, state):
+    cluster = support.get_cluster(context)
+    context.deployed = deployment.Deployment(cluster)
+    context.host = deployments.DESKS[0]
+    context.deployed.add_host(context.host)
+    if state == "about to start":
+        context.port = cluster.reserve_port()
+        return
+    name = context.host.server_name
+    context.deployed.start_backend_server(context.host.name)
+    context.port = int(cluster.address(name).rpartition(":")[2])
+    if state == "killed in calls":
+        cluster.control(name, hold=True)
+        calls = [_run_async(context, _try_call, cluster.url(name)) for _ in range(3)]
+        support.wait_until(
+            lambda: cluster.read_control(name)["holding"] == len(calls), "held calls"
+        )
+    cluster.kill(name)
+
+
+def _try_call(url):
+    with contextlib.suppress(*_CALL_ERRORS):
+        support.call("POST", f"{url}/call/x", {})
+
+
+@behave.when("another program wants to listen on the port of the stand-in service")
+def listen_elsewhere(context):
+    try:
+        context.taken = socket.create_server(("127.0.0.1", context.port))
+        context.add_cleanup(context.taken.close)
+    except OSError as error:
+        context.taken = error
+
+
+@behave.then(
+    "the other program can't, connections are refused, and the stand-in service starts on its port"
+)
+def check_port(context):
+    assert getattr(context.taken, "errno", 0) == errno.EADDRINUSE, context.taken
+    with socket.socket() as client:
+        assert client.connect_ex(("127.0.0.1", context.port)) == errno.ECONNREFUSED
+    context.deployed.start_backend_server(context.host.name, context.port)
+    assert context.cluster.address(context.host.server_name) == f"127.0.0.1:{context.port}"
--- a/standins/oleander_standins/deployment.py
+++ b/standins/oleander_standins/deployment.py
@@ -109,9 +109,9 @@
         self._entries.sort()
 
     def start_backend_server(self, name: str, port: int = 0) -> None:
-        """Start or restart the backend server of a host; port 0 takes a free port."""
+        """Start or restart the backend server of a host; port 0 reserves a free one."""
         host = self._hosts[name]
-        port = port or processes.choose_restart_port()
+        port = port or self._cluster.reserve_port()
         flags = ["--port", str(port), *host.engine_flags]
         if host.kind == "engine":
             flags.append("--marks-version")
--- a/standins/oleander_standins/processes.py
+++ b/standins/oleander_standins/processes.py
@@ -1,7 +1,6 @@
 """Start child processes, call them and wait for conditions, for tests, demo and benchmarks."""
 
 import collections.abc
-import contextlib
 import json
 import pathlib
 import queue
@@ -55,12 +54,23 @@
         time.sleep(0.01)
 
 
-def choose_restart_port() -> int:
-    """Return a free port on which a server can be started again; OSError if there is none."""
+def reserve_port() -> socket.socket:
+    """
+    Return a socket that holds a port for servers; OSError if no port is free.
+
+    Servers with SO_REUSEPORT can listen on the port, and no other process can bind it until the
+    socket is closed. While no server listens, connections are refused.
+    """
     for _ in range(_MAX_PORT_TRIALS):
-        port = random.choice(_RESTART_PORTS)
-        with contextlib.suppress(OSError), socket.create_server(("127.0.0.1", port)):
-            return port
+        holder = socket.socket()
+        try:
+            holder.bind(("127.0.0.1", random.choice(_RESTART_PORTS)))
+        except OSError:
+            holder.close()
+            continue
+        # Set only now, or two processes could hold the same port.
+        holder.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEPORT, 1)
+        return holder
     raise OSError(f"no free port in {_RESTART_PORTS}")
 
 
@@ -161,6 +171,7 @@
     def __init__(self) -> None:
         self._processes: dict[str, Process] = {}
         self._relays: dict[str, relay.Relay] = {}
+        self._port_holders: list[socket.socket] = []
         self._logs = tempfile.TemporaryDirectory(prefix="oleander-")
 
     def start(self, name: str, module: str, *arguments: object, ready: bool = True) -> Process:
@@ -188,6 +199,12 @@
         """Start a stand-in on a free port."""
         return self.start(name, f"oleander_standins.{kind}", "--port", 0, *arguments)
 
+    def reserve_port(self) -> int:
+        """Return a port that only servers of this cluster can use until `stop`."""
+        holder = reserve_port()
+        self._port_holders.append(holder)
+        return int(holder.getsockname()[1])
+
     def start_relay(self, name: str, target: str) -> relay.Relay:
         """Start a relay whose target is the name of a process or IP:port."""
         known = self._processes.get(target)
@@ -244,6 +261,8 @@
             self.close(name)
         for item in self._relays.values():
             item.close()
+        for holder in self._port_holders:
+            holder.close()
         self._logs.cleanup()
 
     def read_logs(self) -> str:
--- a/standins/oleander_standins/server.py
+++ b/standins/oleander_standins/server.py
@@ -254,6 +254,11 @@
     block_on_close = False
     request_queue_size = 512
 
+    def __init__(self, address: tuple[str, int], handler: type[_Handler]) -> None:
+        """Listen; a port other than 0 may be one that `processes.reserve_port` holds."""
+        self.allow_reuse_port = address[1] != 0
+        super().__init__(address, handler)
+
     def handle_error(self, request: typing.Any, client_address: typing.Any) -> None:
         """Print exceptions of the stand-in; ignore OSError, raised when a caller disconnects."""
         if not isinstance(sys.exception(), OSError):
