--- a/features/configuration_fold.feature
+++ b/features/configuration_fold.feature
@@ -93,6 +93,23 @@
       | version, version, snapshot of 0, snapshot of 1, snapshot of 1 | 2   | 4       | no  |
       | version, version, snapshot of 0, snapshot of 9, version     | 2     | -1      | yes |
 
+  Scenario Outline: A snapshot that lacks records before it is not taken for the newest
+    # Guards against records that no snapshot keeps: one that was written before them, but arrived
+    # after them, counted as theirs, and no process wrote another.
+    Given a configuration log whose records are <records>
+    When a process starts where the configuration log begins at 0
+    Then the newest configuration snapshot is at <newest>
+
+    Examples:
+      | records                                                      | newest |
+      | version, version                                             | -1     |
+      | version, version, snapshot of 1                              | 2      |
+      | version, version, snapshot of 0                              | -1     |
+      | version, snapshot of 0, version, snapshot of 0               | 1      |
+      | version, snapshot of 0, version, snapshot of 0, snapshot of 3 | 4     |
+      | version, snapshot of 0, snapshot of 0                        | 2      |
+      | version, snapshot of 0, snapshot of 1                        | 2      |
+
   Scenario: A process that was suspended until its next record was deleted waits for a snapshot
     # When it resumes, its configuration stays in force, the applied offset never decreases, and a
     # snapshot from the log or from a peer ends the wait.
--- a/features/steps/configuration_fold_steps.py
+++ b/features/steps/configuration_fold_steps.py
@@ -114,6 +114,11 @@
     support.follow(context.fold, context.log, first)
 
 
+@behave.then("the newest configuration snapshot is at {offset:d}")
+def check_snapshot(context, offset):
+    assert context.fold.snapshot_offset == offset, context.fold.snapshot_offset
+
+
 @behave.when("a process that applied configuration {applied:d} goes on at {first:d}")
 def resume_process(context, applied, first):
     context.fold = fold.ConfigurationFold()
--- a/libs/contracts/oleander_contracts/fold.py
+++ b/libs/contracts/oleander_contracts/fold.py
@@ -63,6 +63,8 @@
         self._state = state.ConfigurationState()
         self._applied_offset = in_force.NO_OFFSET
         self._snapshot_offset = in_force.NO_OFFSET
+        self._change_offset = in_force.NO_OFFSET
+        """The offset of the newest record other than a snapshot that may have been applied."""
         self._recent = self._create_window(0)
         self._deferred: windows.RecordWindow | None = None
 
@@ -86,7 +88,11 @@
 
     @property
     def snapshot_offset(self) -> int:
-        """The offset of the newest snapshot record seen in the log; -1 if there was none."""
+        """
+        The offset of the newest snapshot seen in the log; -1 if there was none.
+
+        A snapshot that lacks records before it, other than snapshots, does not count.
+        """
         with self._lock:
             return self._snapshot_offset
 
@@ -201,11 +207,12 @@
         match records.read_record(kept.value):
             case expression.Result(tag="ok", ok=record):
                 verdict = self._state.apply(kept.offset, record)
-                self._record_snapshot(kept.offset, record)
+                self._note_snapshot(kept.offset, record)
             case expression.Result(error=found):
                 # Any writer to the log may append an invalid record. An exception would crash
                 # every process that reads it, on each restart; a void record has no effect.
                 verdict = _void(str(found)[:_MAX_REASON_CHARACTERS])
+                self._change_offset = kept.offset
         self._advance_to(kept.offset)
         self._recent.add(dataclasses.replace(kept, verdict=verdict))
         return verdict
@@ -245,6 +252,7 @@
         if decrease:
             return _void(f"would take back {decrease}")
         self._state = after
+        self._change_offset = snapshot.through
         self._advance_to(snapshot.through)
         self._recent = self._create_window(snapshot.through + 1)
         self._apply_deferred()
@@ -261,8 +269,10 @@
         if deferred.next_offset == self._applied_offset + 1:
             self._deferred = None
 
-    def _record_snapshot(self, offset: int, record: records.Record) -> None:
-        if isinstance(record, records.SnapshotRecord) and record.through < offset:
+    def _note_snapshot(self, offset: int, record: records.Record) -> None:
+        if not isinstance(record, records.SnapshotRecord):
+            self._change_offset = offset
+        elif self._change_offset <= record.through < offset:
             self._snapshot_offset = max(self._snapshot_offset, offset)
 
     def _advance_to(self, offset: int) -> None:
