--- a/features/steps/configuration_matrix_steps.py
+++ b/features/steps/configuration_matrix_steps.py
@@ -311,12 +311,10 @@
 @behave.when("the log of the configuration matrix deletes the record of the newest change")
 def delete_newest_record(context):
     parts = context.parts
-    counts = parts.cluster.read_control("log")
-    kept = counts["records"][records.STREAM] - parts.offset
-    parts.cluster.control("log", retention=kept)
     parts.append({"kind": "other"})
+    parts.cluster.control("log", delete={records.STREAM: parts.offset + 1})
     first = parts.cluster.read_control("log")["first_offsets"][records.STREAM]
-    assert first > parts.offset, "the newest change was not deleted"
+    assert first == parts.offset + 1, "the log did not delete up to the newest change"
 
 
 @behave.then("show in the configuration matrix ends {ending}")
--- a/standins/oleander_standins/logservice.py
+++ b/standins/oleander_standins/logservice.py
@@ -59,6 +59,12 @@
             self.changed.notify_all()
         return first
 
+    def delete(self, offset: int) -> None:
+        """Delete the records below an offset."""
+        with self.changed:
+            while self._records and self.first_offset < offset:
+                self._records.popleft()
+
     def read(self, offset: int, limit: int, wait_ms: int) -> bytes:
         """Return a page of records as JSON, after waiting up to `wait_ms` for the first record."""
         with self.changed:
@@ -105,6 +111,14 @@
             "first_offsets": {name: stream.first_offset for name, stream in streams},
         }
 
+    def command(self, name: str, value: typing.Any) -> bool:
+        """Delete records on `delete`, whose value has an offset for each stream."""
+        if name != "delete":
+            return False
+        for stream, offset in dict(value).items():
+            self._streams[stream].delete(offset)
+        return True
+
     def _answer_append(self, exchange: server.Exchange, name: str) -> None:
         values = exchange.read_object().get("records")
         stream = self._find_stream(name)
