--- a/features/steps/cut_answers_steps.py
+++ b/features/steps/cut_answers_steps.py
@@ -12,7 +12,8 @@
 import platform_standin
 
 _SEED = 51
-_EVENT_SECONDS = 0.1
+_LONG_EVENT_SECONDS = 0.1
+"""Time of an event at which a run still goes on when its request is sent again."""
 _CALLS = {"a call that may be repeated": "/calls/a", "a call that may run once": "/charges/a"}
 _PATHS = _CALLS | {
     "a stream": "/streams/a",
@@ -55,7 +56,8 @@
 
 def _build_server(name, fault, is_faulty):
     server = faulty_server.FaultyServer(name, fault if is_faulty else faulty_server.Fault("", 0))
-    server.event_seconds = _EVENT_SECONDS
+    if fault.kind.startswith("comes again"):
+        server.event_seconds = _LONG_EVENT_SECONDS
     return server
 
 
