--- a/features/front_faults.py
+++ b/features/front_faults.py
@@ -1,6 +1,7 @@
 """Apply random faults to front programs, their store and their servers."""
 
 import collections
+import random
 import signal
 import threading
 import time
@@ -9,6 +10,8 @@
 
 _MAX_PAUSE_SECONDS = 1.2
 _MAX_FAULT_SECONDS = 2.5
+_MAX_SENT_BYTES = 400
+"""More than the head of an answer, less than a stream."""
 _EXIT_TIMEOUT_SECONDS = 12.0
 """The settings allow 8 s for a graceful exit; the rest is for a busy machine."""
 
@@ -45,6 +48,7 @@
             "new version": self._publish_version,
             "configuration": self._publish_configuration,
         }
+        self._lengths = random.Random(site.seed)
         self._version_number = 1
         self._configuration_number = 3
 
@@ -126,8 +130,9 @@
         service.event_seconds = 0.01
 
     def _lose_answers(self, front, seconds):
-        """Make each server drop its next 3 answers after it has run the requests."""
+        """Make each server end its next 3 answers early, after it has run the requests."""
         for sampler in (*self._site.services, *self._site.engines):
+            sampler.choose_length = lambda: self._lengths.randrange(_MAX_SENT_BYTES)
             sampler.lost_answers = 3
 
     def _replace_server(self, front, seconds):
--- a/features/front_load.py
+++ b/features/front_load.py
@@ -37,13 +37,19 @@
                 body = request_id.encode()
                 answer = self._site.pick_front().try_ask("POST", "/charges/a", body, request_id)
                 status = answer[0] if answer else 0
-                is_whole = status != 200 or answer[2] == b"answer to " + body
+                is_whole = status != 200 or _is_own_answer(answer, request_id)
                 self.statuses_by_request[request_id].append(status if is_whole else "wrong body")
                 if status != 503:
                     break
                 time.sleep(float(answer[1].get("Retry-After", "0")))
 
 
+def _is_own_answer(answer, request_id):
+    _, headers, body = answer
+    has_stamp = headers.get("X-Oleanderdeal-Server-Stamp") == f"stamp-{request_id}"
+    return has_stamp and body == b"answer to " + request_id.encode()
+
+
 class CrashingCaller(threading.Thread):
     """Repeatedly send a request that crashes the server running it, each time with a new id."""
 
--- a/features/front_site.py
+++ b/features/front_site.py
@@ -50,6 +50,7 @@
     """The stand-in for the platform, the engines and services, and the front programs."""
 
     def __init__(self, seed, fronts=3, services=2, engines=2):
+        self.seed = seed
         self.random = random.Random(seed)
         self.store = platform_standin.Store()
         self.engines = [platform_standin.BackendServer(f"engine-{n}") for n in range(engines)]
--- a/features/front_soak.feature
+++ b/features/front_soak.feature
@@ -6,6 +6,7 @@
     # Callers send requests that must not run twice, and a trainer runs steps. The seed decides which
     # programs are killed, stopped, frozen or cut off, how the store fails, and which servers lose answers
     # or are replaced. At the end the answers are compared with what the servers ran.
+    # Seeds 101 and 5: a server's answer that ended in its head, or after it, was taken as whole.
     When the front soak runs for 6 seconds with seed <seed>
     Then the front soak found no violation and completed work
 
@@ -13,3 +14,4 @@
       | seed |
       | 3    |
       | 101  |
+      | 5    |
--- a/features/front_soak.py
+++ b/features/front_soak.py
@@ -126,7 +126,7 @@
             if set(statuses) == {503} and run_counts[request_id]:
                 problems.append(f"{request_id} was only refused, but ran: {statuses}")
             if "wrong body" in statuses:
-                problems.append(f"{request_id} got the answer to another request")
+                problems.append(f"{request_id} got an answer that is not its own or not whole")
     return problems
 
 
--- a/features/platform_standin.py
+++ b/features/platform_standin.py
@@ -114,6 +114,25 @@
         threading.Thread(target=self._server.serve_forever, daemon=True).start()
 
 
+class _EndingFile:
+    """Sends as many bytes as stated, then closes the connection and raises an error."""
+
+    def __init__(self, handler, length):
+        self._handler = handler
+        self._file = handler.wfile
+        self._left = length
+
+    def __getattr__(self, name):
+        return getattr(self._file, name)
+
+    def write(self, data):
+        self._file.write(data[: self._left])
+        self._left -= len(data)
+        if self._left < 0:
+            _abort_connection(self._handler)
+            raise ConnectionAbortedError
+
+
 class Store(HttpStandin):
     """Platform store: partitioned topics, keyed topics and consumer groups."""
 
@@ -226,6 +245,8 @@
         """More headers of the answers to calls."""
         self.lost_answers = 0
         """Number of upcoming requests that run, but whose answers are lost or truncated."""
+        self.choose_length = None
+        """Returns how many bytes of such an answer are sent; without it, none or half a stream."""
         self.ended_at = []
         """Monotonic times, in seconds, at which a fatal request crashed the server."""
         self.take_crash = lambda: False
@@ -262,6 +283,9 @@
             ("X-Oleanderdeal-Server-Stamp", f"stamp-{request_id}"),
         ]
         is_lost, self.lost_answers = self.lost_answers > 0, max(0, self.lost_answers - 1)
+        if is_lost and self.choose_length is not None:
+            handler.wfile = _EndingFile(handler, self.choose_length())
+            is_lost = False
         if not path.startswith(("/items/", "/streams/")):
             time.sleep(self.event_seconds)
             if is_lost:
