--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -9,7 +9,7 @@
 
 import ending_server
 import raw_server
-from oleander_base import clock, http_connection, http_exchange, http_pool
+from oleander_base import clock, deadline_socket, http_connection, http_exchange, http_pool
 
 _SECONDS = 5.0
 _IDLE_SECONDS = 9.5
@@ -135,7 +135,7 @@
         self.opened = []
 
     def run(self, script):
-        answer = unittest.mock.Mock(status=200, chunked=False, length=0, will_close=False)
+        answer = unittest.mock.Mock(status=200, is_framed=True, length=0, will_close=False)
         answer.getheaders.return_value = []
         answer.getheader.return_value = f"timeout={self._timeout}"
         answer.read1.return_value = b""
@@ -162,7 +162,7 @@
             assert self._used.pop().read_whole().is_ok()
 
     def _open(self):
-        connection = unittest.mock.Mock(is_reusable=True, is_open=True)
+        connection = unittest.mock.Mock(is_reusable=True, is_open=True, request_count=1)
         connection.getresponse.return_value = self._answer
         self.opened.append(connection)
         return connection
@@ -233,7 +233,7 @@
 
     body = b"b" * size
     deadline = clock.start_deadline(_SECONDS)
-    with unittest.mock.patch.object(http_connection.DeadlineSocket, "sendall", count_write):
+    with unittest.mock.patch.object(deadline_socket.DeadlineSocket, "sendall", count_write):
         if client == "pool":
             address = context.raw.url.removeprefix("http://")
             request = http_pool.PoolRequest(address, "POST", "/", (), body)
--- a/libs/base/oleander_base/pooled_response.py
+++ b/libs/base/oleander_base/pooled_response.py
@@ -6,7 +6,7 @@
 
 import expression
 
-from oleander_base import http_connection, http_exchange, receive_budget
+from oleander_base import http_connection, http_exchange, receive_budget, whole_response
 
 _MAX_LINE_BYTES = 256 * 1024
 """The longest line of a streamed body; the platform stores no larger record."""
@@ -42,6 +42,8 @@
     is_framed: bool
     """Whether the body had a stated length or was chunked; otherwise the close of the connection,
     without a reset, ended it."""
+    earlier_requests: int
+    """How many requests were sent on the connection before."""
     was_sent_before: bool = False
     """Whether the request was sent before, on a connection that failed. The server may have
     executed that copy, whatever it answers to this one."""
@@ -78,7 +80,7 @@
         owner: ConnectionOwner,
         address: str,
         connection: http_connection.Connection,
-        response: http.client.HTTPResponse,
+        response: whole_response.WholeResponse,
         was_sent_before: bool = False,
     ) -> None:
         self._was_sent_before = was_sent_before
@@ -88,7 +90,7 @@
         self._response = response
         self._headers = tuple(response.getheaders())
         self._idle_seconds = _read_idle_seconds(response)
-        self._is_framed = response.chunked or response.length is not None
+        self._is_framed = response.is_framed
         self._buffer = b""
         self._line_start = 0
         """Where the next line begins in the buffer."""
@@ -141,7 +143,12 @@
             self.close()
             return expression.Error(self._describe(error))
         answer = Response(
-            self.status, self.headers, body.join(), self._is_framed, self._was_sent_before
+            self.status,
+            self.headers,
+            body.join(),
+            self._is_framed,
+            self._connection.request_count - 1,
+            self._was_sent_before,
         )
         self._finish()
         return expression.Ok(answer)
@@ -171,9 +178,8 @@
         """
         Return received bytes of the body, or none at its end; raise if it was truncated.
 
-        In http.client only `read1` raises an error for a truncated chunked body: `readline` and
-        `peek` swallow it, so that a truncated stream would look complete. A truncated body of
-        stated length raises no error at all, so the remaining length is checked.
+        http.client raises no error for a truncated body of stated length, so the remaining length
+        is checked.
         """
         chunk = self._response.read1(http_exchange.CHUNK_BYTES)
         if not chunk and self._response.length:
