--- a/features/http_pool.feature
+++ b/features/http_pool.feature
@@ -96,6 +96,17 @@
       | HTTP/1.1 200 OK~Content-Length: 2~~ab then HTTP/1.1 200 OK~Content-Length: 2~~cd  |
       | HTTP/1.1 200 OK~Content-Length: 2~~ab then rubbish                                |
 
+  Scenario Outline: An address without a port in range is a failure
+    # Guards against a connection to another port: the resolver takes a larger one modulo 65536.
+    When a request is made to the address <address>
+    Then the failure says that no connection was opened
+
+    Examples:
+      | address         |
+      | 127.0.0.1:65536 |
+      | 127.0.0.1:99999 |
+      | 127.0.0.1:port  |
+
   Scenario: A cancelled request ends soon
     # Otherwise the server would work until the deadline for a caller that has disconnected.
     Given a raw server that is silent
--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -77,6 +77,18 @@
     assert " ".join(context.lines) == lines, context.lines
 
 
+@behave.when("a request is made to the address {address}")
+def request_address(context, address):
+    request = http_pool.PoolRequest(address, "GET", "/", (("Host", "h"),))
+    deadline = clock.start_deadline(_SECONDS)
+    context.opened = http_pool.ConnectionPool().open(request, deadline, lambda: False)
+
+
+@behave.then("the failure says that no connection was opened")
+def check_not_connected(context):
+    assert context.opened.error.reach is http_exchange.Reach.NOT_CONNECTED, context.opened
+
+
 @behave.when("two requests are made one after the other")
 def make_two(context):
     assert _open(context).ok.read_whole().is_ok()
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -13,6 +13,7 @@
     http_connection,
     http_exchange,
     metrics,
+    network_address,
     pooled_response,
     receive_budget,
 )
@@ -189,6 +190,9 @@
         self, address: str, deadline: clock.Deadline
     ) -> expression.Result[http_connection.Connection, http_exchange.ExchangeError]:
         host, _, port = address.rpartition(":")
+        if not network_address.is_port(port):  # the resolver takes a larger port modulo 65536
+            reach = http_exchange.Reach.NOT_CONNECTED
+            return expression.Error(http_exchange.ExchangeError("a port out of range", reach))
         connection = http_connection.Connection(host, int(port))
         connection.set_deadline(deadline.cap(_CONNECT_SECONDS))
         try:
