--- a/standins/oleander_standins/client.py
+++ b/standins/oleander_standins/client.py
@@ -6,6 +6,8 @@
 import typing
 import urllib.parse
 
+from oleander_base import whole_response
+
 
 @dataclasses.dataclass(slots=True, frozen=True)
 class Response:
@@ -20,6 +22,12 @@
         return json.loads(self.body)
 
 
+class _Connection(http.client.HTTPConnection):
+    """A connection whose responses raise an error if they end early."""
+
+    response_class = whole_response.WholeResponse
+
+
 def call(
     method: str, url: str, body: bytes | None, headers: dict[str, str], timeout: float
 ) -> Response:
@@ -31,7 +39,7 @@
     """
     parts = urllib.parse.urlsplit(url)
     path = parts.path + (f"?{parts.query}" if parts.query else "")
-    connection = http.client.HTTPConnection(parts.hostname or "", parts.port, timeout=timeout)
+    connection = _Connection(parts.hostname or "", parts.port, timeout=timeout)
     try:
         connection.request(method, path, body, headers)
         response = connection.getresponse()
