--- a/features/steps/platform_adapter_steps.py
+++ b/features/steps/platform_adapter_steps.py
@@ -14,7 +14,14 @@
 
 import ending_server
 import raw_server
-from oleander_adapter import boot, operator_records, server_calls, server_records, store
+from oleander_adapter import (
+    boot,
+    event_streams,
+    operator_records,
+    server_calls,
+    server_records,
+    store,
+)
 from oleander_base import clock, http_pool
 from oleander_direct import directory, servers
 from oleander_platform import recordlog
@@ -191,7 +198,7 @@
 @behave.given("a stream after event {last:d} of {lines}")
 def read_events(context, last, lines):
     pieces = [f"{line}\n".encode() for line in lines.split(",")]
-    stream = server_calls.ServerSentEventStream(FakeAnswer(pieces), last, lambda: False)
+    stream = event_streams.ServerSentEventStream(FakeAnswer(pieces), last, lambda: False)
     context.events = []
     while True:
         read = stream.read_event()
