--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -1,5 +1,6 @@
 """Steps for the pool of persistent connections."""
 
+import itertools
 import socket
 import threading
 import time
@@ -15,6 +16,8 @@
 _IDLE_SECONDS = 9.5
 _EXTRA_PAUSE = 0.2
 _FATAL_SECONDS = 1.0
+_REQUEST_IDS = map(str, itertools.count())
+"""An id for each request, since those without one are not sent on a used connection."""
 
 
 def _encode(text):
@@ -29,7 +32,9 @@
 
 def _open(context, is_cancelled=lambda: False):
     address = context.raw.url.removeprefix("http://")
-    request = http_pool.PoolRequest(address, "GET", "/", (("Host", "h"),))
+    request = http_pool.PoolRequest(
+        address, "GET", "/", (("Host", "h"),), request_id=next(_REQUEST_IDS)
+    )
     return context.pool.open(request, clock.start_deadline(_SECONDS), is_cancelled)
 
 
@@ -104,6 +109,7 @@
 
 @behave.then("the raw server saw {count:d} connections")
 def check_connections(context, count):
+    assert context.second.is_ok(), context.second
     assert context.raw.connections == count, context.raw.connections
 
 
@@ -208,7 +214,13 @@
 
 
 def _ask_ending(context, path, is_cancelled=lambda: False):
-    request = http_pool.PoolRequest(context.ending.address, "GET", path.decode(), (("Host", "h"),))
+    request = http_pool.PoolRequest(
+        context.ending.address,
+        "GET",
+        path.decode(),
+        (("Host", "h"),),
+        request_id=next(_REQUEST_IDS),
+    )
     deadline = clock.start_deadline(_FATAL_SECONDS)
     return context.pool.call(request, deadline, is_cancelled)
 
