--- a/features/http_drain.feature
+++ b/features/http_drain.feature
@@ -32,3 +32,9 @@
     Given a draining server with 1 kept connections
     When a client's request arrives just before the server's thread closes idle connections
     Then 1 whole answers arrive that close their connections
+
+  Scenario: An answer to HEAD has no body
+    # Guards against bytes that are read as the answer to the next request of the connection.
+    Given a draining server with 1 kept connections
+    When a client asks for the head of an answer only
+    Then nothing arrives after the head
--- a/features/steps/http_drain_steps.py
+++ b/features/steps/http_drain_steps.py
@@ -142,3 +142,14 @@
     while context.server.connections:
         assert time.monotonic() < until
         time.sleep(_PAUSE_SECONDS)
+
+
+@behave.when("a client asks for the head of an answer only")
+def ask_for_head(context):
+    context.clients[0].sendall(_REQUEST.replace(b"GET", b"HEAD"))
+
+
+@behave.then("nothing arrives after the head")
+def check_head(context):
+    head, end, rest = _receive(context.clients[0]).partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200") and end and not rest, (head, rest)
--- a/programs/oleanderdeal/oleanderdeal/http_server.py
+++ b/programs/oleanderdeal/oleanderdeal/http_server.py
@@ -185,7 +185,8 @@
         except BaseException:
             self._change_in_progress(-1)
             raise
-        return _TrackedParts(answer.parts, lambda: self._change_in_progress(-1))
+        has_body = environ["REQUEST_METHOD"] != "HEAD"
+        return _TrackedParts(answer.parts, lambda: self._change_in_progress(-1), has_body)
 
     def _answer(self, environ: _Environ) -> http_messages.HttpAnswer:
         try:
@@ -236,13 +237,17 @@
     """
 
     def __init__(
-        self, parts: collections.abc.Iterable[bytes], end: collections.abc.Callable[[], None]
+        self,
+        parts: collections.abc.Iterable[bytes],
+        end: collections.abc.Callable[[], None],
+        has_body: bool,
     ) -> None:
         self._parts = parts
         self._end = end
+        self._has_body = has_body
 
     def __iter__(self) -> collections.abc.Iterator[bytes]:
-        return iter(self._parts)
+        return iter(self._parts) if self._has_body else iter(())
 
     def close(self) -> None:
         """Close the parts and report that the request has ended."""
