--- a/features/odd_records.feature
+++ b/features/odd_records.feature
@@ -178,6 +178,11 @@
       | huge             |
       | {}               |
 
+  Scenario: A page with no key that is a text is not the end of the list
+    # Guards against servers that count as removed because the pages after such a page are not read.
+    Given a store whose page of keys contains only half of a pair, and more follow
+    Then the list of keys is an error
+
   Scenario: A failure while one record is applied is logged, and the records after it are followed
     # Guards against a fault of our own that stops a follower for ever.
     Given a follower whose sink fails on the record of one key
--- a/features/steps/odd_records_steps.py
+++ b/features/steps/odd_records_steps.py
@@ -178,6 +178,18 @@
     context.read = _read_answer("list of keys", body)
 
 
+@behave.given("a store whose page of keys contains only half of a pair, and more follow")
+def list_no_key(context):
+    items = [{"key": "\ud800", "value": "eA==", "offset": 1}]
+    body = json.dumps({"items": items, "has_more": True, "end": 3}).encode()
+    context.read = _read_answer("list of keys", body)
+
+
+@behave.then("the list of keys is an error")
+def check_list(context):
+    assert context.read.is_error(), context.read
+
+
 @behave.then("both sound keys are read")
 def check_keys(context):
     assert context.read.is_ok(), context.read
