--- a/features/http_pool.feature
+++ b/features/http_pool.feature
@@ -82,6 +82,22 @@
       | -36 +36 5s -37 +36                     | 73     | 36     |
       | -36 +36 5s -1 +1                       | 37     | 36     |
 
+  Scenario Outline: A connection that a request can't use gives way to the one that it opens
+    # Guards against idle connections that use up a server's limit: each report and order left one.
+    # Words: as above, and r9 makes nine requests without an id, one after the other.
+    Given a pool whose servers close connections that are idle for 5 s
+    When the pool's connections are used as <script>
+    Then <opened> connections were opened and <closed> closed
+
+    Examples:
+      | script         | opened | closed |
+      | r1             | 1      | 0      |
+      | r9             | 9      | 8      |
+      | r9 -1 +1       | 9      | 8      |
+      | -2 +2 r9       | 9      | 7      |
+      | -2 +2 r2 -2 +2 | 2      | 0      |
+      | r1 5s r1       | 2      | 1      |
+
   Scenario Outline: Unsolicited bytes are not read as the answer to the next request
     # A server sends a second answer, which would reach the caller of the next request. It comes at
     # once or later, complete or in parts.
--- a/features/steps/http_pool_steps.py
+++ b/features/steps/http_pool_steps.py
@@ -173,17 +173,22 @@
     def _do(self, word):
         if word.endswith("s"):
             self._now += float(word[:-1])
-        for _ in range(int(word[1:]) if word[0] == "-" else 0):
-            request = http_pool.PoolRequest("127.0.0.1:1", "GET", "/", ())
+        for number in range(int(word[1:]) if word[0] in "-r" else 0):
+            request_id = "" if word[0] == "r" else f"{word} {number} {self._now}"
+            request = http_pool.PoolRequest("127.0.0.1:1", "GET", "/", (), request_id=request_id)
             deadline = clock.start_deadline(_SECONDS)
             self._used.append(self._pool.open(request, deadline, lambda: False).ok)
+            if word[0] == "r":
+                assert self._used.pop().read_whole().is_ok()
         for _ in range(int(word[1:]) if word[0] == "+" else 0):
             assert self._used.pop().read_whole().is_ok()
 
     def _open(self):
         connection = unittest.mock.Mock(is_reusable=True, is_open=True, request_count=1)
         connection.getresponse.return_value = self._answer
-        connection.can_carry.return_value = True
+        last = [""]
+        connection.record_request.side_effect = lambda request_id: last.append(request_id)
+        connection.can_carry.side_effect = lambda request_id: request_id != last[-1]
         self.opened.append(connection)
         return connection
 
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -169,22 +169,33 @@
         return False
 
     def _take_idle(self, request: PoolRequest) -> http_connection.Connection | None:
+        """
+        Return an idle connection for a request, or None if a new one is to be opened.
+
+        If no idle one can be used, because the last request of each has the same id, the new one
+        replaces one of them: a server limits its connections, and each report would add one.
+        """
         while True:
             with self._lock:
-                item = self._pop_idle(request)
+                item, is_usable = self._pop_idle(request)
             if item is None:
                 return None
-            if item.expires_at > clock.read_now() and item.connection.is_reusable:
+            is_open = item.expires_at > clock.read_now() and item.connection.is_reusable
+            if is_usable and is_open:
                 return item.connection
             item.connection.close()
+            if not is_usable:
+                return None
 
-    def _pop_idle(self, request: PoolRequest) -> _Idle | None:
-        """Remove and return the idle connection for a request that expires first."""
-        idle = self._idle.get(request.address, [])
+    def _pop_idle(self, request: PoolRequest) -> tuple[_Idle | None, bool]:
+        """Remove and return the first idle connection to use or else to replace, and which."""
+        idle = self._idle.get(request.address)
+        if not idle:
+            return None, False
         for index, item in enumerate(idle):
             if item.connection.can_carry(request.request_id):
-                return idle.pop(index)
-        return None
+                return idle.pop(index), True
+        return idle.pop(0), False
 
     def _connect(
         self, address: str, deadline: clock.Deadline
