--- a/features/server_answers.feature
+++ b/features/server_answers.feature
@@ -84,6 +84,7 @@
       | 503 not run              | a call   | the same call   | its own |
       | 503 not run without id   | a call   | another call    | none    |
       | 500                      | an item  | the same item   | its own |
+      | 503 not run without id   | a call   | an order        | none    |
       | 409                      | an order | an order        | its own |
       | a report                 | a report | an order        | none    |
       | a report                 | a report | a report        | its own |
