--- a/features/odd_readers.py
+++ b/features/odd_readers.py
@@ -1,5 +1,6 @@
 """Readers of the log's topics, each of which is given sound records and an odd one."""
 
+import abc
 import types
 
 import odd_values
@@ -72,7 +73,7 @@
         group.pause(0.01)
 
 
-class KeyedReader:
+class KeyedReader(abc.ABC):
     """Runs a follower of a keyed topic; subclasses state its sink and its records."""
 
     def __init__(self):
@@ -83,15 +84,17 @@
         follower = keyed_follower.KeyedFollower(self.log, "topic", sink, self.group, 0.01)
         self.group.supervise(follower.follow)
 
+    @abc.abstractmethod
     def create_sink(self):
-        raise NotImplementedError
+        """Return the sink that applies the records."""
 
+    @abc.abstractmethod
     def build(self, name, field="", value=""):
         """Return the key and the value of the record with a name."""
-        raise NotImplementedError
 
+    @abc.abstractmethod
     def list_followed(self):
-        raise NotImplementedError
+        """Return the names of the records that were followed."""
 
     def read(self, field, value):
         """Let the records arrive in turn, and return the names of those that were followed."""
@@ -230,13 +233,14 @@
         return odd_values.write_cbor([2, self._window - 1, {"red": 1}], field, value)
 
 
-class PageReader:
+class PageReader(abc.ABC):
     """Reads a page of a stream over HTTP and applies its records, the second of which is odd."""
 
     _SOUND: dict
 
+    @abc.abstractmethod
     def apply(self, record):
-        raise NotImplementedError
+        """Apply the content of a record of the page."""
 
     def read(self, field, value):
         listed = [
--- a/libs/base/oleander_base/http_connection.py
+++ b/libs/base/oleander_base/http_connection.py
@@ -61,8 +61,8 @@
         """
         Return whether the answer to a request can be told from that to the last one.
 
-        A server may answer a request twice, the second time when the next answer is due. A request
-        with an empty id is one that bears the answer to an earlier one.
+        A server may answer a request twice, the second time when the next answer is due. An empty
+        id stands for requests that may be given the answer to an earlier one of them.
         """
         return not request_id or request_id != self._last_request_id
 
--- a/libs/base/oleander_base/http_pool.py
+++ b/libs/base/oleander_base/http_pool.py
@@ -47,7 +47,8 @@
     show whether the request was executed."""
     request_id: str = ""
     """What the answer is known by: its id, or its kind if it bears none. No idle connection is
-    used whose last request has the same. Empty for a request that bears an older answer."""
+    used whose last request has the same. Empty for requests that may be given
+    the answer to an earlier one of them."""
 
 
 @dataclasses.dataclass(slots=True)
